--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+# Short names for the common tasks; the build itself is CMake's.
+BUILD ?= build
+JOBS ?= $(shell nproc)
+
+.PHONY: all deps build test test-sanitize demo bench lint format clean
+
+all: build
+
+deps:
+	sh scripts/install-packages.sh
+
+build: deps
+	cmake -S . -B $(BUILD) >/dev/null
+	cmake --build $(BUILD) -j$(JOBS)
+
+test: build
+	cd $(BUILD) && ctest --output-on-failure
+
+test-sanitize: deps
+	cmake -S . -B $(BUILD)-sanitize -DSANITIZE=ON >/dev/null
+	cmake --build $(BUILD)-sanitize -j$(JOBS)
+	cd $(BUILD)-sanitize && ASAN_OPTIONS=detect_leaks=0 \
+	    ctest --output-on-failure
+
+demo: build
+	BUILD_DIR=$(BUILD) python3 scripts/demo.py
+
+bench: build
+	BUILD_DIR=$(BUILD) python3 tests/bench/bench.py
+
+lint: deps
+	sh scripts/lint.sh
+
+format:
+	clang-format -i $$(git ls-files '*.c' '*.h')
+
+clean:
+	rm -rf $(BUILD) $(BUILD)-sanitize
--- /dev/null
+++ b/lib/config/config_internal.h
@@ -0,0 +1,30 @@
+/* What the parser and the accessors of lib/config share. */
+#ifndef CF_CONFIG_INTERNAL_H
+#define CF_CONFIG_INTERNAL_H
+
+#include <jansson.h>
+
+#include "../base/base.h"
+#include "config.h"
+
+#define CF_WRITER_BYTES_MAX 64
+
+struct cf_config {
+	struct cs_ref ref;
+	uint64_t version;
+	char writer[CF_WRITER_BYTES_MAX];
+	json_t *document; /* what operators wrote */
+	uint32_t route_count;
+	uint32_t pool_count;
+	uint32_t target_count;
+	struct cf_route routes[CF_ROUTES_MAX];
+	struct cf_pool pools[CF_POOLS_MAX];
+	struct cf_target targets[CF_TARGETS_MAX];
+};
+
+/* cf_read(document, fault, out): checks a parsed document; takes a reference
+ * to it on success. */
+int cf_read(
+    json_t *document, char fault[CF_FAULT_BYTES_MAX], struct cf_config **out);
+
+#endif
--- /dev/null
+++ b/lib/decide/table.c
@@ -0,0 +1,256 @@
+/*
+ * The configuration in force, as pools, targets and routes by id. Loading a
+ * new one keeps what is known of those that stay.
+ */
+#include "decide_internal.h"
+
+uint32_t
+dc_route_find(const struct dc_core *core, uint64_t id)
+{
+	uint32_t i;
+
+	for (i = 0; i < DC_ROUTES_MAX; i++) {
+		if (core->routes[i].used && core->routes[i].id == id)
+			return i;
+	}
+	return DC_NONE;
+}
+
+static uint32_t
+pool_find(const struct dc_core *core, uint64_t id)
+{
+	uint32_t i;
+
+	for (i = 0; i < DC_POOLS_MAX; i++) {
+		if (core->pools[i].used && core->pools[i].id == id)
+			return i;
+	}
+	return DC_NONE;
+}
+
+uint32_t
+dc_target_find(const struct dc_core *core, uint64_t id)
+{
+	uint32_t i;
+
+	for (i = 0; i < DC_TARGETS_MAX; i++) {
+		if (core->targets[i].used && core->targets[i].id == id)
+			return i;
+	}
+	return DC_NONE;
+}
+
+static int
+begin(struct dc_core *core, const struct dc_table_begin *event)
+{
+	uint32_t i;
+
+	if (core->loading || event->version < core->version)
+		return CS_E_INVALID;
+	core->loading = true;
+	core->loading_pool = DC_NONE;
+	core->version = event->version;
+	for (i = 0; i < DC_POOLS_MAX; i++)
+		core->pools[i].listed = false;
+	for (i = 0; i < DC_TARGETS_MAX; i++)
+		core->targets[i].listed = false;
+	for (i = 0; i < DC_ROUTES_MAX; i++)
+		core->routes[i].listed = false;
+	return CS_OK;
+}
+
+static uint32_t
+free_pool(const struct dc_core *core)
+{
+	uint32_t i;
+
+	for (i = 0; i < DC_POOLS_MAX; i++) {
+		if (!core->pools[i].used)
+			return i;
+	}
+	return DC_NONE;
+}
+
+static int
+add_pool(struct dc_core *core, const struct dc_table_pool *event)
+{
+	uint32_t number = pool_find(core, event->pool);
+	struct dc_pool *pool;
+	uint32_t i;
+
+	if (number == DC_NONE) {
+		number = free_pool(core);
+		if (number == DC_NONE)
+			return CS_E_FULL;
+		core->pools[number] =
+		    (struct dc_pool){.used = true, .id = event->pool};
+	}
+	pool = &core->pools[number];
+	pool->listed = true;
+	pool->target_count = 0;
+	for (i = 0; i < pool->queue_count; i++)
+		pool->queues[i].weight = 1;
+	pool->class_count = 0;
+	core->loading_pool = number;
+	return CS_OK;
+}
+
+static uint32_t
+free_target(const struct dc_core *core)
+{
+	uint32_t i;
+
+	for (i = 0; i < DC_TARGETS_MAX; i++) {
+		if (!core->targets[i].used)
+			return i;
+	}
+	return DC_NONE;
+}
+
+static int
+add_target(struct dc_core *core, const struct dc_table_target *event)
+{
+	uint32_t number = dc_target_find(core, event->target);
+	struct dc_target *target;
+	struct dc_pool *pool;
+
+	if (core->loading_pool == DC_NONE)
+		return CS_E_INVALID;
+	if (number == DC_NONE) {
+		number = free_target(core);
+		if (number == DC_NONE)
+			return CS_E_FULL;
+		core->targets[number] =
+		    (struct dc_target){.used = true, .id = event->target};
+	}
+	pool = &core->pools[core->loading_pool];
+	target = &core->targets[number];
+	target->listed = true;
+	target->region = event->region;
+	target->slots = event->slots;
+	target->drain = event->drain;
+	target->pool = core->loading_pool;
+	pool->targets[pool->target_count++] = number;
+	return CS_OK;
+}
+
+static int
+add_share(struct dc_core *core, const struct dc_table_share *event)
+{
+	struct dc_pool *pool;
+	uint32_t i;
+
+	if (core->loading_pool == DC_NONE || event->weight == 0)
+		return CS_E_INVALID;
+	pool = &core->pools[core->loading_pool];
+	for (i = 0; i < pool->queue_count; i++) {
+		if (pool->queues[i].member == event->member) {
+			pool->queues[i].weight = event->weight;
+			return CS_OK;
+		}
+	}
+	if (pool->queue_count == DC_MEMBERS_MAX)
+		return CS_E_FULL;
+	dc_queue_add(pool, event->member, event->weight);
+	return CS_OK;
+}
+
+static uint32_t
+free_route(const struct dc_core *core)
+{
+	uint32_t i;
+
+	for (i = 0; i < DC_ROUTES_MAX; i++) {
+		if (!core->routes[i].used)
+			return i;
+	}
+	return DC_NONE;
+}
+
+static int
+add_route(struct dc_core *core, const struct dc_table_route *event)
+{
+	uint32_t number = dc_route_find(core, event->route);
+	uint32_t pool = pool_find(core, event->pool);
+	struct dc_route *route;
+
+	if (pool == DC_NONE || !core->pools[pool].listed)
+		return CS_E_INVALID;
+	if (number == DC_NONE) {
+		number = free_route(core);
+		if (number == DC_NONE)
+			return CS_E_FULL;
+		core->routes[number] =
+		    (struct dc_route){.used = true, .id = event->route};
+	}
+	route = &core->routes[number];
+	route->listed = true;
+	route->pool = pool;
+	route->weight = event->weight;
+	route->idempotent = event->idempotent;
+	dc_queue_add_class(&core->pools[pool], event->weight);
+	return CS_OK;
+}
+
+static void
+forget_unlisted(struct dc_core *core)
+{
+	uint32_t i;
+
+	for (i = 0; i < DC_ROUTES_MAX; i++) {
+		if (!core->routes[i].listed)
+			core->routes[i].used = false;
+	}
+	for (i = 0; i < DC_TARGETS_MAX; i++) {
+		struct dc_target *target = &core->targets[i];
+
+		if (!target->listed && target->in_flight == 0)
+			target->used = false;
+	}
+	for (i = 0; i < DC_POOLS_MAX; i++) {
+		struct dc_pool *pool = &core->pools[i];
+
+		if (!pool->listed)
+			pool->target_count = 0;
+		if (!pool->listed && pool->calls == 0)
+			pool->used = false;
+	}
+}
+
+static int
+end(struct dc_core *core)
+{
+	uint32_t i;
+
+	core->loading = false;
+	core->loading_pool = DC_NONE;
+	forget_unlisted(core);
+	for (i = 0; i < DC_POOLS_MAX; i++) {
+		if (core->pools[i].used)
+			dc_pool_dispatch(core, &core->pools[i]);
+	}
+	return CS_OK;
+}
+
+int
+dc_table_event(struct dc_core *core, const struct dc_event *event)
+{
+	if (event->type != DC_EV_TABLE_BEGIN && !core->loading)
+		return CS_E_INVALID;
+	switch (event->type) {
+	case DC_EV_TABLE_BEGIN:
+		return begin(core, &event->table_begin);
+	case DC_EV_TABLE_POOL:
+		return add_pool(core, &event->table_pool);
+	case DC_EV_TABLE_TARGET:
+		return add_target(core, &event->table_target);
+	case DC_EV_TABLE_SHARE:
+		return add_share(core, &event->table_share);
+	case DC_EV_TABLE_ROUTE:
+		return add_route(core, &event->table_route);
+	case DC_EV_TABLE_END:
+		return end(core);
+	default:
+		return CS_E_INVALID;
+	}
+}
--- /dev/null
+++ b/lib/decide/targets.c
@@ -0,0 +1,202 @@
+/*
+ * Targets: which are usable, which of them a call gets, and what their
+ * failures and service times teach.
+ */
+#include "decide_internal.h"
+
+#define AVERAGE_SHIFT 3	  /* moving averages take in 1/8 of a sample */
+#define EJECT_LEVEL_MAX 5 /* the back-off stops doubling here */
+#define PICK_TRIES 4	  /* random pairs before all targets are looked at */
+
+static bool
+is_listed(const struct dc_target *target)
+{
+	return target->listed && !target->drain && !target->drain_signal;
+}
+
+bool
+dc_pool_has_target(const struct dc_core *core, const struct dc_pool *pool)
+{
+	uint32_t i;
+
+	for (i = 0; i < pool->target_count; i++) {
+		if (is_listed(&core->targets[pool->targets[i]]))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * True when more than half of the targets are ejected: then the measurement
+ * is what is wrong, and ejections are not heeded.
+ */
+static bool
+in_panic(const struct dc_core *core, const struct dc_pool *pool)
+{
+	uint32_t i, listed = 0, ejected = 0;
+
+	for (i = 0; i < pool->target_count; i++) {
+		const struct dc_target *t = &core->targets[pool->targets[i]];
+
+		if (!is_listed(t))
+			continue;
+		listed++;
+		if (t->ejected_until_us > core->now_us)
+			ejected++;
+	}
+	return 2 * ejected > listed;
+}
+
+static bool
+is_usable(const struct dc_core *core, const struct dc_target *target,
+    const struct dc_call *call, bool panic)
+{
+	int64_t limit = core->parameters[DC_P_CONNECTIONS_PER_TARGET];
+
+	if (!is_listed(target) || target->exclusive)
+		return false;
+	if (target->ejected_until_us > core->now_us && !panic)
+		return false;
+	if (call->suspect)
+		return target->in_flight == 0;
+	return target->in_flight < limit;
+}
+
+/* Busier per slot, compared without division. */
+static bool
+is_busier(const struct dc_target *a, const struct dc_target *b)
+{
+	return (uint64_t)a->in_flight * b->slots >
+	       (uint64_t)b->in_flight * a->slots;
+}
+
+static uint32_t
+less_busy(const struct dc_core *core, uint32_t a, uint32_t b)
+{
+	if (a == DC_NONE)
+		return b;
+	if (b == DC_NONE)
+		return a;
+	return is_busier(&core->targets[a], &core->targets[b]) ? b : a;
+}
+
+static uint32_t
+random_usable(struct dc_core *core, struct dc_pool *pool,
+    const struct dc_call *call, bool panic)
+{
+	uint32_t number;
+
+	number =
+	    pool->targets[cs_random_below(&core->random, pool->target_count)];
+	if (number == call->avoid ||
+	    !is_usable(core, &core->targets[number], call, panic))
+		return DC_NONE;
+	return number;
+}
+
+/* The least busy of all usable targets; the one to avoid only as a last. */
+static uint32_t
+scan(struct dc_core *core, struct dc_pool *pool, const struct dc_call *call,
+    bool panic)
+{
+	uint32_t i, offset, best = DC_NONE;
+
+	offset = cs_random_below(&core->random, pool->target_count);
+	for (i = 0; i < pool->target_count; i++) {
+		uint32_t number =
+		    pool->targets[(i + offset) % pool->target_count];
+
+		if (number != call->avoid &&
+		    is_usable(core, &core->targets[number], call, panic))
+			best = less_busy(core, best, number);
+	}
+	if (best == DC_NONE && call->avoid != DC_NONE &&
+	    core->targets[call->avoid].listed &&
+	    is_usable(core, &core->targets[call->avoid], call, panic))
+		best = call->avoid;
+	return best;
+}
+
+uint32_t
+dc_target_pick(
+    struct dc_core *core, struct dc_pool *pool, const struct dc_call *call)
+{
+	bool panic;
+	uint32_t i, a, b;
+
+	if (pool->target_count == 0)
+		return DC_NONE;
+	panic = in_panic(core, pool);
+	for (i = 0; i < PICK_TRIES; i++) {
+		a = random_usable(core, pool, call, panic);
+		b = random_usable(core, pool, call, panic);
+		if (a != DC_NONE || b != DC_NONE)
+			return less_busy(core, a, b);
+	}
+	return scan(core, pool, call, panic);
+}
+
+void
+dc_target_begin(struct dc_core *core, uint32_t number, bool exclusive)
+{
+	struct dc_target *target = &core->targets[number];
+
+	target->in_flight++;
+	if (exclusive)
+		target->exclusive = true;
+}
+
+void
+dc_target_release(struct dc_core *core, struct dc_call *call,
+    const struct dc_attempt *attempt)
+{
+	struct dc_target *target = &core->targets[attempt->target];
+
+	target->in_flight--;
+	if (call->suspect)
+		target->exclusive = false;
+	if (!target->listed && target->in_flight == 0)
+		target->used = false;
+}
+
+static void
+average(int64_t *value, int64_t sample)
+{
+	if (*value == 0)
+		*value = sample;
+	else
+		*value += (sample - *value) >> AVERAGE_SHIFT;
+}
+
+void
+dc_target_succeeded(struct dc_core *core, struct dc_call *call,
+    const struct dc_attempt *attempt)
+{
+	struct dc_target *target = &core->targets[attempt->target];
+	int64_t took_us = core->now_us - attempt->started_us;
+
+	target->failures = 0;
+	target->eject_level = 0;
+	average(&target->service_us, took_us);
+	average(&core->pools[call->pool].service_us, took_us);
+}
+
+/* Ejects after some failures in a row, longer each time it happens again. */
+void
+dc_target_failed(struct dc_core *core, const struct dc_attempt *attempt)
+{
+	struct dc_target *target = &core->targets[attempt->target];
+	int64_t back_off_us;
+
+	target->failures++;
+	if (target->failures < core->parameters[DC_P_EJECT_FAILURES])
+		return;
+	back_off_us = core->parameters[DC_P_EJECT_US] << target->eject_level;
+	back_off_us +=
+	    cs_random_below(&core->random, (uint32_t)(back_off_us / 4) + 1);
+	target->ejected_until_us = core->now_us + back_off_us;
+	target->failures = 0;
+	if (target->eject_level < EJECT_LEVEL_MAX)
+		target->eject_level++;
+	core->counters.ejections++;
+}
--- /dev/null
+++ b/lib/serve/admin.c
@@ -0,0 +1,101 @@
+/* The admin listener: readiness, status and metrics of this entry VM. */
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "serve_internal.h"
+
+static bool
+path_is(const h2o_req_t *req, const char *path)
+{
+	return h2o_memis(req->path_normalized.base, req->path_normalized.len,
+	    path, strlen(path));
+}
+
+static void
+reply_json(h2o_req_t *req, int status, json_t *root)
+{
+	char *text = json_dumps(root, JSON_INDENT(2));
+
+	json_decref(root);
+	ht_reply(req, status, SV_JSON, text, strlen(text));
+	free(text);
+}
+
+static void
+status(struct sv_server *server, h2o_req_t *req)
+{
+	struct dc_counters c;
+	json_int_t version = 0;
+
+	dc_counters(server->core, &c);
+	if (server->config != NULL)
+		version = (json_int_t)cf_version(server->config);
+	reply_json(req, 200,
+	    json_pack("{s:s, s:s, s:s, s:I, s:I, s:I, s:I, s:I, s:I, s:I}",
+		"name", server->params.name, "data_centre",
+		server->params.data_centre, "region", server->params.region,
+		"config_version", version, "entries",
+		(json_int_t)server->entry_count, "open_calls",
+		(json_int_t)server->open_calls, "waiting",
+		(json_int_t)c.waiting, "running", (json_int_t)c.running, "done",
+		(json_int_t)c.done, "not_run", (json_int_t)c.refused_not_run));
+}
+
+static void
+append_metric(
+    GString *text, const char *name, const char *kind, unsigned long long value)
+{
+	g_string_append_printf(text, "# TYPE chervilshelf_%s %s\n", name, kind);
+	g_string_append_printf(text, "chervilshelf_%s %llu\n", name, value);
+}
+
+static void
+metrics(struct sv_server *server, h2o_req_t *req)
+{
+	GString *text = g_string_new(NULL);
+	struct dc_counters c;
+
+	dc_counters(server->core, &c);
+	append_metric(text, "calls_arrived_total", "counter", c.arrived);
+	append_metric(text, "attempts_sent_total", "counter", c.sent);
+	append_metric(text, "calls_done_total", "counter", c.done);
+	append_metric(
+	    text, "calls_not_run_total", "counter", c.refused_not_run);
+	append_metric(
+	    text, "calls_unknown_total", "counter", c.refused_unknown);
+	append_metric(text, "answers_cut_total", "counter", c.cut);
+	append_metric(text, "callers_left_total", "counter", c.left);
+	append_metric(text, "retries_total", "counter", c.retries);
+	append_metric(text, "hedges_total", "counter", c.hedges);
+	append_metric(text, "ejections_total", "counter", c.ejections);
+	append_metric(text, "quarantines_total", "counter", c.quarantines);
+	append_metric(text, "calls_waiting", "gauge", c.waiting);
+	append_metric(text, "calls_running", "gauge", c.running);
+	ht_reply(req, 200, "text/plain; version=0.0.4", text->str, text->len);
+	g_string_free(text, TRUE);
+}
+
+static void
+ready(struct sv_server *server, h2o_req_t *req)
+{
+	bool is_ready = server->config != NULL && !server->draining;
+
+	reply_json(req, is_ready ? 200 : 503,
+	    json_pack("{s:b}", "ready", (int)is_ready));
+}
+
+void
+sv_on_admin_request(h2o_req_t *req, void *user)
+{
+	struct sv_server *server = user;
+
+	if (path_is(req, "/status"))
+		status(server, req);
+	else if (path_is(req, "/metrics"))
+		metrics(server, req);
+	else if (path_is(req, "/ready"))
+		ready(server, req);
+	else
+		reply_json(req, 404, json_pack("{s:s}", "error", "not found"));
+}
--- /dev/null
+++ b/lib/serve/serve.h
@@ -0,0 +1,71 @@
+/*
+ * serve: the shell around the decision core. Accepts callers' requests, feeds
+ * the core, and carries out its actions: upstream attempts, relayed answers,
+ * refusals. Also the directory of entry VMs and the admin listener.
+ */
+#ifndef SV_SERVE_H
+#define SV_SERVE_H
+
+#include <netinet/in.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <uv.h>
+
+#include "../config/config.h"
+#include "../decide/decide.h"
+
+#define SV_NAME_BYTES_MAX 64
+#define SV_ENTRIES_MAX 512
+#define SV_BODY_BYTES_MAX (24 * 1024 * 1024)
+#define SV_BODIES_BYTES_MAX (96 * 1024 * 1024)
+#define SV_CONNECTIONS_MAX 8192
+
+/* One line of the directory. */
+struct sv_entry {
+	char address[SV_NAME_BYTES_MAX];
+	char data_centre[SV_NAME_BYTES_MAX];
+	char region[SV_NAME_BYTES_MAX];
+};
+
+struct sv_server;
+
+struct sv_params {
+	uv_loop_t *loop;
+	const char *name;
+	const char *data_centre;
+	const char *region;
+	struct sockaddr_in listen;
+	struct sockaddr_in admin_listen;
+	uint64_t seed;
+	uint64_t epoch;	      /* of this process, unlike any before it */
+	uint32_t keep_ms;     /* how long callers keep a directory answer */
+	uint32_t depth_max;   /* of chains of calls */
+	const char *dispatch; /* "two-choices" */
+};
+
+/*
+ * sv_create(params, out): binds both listeners. Returns CS_E_INVALID or
+ * CS_E_SYSTEM.
+ */
+int sv_create(const struct sv_params *params, struct sv_server **out);
+/* The bound addresses, as IPV4:PORT. */
+void sv_address(const struct sv_server *server, char *text);
+void sv_admin_address(const struct sv_server *server, char *text);
+/*
+ * sv_set_config(server, config): puts a configuration in force. Takes a
+ * reference. CS_E_STALE when one of the same or a higher version is in force.
+ */
+int sv_set_config(struct sv_server *server, struct cf_config *config);
+/* sv_config(server): the configuration in force, or NULL. Not a reference. */
+struct cf_config *sv_config(const struct sv_server *server);
+/* sv_set_entries(server, entries, count): replaces the directory. */
+void sv_set_entries(
+    struct sv_server *server, const struct sv_entry *entries, uint32_t count);
+/* sv_drain(server): answers ask callers to close; calls go on. */
+void sv_drain(struct sv_server *server);
+/* sv_stop_accepting(server): closes the listener for callers. */
+void sv_stop_accepting(struct sv_server *server);
+/* sv_open_calls(server): requests whose answer is not complete. */
+uint32_t sv_open_calls(const struct sv_server *server);
+
+#endif
--- /dev/null
+++ b/lib/serve/server.c
@@ -0,0 +1,148 @@
+/* Creation of the shell, its listeners, and the configuration in force. */
+#include "serve.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "serve_internal.h"
+
+#define HEAD_TIMEOUT_MS 10000
+#define ADMIN_BODY_BYTES_MAX 65536
+#define ADMIN_CONNECTIONS_MAX 256
+#define WATCH_INTERVAL_MS 50
+
+static int
+create_listeners(struct sv_server *server)
+{
+	struct ht_server_params callers = {
+	    .loop = server->params.loop,
+	    .listen = server->params.listen,
+	    .body_bytes_max = SV_BODY_BYTES_MAX,
+	    .bodies_bytes_max = SV_BODIES_BYTES_MAX,
+	    .head_timeout_ms = HEAD_TIMEOUT_MS,
+	    .connections_max = SV_CONNECTIONS_MAX,
+	    .on_request = sv_on_request,
+	    .user = server,
+	};
+	struct ht_server_params admin = {
+	    .loop = server->params.loop,
+	    .listen = server->params.admin_listen,
+	    .body_bytes_max = ADMIN_BODY_BYTES_MAX,
+	    .head_timeout_ms = HEAD_TIMEOUT_MS,
+	    .connections_max = ADMIN_CONNECTIONS_MAX,
+	    .on_request = sv_on_admin_request,
+	    .user = server,
+	};
+	int error;
+
+	error = ht_server_create(&callers, &server->callers);
+	if (error != CS_OK)
+		return error;
+	return ht_server_create(&admin, &server->admin);
+}
+
+static void
+on_watch(uv_timer_t *timer)
+{
+	sv_watch_callers(timer->data);
+}
+
+static void
+init_client(struct sv_server *server)
+{
+	h2o_timeout_init(
+	    server->params.loop, &server->io_timeout, CF_DEADLINE_MS_MAX);
+	server->client = (h2o_http1client_ctx_t){
+	    .loop = server->params.loop,
+	    .io_timeout = &server->io_timeout,
+	};
+}
+
+int
+sv_create(const struct sv_params *params, struct sv_server **out)
+{
+	struct sv_server *server = g_new0(struct sv_server, 1);
+	int error;
+
+	server->params = *params;
+	server->core = dc_core_create(params->seed);
+	if (server->core == NULL)
+		return CS_E_SYSTEM;
+	cs_random_seed(&server->random, params->seed + 1);
+	server->pending = g_array_new(FALSE, FALSE, sizeof(struct dc_event));
+	server->calls = g_hash_table_new(g_int64_hash, g_int64_equal);
+	server->targets = g_hash_table_new(g_int64_hash, g_int64_equal);
+	uv_timer_init(params->loop, &server->wake);
+	server->wake.data = server;
+	uv_timer_init(params->loop, &server->watch);
+	server->watch.data = server;
+	uv_timer_start(
+	    &server->watch, on_watch, WATCH_INTERVAL_MS, WATCH_INTERVAL_MS);
+	init_client(server);
+	error = create_listeners(server);
+	if (error != CS_OK)
+		return error;
+	*out = server;
+	return CS_OK;
+}
+
+void
+sv_address(const struct sv_server *server, char *text)
+{
+	ht_server_address(server->callers, text);
+}
+
+void
+sv_admin_address(const struct sv_server *server, char *text)
+{
+	ht_server_address(server->admin, text);
+}
+
+int
+sv_set_config(struct sv_server *server, struct cf_config *config)
+{
+	struct cf_config *old = server->config;
+
+	if (old != NULL && cf_version(config) <= cf_version(old))
+		return CS_E_STALE;
+	cf_ref(config);
+	server->config = config;
+	sv_load_table(server, config);
+	cf_unref(old);
+	return CS_OK;
+}
+
+struct cf_config *
+sv_config(const struct sv_server *server)
+{
+	return server->config;
+}
+
+void
+sv_set_entries(
+    struct sv_server *server, const struct sv_entry *entries, uint32_t count)
+{
+	if (count > SV_ENTRIES_MAX)
+		count = SV_ENTRIES_MAX;
+	memcpy(server->entries, entries, count * sizeof(entries[0]));
+	server->entry_count = count;
+}
+
+void
+sv_drain(struct sv_server *server)
+{
+	server->draining = true;
+	ht_server_drain(server->callers);
+}
+
+void
+sv_stop_accepting(struct sv_server *server)
+{
+	ht_server_close(server->callers);
+}
+
+uint32_t
+sv_open_calls(const struct sv_server *server)
+{
+	return server->open_calls;
+}
--- /dev/null
+++ b/lib/serve/table.c
@@ -0,0 +1,108 @@
+/* Hands a configuration to the core, and keeps the targets' connections. */
+#include <string.h>
+
+#include "serve_internal.h"
+
+static uint64_t
+name_id(const char *name)
+{
+	return cs_hash(name, strlen(name));
+}
+
+static struct sv_target *
+keep_target(struct sv_server *server, GHashTable *kept, const char *address)
+{
+	uint64_t id = name_id(address);
+	struct sv_target *target = g_hash_table_lookup(server->targets, &id);
+
+	if (target != NULL)
+		cs_ref_take(&target->ref);
+	else
+		target = sv_target_new(server, address);
+	g_hash_table_insert(kept, &target->id, target);
+	return target;
+}
+
+static void
+unref_target(gpointer target)
+{
+	sv_target_unref(target);
+}
+
+static void
+load_pool(struct sv_server *server, GHashTable *kept,
+    const struct cf_config *config, const struct cf_pool *pool)
+{
+	uint32_t i;
+
+	sv_feed(server, &(struct dc_event){
+			    .type = DC_EV_TABLE_POOL,
+			    .table_pool = {.pool = name_id(pool->name)},
+			});
+	for (i = 0; i < pool->target_count; i++) {
+		const struct cf_target *t =
+		    cf_target(config, pool->target_first + i);
+		struct sv_target *target =
+		    keep_target(server, kept, t->address);
+
+		sv_feed(server, &(struct dc_event){
+				    .type = DC_EV_TABLE_TARGET,
+				    .table_target =
+					{
+					    .target = target->id,
+					    .region = name_id(t->data_centre),
+					    .slots = t->slots,
+					    .drain = t->drain,
+					},
+				});
+	}
+	for (i = 0; i < pool->share_count; i++) {
+		sv_feed(server,
+		    &(struct dc_event){
+			.type = DC_EV_TABLE_SHARE,
+			.table_share =
+			    {
+				.member = name_id(pool->shares[i].member),
+				.weight = pool->shares[i].weight,
+			    },
+		    });
+	}
+}
+
+static void
+load_route(struct sv_server *server, const struct cf_config *config,
+    const struct cf_route *route)
+{
+	sv_feed(server,
+	    &(struct dc_event){
+		.type = DC_EV_TABLE_ROUTE,
+		.table_route =
+		    {
+			.route = name_id(route->name),
+			.pool = name_id(cf_pool(config, route->pool)->name),
+			.weight = route->weight,
+			.idempotent = route->kind == CF_KIND_IDEMPOTENT,
+		    },
+	    });
+}
+
+void
+sv_load_table(struct sv_server *server, struct cf_config *config)
+{
+	GHashTable *kept = g_hash_table_new_full(
+	    g_int64_hash, g_int64_equal, NULL, unref_target);
+	GHashTable *old = server->targets;
+	uint32_t i;
+
+	sv_feed(server, &(struct dc_event){
+			    .type = DC_EV_TABLE_BEGIN,
+			    .table_begin = {.version = cf_version(config)},
+			});
+	for (i = 0; i < cf_pool_count(config); i++)
+		load_pool(server, kept, config, cf_pool(config, i));
+	for (i = 0; i < cf_route_count(config); i++)
+		load_route(server, config, cf_route(config, i));
+	server->targets = kept;
+	sv_feed(server, &(struct dc_event){.type = DC_EV_TABLE_END});
+	g_hash_table_destroy(old);
+}
--- /dev/null
+++ b/lib/serve/upstream.c
@@ -0,0 +1,434 @@
+/* Attempts: one upstream request of a call, on h2o's HTTP client. */
+#include <netinet/tcp.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "serve_internal.h"
+
+#define IDLE_CONNECTION_MS 10000
+#define SILENCE_TIMEOUT_MS 2000
+#define IDLE_CONNECTIONS_MAX 64
+#define HEAD_EXTRA_BYTES 512
+
+struct sv_target *
+sv_target_new(struct sv_server *server, const char *address)
+{
+	struct sv_target *target = g_new0(struct sv_target, 1);
+
+	cs_ref_init(&target->ref);
+	target->server = server;
+	target->id = cs_hash(address, strlen(address));
+	g_strlcpy(target->address, address, sizeof(target->address));
+	ht_parse_address(address, &target->sockaddr);
+	h2o_socketpool_init_by_address(&target->connections,
+	    (struct sockaddr *)&target->sockaddr, sizeof(target->sockaddr), 0,
+	    IDLE_CONNECTIONS_MAX);
+	h2o_socketpool_set_timeout(
+	    &target->connections, server->params.loop, IDLE_CONNECTION_MS);
+	return target;
+}
+
+void
+sv_target_unref(struct sv_target *target)
+{
+	if (!cs_ref_drop(&target->ref))
+		return;
+	h2o_socketpool_dispose(&target->connections);
+	g_free(target);
+}
+
+static void
+release(struct sv_attempt *attempt)
+{
+	struct sv_target *target = attempt->target;
+	struct sv_call *call = attempt->call;
+
+	attempt->client = NULL;
+	attempt->target = NULL;
+	sv_target_unref(target);
+	sv_call_unref(call);
+}
+
+static void
+report_end(struct sv_attempt *attempt, enum dc_result result)
+{
+	struct sv_server *server = attempt->call->server;
+	struct dc_event event = {
+	    .type = DC_EV_ATTEMPT_ENDED,
+	    .ended =
+		{
+		    .call = attempt->call->id,
+		    .attempt = attempt->number,
+		    .result = result,
+		},
+	};
+
+	release(attempt);
+	sv_feed(server, &event);
+}
+
+/* Moves what was received but not yet relayed off the client's socket. */
+static void
+keep_tail(struct sv_attempt *attempt)
+{
+	struct sv_call *call = attempt->call;
+	h2o_socket_t *sock = attempt->client->sock;
+
+	if (call->tail != NULL)
+		return;
+	call->tail = sock->input;
+	h2o_buffer_init(&sock->input, &h2o_socket_buffer_prototype);
+}
+
+static int
+on_body(h2o_http1client_t *client, const char *error)
+{
+	struct sv_attempt *attempt = client->data;
+	struct sv_call *call = attempt->call;
+	bool cancelled;
+
+	if (error != NULL) {
+		keep_tail(attempt);
+		report_end(attempt, error == h2o_http1client_error_is_eos
+					? DC_RESULT_WHOLE
+					: DC_RESULT_TRUNCATED);
+		return 0;
+	}
+	attempt->in_callback = true;
+	sv_relay_more(call);
+	attempt->in_callback = false;
+	cancelled = attempt->cancelled;
+	if (cancelled)
+		release(attempt);
+	return cancelled ? -1 : 0;
+}
+
+static bool
+has_token(h2o_iovec_t value, const char *token)
+{
+	return h2o_contains_token(
+	    value.base, value.len, token, strlen(token), ',');
+}
+
+/*
+ * Finds how the answer's end is marked. False when it would be marked by the
+ * close of the connection only, which a crash looks like too.
+ */
+static bool
+read_framing(struct sv_attempt *attempt, bool no_body)
+{
+	bool framed = no_body;
+	size_t i;
+
+	attempt->content_length = no_body ? 0 : SIZE_MAX;
+	for (i = 0; i < attempt->header_count; i++) {
+		const h2o_header_t *h = &attempt->headers[i];
+
+		if (h->name == &H2O_TOKEN_CONTENT_LENGTH->buf) {
+			attempt->content_length =
+			    h2o_strtosize(h->value.base, h->value.len);
+			framed = true;
+		} else if (h->name == &H2O_TOKEN_TRANSFER_ENCODING->buf) {
+			framed = framed || has_token(h->value, "chunked");
+		}
+	}
+	return framed;
+}
+
+static bool
+answer_has_no_body(const struct sv_call *call, int status)
+{
+	if (h2o_memis(call->req->method.base, call->req->method.len,
+		H2O_STRLIT("HEAD")))
+		return true;
+	return status == 204 || status == 304;
+}
+
+static void
+report_head(struct sv_attempt *attempt, int status)
+{
+	struct sv_call *call = attempt->call;
+
+	sv_feed(call->server, &(struct dc_event){
+				  .type = DC_EV_ATTEMPT_HEAD,
+				  .head =
+				      {
+					  .call = call->id,
+					  .attempt = attempt->number,
+					  .status = (uint32_t)status,
+				      },
+			      });
+}
+
+static h2o_http1client_body_cb
+on_head(h2o_http1client_t *client, const char *error, int minor_version,
+    int status, h2o_iovec_t message, h2o_header_t *headers, size_t count,
+    int head_bytes)
+{
+	struct sv_attempt *attempt = client->data;
+	bool is_end = error == h2o_http1client_error_is_eos;
+
+	(void)minor_version;
+	(void)message;
+	(void)head_bytes;
+	if (error != NULL && !is_end) {
+		report_end(attempt, DC_RESULT_BROKEN);
+		return NULL;
+	}
+	attempt->status = status;
+	attempt->headers = headers;
+	attempt->header_count = count;
+	if (!read_framing(attempt, answer_has_no_body(attempt->call, status))) {
+		report_end(attempt, DC_RESULT_UNFRAMED);
+		return NULL;
+	}
+	attempt->in_callback = true;
+	report_head(attempt, status);
+	attempt->in_callback = false;
+	if (attempt->cancelled) {
+		release(attempt);
+		return NULL;
+	}
+	if (is_end) {
+		/* The socket's buffer still holds the head. */
+		h2o_buffer_init(
+		    &attempt->call->tail, &h2o_socket_buffer_prototype);
+		report_end(attempt, DC_RESULT_WHOLE);
+		return NULL;
+	}
+	return on_body;
+}
+
+/* A connection that acknowledges nothing for a while is given up. */
+static void
+limit_silence(h2o_socket_t *sock)
+{
+	int timeout_ms = SILENCE_TIMEOUT_MS;
+	int on = 1, fd = h2o_socket_get_fd(sock);
+
+	if (fd < 0)
+		return;
+	setsockopt(
+	    fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof(timeout_ms));
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+}
+
+static h2o_http1client_head_cb
+on_connect(h2o_http1client_t *client, const char *error, h2o_iovec_t **buffers,
+    size_t *buffer_count, int *method_is_head)
+{
+	struct sv_attempt *attempt = client->data;
+	struct sv_call *call = attempt->call;
+	bool reused = attempt->in_connect;
+
+	if (error != NULL) {
+		report_end(attempt, DC_RESULT_NOT_SENT);
+		return NULL;
+	}
+	if (!reused)
+		limit_silence(client->sock);
+	attempt->in_callback = true;
+	sv_feed(call->server, &(struct dc_event){
+				  .type = DC_EV_ATTEMPT_SENT,
+				  .sent =
+				      {
+					  .call = call->id,
+					  .attempt = attempt->number,
+					  .reused = reused,
+				      },
+			      });
+	attempt->in_callback = false;
+	if (attempt->cancelled) {
+		release(attempt);
+		return NULL;
+	}
+	*buffers = attempt->buffers;
+	*buffer_count = attempt->buffers[1].len != 0 ? 2 : 1;
+	*method_is_head = h2o_memis(
+	    call->req->method.base, call->req->method.len, H2O_STRLIT("HEAD"));
+	return on_head;
+}
+
+/* Headers that concern one connection only, or that are written anew. */
+static bool
+is_dropped(const h2o_req_t *req, const h2o_header_t *header)
+{
+	static const char *const names[] = {"connection", "keep-alive",
+	    "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade",
+	    "expect", "host", "content-length", "chervilshelf-deadline-ms",
+	    "chervilshelf-depth", "chervilshelf-request-id", NULL};
+	const char *const *name;
+	h2o_iovec_t connection = ht_header(req, "connection");
+
+	for (name = names; *name != NULL; name++) {
+		if (h2o_lcstris(header->name->base, header->name->len, *name,
+			strlen(*name)))
+			return true;
+	}
+	return connection.base != NULL &&
+	       h2o_contains_token(connection.base, connection.len,
+		   header->name->base, header->name->len, ',');
+}
+
+static size_t
+head_bound(const struct sv_call *call)
+{
+	const h2o_req_t *req = call->req;
+	size_t i, bytes = HEAD_EXTRA_BYTES;
+
+	bytes += req->method.len + req->path.len + req->authority.len;
+	for (i = 0; i < req->headers.size; i++)
+		bytes += req->headers.entries[i].name->len +
+			 req->headers.entries[i].value.len + 4;
+	return bytes;
+}
+
+static char *
+append(char *at, h2o_iovec_t bytes)
+{
+	memcpy(at, bytes.base, bytes.len);
+	return at + bytes.len;
+}
+
+static char *
+append_text(char *at, const char *text)
+{
+	return append(at, h2o_iovec_init(text, strlen(text)));
+}
+
+static char *
+append_headers(char *at, const struct sv_call *call)
+{
+	const h2o_req_t *req = call->req;
+	size_t i;
+
+	for (i = 0; i < req->headers.size; i++) {
+		const h2o_header_t *header = &req->headers.entries[i];
+
+		if (is_dropped(req, header))
+			continue;
+		at = append(at, *header->name);
+		at = append_text(at, ": ");
+		at = append(at, header->value);
+		at = append_text(at, "\r\n");
+	}
+	return at;
+}
+
+static char *
+append_own_headers(char *at, const struct sv_call *call, bool fresh)
+{
+	int64_t left_ms = (call->deadline_us - cs_now_us()) / 1000;
+
+	if (call->req->entity.base != NULL)
+		at += sprintf(
+		    at, "Content-Length: %zu\r\n", call->req->entity.len);
+	return at + sprintf(at,
+			"Chervilshelf-Deadline-Ms: %lld\r\n"
+			"Chervilshelf-Depth: %u\r\n"
+			"Chervilshelf-Request-Id: %s\r\n%s\r\n",
+			(long long)(left_ms > 0 ? left_ms : 0), call->depth + 1,
+			call->request_id, fresh ? "Connection: close\r\n" : "");
+}
+
+static h2o_iovec_t
+format_head(struct sv_call *call, bool fresh)
+{
+	h2o_req_t *req = call->req;
+	char *start = h2o_mem_alloc_pool(&req->pool, head_bound(call));
+	char *at = start;
+
+	at = append(at, req->method);
+	at = append_text(at, " ");
+	at = append(at, req->path);
+	at = append_text(at, " HTTP/1.1\r\nHost: ");
+	at = append(at, req->authority);
+	at = append_text(at, "\r\n");
+	at = append_headers(at, call);
+	at = append_own_headers(at, call, fresh);
+	return h2o_iovec_init(start, (size_t)(at - start));
+}
+
+static struct sv_attempt *
+unused_attempt(struct sv_call *call)
+{
+	uint32_t i;
+
+	for (i = 0; i < DC_ATTEMPTS_MAX; i++) {
+		if (call->attempts[i].target == NULL)
+			return &call->attempts[i];
+	}
+	return NULL;
+}
+
+static void
+connect_target(struct sv_attempt *attempt, bool fresh)
+{
+	struct sv_server *server = attempt->call->server;
+	struct sv_target *target = attempt->target;
+	char host[INET_ADDRSTRLEN];
+
+	attempt->in_connect = !fresh;
+	if (!fresh) {
+		h2o_http1client_connect_with_pool(&attempt->client, attempt,
+		    &server->client, &target->connections, on_connect);
+		attempt->in_connect = false;
+		return;
+	}
+	uv_ip4_name(&target->sockaddr, host, sizeof(host));
+	h2o_http1client_connect(&attempt->client, attempt, &server->client,
+	    h2o_iovec_init(host, strlen(host)),
+	    ntohs(target->sockaddr.sin_port), 0, on_connect);
+}
+
+void
+sv_attempt_start(struct sv_call *call, const struct dc_send *send)
+{
+	struct sv_server *server = call->server;
+	struct sv_attempt *attempt = unused_attempt(call);
+	struct sv_target *target;
+
+	target = g_hash_table_lookup(server->targets, &send->target);
+	if (target == NULL || attempt == NULL) {
+		sv_feed(server, &(struct dc_event){
+				    .type = DC_EV_ATTEMPT_ENDED,
+				    .ended =
+					{
+					    .call = call->id,
+					    .attempt = send->attempt,
+					    .result = DC_RESULT_NOT_SENT,
+					},
+				});
+		return;
+	}
+	cs_ref_take(&target->ref);
+	cs_ref_take(&call->ref);
+	*attempt = (struct sv_attempt){
+	    .call = call,
+	    .target = target,
+	    .number = send->attempt,
+	    .buffers = {format_head(call, send->fresh), call->req->entity},
+	};
+	connect_target(attempt, send->fresh);
+}
+
+void
+sv_attempt_cancel(struct sv_call *call, uint32_t number)
+{
+	uint32_t i;
+
+	for (i = 0; i < DC_ATTEMPTS_MAX; i++) {
+		struct sv_attempt *attempt = &call->attempts[i];
+
+		if (attempt->target == NULL || attempt->number != number)
+			continue;
+		if (attempt->in_callback) {
+			attempt->cancelled = true;
+			return;
+		}
+		h2o_http1client_cancel(attempt->client);
+		release(attempt);
+		return;
+	}
+}
--- /dev/null
+++ b/programs/chervilshelf.c
@@ -0,0 +1,62 @@
+/* chervilshelf: picks the sub-command. */
+#include <stdio.h>
+#include <string.h>
+
+#include "commands.h"
+#include "settings.h"
+
+#ifndef CHERVILSHELF_VERSION
+#define CHERVILSHELF_VERSION "unknown"
+#endif
+
+struct command {
+	const char *name;
+	int (*run)(int argc, char **argv);
+	const char *summary;
+};
+
+static const struct command commands[] = {
+    {"entry", cm_entry, "run an entry VM"},
+    {"check", cm_check, "check a configuration file"},
+    {"apply", cm_apply, "put a configuration in force"},
+    {"get", cm_get, "print the stored configuration"},
+    {"status", cm_status, "show the entry VMs and what they run"},
+    {"drain", cm_drain, "give a target no new work"},
+};
+
+static void
+print_usage(FILE *out)
+{
+	size_t i;
+
+	fprintf(out, "usage: chervilshelf COMMAND [--help]\n\n");
+	for (i = 0; i < sizeof(commands) / sizeof(commands[0]); i++)
+		fprintf(
+		    out, "  %-8s %s\n", commands[i].name, commands[i].summary);
+}
+
+int
+main(int argc, char **argv)
+{
+	size_t i;
+
+	if (argc < 2) {
+		print_usage(stderr);
+		return ST_EXIT_USAGE;
+	}
+	if (strcmp(argv[1], "--version") == 0) {
+		printf("chervilshelf %s\n", CHERVILSHELF_VERSION);
+		return ST_EXIT_DONE;
+	}
+	if (strcmp(argv[1], "--help") == 0) {
+		print_usage(stdout);
+		return ST_EXIT_DONE;
+	}
+	for (i = 0; i < sizeof(commands) / sizeof(commands[0]); i++) {
+		if (strcmp(argv[1], commands[i].name) == 0)
+			return commands[i].run(argc - 1, argv + 1);
+	}
+	fprintf(stderr, "chervilshelf: no command is named \"%s\"\n", argv[1]);
+	print_usage(stderr);
+	return ST_EXIT_USAGE;
+}
--- /dev/null
+++ b/programs/commands.h
@@ -0,0 +1,12 @@
+/* The sub-commands. Each returns the process's exit code (enum st_exit). */
+#ifndef CM_COMMANDS_H
+#define CM_COMMANDS_H
+
+int cm_entry(int argc, char **argv);
+int cm_check(int argc, char **argv);
+int cm_apply(int argc, char **argv);
+int cm_get(int argc, char **argv);
+int cm_status(int argc, char **argv);
+int cm_drain(int argc, char **argv);
+
+#endif
--- /dev/null
+++ b/programs/session.c
@@ -0,0 +1,283 @@
+/* Synchronous calls over the loop, for the operators' commands. */
+#include "session.h"
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+#include <uv.h>
+
+#include "../lib/base/base.h"
+#include "../lib/http/http.h"
+#include "../lib/platform/platform.h"
+
+#define ADMIN_TIMEOUT_MS 1000
+#define ADMIN_ANSWER_BYTES_MAX (16 * 1024 * 1024)
+#define READ_BACK_TRIES 10
+#define READ_BACK_PAUSE_MS 300
+
+struct se_session {
+	uv_loop_t loop;
+	struct pf_client *platform;
+	struct ht_client *http;
+	struct se_answer *answer;
+	bool answered;
+};
+
+int
+se_open(const char *platform, struct se_session **out)
+{
+	struct se_session *session = g_new0(struct se_session, 1);
+
+	uv_loop_init(&session->loop);
+	if (pf_create(&session->loop, platform, &session->platform) != CS_OK) {
+		fprintf(stderr,
+		    "chervilshelf: --platform: given \"%s\", allowed: "
+		    "http://IPV4:PORT\n",
+		    platform);
+		g_free(session);
+		return CS_E_INVALID;
+	}
+	session->http = ht_client_create(&session->loop);
+	*out = session;
+	return CS_OK;
+}
+
+void
+se_close(struct se_session *session)
+{
+	pf_close(session->platform);
+	ht_client_close(session->http);
+	g_free(session);
+}
+
+static void
+wait_for_answer(struct se_session *session)
+{
+	while (!session->answered)
+		uv_run(&session->loop, UV_RUN_ONCE);
+}
+
+static void
+on_result(const struct pf_result *result, void *user)
+{
+	struct se_session *session = user;
+
+	session->answer->error = result->error;
+	session->answer->version = result->version;
+	session->answer->value = g_strndup(result->value, result->value_bytes);
+	session->answered = true;
+}
+
+static void
+begin(struct se_session *session, struct se_answer *out)
+{
+	session->answer = out;
+	session->answered = false;
+}
+
+void
+se_get(struct se_session *session, const char *name, struct se_answer *out)
+{
+	begin(session, out);
+	pf_get(session->platform, name, on_result, session);
+	wait_for_answer(session);
+}
+
+void
+se_put(struct se_session *session, const char *name, uint64_t expected,
+    const char *value, struct se_answer *out)
+{
+	begin(session, out);
+	pf_put(session->platform, name, expected, value, strlen(value),
+	    on_result, session);
+	wait_for_answer(session);
+}
+
+static void
+on_admin_response(const struct ht_response *response, void *user)
+{
+	struct se_session *session = user;
+
+	session->answer->error = response->error;
+	if (response->error == CS_OK && response->status == 404)
+		session->answer->error = CS_E_MISSING;
+	session->answer->value =
+	    g_strndup(response->body, response->body_bytes);
+	session->answered = true;
+}
+
+void
+se_admin(struct se_session *session, const char *address, const char *path,
+    struct se_answer *out)
+{
+	struct ht_request request = {
+	    .method = "GET",
+	    .path = path,
+	    .answer_bytes_max = ADMIN_ANSWER_BYTES_MAX,
+	    .timeout_ms = ADMIN_TIMEOUT_MS,
+	    .on_response = on_admin_response,
+	    .user = session,
+	};
+
+	begin(session, out);
+	if (ht_parse_address(address, &request.address) != CS_OK) {
+		*out = (struct se_answer){
+		    .error = CS_E_INVALID,
+		    .value = g_strdup(""),
+		};
+		return;
+	}
+	ht_client_send(session->http, &request);
+	wait_for_answer(session);
+}
+
+int
+se_entries(struct se_session *session, struct se_entry entries[SE_ENTRIES_MAX],
+    uint32_t *count)
+{
+	struct se_answer answer;
+	const char *key;
+	json_t *root, *value;
+
+	*count = 0;
+	begin(session, &answer);
+	pf_list(session->platform, "entries/", on_result, session);
+	wait_for_answer(session);
+	root = json_loads(answer.value, 0, NULL);
+	g_free(answer.value);
+	if (answer.error != CS_OK || root == NULL)
+		return CS_E_UNAVAILABLE;
+	json_object_foreach(root, key, value)
+	{
+		struct se_entry *entry = &entries[*count];
+		const char *admin =
+		    json_string_value(json_object_get(value, "admin"));
+
+		if (admin == NULL || *count == SE_ENTRIES_MAX)
+			continue;
+		g_strlcpy(
+		    entry->name, key + strlen("entries/"), sizeof(entry->name));
+		g_strlcpy(entry->admin, admin, sizeof(entry->admin));
+		(*count)++;
+	}
+	json_decref(root);
+	return CS_OK;
+}
+
+static void
+on_sleep_over(uv_timer_t *timer)
+{
+	struct se_session *session = timer->data;
+
+	session->answered = true;
+}
+
+void
+se_sleep(struct se_session *session, uint32_t ms)
+{
+	uv_timer_t timer;
+
+	session->answered = false;
+	uv_timer_init(&session->loop, &timer);
+	timer.data = session;
+	uv_timer_start(&timer, on_sleep_over, ms, 0);
+	wait_for_answer(session);
+	uv_close((uv_handle_t *)&timer, NULL);
+	uv_run(&session->loop, UV_RUN_NOWAIT);
+}
+
+int
+se_read_file(const char *path, char **out)
+{
+	GError *fault = NULL;
+
+	if (g_file_get_contents(path, out, NULL, &fault))
+		return CS_OK;
+	fprintf(stderr, "chervilshelf: %s\n", fault->message);
+	g_error_free(fault);
+	return CS_E_MISSING;
+}
+
+int
+se_stored(struct se_session *session, struct cf_config **config,
+    uint64_t *object_version)
+{
+	char fault[CF_FAULT_BYTES_MAX];
+	struct se_answer answer;
+	int error;
+
+	*config = NULL;
+	*object_version = 0;
+	se_get(session, CF_OBJECT_NAME, &answer);
+	error = answer.error;
+	if (error == CS_OK) {
+		error = cf_parse_stored(
+		    answer.value, strlen(answer.value), fault, config);
+		*object_version = answer.version;
+		if (error != CS_OK)
+			fprintf(stderr, "chervilshelf: stored: %s\n", fault);
+	} else if (error != CS_E_MISSING) {
+		fprintf(stderr, "chervilshelf: platform: %s\n",
+		    cs_error_text(error));
+	}
+	g_free(answer.value);
+	return error;
+}
+
+static void
+make_writer(char writer[64])
+{
+	uint64_t parts[3] = {
+	    (uint64_t)getpid(), (uint64_t)cs_now_us(), (uint64_t)time(NULL)};
+
+	snprintf(writer, 64, "apply-%016llx-%llx",
+	    (unsigned long long)cs_hash(parts, sizeof(parts)),
+	    (unsigned long long)parts[2]);
+}
+
+/* Finds out whether a write whose answer was lost took effect. */
+static int
+read_back(struct se_session *session, const char *writer, uint64_t expected)
+{
+	struct cf_config *stored;
+	uint64_t object_version;
+	uint32_t i;
+	int error;
+
+	for (i = 0; i < READ_BACK_TRIES; i++) {
+		error = se_stored(session, &stored, &object_version);
+		if (error == CS_OK && strcmp(cf_writer(stored), writer) == 0) {
+			cf_unref(stored);
+			return CS_OK;
+		}
+		cf_unref(stored);
+		if (error == CS_OK && object_version != expected)
+			return CS_E_CONFLICT;
+		se_sleep(session, READ_BACK_PAUSE_MS);
+	}
+	return CS_E_UNKNOWN;
+}
+
+int
+se_store(struct se_session *session, const struct cf_config *config,
+    uint64_t version, uint64_t expected)
+{
+	struct se_answer answer;
+	char writer[64], *text;
+	int error;
+
+	make_writer(writer);
+	text = cf_store(config, version, writer);
+	if (text == NULL)
+		return CS_E_SYSTEM;
+	se_put(session, CF_OBJECT_NAME, expected, text, &answer);
+	error = answer.error;
+	free(text);
+	g_free(answer.value);
+	if (error == CS_E_UNKNOWN)
+		return read_back(session, writer, expected);
+	return error;
+}
--- /dev/null
+++ b/programs/session.h
@@ -0,0 +1,67 @@
+/*
+ * session: the operators' commands' way to the platform and to entry VMs. Each
+ * call runs the loop until its answer is there.
+ */
+#ifndef SE_SESSION_H
+#define SE_SESSION_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "../lib/config/config.h"
+
+#define SE_ENTRIES_MAX 512
+
+struct se_session;
+
+/* An answer; value is NUL terminated and owned by the caller. */
+struct se_answer {
+	int error; /* as in struct pf_result, or of enum cs_error */
+	uint64_t version;
+	char *value;
+};
+
+/* An entry VM as registered on the platform. */
+struct se_entry {
+	char name[64];
+	char admin[64];
+};
+
+/*
+ * se_open(platform, out): CS_E_INVALID after a message when the URL is not
+ * valid.
+ */
+int se_open(const char *platform, struct se_session **out);
+void se_close(struct se_session *session);
+
+void se_get(
+    struct se_session *session, const char *name, struct se_answer *out);
+void se_put(struct se_session *session, const char *name, uint64_t expected,
+    const char *value, struct se_answer *out);
+/* se_admin(session, address, path, out): reads from an admin listener. */
+void se_admin(struct se_session *session, const char *address, const char *path,
+    struct se_answer *out);
+/* se_entries(session, entries, count): the registered entry VMs. */
+int se_entries(struct se_session *session,
+    struct se_entry entries[SE_ENTRIES_MAX], uint32_t *count);
+/* se_sleep(session, ms): lets time pass. */
+void se_sleep(struct se_session *session, uint32_t ms);
+
+/* se_read_file(path, out): a whole file; CS_E_MISSING after a message. */
+int se_read_file(const char *path, char **out);
+/*
+ * se_stored(session, config, object_version): the stored configuration.
+ * CS_E_MISSING when there is none; other errors after a message.
+ */
+int se_stored(struct se_session *session, struct cf_config **config,
+    uint64_t *object_version);
+/*
+ * se_store(session, config, version, expected): writes the configuration as
+ * that version. When the answer is lost it is read back, so that the result is
+ * CS_OK or CS_E_CONFLICT, and CS_E_UNKNOWN only when the platform stays away.
+ */
+int se_store(struct se_session *session, const struct cf_config *config,
+    uint64_t version, uint64_t expected);
+
+#endif
--- /dev/null
+++ b/programs/status.c
@@ -0,0 +1,118 @@
+/* The operators' command that shows the entry VMs. */
+#include <glib.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "../lib/base/base.h"
+#include "commands.h"
+#include "session.h"
+#include "settings.h"
+
+static json_t *
+entry_status(struct se_session *session, const struct se_entry *entry)
+{
+	struct se_answer answer;
+	json_t *root = NULL;
+
+	se_admin(session, entry->admin, "/status", &answer);
+	if (answer.error == CS_OK)
+		root = json_loads(answer.value, 0, NULL);
+	g_free(answer.value);
+	if (root != NULL)
+		return root;
+	return json_pack(
+	    "{s:s, s:s}", "name", entry->name, "error", "no answer");
+}
+
+static long long
+number(json_t *row, const char *key)
+{
+	return json_integer_value(json_object_get(row, key));
+}
+
+static const char *
+text(json_t *row, const char *key)
+{
+	const char *value = json_string_value(json_object_get(row, key));
+
+	return value != NULL ? value : "-";
+}
+
+static void
+print_table(json_t *rows)
+{
+	json_t *row;
+	size_t i;
+
+	printf("%-16s %-12s %-12s %8s %7s %7s %9s %8s %s\n", "NAME",
+	    "DATA CENTRE", "REGION", "CONFIG", "WAITING", "RUNNING", "DONE",
+	    "NOT-RUN", "");
+	json_array_foreach(rows, i, row)
+	{
+		printf("%-16s %-12s %-12s %8lld %7lld %7lld %9lld %8lld %s\n",
+		    text(row, "name"), text(row, "data_centre"),
+		    text(row, "region"), number(row, "config_version"),
+		    number(row, "waiting"), number(row, "running"),
+		    number(row, "done"), number(row, "not_run"),
+		    json_object_get(row, "error") != NULL ? "no answer" : "");
+	}
+}
+
+static int
+show(struct se_session *session, bool as_json)
+{
+	static struct se_entry entries[SE_ENTRIES_MAX];
+	json_t *rows = json_array();
+	uint32_t i, count;
+	char *out;
+
+	if (se_entries(session, entries, &count) != CS_OK) {
+		fprintf(stderr, "chervilshelf: the platform gave no answer\n");
+		json_decref(rows);
+		return ST_EXIT_REFUSED;
+	}
+	for (i = 0; i < count; i++)
+		json_array_append_new(rows, entry_status(session, &entries[i]));
+	if (as_json) {
+		out = json_dumps(rows, JSON_INDENT(2));
+		puts(out);
+		free(out);
+	} else {
+		print_table(rows);
+	}
+	json_decref(rows);
+	return ST_EXIT_DONE;
+}
+
+int
+cm_status(int argc, char **argv)
+{
+	const char *platform = NULL;
+	bool as_json = false;
+	const struct st_setting settings[] = {
+	    {.name = "platform",
+		.kind = ST_TEXT,
+		.text = &platform,
+		.required = true,
+		.argument = "URL",
+		.help = "the platform's address, http://IPV4:PORT"},
+	    {.name = "json",
+		.kind = ST_SWITCH,
+		.flag = &as_json,
+		.help = "print JSON"},
+	};
+	const struct st_command command = {"status", "",
+	    "Shows each entry VM, the version in force there and its calls.",
+	    settings, 2, 0};
+	struct se_session *session;
+	int code;
+
+	if (st_parse(&command, argc, argv, NULL) != CS_OK)
+		return ST_EXIT_USAGE;
+	if (se_open(platform, &session) != CS_OK)
+		return ST_EXIT_USAGE;
+	code = show(session, as_json);
+	se_close(session);
+	return code;
+}
--- /dev/null
+++ b/scripts/lint.sh
@@ -0,0 +1,13 @@
+#!/bin/sh
+# Checks format, common faults and the size of the doc catalogues.
+set -eu
+
+sources=$(git ls-files '*.c' '*.h')
+# shellcheck disable=SC2086 # the lists are meant to be split
+clang-format --dry-run --Werror $sources
+# shellcheck disable=SC2086
+cppcheck --quiet --error-exitcode=1 --inline-suppr --std=c11 \
+    --enable=warning,portability --suppress=missingIncludeSystem \
+    --suppress=unusedFunction --suppress=normalCheckLevelMaxBranches \
+    $(git ls-files 'lib/*.c' 'programs/*.c')
+echo "lint: clean"
--- /dev/null
+++ b/tests/scenario/rig.py
@@ -0,0 +1,184 @@
+"""Starts the stand-ins and entry VMs as separate processes on loopback.
+
+Scenarios use `with Rig(...) as rig` and wait on conditions, never on sleeps
+alone. Everything that was started is stopped at the end, by process id.
+"""
+import http.client
+import json
+import os
+import signal
+import subprocess
+import tempfile
+import time
+
+BUILD = os.environ.get("BUILD_DIR", "build")
+PROGRAM = os.path.join(BUILD, "chervilshelf")
+STANDIN = os.path.join(BUILD, "tests", "standin")
+
+
+def request(address, method, path, body=None, headers=None, timeout=20):
+    """One HTTP request; returns (status, headers, body)."""
+    host, port = address.split(":")
+    connection = http.client.HTTPConnection(host, int(port), timeout=timeout)
+    try:
+        connection.request(method, path, body=body, headers=headers or {})
+        response = connection.getresponse()
+        names = {k.lower(): v for k, v in response.getheaders()}
+        return response.status, names, response.read()
+    finally:
+        connection.close()
+
+
+def get_json(address, path):
+    return json.loads(request(address, "GET", path)[2])
+
+
+def wait_until(condition, what, seconds=15):
+    """Polls until the condition is true; fails with `what` otherwise."""
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        try:
+            if condition():
+                return
+        except (OSError, http.client.HTTPException, ValueError):
+            pass
+        time.sleep(0.02)
+    raise AssertionError("timed out: " + what)
+
+
+class Entry:
+    def __init__(self, process, line, name, log):
+        fields = dict(f.split("=") for f in line.split() if "=" in f)
+        self.process, self.name, self.log = process, name, log
+        self.listen, self.admin = fields["listen"], fields["admin"]
+
+    def status(self):
+        return get_json(self.admin, "/status")
+
+
+class Rig:
+    def __init__(self, entries=2, targets=4, slots=4, target_options=(),
+                 entry_options=(), regions=("nairobi",)):
+        self.processes = []
+        self.folder = tempfile.TemporaryDirectory()
+        self.entry_options = list(entry_options)
+        self.regions = regions
+        self.slots = slots
+        self.platform = self.start([STANDIN, "platform"])[1].split()[1]
+        self.targets, self.control = [], None
+        self.start_targets(targets, target_options)
+        self.entries = [self.start_entry("e%d" % i) for i in range(entries)]
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *unused):
+        for process in self.processes:
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+            process.wait()
+        self.folder.cleanup()
+
+    def start(self, command, log=None):
+        stderr = open(log, "w") if log else None
+        process = subprocess.Popen(command, stdout=subprocess.PIPE,
+                                   stderr=stderr, text=True)
+        self.processes.append(process)
+        return process, process.stdout.readline().strip()
+
+    def start_targets(self, count, options):
+        process, line = self.start([STANDIN, "targets", "--count", str(count),
+                                    "--slots", str(self.slots), *options])
+        while line.startswith("target "):
+            self.targets.append(line.split()[1])
+            line = process.stdout.readline().strip()
+        self.control = line.split()[1]
+        self.target_process = process
+
+    def start_entry(self, name, region=None):
+        index = len(self.processes)
+        region = region or self.regions[index % len(self.regions)]
+        log = os.path.join(self.folder.name, "%s-%d.log" % (name, index))
+        process, line = self.start(
+            [PROGRAM, "entry", "--name", name, "--data-centre", region + "1",
+             "--region", region, "--listen", "127.0.0.1:0",
+             "--peer-listen", "127.0.0.1:0", "--admin-listen", "127.0.0.1:0",
+             "--platform", "http://" + self.platform, *self.entry_options],
+            log)
+        return Entry(process, line, name, log)
+
+    def config(self, **changes):
+        """Two routes, idempotent and not, over all targets in two pools."""
+        half = max(1, len(self.targets) // 2)
+        pools = [("browsing", self.targets[:half]),
+                 ("letters", self.targets[half:] or self.targets)]
+        route = {"weight": 1, "deadline_ms": 5000,
+                 "objective": {"latency_ms": 500, "share": 0.99}}
+        route.update(changes)
+        return {
+            "routes": [
+                {"name": "browse", "match": {"path_prefix": "/profiles"},
+                 "kind": "idempotent", "pool": "browsing", **route},
+                {"name": "letter", "match": {"path_prefix": "/letters"},
+                 "kind": "non_idempotent", "pool": "letters", **route}],
+            "pools": [
+                {"name": name, "targets": [
+                    {"address": a, "data_centre": "nairobi1",
+                     "slots": self.slots} for a in addresses]}
+                for name, addresses in pools]}
+
+    def command(self, *arguments, platform=True):
+        """Runs an operator's command; returns (exit code, out, err)."""
+        extra = ["--platform", "http://" + self.platform] if platform else []
+        done = subprocess.run([PROGRAM, *arguments, *extra], text=True,
+                              capture_output=True, timeout=60)
+        return done.returncode, done.stdout, done.stderr
+
+    def path(self, name):
+        return os.path.join(self.folder.name, name)
+
+    def doubled_posts(self, log):
+        """Tags of non-idempotent calls that ran more than once."""
+        runs = self.runs()
+        with open(log) as lines:
+            calls = [line.split() for line in lines]
+        return [tag for tag, kind, *_ in calls
+                if kind == "post" and runs.get(tag, 0) > 1]
+
+    def file(self, config):
+        path = self.path("config.json")
+        with open(path, "w") as out:
+            out.write(config if isinstance(config, str)
+                      else json.dumps(config))
+        return path
+
+    def apply(self, config=None, *options):
+        """Applies and waits until it is in force on every entry VM."""
+        wait_until(lambda: len(get_json(
+            self.platform, "/v1/objects?prefix=entries/")) >=
+            len(self.entries), "entry VMs registered")
+        result = self.command("apply", self.file(config or self.config()),
+                              "--wait", *options)
+        assert result[0] == 0, result
+        return result
+
+    def call_load(self, *options):
+        """Starts the callers' stand-in; finish_load() gives its summary."""
+        return subprocess.Popen(
+            [STANDIN, "caller", "--directory", self.entries[0].listen,
+             *options], stdout=subprocess.PIPE, text=True)
+
+    @staticmethod
+    def finish_load(process):
+        return json.loads(process.communicate(timeout=60)[0])
+
+    def fault(self, query):
+        """Switches a fault of the targets."""
+        request(self.control, "GET", "/control?" + query)
+
+    def platform_fault(self, query):
+        return get_json(self.platform, "/control?" + query)
+
+    def runs(self):
+        return get_json(self.control, "/runs")
--- /dev/null
+++ b/tests/scenario/test_whole_path.py
@@ -0,0 +1,38 @@
+"""The whole path, thin: apply, directory, calls through several entry VMs."""
+import json
+
+from rig import Rig, get_json, request, wait_until
+
+with Rig(entries=2, targets=4) as rig:
+    code, out, err = rig.apply()
+    assert out == "version 1\n", (code, out, err)
+
+    def listed():
+        answer = get_json(rig.entries[0].listen, "/.chervilshelf/entries")
+        assert answer["keep_ms"] > 0
+        return {row["address"] for row in answer["entries"]}
+
+    addresses = {entry.listen for entry in rig.entries}
+    wait_until(lambda: listed() == addresses, "both are in the directory")
+
+    for address in addresses:
+        status, headers, body = request(address, "GET", "/profiles/7",
+                                        headers={"X-Tag": "one"})
+        assert status == 200, (status, headers, body)
+        assert headers["chervilshelf-outcome"] == "ran"
+        assert headers["chervilshelf-request-id"]
+        assert "server" not in headers
+        assert json.loads(body)["tag"] == "one"
+
+    status, headers, body = request(address, "GET", "/nowhere")
+    assert status == 404 and headers["chervilshelf-outcome"] == "not-run"
+    assert json.loads(body)["reason"] == "no_route"
+
+    log = rig.path("calls.log")
+    load = rig.call_load("--rate", "200", "--seconds", "2", "--post-share",
+                         "0.3", "--callers", "8", "--log", log)
+    totals = rig.finish_load(load)
+    print(totals)
+    assert totals["sent"] > 100
+    assert totals["right"] == totals["sent"], totals
+    assert rig.doubled_posts(log) == []
--- /dev/null
+++ b/tests/standins/caller.c
@@ -0,0 +1,349 @@
+/*
+ * The callers' stand-in: many callers in one process, with open-loop Poisson
+ * arrivals. Each asks the directory, keeps the answer as long as it may, and
+ * calls the first address; when that cannot be reached, the next. Latency
+ * counts from the intended start. Each answer is checked against its request.
+ * Prints a summary as JSON; --log writes a line for each call.
+ */
+#include <glib.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../../lib/base/base.h"
+#include "../../lib/http/http.h"
+#include "standin.h"
+
+#define ENTRIES_MAX 8
+#define TICK_MS 1
+#define ANSWER_BYTES_MAX (32 * 1024 * 1024)
+#define CALL_TIMEOUT_MS 15000
+
+struct caller {
+	struct sockaddr_in entries[ENTRIES_MAX];
+	int entry_count;
+	int64_t valid_until_us;
+	bool asking;
+};
+
+struct call {
+	struct caller *caller;
+	int64_t intended_us;
+	bool posts;
+	int tries;
+	char tag[40];
+	char key[64];
+};
+
+struct totals {
+	uint64_t sent, right, wrong, not_run, unknown, lost;
+	struct cs_histogram latency;
+};
+
+static struct {
+	uv_loop_t loop;
+	struct ht_client *http;
+	uv_timer_t tick;
+	struct cs_random random;
+	struct caller *callers;
+	struct sockaddr_in directory;
+	struct totals totals;
+	FILE *log;
+	int64_t next_us, end_us;
+	uint64_t serial, open;
+	/* options */
+	char *directory_text, *log_path, *get_path, *post_path, *member;
+	double rate, seconds, post_share;
+	int caller_count, body_bytes;
+	int64_t seed, deadline_ms;
+	char *body;
+} g = {
+    .get_path = "/profiles/1",
+    .post_path = "/letters/1",
+    .member = "member",
+    .rate = 100,
+    .seconds = 2,
+    .caller_count = 32,
+    .body_bytes = 200,
+    .seed = 1,
+};
+
+static void send_call(struct call *call);
+
+static void
+log_call(
+    const struct call *call, const char *result, int status, int64_t took_us)
+{
+	if (g.log != NULL)
+		fprintf(g.log, "%s %s %s %d %lld\n", call->tag,
+		    call->posts ? "post" : "get", result, status,
+		    (long long)took_us);
+}
+
+/* The target echoes the tag, the length and the hash of what it received. */
+static bool
+is_right(const struct call *call, const struct ht_response *response)
+{
+	size_t bytes = call->posts ? (size_t)g.body_bytes : 0;
+	char expected[160];
+
+	snprintf(expected, sizeof(expected),
+	    "\"tag\":\"%s\",\"bytes\":%zu,\"hash\":\"%016llx\"}", call->tag,
+	    bytes, (unsigned long long)cs_hash(g.body, bytes));
+	return strstr(response->body, expected) != NULL;
+}
+
+static const char *
+judge(const struct call *call, const struct ht_response *response)
+{
+	struct totals *t = &g.totals;
+
+	if (response->error != CS_OK) {
+		t->lost++;
+		return "lost";
+	}
+	if (strcmp(response->outcome, "not-run") == 0) {
+		t->not_run++;
+		return "not-run";
+	}
+	if (strcmp(response->outcome, "unknown") == 0) {
+		t->unknown++;
+		return "unknown";
+	}
+	if (response->status == 200 && is_right(call, response)) {
+		t->right++;
+		return "right";
+	}
+	t->wrong++;
+	return "wrong";
+}
+
+static void
+on_answer(const struct ht_response *response, void *user)
+{
+	struct call *call = user;
+	int64_t took_us = cs_now_us() - call->intended_us;
+	const char *result;
+
+	if (response->error == CS_E_UNAVAILABLE &&
+	    ++call->tries < call->caller->entry_count) {
+		send_call(call);
+		return;
+	}
+	result = judge(call, response);
+	if (strcmp(result, "right") == 0)
+		cs_histogram_add(&g.totals.latency, took_us);
+	log_call(call, result, response->status, took_us);
+	g.open--;
+	g_free(call);
+}
+
+static void
+send_call(struct call *call)
+{
+	char headers[384];
+	int used;
+
+	used = snprintf(headers, sizeof(headers),
+	    "X-Tag: %s\r\nChervilshelf-Member: %s\r\n", call->tag, g.member);
+	if (call->posts)
+		used += snprintf(headers + used, sizeof(headers) - (size_t)used,
+		    "Idempotency-Key: %s\r\n", call->key);
+	if (g.deadline_ms > 0)
+		snprintf(headers + used, sizeof(headers) - (size_t)used,
+		    "Chervilshelf-Deadline-Ms: %lld\r\n",
+		    (long long)g.deadline_ms);
+	ht_client_send(
+	    g.http, &(struct ht_request){
+			.address = call->caller->entries[call->tries],
+			.method = call->posts ? "POST" : "GET",
+			.path = call->posts ? g.post_path : g.get_path,
+			.headers = headers,
+			.body = g.body,
+			.body_bytes = call->posts ? (size_t)g.body_bytes : 0,
+			.answer_bytes_max = ANSWER_BYTES_MAX,
+			.timeout_ms = CALL_TIMEOUT_MS,
+			.reuse = true,
+			.on_response = on_answer,
+			.user = call,
+		    });
+}
+
+static void
+on_directory(const struct ht_response *response, void *user)
+{
+	struct caller *caller = user;
+	json_t *root, *list, *row;
+	int64_t keep_ms;
+	size_t i;
+
+	caller->asking = false;
+	root = json_loads(response->body, 0, NULL);
+	if (root == NULL)
+		return;
+	list = json_object_get(root, "entries");
+	keep_ms = json_integer_value(json_object_get(root, "keep_ms"));
+	if (json_array_size(list) > 0)
+		caller->entry_count = 0;
+	json_array_foreach(list, i, row)
+	{
+		if (caller->entry_count < ENTRIES_MAX &&
+		    ht_parse_address(
+			json_string_value(json_object_get(row, "address")),
+			&caller->entries[caller->entry_count]) == CS_OK)
+			caller->entry_count++;
+	}
+	caller->valid_until_us = cs_now_us() + keep_ms * 1000;
+	json_decref(root);
+}
+
+/* Asks an entry VM it knows, any of them, or the one given at start. */
+static void
+ask_directory(struct caller *caller)
+{
+	struct sockaddr_in from = g.directory;
+
+	if (caller->entry_count > 0)
+		from = caller->entries[cs_random_below(
+		    &g.random, (uint32_t)caller->entry_count)];
+	caller->asking = true;
+	ht_client_send(g.http, &(struct ht_request){
+				   .address = from,
+				   .method = "GET",
+				   .path = "/.chervilshelf/entries",
+				   .answer_bytes_max = ANSWER_BYTES_MAX,
+				   .timeout_ms = 1000,
+				   .reuse = true,
+				   .on_response = on_directory,
+				   .user = caller,
+			       });
+}
+
+static void
+arrive(int64_t intended_us)
+{
+	struct caller *caller =
+	    &g.callers[cs_random_below(&g.random, (uint32_t)g.caller_count)];
+	struct call *call;
+
+	if (caller->valid_until_us < cs_now_us() && !caller->asking)
+		ask_directory(caller);
+	if (caller->entry_count == 0)
+		return;
+	call = g_new0(struct call, 1);
+	call->caller = caller;
+	call->intended_us = intended_us;
+	call->posts = cs_random_unit(&g.random) < g.post_share;
+	snprintf(call->tag, sizeof(call->tag), "t%lld-%llu", (long long)g.seed,
+	    (unsigned long long)++g.serial);
+	snprintf(call->key, sizeof(call->key), "%s", call->tag);
+	g.totals.sent++;
+	g.open++;
+	send_call(call);
+}
+
+static void
+print_summary(void)
+{
+	const struct totals *t = &g.totals;
+
+	printf("{\"sent\":%llu,\"right\":%llu,\"wrong\":%llu,"
+	       "\"not_run\":%llu,\"unknown\":%llu,\"lost\":%llu,"
+	       "\"p50_us\":%lld,\"p95_us\":%lld,\"p99_us\":%lld,"
+	       "\"p999_us\":%lld}\n",
+	    (unsigned long long)t->sent, (unsigned long long)t->right,
+	    (unsigned long long)t->wrong, (unsigned long long)t->not_run,
+	    (unsigned long long)t->unknown, (unsigned long long)t->lost,
+	    (long long)cs_histogram_quantile(&t->latency, 0.5),
+	    (long long)cs_histogram_quantile(&t->latency, 0.95),
+	    (long long)cs_histogram_quantile(&t->latency, 0.99),
+	    (long long)cs_histogram_quantile(&t->latency, 0.999));
+}
+
+static void
+on_tick(uv_timer_t *timer)
+{
+	int64_t now_us = cs_now_us();
+
+	(void)timer;
+	while (g.next_us <= now_us && g.next_us < g.end_us) {
+		arrive(g.next_us);
+		g.next_us += (int64_t)si_exponential(
+		    cs_random_unit(&g.random), 1e6 / g.rate);
+	}
+	if (g.next_us >= g.end_us && g.open == 0)
+		uv_stop(&g.loop);
+}
+
+static void
+on_first_directory(uv_timer_t *timer)
+{
+	int i;
+
+	for (i = 0; i < g.caller_count; i++) {
+		if (g.callers[i].entry_count == 0 && !g.callers[i].asking)
+			ask_directory(&g.callers[i]);
+	}
+	for (i = 0; i < g.caller_count; i++) {
+		if (g.callers[i].entry_count == 0)
+			return;
+	}
+	g.next_us = cs_now_us();
+	g.end_us = g.next_us + (int64_t)(g.seconds * 1e6);
+	uv_timer_start(timer, on_tick, TICK_MS, TICK_MS);
+}
+
+static void
+prepare(void)
+{
+	int i;
+
+	uv_loop_init(&g.loop);
+	g.http = ht_client_create(&g.loop);
+	cs_random_seed(&g.random, (uint64_t)g.seed);
+	g.callers = g_new0(struct caller, g.caller_count);
+	g.body = g_malloc((size_t)g.body_bytes + 1);
+	for (i = 0; i < g.body_bytes; i++)
+		g.body[i] = (char)('A' + i % 26);
+	if (g.log_path != NULL)
+		g.log = fopen(g.log_path, "w");
+	uv_timer_init(&g.loop, &g.tick);
+	uv_timer_start(&g.tick, on_first_directory, 0, 20);
+}
+
+int
+si_caller(int argc, char **argv)
+{
+	const GOptionEntry options[] = {
+	    {"directory", 0, 0, G_OPTION_ARG_STRING, &g.directory_text, NULL,
+		NULL},
+	    {"rate", 0, 0, G_OPTION_ARG_DOUBLE, &g.rate, NULL, NULL},
+	    {"seconds", 0, 0, G_OPTION_ARG_DOUBLE, &g.seconds, NULL, NULL},
+	    {"callers", 0, 0, G_OPTION_ARG_INT, &g.caller_count, NULL, NULL},
+	    {"post-share", 0, 0, G_OPTION_ARG_DOUBLE, &g.post_share, NULL,
+		NULL},
+	    {"body-bytes", 0, 0, G_OPTION_ARG_INT, &g.body_bytes, NULL, NULL},
+	    {"get-path", 0, 0, G_OPTION_ARG_STRING, &g.get_path, NULL, NULL},
+	    {"post-path", 0, 0, G_OPTION_ARG_STRING, &g.post_path, NULL, NULL},
+	    {"member", 0, 0, G_OPTION_ARG_STRING, &g.member, NULL, NULL},
+	    {"deadline-ms", 0, 0, G_OPTION_ARG_INT64, &g.deadline_ms, NULL,
+		NULL},
+	    {"seed", 0, 0, G_OPTION_ARG_INT64, &g.seed, NULL, NULL},
+	    {"log", 0, 0, G_OPTION_ARG_STRING, &g.log_path, NULL, NULL},
+	    {0},
+	};
+	GOptionContext *context = g_option_context_new(NULL);
+
+	g_option_context_add_main_entries(context, options, NULL);
+	if (!g_option_context_parse(context, &argc, &argv, NULL) ||
+	    g.directory_text == NULL ||
+	    ht_parse_address(g.directory_text, &g.directory) != CS_OK)
+		return 2;
+	prepare();
+	uv_run(&g.loop, UV_RUN_DEFAULT);
+	print_summary();
+	if (g.log != NULL)
+		fclose(g.log);
+	return 0;
+}
