--- a/lib/base/base.c
+++ b/lib/base/base.c
@@ -81,6 +81,12 @@
 	return XXH64(data, length_bytes, 0);
 }
 
+uint64_t
+cs_hash_seeded(const void *data, size_t length_bytes, uint64_t seed)
+{
+	return XXH64(data, length_bytes, seed);
+}
+
 uint64_t
 cs_hash_pair(uint64_t a, uint64_t b)
 {
--- a/lib/base/base.h
+++ b/lib/base/base.h
@@ -48,6 +48,8 @@
 
 /* cs_hash(data, length): 64-bit hash of a byte string, stable across VMs. */
 uint64_t cs_hash(const void *data, size_t length_bytes);
+/* cs_hash_seeded(data, length, seed): one independent of cs_hash(). */
+uint64_t cs_hash_seeded(const void *data, size_t length_bytes, uint64_t seed);
 /* cs_hash_pair(a, b): 64-bit hash of two numbers, for rendezvous hashing. */
 uint64_t cs_hash_pair(uint64_t a, uint64_t b);
 
--- /dev/null
+++ b/lib/decide/attempts.c
@@ -0,0 +1,374 @@
+/* Attempts at targets: sent, relayed, retried within budgets, hedged. */
+#include "decide_internal.h"
+
+#define STATUS_UNAVAILABLE 503
+/* The running 95th percentile moves by 1/16 of itself at most. */
+#define SLOW_SHIFT 4
+#define SLOW_PERCENT 95
+
+static struct dc_route *
+route_of(struct dc_core *core, const struct dc_call *call)
+{
+	return &core->routes[call->route];
+}
+
+struct dc_attempt *
+dc_attempt_free(struct dc_call *call)
+{
+	uint32_t i;
+
+	for (i = 0; i < DC_ATTEMPTS_MAX; i++) {
+		if (call->attempts[i].state == DC_ATTEMPT_NONE)
+			return &call->attempts[i];
+	}
+	return NULL;
+}
+
+struct dc_attempt *
+dc_attempt_live(struct dc_call *call)
+{
+	uint32_t i;
+
+	for (i = 0; i < DC_ATTEMPTS_MAX; i++) {
+		if (call->attempts[i].state != DC_ATTEMPT_NONE)
+			return &call->attempts[i];
+	}
+	return NULL;
+}
+
+/* Frees the attempt's place; its target becomes the one to avoid. */
+static void
+drop(struct dc_core *core, struct dc_call *call, struct dc_attempt *attempt)
+{
+	dc_target_release(core, call, attempt);
+	call->avoid = attempt->target;
+	attempt->state = DC_ATTEMPT_NONE;
+}
+
+void
+dc_attempt_cancel(
+    struct dc_core *core, struct dc_call *call, struct dc_attempt *attempt)
+{
+	dc_act(core, DC_ACT_CANCEL)->cancel = (struct dc_attempt_ref){
+	    .call = call->id,
+	    .attempt = attempt->number,
+	};
+	drop(core, call, attempt);
+}
+
+void
+dc_attempts_cancel_all(struct dc_core *core, struct dc_call *call)
+{
+	uint32_t i;
+
+	for (i = 0; i < DC_ATTEMPTS_MAX; i++) {
+		if (call->attempts[i].state != DC_ATTEMPT_NONE)
+			dc_attempt_cancel(core, call, &call->attempts[i]);
+	}
+}
+
+/* When the attempt is looked at next: connect limit, hedge, or never. */
+static int64_t
+next_look_us(struct dc_core *core, const struct dc_call *call,
+    const struct dc_attempt *attempt)
+{
+	const struct dc_route *route = route_of(core, call);
+
+	if (attempt->state == DC_ATTEMPT_CONNECTING)
+		return attempt->started_us +
+		       core->parameters[DC_P_CONNECT_TIMEOUT_US];
+	if (attempt->state == DC_ATTEMPT_SENT && call->idempotent &&
+	    call->sends == 1 && route->slow_us > 0)
+		return attempt->started_us + route->slow_us;
+	return INT64_MAX;
+}
+
+static void
+arm_timer(struct dc_core *core, struct dc_call *call)
+{
+	int64_t at_us = call->deadline_us;
+	uint32_t i;
+
+	for (i = 0; i < DC_ATTEMPTS_MAX; i++) {
+		int64_t next_us = next_look_us(core, call, &call->attempts[i]);
+
+		if (next_us > core->now_us && next_us < at_us)
+			at_us = next_us;
+	}
+	dc_call_set_timer(core, call, at_us);
+}
+
+void
+dc_attempt_send(
+    struct dc_core *core, struct dc_call *call, struct dc_choice choice)
+{
+	struct dc_attempt *attempt = dc_attempt_free(call);
+
+	*attempt = (struct dc_attempt){
+	    .state = DC_ATTEMPT_CONNECTING,
+	    .number = ++call->sends,
+	    .target = choice.target,
+	    .started_us = core->now_us,
+	    .leased = choice.leased,
+	};
+	dc_target_begin(core, choice, call->suspect);
+	dc_act(core, DC_ACT_SEND)->send = (struct dc_send){
+	    .call = call->id,
+	    .attempt = attempt->number,
+	    .target = core->targets[choice.target].id,
+	    .deadline_us = call->deadline_us,
+	    .fresh = !call->idempotent || call->suspect,
+	};
+	core->counters.sent++;
+	if (!choice.leased &&
+	    core->parameters[DC_P_DISPATCH] == DC_DISPATCH_LEASES)
+		core->counters.unleased++;
+	arm_timer(core, call);
+}
+
+static bool
+take_budget(int64_t *budget)
+{
+	if (*budget < DC_MILLI)
+		return false;
+	*budget -= DC_MILLI;
+	return true;
+}
+
+static bool
+may_send_again(
+    struct dc_core *core, struct dc_call *call, enum dc_result result)
+{
+	if (call->sends >= core->parameters[DC_P_SENDS_MAX])
+		return false;
+	if (result == DC_RESULT_NOT_SENT && !call->maybe_ran)
+		return true;
+	if (!call->idempotent)
+		return false;
+	return take_budget(&route_of(core, call)->retry_budget);
+}
+
+/* A suspect runs alone on a target, or not at all. */
+static void
+retry_alone(struct dc_core *core, struct dc_call *call)
+{
+	struct dc_choice choice;
+
+	choice = dc_target_pick(core, &core->pools[call->pool], call);
+	if (choice.target == DC_NONE) {
+		dc_call_refuse(core, call, DC_REASON_TARGET_BROKE);
+		return;
+	}
+	core->counters.retries++;
+	dc_attempt_send(core, call, choice);
+}
+
+static void
+send_again(struct dc_core *core, struct dc_call *call)
+{
+	if (call->suspect) {
+		retry_alone(core, call);
+		return;
+	}
+	core->counters.retries++;
+	dc_call_enqueue(core, call);
+}
+
+static void
+retry_or_refuse(
+    struct dc_core *core, struct dc_call *call, enum dc_result result)
+{
+	enum dc_reason reason = DC_REASON_CONNECT_FAILED;
+
+	if (result == DC_RESULT_BROKEN)
+		reason = DC_REASON_TARGET_BROKE;
+	if (call->suspect && dc_suspect_quarantined(core, call->fingerprint))
+		dc_call_refuse(core, call, DC_REASON_QUARANTINED);
+	else if (core->now_us >= call->deadline_us)
+		dc_call_refuse(core, call, DC_REASON_DEADLINE);
+	else if (!may_send_again(core, call, result))
+		dc_call_refuse(core, call, reason);
+	else
+		send_again(core, call);
+}
+
+void
+dc_attempt_on_sent(struct dc_core *core, struct dc_call *call,
+    struct dc_attempt *attempt, bool reused)
+{
+	attempt->state = DC_ATTEMPT_SENT;
+	attempt->reused = reused;
+	call->maybe_ran = true;
+	arm_timer(core, call);
+}
+
+/* Moves the estimate up by 95 parts or down by 5, so that it settles where
+ * 5 of 100 answers take longer. */
+static void
+learn_slow(struct dc_route *route, int64_t took_us)
+{
+	int64_t step = (route->slow_us >> SLOW_SHIFT) + 1;
+
+	if (route->slow_us == 0)
+		route->slow_us = took_us * 2 + 1;
+	else if (took_us > route->slow_us)
+		route->slow_us += step * SLOW_PERCENT / 100;
+	else
+		route->slow_us -= step * (100 - SLOW_PERCENT) / 100 + 1;
+	if (route->slow_us < 1)
+		route->slow_us = 1;
+}
+
+void
+dc_attempt_relay(
+    struct dc_core *core, struct dc_call *call, struct dc_attempt *attempt)
+{
+	uint32_t i;
+
+	for (i = 0; i < DC_ATTEMPTS_MAX; i++) {
+		struct dc_attempt *other = &call->attempts[i];
+
+		if (other != attempt && other->state != DC_ATTEMPT_NONE)
+			dc_attempt_cancel(core, call, other);
+	}
+	attempt->state = DC_ATTEMPT_RELAYED;
+	call->state = DC_CALL_RELAYING;
+	dc_call_clear_timer(core, call);
+	dc_act(core, DC_ACT_RELAY)->relay = (struct dc_attempt_ref){
+	    .call = call->id,
+	    .attempt = attempt->number,
+	};
+}
+
+void
+dc_attempt_on_head(struct dc_core *core, struct dc_call *call,
+    struct dc_attempt *attempt, uint32_t status)
+{
+	if (status == STATUS_UNAVAILABLE) {
+		dc_target_failed(core, attempt);
+		if (call->idempotent &&
+		    may_send_again(core, call, DC_RESULT_BROKEN)) {
+			dc_attempt_cancel(core, call, attempt);
+			if (dc_attempt_live(call) == NULL)
+				send_again(core, call);
+			return;
+		}
+	}
+	learn_slow(route_of(core, call), core->now_us - attempt->started_us);
+	dc_attempt_relay(core, call, attempt);
+}
+
+void
+dc_attempt_finish_relayed(struct dc_core *core, struct dc_call *call,
+    struct dc_attempt *attempt, enum dc_result result)
+{
+	struct dc_attempt_ref ref = {
+	    .call = call->id,
+	    .attempt = attempt->number,
+	};
+
+	if (attempt->target != DC_NONE && result == DC_RESULT_WHOLE)
+		dc_target_succeeded(core, call, attempt);
+	else if (attempt->target != DC_NONE)
+		dc_target_failed(core, attempt);
+	if (result == DC_RESULT_WHOLE) {
+		dc_act(core, DC_ACT_DONE)->done = ref;
+		core->counters.done++;
+	} else {
+		dc_act(core, DC_ACT_CUT)->cut = ref;
+		core->counters.cut++;
+	}
+	dc_key_ended(core, call, DC_KEY_DONE);
+	drop(core, call, attempt);
+	dc_call_end(core, call);
+}
+
+/* What an attempt that broke says of its target and of the request. */
+static void
+learn_from_break(
+    struct dc_core *core, struct dc_call *call, enum dc_result result)
+{
+	if (result != DC_RESULT_BROKEN)
+		return;
+	call->suspect = dc_attempt_live(call) == NULL;
+	dc_suspect_add(core, call->fingerprint);
+	dc_act(core, DC_ACT_MESSAGE)->message = (struct dc_envelope){
+	    .message =
+		{
+		    .type = DC_MSG_SUSPECT,
+		    .suspect = {.fingerprint = call->fingerprint},
+		},
+	};
+}
+
+void
+dc_attempt_on_end(struct dc_core *core, struct dc_call *call,
+    struct dc_attempt *attempt, enum dc_result result)
+{
+	bool reused = attempt->reused;
+
+	/* A silent or closed old connection says nothing of the target. */
+	if (!reused)
+		dc_target_failed(core, attempt);
+	drop(core, call, attempt);
+	if (!reused)
+		learn_from_break(core, call, result);
+	if (result == DC_RESULT_UNFRAMED)
+		dc_call_refuse(core, call, DC_REASON_ANSWER_UNFRAMED);
+	else if (dc_attempt_live(call) == NULL)
+		retry_or_refuse(core, call, result);
+}
+
+/* Sends a second copy of slow idempotent work while nothing else waits. */
+static void
+hedge(struct dc_core *core, struct dc_call *call)
+{
+	struct dc_route *route = route_of(core, call);
+	struct dc_pool *pool = &core->pools[call->pool];
+	struct dc_attempt *first = dc_attempt_live(call);
+	struct dc_choice choice;
+
+	if (!call->idempotent || call->suspect || call->sends != 1 ||
+	    first == NULL || first->state != DC_ATTEMPT_SENT)
+		return;
+	if (core->now_us - first->started_us < route->slow_us ||
+	    pool->waiting > 0)
+		return;
+	call->avoid = first->target;
+	choice = dc_target_pick(core, pool, call);
+	if (choice.target == DC_NONE || choice.target == first->target ||
+	    !take_budget(&route->hedge_budget))
+		return;
+	core->counters.hedges++;
+	dc_attempt_send(core, call, choice);
+}
+
+/* Gives up attempts that did not connect in time. */
+static void
+expire_connects(struct dc_core *core, struct dc_call *call)
+{
+	int64_t limit_us = core->parameters[DC_P_CONNECT_TIMEOUT_US];
+	uint32_t i;
+
+	for (i = 0; i < DC_ATTEMPTS_MAX; i++) {
+		struct dc_attempt *a = &call->attempts[i];
+
+		if (a->state != DC_ATTEMPT_CONNECTING ||
+		    core->now_us < a->started_us + limit_us)
+			continue;
+		dc_target_failed(core, a);
+		dc_attempt_cancel(core, call, a);
+	}
+}
+
+void
+dc_attempts_on_timer(struct dc_core *core, struct dc_call *call)
+{
+	expire_connects(core, call);
+	if (dc_attempt_live(call) == NULL) {
+		retry_or_refuse(core, call, DC_RESULT_NOT_SENT);
+		return;
+	}
+	hedge(core, call);
+	arm_timer(core, call);
+}
--- a/lib/decide/calls.c
+++ b/lib/decide/calls.c
@@ -99,11 +99,15 @@
 }
 
 void
-dc_call_set_timer(struct dc_core *core, struct dc_call *call, int64_t at_us)
+dc_call_clear_timer(struct dc_core *core, struct dc_call *call)
 {
-	uint32_t number = dc_call_number(core, call);
-
 	if (call->nodes[DC_NODE_TIMER].linked)
-		dc_heap_remove(core, &core->timers, number);
-	dc_heap_push(core, &core->timers, number, at_us);
+		dc_heap_remove(core, &core->timers, dc_call_number(core, call));
+}
+
+void
+dc_call_set_timer(struct dc_core *core, struct dc_call *call, int64_t at_us)
+{
+	dc_call_clear_timer(core, call);
+	dc_heap_push(core, &core->timers, dc_call_number(core, call), at_us);
 }
--- a/lib/decide/check.c
+++ b/lib/decide/check.c
@@ -14,41 +14,83 @@
 static const char *
 check_call(const struct dc_call *call)
 {
+	bool has_timer = call->nodes[DC_NODE_TIMER].linked;
 	uint32_t live = live_attempts(call);
 
 	switch (call->state) {
 	case DC_CALL_FREE:
 		return NULL;
+	case DC_CALL_CLAIMING:
+		if (live != 0)
+			return "a call was sent before its key was claimed";
+		return has_timer ? NULL : "a claiming call has no timer";
 	case DC_CALL_WAITING:
 		if (live != 0)
 			return "a waiting call has an attempt";
 		if (!call->nodes[DC_NODE_QUEUE].linked)
 			return "a waiting call is in no queue";
-		if (!call->nodes[DC_NODE_TIMER].linked)
-			return "a waiting call has no timer";
-		return NULL;
+		return has_timer ? NULL : "a waiting call has no timer";
 	case DC_CALL_RUNNING:
 		if (live == 0)
 			return "a running call has no attempt";
-		if (!call->nodes[DC_NODE_TIMER].linked)
-			return "a running call has no timer";
 		if (!call->idempotent && live > 1)
 			return "non-idempotent work runs twice";
-		return NULL;
+		return has_timer ? NULL : "a running call has no timer";
+	case DC_CALL_FORWARDING:
+		return has_timer ? NULL : "a forwarded call has no timer";
 	case DC_CALL_RELAYING:
 		return live == 1 ? NULL : "a relayed call has other attempts";
 	}
 	return "a call is in no known state";
 }
 
-const char *
-dc_check(const struct dc_core *core)
+/* What the calls say that each target carries. */
+struct load {
+	uint32_t in_flight;
+	uint32_t occupied;
+};
+
+static void
+add_load(const struct dc_call *call, struct load *loads)
 {
-	static uint32_t in_flight[DC_TARGETS_MAX];
-	uint32_t i, j, waiting = 0, running = 0;
+	uint32_t i;
+
+	for (i = 0; i < DC_ATTEMPTS_MAX; i++) {
+		const struct dc_attempt *attempt = &call->attempts[i];
+
+		if (attempt->state == DC_ATTEMPT_NONE ||
+		    attempt->target == DC_NONE)
+			continue;
+		loads[attempt->target].in_flight++;
+		loads[attempt->target].occupied += attempt->leased;
+	}
+}
+
+static const char *
+check_target(const struct dc_target *target, const struct load *load)
+{
+	uint32_t i, granted = 0;
+
+	if (load->in_flight != target->in_flight)
+		return "a target's count of attempts is wrong";
+	if (load->occupied != target->occupied)
+		return "a target's count of leased attempts is wrong";
+	if (target->in_flight != target->occupied + target->unleased)
+		return "a target's attempts do not add up";
+	if (target->occupied > target->leased)
+		return "more slots are in use than leased";
+	for (i = 0; i < DC_PEERS_MAX; i++)
+		granted += target->granted_to[i];
+	if (granted != target->granted)
+		return "an owner's grants do not add up";
+	return NULL;
+}
+
+static const char *
+check_calls(const struct dc_core *core, struct load *loads)
+{
+	uint32_t i, waiting = 0, running = 0;
 
-	for (i = 0; i < DC_TARGETS_MAX; i++)
-		in_flight[i] = 0;
 	for (i = 0; i < DC_CALLS_MAX; i++) {
 		const struct dc_call *call = &core->calls[i];
 		const char *fault = check_call(call);
@@ -59,22 +101,33 @@
 			continue;
 		waiting += call->state == DC_CALL_WAITING;
 		running += call->state != DC_CALL_WAITING;
-		for (j = 0; j < DC_ATTEMPTS_MAX; j++) {
-			if (call->attempts[j].state != DC_ATTEMPT_NONE)
-				in_flight[call->attempts[j].target]++;
-		}
+		add_load(call, loads);
 	}
 	if (waiting != core->counters.waiting)
 		return "the count of waiting calls is wrong";
 	if (running != core->counters.running)
 		return "the count of running calls is wrong";
-	for (i = 0; i < DC_TARGETS_MAX; i++) {
-		if (in_flight[i] != core->targets[i].in_flight)
-			return "a target's count of calls is wrong";
-	}
 	return NULL;
 }
 
+const char *
+dc_check(const struct dc_core *core)
+{
+	struct load loads[DC_TARGETS_MAX] = {0};
+	const char *fault = check_calls(core, loads);
+	uint32_t i;
+
+	for (i = 0; i < DC_TARGETS_MAX && fault == NULL; i++) {
+		if (core->targets[i].used)
+			fault = check_target(&core->targets[i], &loads[i]);
+	}
+	for (i = 0; i < DC_POOLS_MAX && fault == NULL; i++) {
+		if (core->pools[i].waiting > DC_CALLS_MAX)
+			fault = "a queue is longer than its bound";
+	}
+	return fault;
+}
+
 const char *
 dc_reason_text(enum dc_reason reason)
 {
@@ -117,6 +170,24 @@
 		return "displaced";
 	case DC_REASON_CALLER_LEFT:
 		return "caller_left";
+	case DC_REASON_KEY_IN_PROGRESS:
+		return "key_in_progress";
+	case DC_REASON_KEY_RAN:
+		return "key_ran";
+	case DC_REASON_KEY_UNSURE:
+		return "key_unsure";
+	case DC_REASON_KEY_KILLED:
+		return "key_killed";
+	case DC_REASON_KEY_NO_WITNESS:
+		return "key_no_witness";
+	case DC_REASON_KEY_STORE:
+		return "key_store";
+	case DC_REASON_KEY_HOME_GONE:
+		return "key_home_gone";
+	case DC_REASON_KEY_NOT_HOME:
+		return "key_not_home";
+	case DC_REASON_KEYS_FULL:
+		return "keys_full";
 	}
 	return "unlisted";
 }
--- a/lib/decide/core.c
+++ b/lib/decide/core.c
@@ -17,7 +17,11 @@
     [DC_P_EJECT_FAILURES] = {"eject_failures", 1, 1000, 3},
     [DC_P_EJECT_US] = {"eject_us", 1000, 60000000, 100000},
     [DC_P_QUARANTINE_US] = {"quarantine_us", 1000000, 3600000000LL, 600000000},
-    [DC_P_DISPATCH] = {"dispatch", 0, 0, DC_DISPATCH_TWO_CHOICES},
+    [DC_P_DISPATCH] = {"dispatch", DC_DISPATCH_TWO_CHOICES, DC_DISPATCH_LEASES,
+	DC_DISPATCH_LEASES},
+    [DC_P_LEASE_OVER_COMMIT] = {"lease_over_commit", 0, 16, 1},
+    [DC_P_LEASE_FALLBACK_US] = {"lease_fallback_us", 1000, 1000000, 25000},
+    [DC_P_SPILL_US] = {"spill_us", 1000, 10000000, 30000},
 };
 
 struct dc_core *
@@ -32,14 +36,23 @@
 	for (i = 0; i < DC_P_COUNT; i++)
 		core->parameters[i] = parameters[i].initial;
 	core->loading_pool = DC_NONE;
+	core->witness = DC_NONE;
 	core->pools_wake_us = INT64_MAX;
+	core->keys_wake_us = INT64_MAX;
 	dc_calls_init(core);
+	if (dc_key_table_init(&core->home_keys, DC_KEYS_MAX) != CS_OK ||
+	    dc_key_table_init(&core->witnessed, DC_WITNESSED_MAX) != CS_OK) {
+		dc_core_free(core);
+		return NULL;
+	}
 	return core;
 }
 
 void
 dc_core_free(struct dc_core *core)
 {
+	dc_key_table_free(&core->home_keys);
+	dc_key_table_free(&core->witnessed);
 	free(core);
 }
 
@@ -86,7 +99,7 @@
 
 static struct dc_attempt *
 find_attempt(
-    struct dc_core *core, uint64_t id, uint32_t number, struct dc_call **call)
+    struct dc_core *core, uint64_t id, uint64_t number, struct dc_call **call)
 {
 	uint32_t i;
 
@@ -103,6 +116,28 @@
 	return NULL;
 }
 
+static bool
+is_forwarded(const struct dc_attempt *attempt)
+{
+	return attempt->target == DC_NONE;
+}
+
+static int
+on_self(struct dc_core *core, const struct dc_self *event)
+{
+	if (core->peer_count != 0)
+		return CS_E_INVALID;
+	core->started_us = core->now_us;
+	core->peers[DC_SELF] = (struct dc_peer){
+	    .id = event->peer,
+	    .epoch = event->epoch,
+	    .region = event->region,
+	    .state = DC_PEER_ALIVE,
+	};
+	core->peer_count = 1;
+	return CS_OK;
+}
+
 static int
 on_sent(struct dc_core *core, const struct dc_attempt_sent *event)
 {
@@ -112,7 +147,10 @@
 	attempt = find_attempt(core, event->call, event->attempt, &call);
 	if (attempt == NULL || attempt->state != DC_ATTEMPT_CONNECTING)
 		return CS_E_INVALID;
-	dc_attempt_on_sent(core, call, attempt, event->reused);
+	if (is_forwarded(attempt))
+		dc_forward_on_sent(core, call, attempt);
+	else
+		dc_attempt_on_sent(core, call, attempt, event->reused != 0);
 	return CS_OK;
 }
 
@@ -125,20 +163,25 @@
 	attempt = find_attempt(core, event->call, event->attempt, &call);
 	if (attempt == NULL || attempt->state != DC_ATTEMPT_SENT)
 		return CS_E_INVALID;
-	dc_attempt_on_head(core, call, attempt, event->status);
+	if (is_forwarded(attempt))
+		dc_attempt_relay(core, call, attempt);
+	else
+		dc_attempt_on_head(
+		    core, call, attempt, (uint32_t)event->status);
 	return CS_OK;
 }
 
 /* Whether a result fits the state that the attempt is in. */
 static bool
-result_fits(const struct dc_attempt *attempt, uint8_t result)
+result_fits(const struct dc_attempt *attempt, uint64_t result)
 {
 	switch (attempt->state) {
 	case DC_ATTEMPT_CONNECTING:
 		return result == DC_RESULT_NOT_SENT;
 	case DC_ATTEMPT_SENT:
 		return result == DC_RESULT_BROKEN ||
-		       result == DC_RESULT_UNFRAMED;
+		       result == DC_RESULT_UNFRAMED ||
+		       (result == DC_RESULT_NOT_HOME && is_forwarded(attempt));
 	case DC_ATTEMPT_RELAYED:
 		return result == DC_RESULT_WHOLE ||
 		       result == DC_RESULT_TRUNCATED;
@@ -151,13 +194,19 @@
 static int
 on_ended(struct dc_core *core, const struct dc_attempt_ended *event)
 {
+	enum dc_result result = (enum dc_result)event->result;
 	struct dc_call *call;
 	struct dc_attempt *attempt;
 
 	attempt = find_attempt(core, event->call, event->attempt, &call);
 	if (attempt == NULL || !result_fits(attempt, event->result))
 		return CS_E_INVALID;
-	dc_attempt_on_end(core, call, attempt, (enum dc_result)event->result);
+	if (attempt->state == DC_ATTEMPT_RELAYED)
+		dc_attempt_finish_relayed(core, call, attempt, result);
+	else if (is_forwarded(attempt))
+		dc_forward_on_end(core, call, attempt, result);
+	else
+		dc_attempt_on_end(core, call, attempt, result);
 	return CS_OK;
 }
 
@@ -172,27 +221,75 @@
 	return CS_OK;
 }
 
+static int
+on_store_claimed(struct dc_core *core, const struct dc_store_claimed *event)
+{
+	struct dc_call *call = dc_call_find(core, event->call);
+
+	if (call == NULL || call->state != DC_CALL_CLAIMING ||
+	    call->key.scope != DC_KEY_STORE ||
+	    event->result > DC_STORE_UNAVAILABLE)
+		return CS_E_INVALID;
+	dc_key_on_store(core, call, (enum dc_store_result)event->result);
+	return CS_OK;
+}
+
+/* Heard here first: every other entry VM is told. */
 static int
 on_drains(struct dc_core *core, const struct dc_target_drains *event)
 {
-	uint32_t target = dc_target_find(core, event->target);
+	uint32_t number = dc_target_find(core, event->target);
+	struct dc_target *target;
 
-	if (target == DC_NONE)
+	if (number == DC_NONE)
 		return CS_E_INVALID;
-	core->targets[target].drain_signal = event->drain;
-	dc_pool_dispatch(core, &core->pools[core->targets[target].pool]);
+	target = &core->targets[number];
+	if (target->drain_signal == (event->drain != 0))
+		return CS_OK;
+	target->drain_signal = event->drain != 0;
+	dc_lease_give_back_idle(core, target);
+	dc_pool_wake(&core->pools[target->pool]);
+	dc_act(core, DC_ACT_MESSAGE)->message = (struct dc_envelope){
+	    .message = {.type = DC_MSG_DRAINS, .drains = *event},
+	};
 	return CS_OK;
 }
 
 static void
-dispatch_waiting(struct dc_core *core)
+call_on_timer(struct dc_core *core, struct dc_call *call)
+{
+	switch (call->state) {
+	case DC_CALL_CLAIMING:
+		dc_key_on_timer(core, call);
+		return;
+	case DC_CALL_FORWARDING:
+		dc_forward_on_timer(core, call);
+		return;
+	case DC_CALL_WAITING:
+		dc_call_refuse(core, call, DC_REASON_DEADLINE);
+		return;
+	case DC_CALL_RUNNING:
+		if (core->now_us >= call->deadline_us)
+			dc_call_refuse(core, call, DC_REASON_DEADLINE);
+		else
+			dc_attempts_on_timer(core, call);
+		return;
+	case DC_CALL_RELAYING:
+	case DC_CALL_FREE:
+		return;
+	}
+}
+
+static void
+wake_waiting_pools(struct dc_core *core)
 {
 	uint32_t i;
 
 	core->pools_wake_us = INT64_MAX;
+	dc_owner_on_timer(core);
 	for (i = 0; i < DC_POOLS_MAX; i++) {
 		if (core->pools[i].waiting > 0)
-			dc_pool_dispatch(core, &core->pools[i]);
+			dc_pool_wake(&core->pools[i]);
 	}
 }
 
@@ -205,21 +302,21 @@
 		if (call->nodes[DC_NODE_TIMER].key > core->now_us)
 			break;
 		dc_heap_pop(core, &core->timers);
-		dc_call_on_timer(core, call);
+		call_on_timer(core, call);
 	}
 	if (core->pools_wake_us <= core->now_us)
-		dispatch_waiting(core);
+		wake_waiting_pools(core);
+	if (core->keys_wake_us <= core->now_us)
+		dc_key_ask_window(core);
 	return CS_OK;
 }
 
-int
-dc_step(struct dc_core *core, const struct dc_event *event, int64_t now_us,
-    struct dc_actions *actions)
+static int
+handle(struct dc_core *core, const struct dc_event *event)
 {
-	actions->count = 0;
-	core->actions = actions;
-	core->now_us = now_us;
 	switch (event->type) {
+	case DC_EV_SELF:
+		return on_self(core, &event->self);
 	case DC_EV_TABLE_BEGIN:
 	case DC_EV_TABLE_POOL:
 	case DC_EV_TABLE_TARGET:
@@ -237,22 +334,74 @@
 		return on_head(core, &event->head);
 	case DC_EV_ATTEMPT_ENDED:
 		return on_ended(core, &event->ended);
+	case DC_EV_STORE_CLAIMED:
+		return on_store_claimed(core, &event->store_claimed);
 	case DC_EV_TARGET_DRAINS:
 		return on_drains(core, &event->drains);
+	case DC_EV_PEER:
+		return dc_peer_changed(core, &event->peer);
+	case DC_EV_LINK:
+		dc_peer_link_up(core, event->link.peer);
+		return CS_OK;
+	case DC_EV_MESSAGE:
+		return dc_peer_message(core, &event->message);
 	case DC_EV_STOPPING:
 		core->stopping = true;
 		return CS_OK;
 	case DC_EV_TIMER:
 		return on_timer(core);
+	case DC_EV_TYPES:
+		break;
 	}
 	return CS_E_INVALID;
 }
 
+/* Dispatching one pool can make another ready, or itself again. */
+static void
+dispatch_ready(struct dc_core *core)
+{
+	bool again = true;
+	uint32_t i;
+
+	while (again && dc_room_for_actions(core)) {
+		again = false;
+		for (i = 0; i < DC_POOLS_MAX; i++) {
+			struct dc_pool *pool = &core->pools[i];
+
+			if (!pool->used || !pool->ready)
+				continue;
+			dc_pool_dispatch(core, pool);
+			again = true;
+		}
+	}
+	if (again)
+		core->pools_wake_us = core->now_us;
+}
+
+int
+dc_step(struct dc_core *core, const struct dc_event *event, int64_t now_us,
+    struct dc_actions *actions)
+{
+	int error;
+
+	actions->count = 0;
+	core->actions = actions;
+	core->now_us = now_us;
+	if (core->peer_count == 0 && event->type != DC_EV_SELF)
+		return CS_E_INVALID;
+	error = handle(core, event);
+	if (error == CS_OK && !core->loading)
+		dispatch_ready(core);
+	return error;
+}
+
 int64_t
 dc_wake_us(const struct dc_core *core)
 {
 	int64_t at_us = core->pools_wake_us;
 
+	if (core->keys_wake_us < at_us)
+		at_us = core->keys_wake_us;
 	if (core->timers.root != DC_NONE) {
 		const struct dc_call *call = &core->calls[core->timers.root];
 
--- a/lib/decide/decide.h
+++ b/lib/decide/decide.h
@@ -21,7 +21,10 @@
 #define DC_TARGETS_MAX 1024 /* over all pools */
 #define DC_MEMBERS_MAX 32   /* with a queue of their own, per pool */
 #define DC_ATTEMPTS_MAX 2   /* of one call at the same time */
-#define DC_ACTIONS_MAX 256  /* of one step */
+#define DC_ACTIONS_MAX 1024 /* of one step */
+#define DC_PEERS_MAX 512    /* entry VMs */
+#define DC_GROUPS_MAX 256   /* pairs of pool and region */
+#define DC_KEYS_MAX 32768   /* whose home is this VM */
 
 /* Why a call was refused or ended. The numbers never change. */
 enum dc_reason {
@@ -44,6 +47,15 @@
 	DC_REASON_ANSWER_UNFRAMED = 1016, /* a target's answer has no length */
 	DC_REASON_DISPLACED = 1017,   /* work of more weight took its place */
 	DC_REASON_CALLER_LEFT = 1018, /* nobody reads this answer */
+	DC_REASON_KEY_IN_PROGRESS = 1019, /* its first request is under way */
+	DC_REASON_KEY_RAN = 1020,	  /* it ran, its answer is not kept */
+	DC_REASON_KEY_UNSURE = 1021,	  /* an earlier request may have run */
+	DC_REASON_KEY_KILLED = 1022,	  /* never ran and never will */
+	DC_REASON_KEY_NO_WITNESS = 1023,  /* its witness gave no claim */
+	DC_REASON_KEY_STORE = 1024,	  /* the object API gave no claim */
+	DC_REASON_KEY_HOME_GONE = 1025,	  /* its home may have run it */
+	DC_REASON_KEY_NOT_HOME = 1026,	  /* forwarded to the wrong process */
+	DC_REASON_KEYS_FULL = 1027,	  /* DC_KEYS_MAX keys are known */
 };
 
 /* What is certain about a refused call. */
@@ -53,6 +65,7 @@
 };
 
 enum dc_event_type {
+	DC_EV_SELF,	   /* who this entry VM is; the first event */
 	DC_EV_TABLE_BEGIN, /* a new configuration follows */
 	DC_EV_TABLE_POOL,
 	DC_EV_TABLE_TARGET, /* of the pool before it */
@@ -64,9 +77,14 @@
 	DC_EV_ATTEMPT_SENT, /* connected; from now on it may run */
 	DC_EV_ATTEMPT_HEAD, /* the head of the answer is here */
 	DC_EV_ATTEMPT_ENDED,
+	DC_EV_STORE_CLAIMED, /* the object API answered DC_ACT_STORE_CLAIM */
 	DC_EV_TARGET_DRAINS, /* said by the target or by the VM list */
+	DC_EV_PEER,	     /* an entry VM appeared, changed or went */
+	DC_EV_LINK,	     /* the link to an entry VM is up, perhaps again */
+	DC_EV_MESSAGE,	     /* from the core of another entry VM */
 	DC_EV_STOPPING,	     /* no further calls are taken */
 	DC_EV_TIMER,
+	DC_EV_TYPES,
 };
 
 /* How an attempt ended. */
@@ -76,6 +94,32 @@
 	DC_RESULT_BROKEN,    /* after bytes went out, before a head */
 	DC_RESULT_TRUNCATED, /* after the head */
 	DC_RESULT_UNFRAMED,  /* a head without a length for its body */
+	DC_RESULT_NOT_HOME,  /* forwarded, and that VM is another process now */
+};
+
+/* Where a key says that its call may run. */
+enum dc_key_scope {
+	DC_KEY_NONE,  /* no key: each request is work of its own */
+	DC_KEY_HOME,  /* at the entry VM whose token begins the key */
+	DC_KEY_STORE, /* where the object API gave the claim */
+};
+
+enum dc_store_result {
+	DC_STORE_CLAIMED,     /* the key is this call's */
+	DC_STORE_TAKEN,	      /* another request has it */
+	DC_STORE_UNAVAILABLE, /* no claim was made, or none is certain */
+};
+
+/*
+ * The fields of events, actions and messages are all of 64 bits, so that a
+ * trace and the links between VMs can carry any of them as a row of numbers.
+ */
+#define DC_FIELDS_MAX 16
+
+struct dc_self {
+	uint64_t peer;
+	uint64_t epoch;
+	uint64_t region;
 };
 
 struct dc_table_begin {
@@ -89,28 +133,42 @@
 struct dc_table_target {
 	uint64_t target;
 	uint64_t region;
-	uint32_t slots;
-	uint8_t drain;
+	uint64_t slots;
+	uint64_t drain;
 };
 
 struct dc_table_share {
 	uint64_t member;
-	uint32_t weight;
+	uint64_t weight;
 };
 
 struct dc_table_route {
 	uint64_t route;
 	uint64_t pool;
-	uint32_t weight;
-	uint8_t idempotent;
+	uint64_t weight;
+	uint64_t idempotent;
+};
+
+/* The key's hash, and what its token says when its scope is DC_KEY_HOME. */
+struct dc_key {
+	uint64_t a;
+	uint64_t b;
+	uint64_t scope; /* enum dc_key_scope */
+	uint64_t home;	/* entry VM */
+	uint64_t home_epoch;
+	uint64_t witness; /* entry VM, 0: none */
+	uint64_t witness_epoch;
+	uint64_t window; /* of the witness's clock, when it was issued */
 };
 
 struct dc_call_arrived {
-	uint64_t call; /* unique, chosen by the shell */
+	uint64_t call; /* unique and rising, chosen by the shell */
 	uint64_t route;
 	uint64_t member;
 	uint64_t fingerprint; /* equal for requests that are the same */
 	int64_t deadline_us;
+	uint64_t forwarded; /* by another entry VM, to the key's home */
+	struct dc_key key;
 };
 
 struct dc_call_left {
@@ -119,30 +177,158 @@
 
 struct dc_attempt_sent {
 	uint64_t call;
-	uint32_t attempt;
-	uint8_t reused; /* on a connection that carried calls before */
+	uint64_t attempt;
+	uint64_t reused; /* on a connection that carried calls before */
 };
 
 struct dc_attempt_head {
 	uint64_t call;
-	uint32_t attempt;
-	uint32_t status;
+	uint64_t attempt;
+	uint64_t status;
 };
 
 struct dc_attempt_ended {
 	uint64_t call;
-	uint32_t attempt;
-	uint8_t result; /* enum dc_result */
+	uint64_t attempt;
+	uint64_t result; /* enum dc_result */
+};
+
+struct dc_store_claimed {
+	uint64_t call;
+	uint64_t result; /* enum dc_store_result */
 };
 
 struct dc_target_drains {
 	uint64_t target;
-	uint8_t drain;
+	uint64_t drain;
+};
+
+enum dc_peer_state {
+	DC_PEER_DEAD,
+	DC_PEER_ALIVE,
+	DC_PEER_LEAVING, /* finishes what it has; owns and witnesses nothing */
+};
+
+struct dc_peer_changed {
+	uint64_t peer; /* may be this VM itself, to say that it leaves */
+	uint64_t epoch;
+	uint64_t region;
+	uint64_t state; /* enum dc_peer_state */
+};
+
+struct dc_link_up {
+	uint64_t peer;
+};
+
+/* Messages between cores. The numbers never change. */
+enum dc_message_type {
+	DC_MSG_LEASE_WANT = 1,	 /* a holder's unmet demand, to the owner */
+	DC_MSG_LEASE_GRANT = 2,	 /* slots of a target, to a holder */
+	DC_MSG_LEASE_RETURN = 3, /* given back, to the owner */
+	DC_MSG_LEASE_SCARCE = 4, /* the group turned scarce, or idle again */
+	DC_MSG_LEASE_RECALL = 5, /* give back what ends next on a target */
+	DC_MSG_LEASE_HELD = 6,	 /* what a holder holds, to a new owner */
+	DC_MSG_KEY_WINDOW_ASK = 16,
+	DC_MSG_KEY_WINDOW = 17, /* the witness's clock */
+	DC_MSG_KEY_CLAIM = 18,	/* by the home, before it sends */
+	DC_MSG_KEY_CLAIM_RESULT = 19,
+	DC_MSG_KEY_KILL = 20, /* by another VM, when the home is gone */
+	DC_MSG_KEY_KILL_RESULT = 21,
+	DC_MSG_SUSPECT = 32, /* a request was in flight when a target died */
+	DC_MSG_DRAINS = 33,  /* a target said that it drains */
+};
+
+struct dc_lease_group_count {
+	uint64_t group;
+	uint64_t count;
+};
+
+struct dc_lease_target_count {
+	uint64_t target;
+	uint64_t count;
+};
+
+struct dc_key_window {
+	uint64_t window;
+};
+
+struct dc_key_claim {
+	uint64_t a;
+	uint64_t b;
+	uint64_t witness_epoch;
+	uint64_t window;
+	uint64_t serial;     /* of this claim, unlike any other of the home */
+	uint64_t supersedes; /* an earlier claim that never ran, or 0 */
+};
+
+enum dc_claim_result {
+	DC_CLAIM_GIVEN,
+	DC_CLAIM_KILLED,  /* another VM was told that it never ran */
+	DC_CLAIM_TAKEN,	  /* an earlier claim of the same key stands */
+	DC_CLAIM_EXPIRED, /* issued too long ago, or by another process */
+	DC_CLAIM_FULL,	  /* no room to remember it */
+};
+
+struct dc_key_claim_result {
+	uint64_t a;
+	uint64_t b;
+	uint64_t serial;
+	uint64_t result; /* enum dc_claim_result */
+};
+
+struct dc_key_kill {
+	uint64_t a;
+	uint64_t b;
+	uint64_t witness_epoch;
+	uint64_t window;
+	uint64_t ticket; /* of the asking VM, comes back */
+};
+
+enum dc_kill_result {
+	DC_KILL_DONE,	 /* the key can never run from now on */
+	DC_KILL_CLAIMED, /* it may have run */
+	DC_KILL_UNKNOWN, /* expired, or no room */
+};
+
+struct dc_key_kill_result {
+	uint64_t ticket;
+	uint64_t result; /* enum dc_kill_result */
+};
+
+struct dc_suspect_news {
+	uint64_t fingerprint;
+};
+
+struct dc_message {
+	uint64_t type; /* enum dc_message_type */
+	union {
+		struct dc_lease_group_count want;
+		struct dc_lease_target_count grant;
+		struct dc_lease_target_count returned;
+		struct dc_lease_group_count scarce;
+		struct dc_lease_target_count recall;
+		struct dc_lease_target_count held;
+		struct dc_key_window window;
+		struct dc_key_claim claim;
+		struct dc_key_claim_result claim_result;
+		struct dc_key_kill kill;
+		struct dc_key_kill_result kill_result;
+		struct dc_suspect_news suspect;
+		struct dc_target_drains drains;
+		uint64_t fields[DC_FIELDS_MAX - 2];
+	};
+};
+
+/* A message with the entry VM it comes from or goes to. */
+struct dc_envelope {
+	uint64_t peer; /* 0 in an action: to every live entry VM */
+	struct dc_message message;
 };
 
 struct dc_event {
 	enum dc_event_type type;
 	union {
+		struct dc_self self;
 		struct dc_table_begin table_begin;
 		struct dc_table_pool table_pool;
 		struct dc_table_target table_target;
@@ -153,47 +339,66 @@
 		struct dc_attempt_sent sent;
 		struct dc_attempt_head head;
 		struct dc_attempt_ended ended;
+		struct dc_store_claimed store_claimed;
 		struct dc_target_drains drains;
+		struct dc_peer_changed peer;
+		struct dc_link_up link;
+		struct dc_envelope message;
+		uint64_t fields[DC_FIELDS_MAX];
 	};
 };
 
 enum dc_action_type {
-	DC_ACT_SEND,   /* start an attempt */
-	DC_ACT_CANCEL, /* give an attempt up; no event of it may follow */
-	DC_ACT_RELAY,  /* pass this attempt's answer on to the caller */
-	DC_ACT_REFUSE, /* answer the caller ourselves; the call is forgotten */
-	DC_ACT_CUT,    /* the relayed answer broke: close on the caller */
-	DC_ACT_DONE,   /* the whole answer was relayed; the call is forgotten */
+	DC_ACT_SEND,	/* start an attempt */
+	DC_ACT_FORWARD, /* start an attempt at another entry VM */
+	DC_ACT_CANCEL,	/* give an attempt up; no event of it may follow */
+	DC_ACT_RELAY,	/* pass this attempt's answer on to the caller */
+	DC_ACT_REPLAY,	/* answer with what the key's first call got */
+	DC_ACT_REFUSE,	/* answer the caller ourselves; the call is forgotten */
+	DC_ACT_CUT,	/* the relayed answer broke: close on the caller */
+	DC_ACT_DONE,	/* the whole answer was relayed; call forgotten */
+	DC_ACT_STORE_CLAIM, /* claim the call's key in the object API */
+	DC_ACT_MESSAGE,	    /* to the core of another entry VM */
+	DC_ACT_TYPES,
 };
 
 struct dc_send {
 	uint64_t call;
-	uint64_t target;
+	uint64_t attempt;
+	uint64_t target; /* for DC_ACT_FORWARD: the entry VM */
 	int64_t deadline_us;
-	uint32_t attempt;
-	uint8_t fresh; /* must not reuse a connection */
+	uint64_t fresh; /* must not reuse a connection */
 };
 
 struct dc_attempt_ref {
 	uint64_t call;
-	uint32_t attempt;
+	uint64_t attempt;
+};
+
+struct dc_call_ref {
+	uint64_t call;
 };
 
 struct dc_refuse {
 	uint64_t call;
-	uint32_t reason; /* enum dc_reason */
-	uint8_t outcome; /* enum dc_outcome */
+	uint64_t reason;  /* enum dc_reason */
+	uint64_t outcome; /* enum dc_outcome */
 };
 
 struct dc_action {
 	enum dc_action_type type;
 	union {
 		struct dc_send send;
+		struct dc_send forward;
 		struct dc_attempt_ref cancel;
 		struct dc_attempt_ref relay;
+		struct dc_call_ref replay;
 		struct dc_refuse refuse;
 		struct dc_attempt_ref cut;
 		struct dc_attempt_ref done;
+		struct dc_call_ref store_claim;
+		struct dc_envelope message;
+		uint64_t fields[DC_FIELDS_MAX];
 	};
 };
 
@@ -205,6 +410,7 @@
 /* How a waiting call finds its target. */
 enum dc_dispatch {
 	DC_DISPATCH_TWO_CHOICES, /* the less busy of two, local counts only */
+	DC_DISPATCH_LEASES,	 /* only on a slot leased from its owner */
 };
 
 struct dc_core;
@@ -254,6 +460,10 @@
 	uint64_t hedges;
 	uint64_t ejections;
 	uint64_t quarantines;
+	uint64_t unleased; /* attempts beyond the leases */
+	uint64_t lease_messages;
+	uint64_t key_claims;
+	uint64_t key_kills;
 	uint32_t waiting;
 	uint32_t running;
 };
@@ -265,6 +475,24 @@
  */
 const char *dc_check(const struct dc_core *core);
 
+/*
+ * dc_message_fields(type), dc_event_fields(type), dc_action_fields(type): how
+ * many 64-bit fields it has. dc_message_fields() gives 0 for an unknown type.
+ */
+uint32_t dc_message_fields(uint64_t type);
+uint32_t dc_event_fields(enum dc_event_type type);
+uint32_t dc_action_fields(enum dc_action_type type);
+const char *dc_event_text(enum dc_event_type type);
+const char *dc_action_text(enum dc_action_type type);
+
+/*
+ * dc_key_token(core, witness, epoch, window): what a key's token issued now
+ * should name. Witness and epoch are 0, and the window is this VM's own, while
+ * there is no witness.
+ */
+void dc_key_token(const struct dc_core *core, uint64_t *witness,
+    uint64_t *epoch, uint64_t *window);
+
 /* dc_reason_text(reason): its fixed name, such as "queue_full". */
 const char *dc_reason_text(enum dc_reason reason);
 
--- a/lib/decide/decide_internal.h
+++ b/lib/decide/decide_internal.h
@@ -6,10 +6,13 @@
 #include "decide.h"
 
 #define DC_NONE UINT32_MAX
+#define DC_SELF 0 /* this VM's place among the peers */
 #define DC_CALL_INDEX_SIZE (2 * DC_CALLS_MAX) /* open addressing, half full */
 #define DC_SUSPECTS_MAX 1024
 #define DC_CLASSES_MAX 4 /* route weights told apart within one pool */
 #define DC_MILLI 1000	 /* budgets count in thousandths of a call */
+#define DC_WITNESSED_MAX 131072
+#define DC_POOL_GROUPS_MAX 16 /* regions that one pool spans */
 
 /* One node of a pairing heap, kept inside the call it orders. */
 struct dc_node {
@@ -43,35 +46,40 @@
 struct dc_attempt {
 	enum dc_attempt_state state;
 	uint32_t number; /* as in actions and events */
-	uint32_t target;
+	uint32_t target; /* DC_NONE: forwarded to another entry VM */
 	int64_t started_us;
 	bool reused;
-	bool hedge;
+	bool leased; /* runs on a leased slot */
 };
 
 enum dc_call_state {
 	DC_CALL_FREE,
-	DC_CALL_WAITING,
-	DC_CALL_RUNNING,
-	DC_CALL_RELAYING,
+	DC_CALL_CLAIMING,   /* its key is being claimed */
+	DC_CALL_WAITING,    /* for a target */
+	DC_CALL_RUNNING,    /* attempts are under way */
+	DC_CALL_FORWARDING, /* its key's home is asked, or its witness */
+	DC_CALL_RELAYING,   /* an answer is on its way to the caller */
 };
 
 struct dc_call {
 	enum dc_call_state state;
 	uint64_t id;
 	uint64_t fingerprint;
+	uint64_t member_id;
 	uint32_t pool;
 	uint32_t route;
 	uint32_t member; /* queue within the pool */
 	uint32_t class;	 /* heap within the queue */
 	uint32_t weight;
 	bool idempotent;
-	bool maybe_ran; /* an attempt was sent */
+	bool maybe_ran; /* an attempt was sent, or may have been elsewhere */
 	bool suspect;	/* in flight when a target died */
+	bool kill_asked;
 	int64_t arrived_us;
 	int64_t deadline_us;
 	uint32_t sends;
 	uint32_t avoid; /* target of the failed attempt */
+	struct dc_key key;
 	struct dc_attempt attempts[DC_ATTEMPTS_MAX];
 	struct dc_node nodes[DC_NODE_KINDS];
 	uint32_t next_free;
@@ -83,6 +91,7 @@
 	uint64_t id;
 	uint64_t region;
 	uint32_t pool;
+	uint32_t group;
 	uint32_t slots;
 	uint32_t in_flight;
 	bool drain;	   /* by configuration */
@@ -92,7 +101,14 @@
 	uint32_t eject_level;
 	int64_t ejected_until_us;
 	int64_t service_us; /* moving average, 0: none yet */
-	int64_t died_us;    /* last time it broke a call off */
+	/* As a holder of leases. */
+	uint32_t leased;   /* slots that this VM may use */
+	uint32_t occupied; /* of these, in use */
+	uint32_t unleased; /* attempts beyond the leases */
+	uint32_t recalled; /* to be given back */
+	/* As the owner of its group: slots given to each peer. */
+	uint32_t granted;
+	uint8_t granted_to[DC_PEERS_MAX];
 };
 
 /* The waiting calls of one member: a heap by deadline for each class. */
@@ -107,21 +123,51 @@
 struct dc_pool {
 	bool used;
 	bool listed;
+	bool ready; /* to be dispatched at the end of the step */
 	uint64_t id;
 	uint32_t targets[DC_TARGETS_MAX];
 	uint32_t target_count;
+	uint32_t groups[DC_POOL_GROUPS_MAX];
+	uint32_t group_count;
 	struct dc_queue queues[DC_MEMBERS_MAX];
 	uint32_t queue_count;
 	uint32_t class_weights[DC_CLASSES_MAX]; /* of its routes, rising */
 	uint32_t class_count;
 	uint64_t pass;
 	uint32_t waiting;
-	uint32_t calls; /* waiting or running */
+	uint32_t calls; /* in any state */
 	int64_t last_send_us;
 	int64_t interval_us; /* moving average between sends while some wait */
 	int64_t service_us;  /* moving average of an attempt */
 };
 
+/*
+ * The targets of one pool in one region, whose slots are leased out by one
+ * owner among the entry VMs.
+ */
+struct dc_group {
+	bool used;
+	bool listed;
+	uint64_t id;
+	uint64_t region;
+	uint32_t pool;
+	uint32_t owner; /* peer, DC_NONE: not known yet */
+	/* As a holder. */
+	bool scarce;	   /* idle leases go back */
+	uint32_t wanted;   /* as the owner was told last */
+	int64_t wanted_us; /* when */
+	int64_t asked_us;  /* first WANT without an answer, 0: none */
+	/* As the owner. */
+	bool told_scarce;
+	int64_t owned_since_us;
+	int64_t idle_since_us;
+	uint32_t next_peer; /* whose turn it is */
+	uint32_t want_total;
+	uint32_t want[DC_PEERS_MAX];
+	uint32_t held[DC_PEERS_MAX];
+	bool told[DC_PEERS_MAX]; /* that it is scarce */
+};
+
 struct dc_route {
 	bool used;
 	bool listed;
@@ -140,6 +186,40 @@
 	int64_t until_us;
 };
 
+struct dc_peer {
+	uint64_t id;
+	uint64_t epoch;
+	uint64_t region;
+	enum dc_peer_state state;
+};
+
+/* What is known of a key, as its home or as its witness. */
+enum dc_key_state {
+	DC_KEY_FREE,	/* the slot is empty */
+	DC_KEY_ACTIVE,	/* home: a request with it is under way */
+	DC_KEY_NOT_RUN, /* home: its last request never ran */
+	DC_KEY_DONE,	/* home: it ran and was answered */
+	DC_KEY_UNSURE,	/* home: it may have run */
+	DC_KEY_CLAIMED, /* witness: its home may run it */
+	DC_KEY_KILLED,	/* it never ran and never will */
+};
+
+struct dc_key_record {
+	uint64_t a;
+	uint64_t b;
+	uint64_t serial; /* of the last claim */
+	int64_t until_us;
+	enum dc_key_state state;
+};
+
+/* Open addressing with bounded life; swept a little with each insertion. */
+struct dc_key_table {
+	uint32_t size; /* slots */
+	uint32_t count;
+	uint32_t sweep_at;
+	struct dc_key_record *records;
+};
+
 enum dc_parameter {
 	DC_P_QUEUE_MAX,
 	DC_P_CONNECTIONS_PER_TARGET,
@@ -151,6 +231,9 @@
 	DC_P_EJECT_US,
 	DC_P_QUARANTINE_US,
 	DC_P_DISPATCH,
+	DC_P_LEASE_OVER_COMMIT,
+	DC_P_LEASE_FALLBACK_US,
+	DC_P_SPILL_US,
 	DC_P_COUNT,
 };
 
@@ -158,6 +241,7 @@
 	struct cs_random random;
 	int64_t parameters[DC_P_COUNT];
 	int64_t now_us; /* of the step under way */
+	int64_t started_us;
 	struct dc_actions *actions;
 	struct dc_counters counters;
 	uint64_t version;
@@ -168,9 +252,18 @@
 	struct dc_heap timers;
 	int64_t suspects_until_us; /* the last of them lapses */
 	int64_t pools_wake_us;	   /* look at waiting calls again */
+	int64_t keys_wake_us;	   /* ask the witness for its window again */
+	uint32_t peer_count;
+	struct dc_peer peers[DC_PEERS_MAX];
+	uint32_t witness; /* of keys issued now, DC_NONE: none */
+	uint64_t witness_window;
+	int64_t witness_heard_us; /* 0: its window is not known */
+	struct dc_key_table home_keys;
+	struct dc_key_table witnessed;
 	struct dc_suspect suspects[DC_SUSPECTS_MAX];
 	struct dc_route routes[DC_ROUTES_MAX];
 	struct dc_pool pools[DC_POOLS_MAX];
+	struct dc_group groups[DC_GROUPS_MAX];
 	struct dc_target targets[DC_TARGETS_MAX];
 	uint32_t call_index[DC_CALL_INDEX_SIZE];
 	struct dc_call calls[DC_CALLS_MAX];
@@ -191,6 +284,7 @@
 uint32_t dc_call_number(const struct dc_core *core, const struct dc_call *call);
 void dc_call_set_timer(
     struct dc_core *core, struct dc_call *call, int64_t at_us);
+void dc_call_clear_timer(struct dc_core *core, struct dc_call *call);
 
 /* table.c: the configuration in force. */
 int dc_table_event(struct dc_core *core, const struct dc_event *event);
@@ -200,7 +294,7 @@
 /* queue.c: waiting calls, shared between members. */
 uint32_t dc_queue_add(struct dc_pool *pool, uint64_t member, uint32_t weight);
 void dc_queue_add_class(struct dc_pool *pool, uint32_t weight);
-void dc_queue_push(struct dc_core *core, struct dc_call *call, uint64_t member);
+void dc_queue_push(struct dc_core *core, struct dc_call *call);
 void dc_queue_remove(struct dc_core *core, struct dc_call *call);
 struct dc_call *dc_queue_head(struct dc_core *core, struct dc_pool *pool);
 void dc_queue_take(struct dc_core *core, struct dc_call *call);
@@ -208,10 +302,18 @@
     struct dc_core *core, struct dc_pool *pool, uint32_t below_weight);
 
 /* targets.c: which target is usable, and what is learnt of each. */
+struct dc_choice {
+	uint32_t target; /* DC_NONE: there is none now */
+	bool leased;
+};
+bool dc_target_is_usable(const struct dc_core *core,
+    const struct dc_target *target, const struct dc_call *call, bool panic);
+bool dc_target_takes_work(const struct dc_target *target);
 bool dc_pool_has_target(const struct dc_core *core, const struct dc_pool *pool);
-uint32_t dc_target_pick(
+struct dc_choice dc_target_pick(
     struct dc_core *core, struct dc_pool *pool, const struct dc_call *call);
-void dc_target_begin(struct dc_core *core, uint32_t target, bool exclusive);
+void dc_target_begin(
+    struct dc_core *core, struct dc_choice choice, bool exclusive);
 void dc_target_release(struct dc_core *core, struct dc_call *call,
     const struct dc_attempt *attempt);
 void dc_target_succeeded(struct dc_core *core, struct dc_call *call,
@@ -222,19 +324,116 @@
 void dc_suspect_add(struct dc_core *core, uint64_t fingerprint);
 bool dc_suspect_quarantined(const struct dc_core *core, uint64_t fingerprint);
 
-/* dispatch.c: the life of a call. */
+/* dispatch.c: calls from arrival to their first attempt. */
 int dc_call_arrive(struct dc_core *core, const struct dc_call_arrived *event);
 void dc_call_leave(struct dc_core *core, struct dc_call *call);
+void dc_call_enqueue(struct dc_core *core, struct dc_call *call);
 void dc_call_refuse(
     struct dc_core *core, struct dc_call *call, enum dc_reason reason);
+void dc_refuse_id(struct dc_core *core, uint64_t id, enum dc_reason reason,
+    enum dc_outcome outcome);
+void dc_call_end(struct dc_core *core, struct dc_call *call);
+void dc_pool_wake(struct dc_pool *pool);
+void dc_pool_dispatch(struct dc_core *core, struct dc_pool *pool);
+
+/* attempts.c: attempts, retries and hedges. */
+struct dc_attempt *dc_attempt_live(struct dc_call *call);
+struct dc_attempt *dc_attempt_free(struct dc_call *call);
+void dc_attempt_send(
+    struct dc_core *core, struct dc_call *call, struct dc_choice choice);
+void dc_attempt_cancel(
+    struct dc_core *core, struct dc_call *call, struct dc_attempt *attempt);
+void dc_attempts_cancel_all(struct dc_core *core, struct dc_call *call);
+void dc_attempt_relay(
+    struct dc_core *core, struct dc_call *call, struct dc_attempt *attempt);
+void dc_attempt_finish_relayed(struct dc_core *core, struct dc_call *call,
+    struct dc_attempt *attempt, enum dc_result result);
 void dc_attempt_on_sent(struct dc_core *core, struct dc_call *call,
     struct dc_attempt *attempt, bool reused);
 void dc_attempt_on_head(struct dc_core *core, struct dc_call *call,
     struct dc_attempt *attempt, uint32_t status);
 void dc_attempt_on_end(struct dc_core *core, struct dc_call *call,
     struct dc_attempt *attempt, enum dc_result result);
-void dc_call_on_timer(struct dc_core *core, struct dc_call *call);
-void dc_pool_dispatch(struct dc_core *core, struct dc_pool *pool);
+void dc_attempts_on_timer(struct dc_core *core, struct dc_call *call);
+
+/* peers.c: the entry VMs, and which of them owns a group. */
+uint32_t dc_peer_find(const struct dc_core *core, uint64_t id);
+int dc_peer_changed(struct dc_core *core, const struct dc_peer_changed *event);
+void dc_peer_link_up(struct dc_core *core, uint64_t id);
+void dc_groups_choose_owners(struct dc_core *core);
+void dc_peer_send(
+    struct dc_core *core, uint32_t peer, const struct dc_message *message);
+int dc_peer_message(struct dc_core *core, const struct dc_envelope *envelope);
+
+/* holder.c: leases that this VM holds. */
+struct dc_choice dc_lease_pick(struct dc_core *core, struct dc_pool *pool,
+    const struct dc_call *call, bool panic);
+void dc_lease_ask(struct dc_core *core, struct dc_pool *pool);
+void dc_lease_ended(struct dc_core *core, struct dc_target *target);
+void dc_lease_report_held(struct dc_core *core, struct dc_group *group);
+void dc_lease_on_grant(
+    struct dc_core *core, uint32_t peer, uint64_t target, uint32_t count);
+void dc_lease_on_scarce(
+    struct dc_core *core, struct dc_group *group, bool scarce);
+void dc_lease_on_recall(
+    struct dc_core *core, struct dc_target *target, uint32_t count);
+void dc_lease_settle(struct dc_core *core, struct dc_pool *pool);
+void dc_lease_give_back_idle(struct dc_core *core, struct dc_target *target);
+
+/* owner.c: slots that this VM leases out. */
+struct dc_group *dc_group_find(struct dc_core *core, uint64_t id);
+uint32_t dc_group_number(
+    const struct dc_core *core, const struct dc_group *group);
+void dc_owner_begin(struct dc_core *core, struct dc_group *group);
+void dc_owner_end(struct dc_core *core, struct dc_group *group);
+void dc_owner_on_timer(struct dc_core *core);
+void dc_owner_drop_peer(struct dc_core *core, uint32_t peer);
+void dc_owner_on_want(struct dc_core *core, struct dc_group *group,
+    uint32_t peer, uint32_t count);
+void dc_owner_on_return(struct dc_core *core, struct dc_target *target,
+    uint32_t peer, uint32_t count);
+void dc_owner_on_held(struct dc_core *core, struct dc_target *target,
+    uint32_t peer, uint32_t count);
+
+/* key_table.c */
+int dc_key_table_init(struct dc_key_table *table, uint32_t size);
+void dc_key_table_free(struct dc_key_table *table);
+struct dc_key_record *dc_key_find(
+    struct dc_key_table *table, uint64_t a, uint64_t b, int64_t now_us);
+struct dc_key_record *dc_key_insert(struct dc_key_table *table, uint64_t a,
+    uint64_t b, int64_t until_us, int64_t now_us);
+
+/* keys.c: keys whose home is this VM, or the object API. */
+bool dc_key_is_home(const struct dc_core *core, const struct dc_key *key);
+bool dc_key_settles(struct dc_core *core, const struct dc_call_arrived *event);
+void dc_key_begin(struct dc_core *core, struct dc_call *call);
+void dc_key_ended(
+    struct dc_core *core, struct dc_call *call, enum dc_key_state state);
+void dc_key_on_claim_result(
+    struct dc_core *core, const struct dc_key_claim_result *result);
+void dc_key_on_store(
+    struct dc_core *core, struct dc_call *call, enum dc_store_result result);
+void dc_key_on_timer(struct dc_core *core, struct dc_call *call);
+void dc_key_choose_witness(struct dc_core *core);
+void dc_key_ask_window(struct dc_core *core);
+uint64_t dc_key_own_window(const struct dc_core *core);
+bool dc_key_window_lapsed(const struct dc_core *core, uint64_t window);
+
+/* witness.c: claims of other homes. */
+enum dc_claim_result dc_witness_claim(
+    struct dc_core *core, const struct dc_key_claim *claim);
+enum dc_kill_result dc_witness_kill(
+    struct dc_core *core, const struct dc_key_kill *kill);
+
+/* forward.c: calls whose key's home is another VM. */
+void dc_forward_begin(struct dc_core *core, struct dc_call *call);
+void dc_forward_on_sent(
+    struct dc_core *core, struct dc_call *call, struct dc_attempt *attempt);
+void dc_forward_on_end(struct dc_core *core, struct dc_call *call,
+    struct dc_attempt *attempt, enum dc_result result);
+void dc_forward_on_kill_result(
+    struct dc_core *core, const struct dc_key_kill_result *result);
+void dc_forward_on_timer(struct dc_core *core, struct dc_call *call);
 
 /* core.c */
 struct dc_action *dc_act(struct dc_core *core, enum dc_action_type type);
--- /dev/null
+++ b/lib/decide/holder.c
@@ -0,0 +1,331 @@
+/*
+ * The holder's side of slot leases. A lease is kept and reused for this VM's
+ * own waiting calls; idle leases go back only while their group is scarce. An
+ * owner that does not answer is not waited for: the call is then sent without
+ * a lease, at most one such call on each target.
+ */
+#include "decide_internal.h"
+
+#define WANT_MAX 200
+#define WANT_INTERVAL_US 5000 /* between updates of a demand that changes */
+#define WANT_REPEAT_US 50000  /* of one that stands, as a sign of life */
+#define UNLEASED_MAX 1	      /* on each target */
+
+static struct dc_group *
+group_of(struct dc_core *core, const struct dc_target *target)
+{
+	return &core->groups[target->group];
+}
+
+/*
+ * The group that this VM turns to first: that of its own region, or one that
+ * it prefers of those elsewhere.
+ */
+static uint32_t
+preferred_group(const struct dc_core *core, const struct dc_pool *pool)
+{
+	const struct dc_peer *self = &core->peers[DC_SELF];
+	uint64_t best_rank = 0;
+	uint32_t i, best = DC_NONE;
+
+	for (i = 0; i < pool->group_count; i++) {
+		const struct dc_group *group = &core->groups[pool->groups[i]];
+		uint64_t rank = cs_hash_pair(self->id, group->id);
+
+		if (group->region == self->region)
+			return pool->groups[i];
+		if (best == DC_NONE || rank > best_rank) {
+			best = pool->groups[i];
+			best_rank = rank;
+		}
+	}
+	return best;
+}
+
+static bool
+is_preferred(const struct dc_core *core, const struct dc_group *group)
+{
+	return preferred_group(core, &core->pools[group->pool]) ==
+	       dc_group_number(core, group);
+}
+
+static void
+give_back(struct dc_core *core, struct dc_target *target, uint32_t count)
+{
+	struct dc_group *group = group_of(core, target);
+
+	target->leased -= count;
+	target->recalled -= count < target->recalled ? count : target->recalled;
+	if (!target->listed || group->owner == DC_NONE)
+		return;
+	if (group->owner == DC_SELF) {
+		dc_owner_on_return(core, target, DC_SELF, count);
+		return;
+	}
+	dc_peer_send(core, group->owner,
+	    &(struct dc_message){
+		.type = DC_MSG_LEASE_RETURN,
+		.returned = {.target = target->id, .count = count},
+	    });
+}
+
+void
+dc_lease_give_back_idle(struct dc_core *core, struct dc_target *target)
+{
+	if (target->leased > target->occupied)
+		give_back(core, target, target->leased - target->occupied);
+}
+
+/* Whether an idle lease of the target may stay with this VM. */
+static bool
+may_keep(struct dc_core *core, const struct dc_target *target)
+{
+	const struct dc_group *group = group_of(core, target);
+	const struct dc_pool *pool = &core->pools[target->pool];
+
+	if (!dc_target_takes_work(target) || target->recalled > 0)
+		return false;
+	if (pool->waiting > 0)
+		return true;
+	if (core->peers[DC_SELF].state == DC_PEER_LEAVING)
+		return false;
+	return !group->scarce && is_preferred(core, group);
+}
+
+void
+dc_lease_ended(struct dc_core *core, struct dc_target *target)
+{
+	target->occupied--;
+	if (!may_keep(core, target))
+		give_back(core, target, 1);
+}
+
+void
+dc_lease_on_grant(
+    struct dc_core *core, uint32_t peer, uint64_t id, uint32_t count)
+{
+	uint32_t number = dc_target_find(core, id);
+	struct dc_target *target;
+	struct dc_group *group;
+
+	if (number == DC_NONE || !core->targets[number].listed ||
+	    core->groups[core->targets[number].group].owner != peer) {
+		if (peer != DC_SELF)
+			dc_peer_send(core, peer,
+			    &(struct dc_message){
+				.type = DC_MSG_LEASE_RETURN,
+				.returned = {.target = id, .count = count},
+			    });
+		return;
+	}
+	target = &core->targets[number];
+	group = group_of(core, target);
+	target->leased += count;
+	group->wanted -= count < group->wanted ? count : group->wanted;
+	group->asked_us = 0;
+	dc_pool_wake(&core->pools[target->pool]);
+}
+
+static void
+for_each_target(struct dc_core *core, struct dc_group *group,
+    void (*apply)(struct dc_core *, struct dc_target *))
+{
+	const struct dc_pool *pool = &core->pools[group->pool];
+	uint32_t i;
+
+	for (i = 0; i < pool->target_count; i++) {
+		struct dc_target *target = &core->targets[pool->targets[i]];
+
+		if (target->listed && group_of(core, target) == group)
+			apply(core, target);
+	}
+}
+
+static void
+give_back_unless_kept(struct dc_core *core, struct dc_target *target)
+{
+	if (!may_keep(core, target))
+		dc_lease_give_back_idle(core, target);
+}
+
+void
+dc_lease_on_scarce(struct dc_core *core, struct dc_group *group, bool scarce)
+{
+	group->scarce = scarce;
+	group->asked_us = 0;
+	if (scarce)
+		for_each_target(core, group, give_back_unless_kept);
+}
+
+void
+dc_lease_on_recall(
+    struct dc_core *core, struct dc_target *target, uint32_t count)
+{
+	uint32_t idle = target->leased - target->occupied;
+
+	target->recalled += count;
+	if (target->recalled > target->leased)
+		target->recalled = target->leased;
+	if (idle > target->recalled)
+		idle = target->recalled;
+	if (idle > 0)
+		give_back(core, target, idle);
+}
+
+static void
+report_target(struct dc_core *core, struct dc_target *target)
+{
+	struct dc_group *group = group_of(core, target);
+
+	target->recalled = 0;
+	if (group->owner == DC_SELF)
+		dc_owner_on_held(core, target, DC_SELF, target->leased);
+	else if (target->leased > 0)
+		dc_peer_send(core, group->owner,
+		    &(struct dc_message){
+			.type = DC_MSG_LEASE_HELD,
+			.held = {.target = target->id, .count = target->leased},
+		    });
+}
+
+void
+dc_lease_report_held(struct dc_core *core, struct dc_group *group)
+{
+	if (group->owner != DC_NONE)
+		for_each_target(core, group, report_target);
+}
+
+/* Gives back what neither a waiting call nor the next one may use. */
+void
+dc_lease_settle(struct dc_core *core, struct dc_pool *pool)
+{
+	uint32_t i;
+
+	if (pool->waiting > 0)
+		return;
+	for (i = 0; i < pool->group_count; i++) {
+		struct dc_group *group = &core->groups[pool->groups[i]];
+
+		if (group->scarce || !is_preferred(core, group) ||
+		    core->peers[DC_SELF].state == DC_PEER_LEAVING)
+			for_each_target(core, group, give_back_unless_kept);
+	}
+}
+
+static void
+send_want(struct dc_core *core, struct dc_group *group, uint32_t count)
+{
+	group->wanted = count;
+	group->wanted_us = core->now_us;
+	if (count > 0 && group->asked_us == 0)
+		group->asked_us = core->now_us;
+	if (group->owner == DC_SELF) {
+		dc_owner_on_want(core, group, DC_SELF, count);
+		return;
+	}
+	dc_peer_send(core, group->owner,
+	    &(struct dc_message){
+		.type = DC_MSG_LEASE_WANT,
+		.want = {.group = group->id, .count = count},
+	    });
+}
+
+/* Tells the owner a demand that is new, has changed, or stands for long. */
+static void
+want(struct dc_core *core, struct dc_group *group, uint32_t count)
+{
+	int64_t since_us = core->now_us - group->wanted_us;
+
+	if (group->owner == DC_NONE)
+		return;
+	if (count > WANT_MAX)
+		count = WANT_MAX;
+	if (count == 0 && group->wanted == 0)
+		return;
+	if (group->wanted == 0 || count == 0 || count >= 2 * group->wanted ||
+	    (count != group->wanted && since_us >= WANT_INTERVAL_US) ||
+	    since_us >= WANT_REPEAT_US)
+		send_want(core, group, count);
+}
+
+/* Other regions are asked once the first call has waited for a while. */
+static bool
+may_spill(struct dc_core *core, struct dc_pool *pool)
+{
+	const struct dc_call *head = dc_queue_head(core, pool);
+
+	if (head == NULL)
+		return false;
+	return core->now_us - head->arrived_us >=
+	       core->parameters[DC_P_SPILL_US];
+}
+
+void
+dc_lease_ask(struct dc_core *core, struct dc_pool *pool)
+{
+	uint32_t preferred = preferred_group(core, pool);
+	bool anywhere = may_spill(core, pool);
+	uint32_t i;
+
+	for (i = 0; i < pool->group_count; i++) {
+		struct dc_group *group = &core->groups[pool->groups[i]];
+
+		if (pool->groups[i] == preferred)
+			want(core, group, pool->waiting);
+		else
+			want(core, group, anywhere && pool->waiting > 0);
+	}
+}
+
+static bool
+owner_is_silent(const struct dc_core *core, const struct dc_group *group)
+{
+	if (group->owner == DC_NONE)
+		return true;
+	return group->asked_us != 0 &&
+	       core->now_us - group->asked_us >=
+		   core->parameters[DC_P_LEASE_FALLBACK_US];
+}
+
+static bool
+is_better(const struct dc_core *core, const struct dc_target *a,
+    const struct dc_target *b)
+{
+	bool a_local = a->region == core->peers[DC_SELF].region;
+	bool b_local = b->region == core->peers[DC_SELF].region;
+
+	if (a_local != b_local)
+		return a_local;
+	return a->service_us < b->service_us;
+}
+
+struct dc_choice
+dc_lease_pick(struct dc_core *core, struct dc_pool *pool,
+    const struct dc_call *call, bool panic)
+{
+	struct dc_choice best = {.target = DC_NONE};
+	uint32_t i, offset;
+
+	offset = cs_random_below(&core->random, pool->target_count);
+	for (i = 0; i < pool->target_count; i++) {
+		uint32_t number =
+		    pool->targets[(i + offset) % pool->target_count];
+		const struct dc_target *target = &core->targets[number];
+		bool leased = target->leased > target->occupied;
+
+		if (number == call->avoid && pool->target_count > 1)
+			continue;
+		if (!leased && !call->suspect &&
+		    (target->unleased >= UNLEASED_MAX ||
+			!owner_is_silent(core, group_of(core, target))))
+			continue;
+		if (!dc_target_is_usable(core, target, call, panic))
+			continue;
+		if (best.target != DC_NONE && best.leased && !leased)
+			continue;
+		if (best.target == DC_NONE || leased != best.leased ||
+		    is_better(core, target, &core->targets[best.target]))
+			best = (struct dc_choice){number, leased};
+	}
+	return best;
+}
--- /dev/null
+++ b/lib/decide/keys.c
@@ -0,0 +1,295 @@
+/*
+ * Keys of non-idempotent calls, at their home. The key's token names the one
+ * process that may run it and a witness. The home claims the key at the
+ * witness before anything is sent; so another VM can learn from the witness,
+ * once the home is gone, that the key never ran, and kill it for good. A bare
+ * key is claimed in the object API in the same place of the sequence.
+ */
+#include "decide_internal.h"
+
+#define WINDOW_US 60000000
+#define WINDOWS_LIFE 6 /* a token is good for this many windows */
+#define KEY_LIFE_US (WINDOWS_LIFE * (int64_t)WINDOW_US)
+#define CLAIM_TIMEOUT_US 300000
+#define STORE_TIMEOUT_US 3000000
+#define ASK_INTERVAL_US 30000000
+#define WITNESS_NEWS_US 90000000 /* older news of its window is not used */
+
+uint64_t
+dc_key_own_window(const struct dc_core *core)
+{
+	return (uint64_t)((core->now_us - core->started_us) / WINDOW_US);
+}
+
+bool
+dc_key_window_lapsed(const struct dc_core *core, uint64_t window)
+{
+	return dc_key_own_window(core) >= window + WINDOWS_LIFE;
+}
+
+bool
+dc_key_is_home(const struct dc_core *core, const struct dc_key *key)
+{
+	return key->home == core->peers[DC_SELF].id &&
+	       key->home_epoch == core->peers[DC_SELF].epoch;
+}
+
+static void
+answer_known(
+    struct dc_core *core, uint64_t call, const struct dc_key_record *record)
+{
+	switch (record->state) {
+	case DC_KEY_DONE:
+		dc_act(core, DC_ACT_REPLAY)->replay =
+		    (struct dc_call_ref){.call = call};
+		return;
+	case DC_KEY_KILLED:
+		dc_refuse_id(
+		    core, call, DC_REASON_KEY_KILLED, DC_OUTCOME_NOT_RUN);
+		return;
+	case DC_KEY_ACTIVE:
+		dc_refuse_id(
+		    core, call, DC_REASON_KEY_IN_PROGRESS, DC_OUTCOME_UNKNOWN);
+		return;
+	default:
+		dc_refuse_id(
+		    core, call, DC_REASON_KEY_UNSURE, DC_OUTCOME_UNKNOWN);
+		return;
+	}
+}
+
+/*
+ * Answers a request whose key says enough already: it ran, is under way, may
+ * have run, was killed, or came to the wrong process. False: go on with it.
+ */
+bool
+dc_key_settles(struct dc_core *core, const struct dc_call_arrived *event)
+{
+	const struct dc_key *key = &event->key;
+	struct dc_key_record *record;
+
+	if (key->scope == DC_KEY_HOME && !dc_key_is_home(core, key)) {
+		if (!event->forwarded)
+			return false;
+		dc_refuse_id(core, event->call, DC_REASON_KEY_NOT_HOME,
+		    DC_OUTCOME_NOT_RUN);
+		return true;
+	}
+	record = dc_key_find(&core->home_keys, key->a, key->b, core->now_us);
+	if (record != NULL && record->state != DC_KEY_NOT_RUN) {
+		answer_known(core, event->call, record);
+		return true;
+	}
+	if (record == NULL && key->scope == DC_KEY_HOME && key->witness == 0 &&
+	    dc_key_window_lapsed(core, key->window)) {
+		dc_refuse_id(core, event->call, DC_REASON_KEY_UNSURE,
+		    DC_OUTCOME_UNKNOWN);
+		return true;
+	}
+	return false;
+}
+
+static void
+claim_at_witness(
+    struct dc_core *core, struct dc_call *call, uint64_t supersedes)
+{
+	uint32_t witness = dc_peer_find(core, call->key.witness);
+
+	if (witness == DC_NONE || core->peers[witness].state == DC_PEER_DEAD) {
+		dc_call_refuse(core, call, DC_REASON_KEY_NO_WITNESS);
+		return;
+	}
+	core->counters.key_claims++;
+	dc_peer_send(core, witness,
+	    &(struct dc_message){
+		.type = DC_MSG_KEY_CLAIM,
+		.claim =
+		    {
+			.a = call->key.a,
+			.b = call->key.b,
+			.witness_epoch = call->key.witness_epoch,
+			.window = call->key.window,
+			.serial = call->id,
+			.supersedes = supersedes,
+		    },
+	    });
+	dc_call_set_timer(core, call, core->now_us + CLAIM_TIMEOUT_US);
+}
+
+static void
+claim_in_store(struct dc_core *core, struct dc_call *call)
+{
+	core->counters.key_claims++;
+	dc_act(core, DC_ACT_STORE_CLAIM)->store_claim =
+	    (struct dc_call_ref){.call = call->id};
+	dc_call_set_timer(core, call, core->now_us + STORE_TIMEOUT_US);
+}
+
+/* Begins a keyed call that was admitted: claims it, or sends it home. */
+void
+dc_key_begin(struct dc_core *core, struct dc_call *call)
+{
+	struct dc_key *key = &call->key;
+	struct dc_key_record *record;
+	uint64_t supersedes = 0;
+
+	call->state = DC_CALL_CLAIMING;
+	core->counters.running++;
+	if (key->scope == DC_KEY_HOME && !dc_key_is_home(core, key)) {
+		dc_forward_begin(core, call);
+		return;
+	}
+	record = dc_key_find(&core->home_keys, key->a, key->b, core->now_us);
+	if (record != NULL)
+		supersedes = record->serial;
+	record = dc_key_insert(&core->home_keys, key->a, key->b,
+	    core->now_us + KEY_LIFE_US, core->now_us);
+	if (record == NULL) {
+		dc_call_refuse(core, call, DC_REASON_KEYS_FULL);
+		return;
+	}
+	record->serial = call->id;
+	if (key->scope == DC_KEY_STORE)
+		claim_in_store(core, call);
+	else if (key->witness == 0)
+		dc_call_enqueue(core, call);
+	else
+		claim_at_witness(core, call, supersedes);
+}
+
+/* Notes how the call with this key ended. */
+void
+dc_key_ended(
+    struct dc_core *core, struct dc_call *call, enum dc_key_state state)
+{
+	struct dc_key_record *record;
+
+	if (call->key.scope == DC_KEY_NONE || call->state == DC_CALL_FORWARDING)
+		return;
+	record = dc_key_find(
+	    &core->home_keys, call->key.a, call->key.b, core->now_us);
+	if (record == NULL || record->serial != call->id ||
+	    record->state != DC_KEY_ACTIVE)
+		return;
+	record->state = state;
+}
+
+static void
+set_record_state(
+    struct dc_core *core, const struct dc_call *call, enum dc_key_state state)
+{
+	struct dc_key_record *record = dc_key_find(
+	    &core->home_keys, call->key.a, call->key.b, core->now_us);
+
+	if (record != NULL)
+		record->state = state;
+}
+
+void
+dc_key_on_claim_result(
+    struct dc_core *core, const struct dc_key_claim_result *result)
+{
+	struct dc_call *call = dc_call_find(core, result->serial);
+
+	if (call == NULL || call->state != DC_CALL_CLAIMING ||
+	    call->key.a != result->a || call->key.b != result->b)
+		return;
+	switch ((enum dc_claim_result)result->result) {
+	case DC_CLAIM_GIVEN:
+		dc_call_enqueue(core, call);
+		return;
+	case DC_CLAIM_KILLED:
+		set_record_state(core, call, DC_KEY_KILLED);
+		dc_call_refuse(core, call, DC_REASON_KEY_KILLED);
+		return;
+	case DC_CLAIM_TAKEN:
+	case DC_CLAIM_EXPIRED:
+		call->maybe_ran = true;
+		dc_call_refuse(core, call, DC_REASON_KEY_UNSURE);
+		return;
+	case DC_CLAIM_FULL:
+		break;
+	}
+	dc_call_refuse(core, call, DC_REASON_KEY_NO_WITNESS);
+}
+
+void
+dc_key_on_store(
+    struct dc_core *core, struct dc_call *call, enum dc_store_result result)
+{
+	switch (result) {
+	case DC_STORE_CLAIMED:
+		dc_call_enqueue(core, call);
+		return;
+	case DC_STORE_TAKEN:
+		call->maybe_ran = true;
+		dc_call_refuse(core, call, DC_REASON_KEY_UNSURE);
+		return;
+	case DC_STORE_UNAVAILABLE:
+		break;
+	}
+	dc_call_refuse(core, call, DC_REASON_KEY_STORE);
+}
+
+/* No claim in time: nothing was sent, so this request surely did not run. */
+void
+dc_key_on_timer(struct dc_core *core, struct dc_call *call)
+{
+	if (call->key.scope == DC_KEY_STORE)
+		dc_call_refuse(core, call, DC_REASON_KEY_STORE);
+	else
+		dc_call_refuse(core, call, DC_REASON_KEY_NO_WITNESS);
+}
+
+/* A live VM of the same region where there is one, the same for long. */
+void
+dc_key_choose_witness(struct dc_core *core)
+{
+	const struct dc_peer *self = &core->peers[DC_SELF];
+	uint64_t best_rank = 0;
+	uint32_t i, best = DC_NONE;
+	bool best_near = false;
+
+	for (i = 1; i < core->peer_count; i++) {
+		const struct dc_peer *peer = &core->peers[i];
+		uint64_t rank = cs_hash_pair(self->id, peer->id);
+		bool near = peer->region == self->region;
+
+		if (peer->state != DC_PEER_ALIVE || (best_near && !near))
+			continue;
+		if (best == DC_NONE || (near && !best_near) ||
+		    rank > best_rank) {
+			best = i;
+			best_rank = rank;
+			best_near = near;
+		}
+	}
+	if (best == core->witness)
+		return;
+	core->witness = best;
+	core->witness_heard_us = 0;
+	dc_key_ask_window(core);
+}
+
+void
+dc_key_ask_window(struct dc_core *core)
+{
+	core->keys_wake_us = core->now_us + ASK_INTERVAL_US;
+	dc_peer_send(core, core->witness,
+	    &(struct dc_message){.type = DC_MSG_KEY_WINDOW_ASK});
+}
+
+void
+dc_key_token(const struct dc_core *core, uint64_t *witness, uint64_t *epoch,
+    uint64_t *window)
+{
+	*witness = 0;
+	*epoch = 0;
+	*window = dc_key_own_window(core);
+	if (core->witness == DC_NONE || core->witness_heard_us == 0 ||
+	    core->now_us - core->witness_heard_us > WITNESS_NEWS_US)
+		return;
+	*witness = core->peers[core->witness].id;
+	*epoch = core->peers[core->witness].epoch;
+	*window = core->witness_window;
+}
--- /dev/null
+++ b/lib/decide/owner.c
@@ -0,0 +1,420 @@
+/*
+ * The owner's side of slot leases: gives the slots of one group to the entry
+ * VMs that ask, one beyond a target's slots when none is free, and tells
+ * holders when the group turns scarce and when it is idle again.
+ */
+#include "decide_internal.h"
+
+/* Time for holders to say what they hold, before a new owner gives more. */
+#define OWNER_GRACE_US 30000
+/* Spare slots have to last that long before holders may keep idle leases. */
+#define IDLE_AGAIN_US 20000
+#define SPARE_SHARE 8 /* a group with 1/8 of its slots free is idle */
+#define GRANTED_MAX 255
+
+struct dc_group *
+dc_group_find(struct dc_core *core, uint64_t id)
+{
+	uint32_t i;
+
+	for (i = 0; i < DC_GROUPS_MAX; i++) {
+		if (core->groups[i].used && core->groups[i].id == id)
+			return &core->groups[i];
+	}
+	return NULL;
+}
+
+uint32_t
+dc_group_number(const struct dc_core *core, const struct dc_group *group)
+{
+	return (uint32_t)(group - core->groups);
+}
+
+static struct dc_group *
+group_of(struct dc_core *core, const struct dc_target *target)
+{
+	return &core->groups[target->group];
+}
+
+static bool
+is_in_group(const struct dc_core *core, const struct dc_group *group,
+    const struct dc_target *target)
+{
+	return target->used && target->listed &&
+	       &core->groups[target->group] == group;
+}
+
+static void
+clear_grants(struct dc_core *core, struct dc_group *group)
+{
+	const struct dc_pool *pool = &core->pools[group->pool];
+	uint32_t i, j;
+
+	for (i = 0; i < pool->target_count; i++) {
+		struct dc_target *target = &core->targets[pool->targets[i]];
+
+		if (!is_in_group(core, group, target))
+			continue;
+		target->granted = 0;
+		for (j = 0; j < DC_PEERS_MAX; j++)
+			target->granted_to[j] = 0;
+	}
+	for (j = 0; j < DC_PEERS_MAX; j++) {
+		group->want[j] = 0;
+		group->held[j] = 0;
+		group->told[j] = false;
+	}
+	group->want_total = 0;
+	group->told_scarce = false;
+}
+
+void
+dc_owner_begin(struct dc_core *core, struct dc_group *group)
+{
+	clear_grants(core, group);
+	group->owned_since_us = core->now_us;
+	group->idle_since_us = 0;
+}
+
+void
+dc_owner_end(struct dc_core *core, struct dc_group *group)
+{
+	clear_grants(core, group);
+}
+
+static void
+set_want(struct dc_group *group, uint32_t peer, uint32_t count)
+{
+	group->want_total -= group->want[peer];
+	group->want[peer] = count;
+	group->want_total += count;
+}
+
+static void
+change_granted(struct dc_core *core, struct dc_target *target, uint32_t peer,
+    uint32_t count)
+{
+	struct dc_group *group = group_of(core, target);
+
+	target->granted -= target->granted_to[peer];
+	group->held[peer] -= target->granted_to[peer];
+	target->granted_to[peer] = (uint8_t)count;
+	target->granted += count;
+	group->held[peer] += count;
+}
+
+/* Compares load per slot without division. */
+static bool
+is_fuller(const struct dc_target *a, const struct dc_target *b)
+{
+	return (uint64_t)a->granted * b->slots >
+	       (uint64_t)b->granted * a->slots;
+}
+
+static struct dc_target *
+emptiest(struct dc_core *core, struct dc_group *group, uint32_t beyond)
+{
+	const struct dc_pool *pool = &core->pools[group->pool];
+	struct dc_target *best = NULL;
+	uint32_t i;
+
+	for (i = 0; i < pool->target_count; i++) {
+		struct dc_target *target = &core->targets[pool->targets[i]];
+
+		if (!is_in_group(core, group, target) ||
+		    !dc_target_takes_work(target) ||
+		    target->granted >= target->slots + beyond)
+			continue;
+		if (best == NULL || is_fuller(best, target))
+			best = target;
+	}
+	return best;
+}
+
+static uint32_t
+next_wanting(struct dc_core *core, struct dc_group *group)
+{
+	uint32_t i, peer;
+
+	for (i = 0; i < core->peer_count; i++) {
+		peer = (group->next_peer + i) % core->peer_count;
+		if (group->want[peer] == 0)
+			continue;
+		group->next_peer = peer + 1;
+		return peer;
+	}
+	return DC_NONE;
+}
+
+static void
+grant(struct dc_core *core, struct dc_target *target, uint32_t peer)
+{
+	struct dc_group *group = group_of(core, target);
+
+	change_granted(core, target, peer, target->granted_to[peer] + 1u);
+	set_want(group, peer, group->want[peer] - 1);
+	if (peer == DC_SELF) {
+		dc_lease_on_grant(core, DC_SELF, target->id, 1);
+		return;
+	}
+	dc_peer_send(core, peer,
+	    &(struct dc_message){
+		.type = DC_MSG_LEASE_GRANT,
+		.grant = {.target = target->id, .count = 1},
+	    });
+}
+
+static bool
+in_grace(const struct dc_core *core, const struct dc_group *group)
+{
+	return core->now_us - group->owned_since_us < OWNER_GRACE_US;
+}
+
+static void
+wake_after_grace(struct dc_core *core, const struct dc_group *group)
+{
+	int64_t at_us = group->owned_since_us + OWNER_GRACE_US;
+
+	if (group->want_total > 0 && at_us < core->pools_wake_us)
+		core->pools_wake_us = at_us;
+}
+
+static void
+distribute(struct dc_core *core, struct dc_group *group)
+{
+	uint32_t over = (uint32_t)core->parameters[DC_P_LEASE_OVER_COMMIT];
+	struct dc_target *target;
+	uint32_t peer;
+
+	if (in_grace(core, group)) {
+		wake_after_grace(core, group);
+		return;
+	}
+	while (group->want_total > 0 && dc_room_for_actions(core)) {
+		target = emptiest(core, group, 0);
+		if (target == NULL)
+			target = emptiest(core, group, over);
+		if (target == NULL)
+			return;
+		peer = next_wanting(core, group);
+		if (target->granted_to[peer] == GRANTED_MAX)
+			return;
+		grant(core, target, peer);
+	}
+}
+
+static void
+tell_scarce(
+    struct dc_core *core, struct dc_group *group, uint32_t peer, bool scarce)
+{
+	group->told[peer] = scarce;
+	if (peer == DC_SELF) {
+		dc_lease_on_scarce(core, group, scarce);
+		return;
+	}
+	dc_peer_send(core, peer,
+	    &(struct dc_message){
+		.type = DC_MSG_LEASE_SCARCE,
+		.scarce = {.group = group->id, .count = scarce},
+	    });
+}
+
+/* The edge to scarcity: those that hold leases are told, once. */
+static void
+turn_scarce(struct dc_core *core, struct dc_group *group)
+{
+	uint32_t peer;
+
+	group->told_scarce = true;
+	group->idle_since_us = 0;
+	for (peer = 0; peer < core->peer_count; peer++) {
+		if (group->held[peer] > 0 && !group->told[peer])
+			tell_scarce(core, group, peer, true);
+	}
+}
+
+static void
+turn_idle(struct dc_core *core, struct dc_group *group)
+{
+	uint32_t peer;
+
+	group->told_scarce = false;
+	for (peer = 0; peer < core->peer_count; peer++) {
+		if (group->told[peer])
+			tell_scarce(core, group, peer, false);
+	}
+}
+
+static bool
+has_spare(struct dc_core *core, const struct dc_group *group)
+{
+	const struct dc_pool *pool = &core->pools[group->pool];
+	uint32_t i, slots = 0, granted = 0;
+
+	for (i = 0; i < pool->target_count; i++) {
+		const struct dc_target *t = &core->targets[pool->targets[i]];
+
+		if (!is_in_group(core, group, t) || !dc_target_takes_work(t))
+			continue;
+		slots += t->slots;
+		granted += t->granted;
+	}
+	return granted + slots / SPARE_SHARE < slots;
+}
+
+static void
+notice_idle(struct dc_core *core, struct dc_group *group)
+{
+	if (!group->told_scarce)
+		return;
+	if (group->want_total > 0 || !has_spare(core, group)) {
+		group->idle_since_us = 0;
+		return;
+	}
+	if (group->idle_since_us == 0)
+		group->idle_since_us = core->now_us;
+	if (core->now_us - group->idle_since_us >= IDLE_AGAIN_US)
+		turn_idle(core, group);
+}
+
+/* The holder that has the most of what it asks for, by cross product. */
+static uint32_t
+best_served(struct dc_core *core, const struct dc_group *group)
+{
+	uint64_t best_held = 0, best_need = 1;
+	uint32_t peer, best = DC_NONE;
+
+	for (peer = 0; peer < core->peer_count; peer++) {
+		uint64_t held = group->held[peer];
+		uint64_t need = held + group->want[peer];
+
+		if (held < 2 || held * best_need <= best_held * need)
+			continue;
+		best = peer;
+		best_held = held;
+		best_need = need;
+	}
+	return best;
+}
+
+/* Takes a slot from the best served for one that is served much worse. */
+static void
+recall_for(struct dc_core *core, struct dc_group *group, uint32_t poor)
+{
+	const struct dc_pool *pool = &core->pools[group->pool];
+	uint32_t i, rich = best_served(core, group);
+	struct dc_target *most = NULL;
+
+	if (rich == DC_NONE || rich == poor ||
+	    group->held[rich] < group->held[poor] + 2)
+		return;
+	for (i = 0; i < pool->target_count; i++) {
+		struct dc_target *target = &core->targets[pool->targets[i]];
+
+		if (is_in_group(core, group, target) &&
+		    (most == NULL ||
+			target->granted_to[rich] > most->granted_to[rich]))
+			most = target;
+	}
+	if (most == NULL)
+		return;
+	if (rich == DC_SELF) {
+		dc_lease_on_recall(core, most, 1);
+		return;
+	}
+	dc_peer_send(core, rich,
+	    &(struct dc_message){
+		.type = DC_MSG_LEASE_RECALL,
+		.recall = {.target = most->id, .count = 1},
+	    });
+}
+
+void
+dc_owner_on_want(
+    struct dc_core *core, struct dc_group *group, uint32_t peer, uint32_t count)
+{
+	bool waited = group->want[peer] > 0;
+
+	set_want(group, peer, count);
+	distribute(core, group);
+	if (group->want[peer] == 0)
+		return;
+	if (!group->told_scarce)
+		turn_scarce(core, group);
+	/* Also the sign to the asking holder that its owner is alive. */
+	tell_scarce(core, group, peer, true);
+	if (waited)
+		recall_for(core, group, peer);
+}
+
+void
+dc_owner_on_return(struct dc_core *core, struct dc_target *target,
+    uint32_t peer, uint32_t count)
+{
+	struct dc_group *group = group_of(core, target);
+	uint32_t had = target->granted_to[peer];
+
+	if (!target->listed || group->owner != DC_SELF)
+		return;
+	change_granted(core, target, peer, count < had ? had - count : 0);
+	distribute(core, group);
+	notice_idle(core, group);
+}
+
+void
+dc_owner_on_held(struct dc_core *core, struct dc_target *target, uint32_t peer,
+    uint32_t count)
+{
+	struct dc_group *group = group_of(core, target);
+	uint32_t limit =
+	    target->slots + (uint32_t)core->parameters[DC_P_LEASE_OVER_COMMIT];
+
+	if (!target->listed || group->owner != DC_SELF)
+		return;
+	change_granted(
+	    core, target, peer, count > GRANTED_MAX ? GRANTED_MAX : count);
+	if (target->granted > limit && peer != DC_SELF)
+		dc_peer_send(core, peer,
+		    &(struct dc_message){
+			.type = DC_MSG_LEASE_RECALL,
+			.recall = {.target = target->id,
+			    .count = target->granted - limit},
+		    });
+}
+
+void
+dc_owner_drop_peer(struct dc_core *core, uint32_t peer)
+{
+	uint32_t i;
+
+	for (i = 0; i < DC_TARGETS_MAX; i++) {
+		struct dc_target *target = &core->targets[i];
+
+		if (target->used && target->listed &&
+		    target->granted_to[peer] > 0)
+			change_granted(core, target, peer, 0);
+	}
+	for (i = 0; i < DC_GROUPS_MAX; i++) {
+		struct dc_group *group = &core->groups[i];
+
+		if (!group->used || group->owner != DC_SELF)
+			continue;
+		set_want(group, peer, 0);
+		group->told[peer] = false;
+		distribute(core, group);
+	}
+}
+
+void
+dc_owner_on_timer(struct dc_core *core)
+{
+	uint32_t i;
+
+	for (i = 0; i < DC_GROUPS_MAX; i++) {
+		struct dc_group *group = &core->groups[i];
+
+		if (group->used && group->owner == DC_SELF &&
+		    group->want_total > 0)
+			distribute(core, group);
+	}
+}
--- a/lib/decide/queue.c
+++ b/lib/decide/queue.c
@@ -71,12 +71,12 @@
 }
 
 void
-dc_queue_push(struct dc_core *core, struct dc_call *call, uint64_t member)
+dc_queue_push(struct dc_core *core, struct dc_call *call)
 {
 	struct dc_pool *pool = &core->pools[call->pool];
 	struct dc_queue *queue;
 
-	call->member = find_queue(pool, member);
+	call->member = find_queue(pool, call->member_id);
 	call->class = find_class(pool, call->weight);
 	queue = &pool->queues[call->member];
 	if (queue->waiting == 0 && queue->pass < pool->pass)
--- a/lib/decide/table.c
+++ b/lib/decide/table.c
@@ -50,6 +50,8 @@
 	core->loading = true;
 	core->loading_pool = DC_NONE;
 	core->version = event->version;
+	for (i = 0; i < DC_GROUPS_MAX; i++)
+		core->groups[i].listed = false;
 	for (i = 0; i < DC_POOLS_MAX; i++)
 		core->pools[i].listed = false;
 	for (i = 0; i < DC_TARGETS_MAX; i++)
@@ -88,6 +90,7 @@
 	pool = &core->pools[number];
 	pool->listed = true;
 	pool->target_count = 0;
+	pool->group_count = 0;
 	for (i = 0; i < pool->queue_count; i++)
 		pool->queues[i].weight = 1;
 	pool->class_count = 0;
@@ -107,6 +110,51 @@
 	return DC_NONE;
 }
 
+static uint32_t
+find_group(struct dc_core *core, uint32_t pool, uint64_t region)
+{
+	uint64_t id = cs_hash_pair(core->pools[pool].id, region);
+	uint32_t i, unused = DC_NONE;
+
+	for (i = 0; i < DC_GROUPS_MAX; i++) {
+		if (core->groups[i].used && core->groups[i].id == id)
+			return i;
+		if (!core->groups[i].used && unused == DC_NONE)
+			unused = i;
+	}
+	if (unused == DC_NONE)
+		return DC_NONE;
+	core->groups[unused] = (struct dc_group){
+	    .used = true,
+	    .id = id,
+	    .region = region,
+	    .pool = pool,
+	    .owner = DC_NONE,
+	};
+	return unused;
+}
+
+/* Puts a target into the group of its pool and region. */
+static int
+join_group(struct dc_core *core, struct dc_target *target)
+{
+	struct dc_pool *pool = &core->pools[target->pool];
+	uint32_t i, group = find_group(core, target->pool, target->region);
+
+	if (group == DC_NONE)
+		return CS_E_FULL;
+	core->groups[group].listed = true;
+	target->group = group;
+	for (i = 0; i < pool->group_count; i++) {
+		if (pool->groups[i] == group)
+			return CS_OK;
+	}
+	if (pool->group_count == DC_POOL_GROUPS_MAX)
+		return CS_E_FULL;
+	pool->groups[pool->group_count++] = group;
+	return CS_OK;
+}
+
 static int
 add_target(struct dc_core *core, const struct dc_table_target *event)
 {
@@ -127,11 +175,11 @@
 	target = &core->targets[number];
 	target->listed = true;
 	target->region = event->region;
-	target->slots = event->slots;
-	target->drain = event->drain;
+	target->slots = (uint32_t)event->slots;
+	target->drain = event->drain != 0;
 	target->pool = core->loading_pool;
 	pool->targets[pool->target_count++] = number;
-	return CS_OK;
+	return join_group(core, target);
 }
 
 static int
@@ -145,13 +193,13 @@
 	pool = &core->pools[core->loading_pool];
 	for (i = 0; i < pool->queue_count; i++) {
 		if (pool->queues[i].member == event->member) {
-			pool->queues[i].weight = event->weight;
+			pool->queues[i].weight = (uint32_t)event->weight;
 			return CS_OK;
 		}
 	}
 	if (pool->queue_count == DC_MEMBERS_MAX)
 		return CS_E_FULL;
-	dc_queue_add(pool, event->member, event->weight);
+	dc_queue_add(pool, event->member, (uint32_t)event->weight);
 	return CS_OK;
 }
 
@@ -186,9 +234,9 @@
 	route = &core->routes[number];
 	route->listed = true;
 	route->pool = pool;
-	route->weight = event->weight;
-	route->idempotent = event->idempotent;
-	dc_queue_add_class(&core->pools[pool], event->weight);
+	route->weight = (uint32_t)event->weight;
+	route->idempotent = event->idempotent != 0;
+	dc_queue_add_class(&core->pools[pool], route->weight);
 	return CS_OK;
 }
 
@@ -201,9 +249,15 @@
 		if (!core->routes[i].listed)
 			core->routes[i].used = false;
 	}
+	for (i = 0; i < DC_GROUPS_MAX; i++) {
+		if (!core->groups[i].listed)
+			core->groups[i].used = false;
+	}
 	for (i = 0; i < DC_TARGETS_MAX; i++) {
 		struct dc_target *target = &core->targets[i];
 
+		if (!target->listed)
+			target->leased = target->occupied;
 		if (!target->listed && target->in_flight == 0)
 			target->used = false;
 	}
@@ -225,10 +279,16 @@
 	core->loading = false;
 	core->loading_pool = DC_NONE;
 	forget_unlisted(core);
-	for (i = 0; i < DC_POOLS_MAX; i++) {
-		if (core->pools[i].used)
-			dc_pool_dispatch(core, &core->pools[i]);
+	dc_groups_choose_owners(core);
+	for (i = 0; i < DC_TARGETS_MAX; i++) {
+		struct dc_target *target = &core->targets[i];
+
+		if (target->used && target->listed &&
+		    !dc_target_takes_work(target))
+			dc_lease_give_back_idle(core, target);
 	}
+	for (i = 0; i < DC_POOLS_MAX; i++)
+		dc_pool_wake(&core->pools[i]);
 	return CS_OK;
 }
 
--- a/lib/decide/targets.c
+++ b/lib/decide/targets.c
@@ -8,8 +8,8 @@
 #define EJECT_LEVEL_MAX 5 /* the back-off stops doubling here */
 #define PICK_TRIES 4	  /* random pairs before all targets are looked at */
 
-static bool
-is_listed(const struct dc_target *target)
+bool
+dc_target_takes_work(const struct dc_target *target)
 {
 	return target->listed && !target->drain && !target->drain_signal;
 }
@@ -20,7 +20,7 @@
 	uint32_t i;
 
 	for (i = 0; i < pool->target_count; i++) {
-		if (is_listed(&core->targets[pool->targets[i]]))
+		if (dc_target_takes_work(&core->targets[pool->targets[i]]))
 			return true;
 	}
 	return false;
@@ -38,7 +38,7 @@
 	for (i = 0; i < pool->target_count; i++) {
 		const struct dc_target *t = &core->targets[pool->targets[i]];
 
-		if (!is_listed(t))
+		if (!dc_target_takes_work(t))
 			continue;
 		listed++;
 		if (t->ejected_until_us > core->now_us)
@@ -47,13 +47,13 @@
 	return 2 * ejected > listed;
 }
 
-static bool
-is_usable(const struct dc_core *core, const struct dc_target *target,
+bool
+dc_target_is_usable(const struct dc_core *core, const struct dc_target *target,
     const struct dc_call *call, bool panic)
 {
 	int64_t limit = core->parameters[DC_P_CONNECTIONS_PER_TARGET];
 
-	if (!is_listed(target) || target->exclusive)
+	if (!dc_target_takes_work(target) || target->exclusive)
 		return false;
 	if (target->ejected_until_us > core->now_us && !panic)
 		return false;
@@ -89,7 +89,7 @@
 	number =
 	    pool->targets[cs_random_below(&core->random, pool->target_count)];
 	if (number == call->avoid ||
-	    !is_usable(core, &core->targets[number], call, panic))
+	    !dc_target_is_usable(core, &core->targets[number], call, panic))
 		return DC_NONE;
 	return number;
 }
@@ -107,26 +107,23 @@
 		    pool->targets[(i + offset) % pool->target_count];
 
 		if (number != call->avoid &&
-		    is_usable(core, &core->targets[number], call, panic))
+		    dc_target_is_usable(
+			core, &core->targets[number], call, panic))
 			best = less_busy(core, best, number);
 	}
 	if (best == DC_NONE && call->avoid != DC_NONE &&
 	    core->targets[call->avoid].listed &&
-	    is_usable(core, &core->targets[call->avoid], call, panic))
+	    dc_target_is_usable(core, &core->targets[call->avoid], call, panic))
 		best = call->avoid;
 	return best;
 }
 
-uint32_t
-dc_target_pick(
-    struct dc_core *core, struct dc_pool *pool, const struct dc_call *call)
+static uint32_t
+two_choices(struct dc_core *core, struct dc_pool *pool,
+    const struct dc_call *call, bool panic)
 {
-	bool panic;
 	uint32_t i, a, b;
 
-	if (pool->target_count == 0)
-		return DC_NONE;
-	panic = in_panic(core, pool);
 	for (i = 0; i < PICK_TRIES; i++) {
 		a = random_usable(core, pool, call, panic);
 		b = random_usable(core, pool, call, panic);
@@ -136,12 +133,37 @@
 	return scan(core, pool, call, panic);
 }
 
+struct dc_choice
+dc_target_pick(
+    struct dc_core *core, struct dc_pool *pool, const struct dc_call *call)
+{
+	struct dc_choice none = {.target = DC_NONE};
+	bool panic;
+
+	if (pool->target_count == 0)
+		return none;
+	panic = in_panic(core, pool);
+	switch ((enum dc_dispatch)core->parameters[DC_P_DISPATCH]) {
+	case DC_DISPATCH_TWO_CHOICES:
+		return (struct dc_choice){
+		    .target = two_choices(core, pool, call, panic),
+		};
+	case DC_DISPATCH_LEASES:
+		return dc_lease_pick(core, pool, call, panic);
+	}
+	return none;
+}
+
 void
-dc_target_begin(struct dc_core *core, uint32_t number, bool exclusive)
+dc_target_begin(struct dc_core *core, struct dc_choice choice, bool exclusive)
 {
-	struct dc_target *target = &core->targets[number];
+	struct dc_target *target = &core->targets[choice.target];
 
 	target->in_flight++;
+	if (choice.leased)
+		target->occupied++;
+	else
+		target->unleased++;
 	if (exclusive)
 		target->exclusive = true;
 }
@@ -150,13 +172,21 @@
 dc_target_release(struct dc_core *core, struct dc_call *call,
     const struct dc_attempt *attempt)
 {
-	struct dc_target *target = &core->targets[attempt->target];
+	struct dc_target *target;
 
+	if (attempt->target == DC_NONE)
+		return;
+	target = &core->targets[attempt->target];
 	target->in_flight--;
 	if (call->suspect)
 		target->exclusive = false;
+	if (attempt->leased)
+		dc_lease_ended(core, target);
+	else
+		target->unleased--;
 	if (!target->listed && target->in_flight == 0)
 		target->used = false;
+	dc_pool_wake(&core->pools[call->pool]);
 }
 
 static void
--- /dev/null
+++ b/lib/decide/witness.c
@@ -0,0 +1,71 @@
+/*
+ * The witness of other homes' keys. It remembers a claim or a kill for as long
+ * as the key's token is good by its own clock, and refuses tokens older than
+ * that, so that no clocks have to agree.
+ */
+#include "decide_internal.h"
+
+#define RECORD_LIFE_US 420000000 /* longer than any token is good */
+
+static bool
+is_current(const struct dc_core *core, uint64_t epoch, uint64_t window)
+{
+	return epoch == core->peers[DC_SELF].epoch &&
+	       !dc_key_window_lapsed(core, window);
+}
+
+static struct dc_key_record *
+insert(struct dc_core *core, uint64_t a, uint64_t b, enum dc_key_state state)
+{
+	struct dc_key_record *record;
+
+	record = dc_key_insert(&core->witnessed, a, b,
+	    core->now_us + RECORD_LIFE_US, core->now_us);
+	if (record != NULL)
+		record->state = state;
+	return record;
+}
+
+enum dc_claim_result
+dc_witness_claim(struct dc_core *core, const struct dc_key_claim *claim)
+{
+	struct dc_key_record *record;
+
+	if (!is_current(core, claim->witness_epoch, claim->window))
+		return DC_CLAIM_EXPIRED;
+	record =
+	    dc_key_find(&core->witnessed, claim->a, claim->b, core->now_us);
+	if (record == NULL) {
+		record = insert(core, claim->a, claim->b, DC_KEY_CLAIMED);
+		if (record == NULL)
+			return DC_CLAIM_FULL;
+		record->serial = claim->serial;
+		return DC_CLAIM_GIVEN;
+	}
+	if (record->state == DC_KEY_KILLED)
+		return DC_CLAIM_KILLED;
+	if (record->serial != claim->serial &&
+	    record->serial != claim->supersedes)
+		return DC_CLAIM_TAKEN;
+	record->serial = claim->serial;
+	return DC_CLAIM_GIVEN;
+}
+
+enum dc_kill_result
+dc_witness_kill(struct dc_core *core, const struct dc_key_kill *kill)
+{
+	struct dc_key_record *record;
+
+	if (!is_current(core, kill->witness_epoch, kill->window))
+		return DC_KILL_UNKNOWN;
+	record = dc_key_find(&core->witnessed, kill->a, kill->b, core->now_us);
+	if (record == NULL) {
+		if (insert(core, kill->a, kill->b, DC_KEY_KILLED) == NULL)
+			return DC_KILL_UNKNOWN;
+		core->counters.key_kills++;
+		return DC_KILL_DONE;
+	}
+	if (record->state == DC_KEY_KILLED)
+		return DC_KILL_DONE;
+	return DC_KILL_CLAIMED;
+}
--- a/lib/http/http.h
+++ b/lib/http/http.h
@@ -72,6 +72,9 @@
 h2o_iovec_t ht_header(const h2o_req_t *req, const char *name);
 /* ht_add_header(req, name, value): adds an answer header; value is copied. */
 void ht_add_header(h2o_req_t *req, const char *name, const char *value);
+/* ht_reply_body(req, status, body, length): the same without a type. */
+void ht_reply_body(
+    h2o_req_t *req, int status, const char *body, size_t length_bytes);
 /* ht_reply(req, status, type, body, length): answers; body is copied. */
 void ht_reply(h2o_req_t *req, int status, const char *content_type,
     const char *body, size_t length_bytes);
--- a/lib/http/server.c
+++ b/lib/http/server.c
@@ -296,19 +296,22 @@
 }
 
 void
-ht_reply(h2o_req_t *req, int status, const char *content_type, const char *body,
-    size_t length_bytes)
+ht_reply_body(h2o_req_t *req, int status, const char *body, size_t length_bytes)
 {
 	static h2o_generator_t generator = {NULL, NULL};
 	h2o_iovec_t copy = h2o_strdup(&req->pool, body, length_bytes);
-	bool has_body = length_bytes != 0;
 
 	req->res.status = status;
-	req->res.reason = "OK";
-	if (status >= 300)
-		req->res.reason = "Refused";
+	req->res.reason = status >= 300 ? "Refused" : "OK";
 	req->res.content_length = length_bytes;
-	ht_add_header(req, "content-type", content_type);
 	h2o_start_response(req, &generator);
-	h2o_send(req, &copy, has_body ? 1 : 0, H2O_SEND_STATE_FINAL);
+	h2o_send(req, &copy, length_bytes != 0 ? 1 : 0, H2O_SEND_STATE_FINAL);
+}
+
+void
+ht_reply(h2o_req_t *req, int status, const char *content_type, const char *body,
+    size_t length_bytes)
+{
+	ht_add_header(req, "content-type", content_type);
+	ht_reply_body(req, status, body, length_bytes);
 }
--- a/lib/platform/platform.c
+++ b/lib/platform/platform.c
@@ -150,8 +150,10 @@
 	char path[PATH_BYTES_MAX], header[64];
 
 	object_path(path, name);
-	snprintf(header, sizeof(header), "If-Version: %llu\r\n",
-	    (unsigned long long)expected);
+	header[0] = '\0';
+	if (expected != PF_ANY_VERSION)
+		snprintf(header, sizeof(header), "If-Version: %llu\r\n",
+		    (unsigned long long)expected);
 	send_call(client,
 	    &(struct ht_request){
 		.method = "PUT",
--- a/lib/platform/platform.h
+++ b/lib/platform/platform.h
@@ -13,6 +13,7 @@
 #define PF_NAME_BYTES_MAX 128
 #define PF_VALUE_BYTES_MAX 1048576
 #define PF_WATCH_MS 20000 /* how long a watch waits for news */
+#define PF_ANY_VERSION UINT64_MAX
 
 struct pf_client;
 
@@ -55,7 +56,8 @@
     pf_result_cb cb, void *user);
 /*
  * pf_put(client, name, expected, value, bytes, cb, user): writes if the
- * object is at the expected version; 0 means that it must not exist.
+ * object is at the expected version; 0 means that it must not exist, and
+ * PF_ANY_VERSION writes in any case.
  */
 void pf_put(struct pf_client *client, const char *name, uint64_t expected,
     const char *value, size_t value_bytes, pf_result_cb cb, void *user);
--- a/lib/serve/admin.c
+++ b/lib/serve/admin.c
@@ -42,6 +42,24 @@
 		(json_int_t)c.done, "not_run", (json_int_t)c.refused_not_run));
 }
 
+static void
+members(struct sv_server *server, h2o_req_t *req)
+{
+	json_t *list = json_array();
+	uint32_t i;
+
+	for (i = 0; i < server->entry_count; i++) {
+		const struct sv_entry *entry = &server->entries[i];
+
+		json_array_append_new(list,
+		    json_pack("{s:s, s:s, s:s, s:s, s:s, s:s}", "name",
+			entry->name, "state", entry->state, "address",
+			entry->address, "admin", entry->admin, "data_centre",
+			entry->data_centre, "region", entry->region));
+	}
+	reply_json(req, 200, list);
+}
+
 static void
 append_metric(
     GString *text, const char *name, const char *kind, unsigned long long value)
@@ -70,6 +88,11 @@
 	append_metric(text, "hedges_total", "counter", c.hedges);
 	append_metric(text, "ejections_total", "counter", c.ejections);
 	append_metric(text, "quarantines_total", "counter", c.quarantines);
+	append_metric(text, "attempts_unleased_total", "counter", c.unleased);
+	append_metric(
+	    text, "lease_messages_total", "counter", c.lease_messages);
+	append_metric(text, "key_claims_total", "counter", c.key_claims);
+	append_metric(text, "key_kills_total", "counter", c.key_kills);
 	append_metric(text, "calls_waiting", "gauge", c.waiting);
 	append_metric(text, "calls_running", "gauge", c.running);
 	ht_reply(req, 200, "text/plain; version=0.0.4", text->str, text->len);
@@ -94,6 +117,8 @@
 		status(server, req);
 	else if (path_is(req, "/metrics"))
 		metrics(server, req);
+	else if (path_is(req, "/members"))
+		members(server, req);
 	else if (path_is(req, "/ready"))
 		ready(server, req);
 	else
--- a/lib/serve/caller.c
+++ b/lib/serve/caller.c
@@ -50,6 +50,7 @@
 		h2o_doublebuffer_dispose(&call->sending);
 	if (call->tail != NULL)
 		h2o_buffer_dispose(&call->tail);
+	sv_answer_discard(call);
 	cf_unref(call->config);
 	g_free(call);
 }
@@ -134,6 +135,14 @@
 		return 504;
 	case DC_REASON_BODY_TOO_LARGE:
 		return 413;
+	case DC_REASON_KEY_NOT_HOME:
+		return 421;
+	case DC_REASON_KEY_IN_PROGRESS:
+	case DC_REASON_KEY_RAN:
+	case DC_REASON_KEY_UNSURE:
+	case DC_REASON_KEY_KILLED:
+	case DC_REASON_KEY_HOME_GONE:
+		return 409;
 	default:
 		return outcome == DC_OUTCOME_NOT_RUN ? 503 : 502;
 	}
@@ -228,6 +237,9 @@
 	    read_number(req, "chervilshelf-depth", UINT32_MAX, 0,
 		&call->depth) != CS_OK)
 		return DC_REASON_BAD_REQUEST;
+	if (sv_read_key(call->server, ht_header(req, "idempotency-key"),
+		&call->key) != CS_OK)
+		return DC_REASON_BAD_REQUEST;
 	if (call->depth >= call->server->params.depth_max)
 		return DC_REASON_TOO_DEEP;
 	if (deadline_ms > call->route->deadline_ms)
@@ -254,6 +266,10 @@
 				    .member = cs_hash(member.base, member.len),
 				    .fingerprint = fingerprint(call->req),
 				    .deadline_us = call->deadline_us,
+				    .forwarded = ht_header(call->req,
+						     "chervilshelf-forwarded")
+						     .base != NULL,
+				    .key = call->key,
 				},
 			});
 }
--- a/lib/serve/directory.c
+++ b/lib/serve/directory.c
@@ -38,7 +38,7 @@
 		const struct sv_entry *entry =
 		    &server->entries[(i + offset) % server->entry_count];
 
-		if (nearness(server, entry, region) != wanted)
+		if (!entry->listed || nearness(server, entry, region) != wanted)
 			continue;
 		json_array_append_new(
 		    list, json_pack("{s:s, s:s, s:s}", "address",
@@ -54,6 +54,7 @@
 	json_t *list = json_array();
 	json_t *root;
 	char *text;
+	char token[SV_TOKEN_BYTES_MAX];
 	int tier;
 
 	if (region.base == NULL)
@@ -61,8 +62,9 @@
 		    server->params.region, strlen(server->params.region));
 	for (tier = SAME_DATA_CENTRE; tier < NEARNESS_COUNT; tier++)
 		append_entries(server, list, region, (enum nearness)tier);
-	root = json_pack("{s:o, s:I}", "entries", list, "keep_ms",
-	    (json_int_t)server->params.keep_ms);
+	sv_format_token(server, token, sizeof(token));
+	root = json_pack("{s:o, s:I, s:s}", "entries", list, "keep_ms",
+	    (json_int_t)server->params.keep_ms, "home", token);
 	text = json_dumps(root, JSON_COMPACT);
 	json_decref(root);
 	ht_reply(req, 200, SV_JSON, text, strlen(text));
--- /dev/null
+++ b/lib/serve/key.c
@@ -0,0 +1,62 @@
+/*
+ * The Idempotency-Key header. "h1-HOME-EPOCH-WITNESS-EPOCH-WINDOW.REST", in
+ * hexadecimal, begins with a token from the directory; any other text is a
+ * bare key, which is claimed in the object API.
+ */
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "serve_internal.h"
+
+#define KEY_SEED_B 0x6b65792d62ULL
+
+static void
+read_token(const char *text, struct dc_key *key)
+{
+	int used = 0;
+
+	if (sscanf(text,
+		"h1-%16" SCNx64 "-%16" SCNx64 "-%16" SCNx64 "-%16" SCNx64
+		"-%16" SCNx64 ".%n",
+		&key->home, &key->home_epoch, &key->witness,
+		&key->witness_epoch, &key->window, &used) == 5 &&
+	    used > 0 && text[used] != '\0')
+		key->scope = DC_KEY_HOME;
+}
+
+int
+sv_read_key(
+    const struct sv_server *server, h2o_iovec_t text, struct dc_key *key)
+{
+	char copy[SV_KEY_BYTES_MAX + 1];
+	uint64_t hash;
+
+	(void)server;
+	*key = (struct dc_key){.scope = DC_KEY_NONE};
+	if (text.base == NULL)
+		return CS_OK;
+	if (text.len == 0 || text.len > SV_KEY_BYTES_MAX ||
+	    memchr(text.base, '\0', text.len) != NULL)
+		return CS_E_INVALID;
+	memcpy(copy, text.base, text.len);
+	copy[text.len] = '\0';
+	key->scope = DC_KEY_STORE;
+	read_token(copy, key);
+	hash = cs_hash(text.base, text.len);
+	key->a = hash;
+	key->b = cs_hash_seeded(text.base, text.len, KEY_SEED_B);
+	return CS_OK;
+}
+
+void
+sv_format_token(const struct sv_server *server, char *text, size_t bytes)
+{
+	uint64_t witness, epoch, window;
+
+	dc_key_token(server->core, &witness, &epoch, &window);
+	snprintf(text, bytes,
+	    "h1-%" PRIx64 "-%" PRIx64 "-%" PRIx64 "-%" PRIx64 "-%" PRIx64,
+	    cs_hash(server->params.name, strlen(server->params.name)),
+	    server->params.epoch, witness, epoch, window);
+}
--- a/lib/serve/relay.c
+++ b/lib/serve/relay.c
@@ -14,8 +14,7 @@
 {
 	static const char *const names[] = {"connection", "keep-alive",
 	    "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade",
-	    "content-length", "chervilshelf-outcome", "chervilshelf-request-id",
-	    NULL};
+	    "content-length", "chervilshelf-request-id", NULL};
 	const char *const *name;
 
 	for (name = names; *name != NULL; name++) {
@@ -26,6 +25,14 @@
 	return false;
 }
 
+/* The outcome is for an entry VM to say, not for a target. */
+static bool
+is_outcome(const h2o_header_t *header)
+{
+	return h2o_lcstris(header->name->base, header->name->len,
+	    H2O_STRLIT("chervilshelf-outcome"));
+}
+
 /* Whether the target's Connection header names this header. */
 static bool
 is_named_by_connection(
@@ -54,7 +61,8 @@
 		const h2o_header_t *h = &attempt->headers[i];
 		h2o_iovec_t name, value;
 
-		if (is_dropped(h) || is_named_by_connection(attempt, h))
+		if (is_dropped(h) || is_named_by_connection(attempt, h) ||
+		    (!attempt->forwarded && is_outcome(h)))
 			continue;
 		name = h2o_strdup(&req->pool, h->name->base, h->name->len);
 		value = h2o_strdup(&req->pool, h->value.base, h->value.len);
@@ -98,9 +106,11 @@
 	req->res.reason = "Relayed";
 	req->res.content_length = call->relayed->content_length;
 	copy_headers(call, call->relayed);
-	ht_add_header(req, "chervilshelf-outcome", "ran");
+	if (!call->relayed->forwarded)
+		ht_add_header(req, "chervilshelf-outcome", "ran");
 	ht_add_header(req, "chervilshelf-request-id", call->request_id);
 	call->generator = (h2o_generator_t){on_proceed, on_stop};
+	sv_answer_begin(call);
 	h2o_doublebuffer_init(&call->sending, &h2o_socket_buffer_prototype);
 	h2o_start_response(req, &call->generator);
 }
@@ -158,6 +168,9 @@
 	else if (chunk.len == 0)
 		return;
 	call->sent_last = last;
+	sv_answer_add(call, chunk);
+	if (last && call->whole)
+		sv_answer_keep(call);
 	h2o_send(call->req, &chunk, chunk.len != 0 ? 1 : 0, state);
 	if (!last)
 		regulate(call);
--- a/lib/serve/serve.h
+++ b/lib/serve/serve.h
@@ -20,11 +20,29 @@
 #define SV_BODIES_BYTES_MAX (96 * 1024 * 1024)
 #define SV_CONNECTIONS_MAX 8192
 
-/* One line of the directory. */
+/* One entry VM as the mesh knows it. */
 struct sv_entry {
-	char address[SV_NAME_BYTES_MAX];
+	uint64_t id;
+	uint64_t epoch;
+	char name[SV_NAME_BYTES_MAX];
+	char address[SV_NAME_BYTES_MAX]; /* for callers */
+	char admin[SV_NAME_BYTES_MAX];
 	char data_centre[SV_NAME_BYTES_MAX];
 	char region[SV_NAME_BYTES_MAX];
+	const char *state;
+	enum dc_peer_state core_state;
+	bool listed; /* in the directory */
+};
+
+/* What the shell needs done outside it. */
+struct sv_callbacks {
+	/* Delivers a message to another core; peer 0: to every live one. */
+	void (*send)(
+	    uint64_t peer, const struct dc_message *message, void *user);
+	/* Claims a key in the object API; sv_store_claimed() follows. */
+	void (*claim)(
+	    uint64_t call, uint64_t key_a, uint64_t key_b, void *user);
+	void *user;
 };
 
 struct sv_server;
@@ -40,7 +58,8 @@
 	uint64_t epoch;	      /* of this process, unlike any before it */
 	uint32_t keep_ms;     /* how long callers keep a directory answer */
 	uint32_t depth_max;   /* of chains of calls */
-	const char *dispatch; /* "two-choices" */
+	const char *dispatch; /* "two-choices" or "leases" */
+	struct sv_callbacks callbacks;
 };
 
 /*
@@ -58,9 +77,23 @@
 int sv_set_config(struct sv_server *server, struct cf_config *config);
 /* sv_config(server): the configuration in force, or NULL. Not a reference. */
 struct cf_config *sv_config(const struct sv_server *server);
-/* sv_set_entries(server, entries, count): replaces the directory. */
+/*
+ * sv_set_entries(server, entries, count): replaces what is known of the entry
+ * VMs, this one included: for the directory and for the core.
+ */
 void sv_set_entries(
     struct sv_server *server, const struct sv_entry *entries, uint32_t count);
+/* sv_link_up(server, peer): the link to another entry VM is up. */
+void sv_link_up(struct sv_server *server, uint64_t peer);
+/* sv_message(server, peer, message): a message from another core. */
+void sv_message(
+    struct sv_server *server, uint64_t peer, const struct dc_message *message);
+/* sv_store_claimed(server, call, result): answers callbacks.claim(). */
+void sv_store_claimed(
+    struct sv_server *server, uint64_t call, enum dc_store_result result);
+/* sv_target_drains(server, address, drain): said by the VM list. */
+void sv_target_drains(
+    struct sv_server *server, const char *address, bool drain);
 /* sv_drain(server): answers ask callers to close; calls go on. */
 void sv_drain(struct sv_server *server);
 /* sv_stop_accepting(server): closes the listener for callers. */
--- a/lib/serve/serve_internal.h
+++ b/lib/serve/serve_internal.h
@@ -12,6 +12,8 @@
 
 #define SV_ID_BYTES_MAX 96
 #define SV_JSON "application/json"
+#define SV_TOKEN_BYTES_MAX 128
+#define SV_KEY_BYTES_MAX 256
 
 /* One target with its pool of idle connections; reference counted. */
 struct sv_target {
@@ -25,12 +27,23 @@
 
 struct sv_call;
 
+/* A whole small answer, kept for resends of its key. */
+struct sv_answer {
+	uint64_t key_a;
+	uint64_t key_b;
+	int status;
+	GPtrArray *headers; /* name, value, name, value */
+	GByteArray *body;
+};
+
 /* One upstream request of a call. */
 struct sv_attempt {
 	struct sv_call *call;
 	struct sv_target *target;
 	h2o_http1client_t *client; /* NULL when there is none */
 	uint32_t number;
+	bool forwarded;	  /* to another entry VM */
+	bool fresh;	  /* on a connection of its own */
 	bool in_connect;  /* inside h2o_http1client_connect*() */
 	bool in_callback; /* inside one of the client's callbacks */
 	bool cancelled;	  /* to be closed when the callback returns */
@@ -52,9 +65,11 @@
 	const struct cf_route *route;
 	uint64_t id;
 	uint32_t depth;
+	struct dc_key key;
 	int64_t arrived_us;
 	int64_t deadline_us;
 	bool known_to_core;
+	struct sv_answer *capture; /* copy of the answer for resends */
 	struct sv_attempt attempts[DC_ATTEMPTS_MAX];
 	struct sv_attempt *relayed;
 	h2o_doublebuffer_t sending;
@@ -83,6 +98,9 @@
 	GHashTable *targets; /* id to struct sv_target, those configured */
 	GHashTable *calls;   /* id to struct sv_call, those the core knows */
 	struct sv_call *unanswered;
+	GHashTable *answers; /* by key_a, of struct sv_answer */
+	GQueue answers_by_age;
+	size_t answers_bytes;
 	struct sv_entry entries[SV_ENTRIES_MAX];
 	uint32_t entry_count;
 	struct cs_random random;
@@ -108,12 +126,25 @@
 struct sv_target *sv_target_new(struct sv_server *server, const char *address);
 void sv_target_unref(struct sv_target *target);
 void sv_attempt_start(struct sv_call *call, const struct dc_send *send);
+void sv_forward_start(struct sv_call *call, const struct dc_send *send);
 void sv_attempt_cancel(struct sv_call *call, uint32_t number);
 
 /* relay.c: a target's answer on its way to the caller. */
 void sv_relay_start(struct sv_call *call, uint32_t number);
 void sv_relay_more(struct sv_call *call);
 
+/* answers.c: answers kept for resends. */
+void sv_answer_begin(struct sv_call *call);
+void sv_answer_add(struct sv_call *call, h2o_iovec_t chunk);
+void sv_answer_keep(struct sv_call *call);
+void sv_answer_discard(struct sv_call *call);
+void sv_replay(struct sv_call *call);
+
+/* key.c: the Idempotency-Key header. */
+int sv_read_key(
+    const struct sv_server *server, h2o_iovec_t text, struct dc_key *key);
+void sv_format_token(const struct sv_server *server, char *text, size_t bytes);
+
 /* directory.c and admin.c: what the VM answers itself. */
 void sv_directory(struct sv_server *server, h2o_req_t *req);
 void sv_on_admin_request(h2o_req_t *req, void *user);
--- a/lib/serve/server.c
+++ b/lib/serve/server.c
@@ -58,6 +58,34 @@
 	};
 }
 
+static int
+dispatch_number(const char *name)
+{
+	if (strcmp(name, "two-choices") == 0)
+		return DC_DISPATCH_TWO_CHOICES;
+	return DC_DISPATCH_LEASES;
+}
+
+static void
+init_core(struct sv_server *server)
+{
+	const struct sv_params *params = &server->params;
+
+	dc_parameter_set(
+	    server->core, "dispatch", dispatch_number(params->dispatch));
+	sv_feed(server,
+	    &(struct dc_event){
+		.type = DC_EV_SELF,
+		.self =
+		    {
+			.peer = cs_hash(params->name, strlen(params->name)),
+			.epoch = params->epoch,
+			.region =
+			    cs_hash(params->region, strlen(params->region)),
+		    },
+	    });
+}
+
 int
 sv_create(const struct sv_params *params, struct sv_server **out)
 {
@@ -71,6 +99,8 @@
 	cs_random_seed(&server->random, params->seed + 1);
 	server->pending = g_array_new(FALSE, FALSE, sizeof(struct dc_event));
 	server->calls = g_hash_table_new(g_int64_hash, g_int64_equal);
+	server->answers = g_hash_table_new(g_int64_hash, g_int64_equal);
+	g_queue_init(&server->answers_by_age);
 	server->targets = g_hash_table_new(g_int64_hash, g_int64_equal);
 	uv_timer_init(params->loop, &server->wake);
 	server->wake.data = server;
@@ -79,6 +109,7 @@
 	uv_timer_start(
 	    &server->watch, on_watch, WATCH_INTERVAL_MS, WATCH_INTERVAL_MS);
 	init_client(server);
+	init_core(server);
 	error = create_listeners(server);
 	if (error != CS_OK)
 		return error;
@@ -118,23 +149,6 @@
 	return server->config;
 }
 
-void
-sv_set_entries(
-    struct sv_server *server, const struct sv_entry *entries, uint32_t count)
-{
-	if (count > SV_ENTRIES_MAX)
-		count = SV_ENTRIES_MAX;
-	memcpy(server->entries, entries, count * sizeof(entries[0]));
-	server->entry_count = count;
-}
-
-void
-sv_drain(struct sv_server *server)
-{
-	server->draining = true;
-	ht_server_drain(server->callers);
-}
-
 void
 sv_stop_accepting(struct sv_server *server)
 {
--- a/lib/serve/shell.c
+++ b/lib/serve/shell.c
@@ -34,6 +34,17 @@
 	    (enum dc_outcome)refuse->outcome);
 }
 
+static void
+replay(struct sv_server *server, uint64_t id)
+{
+	struct sv_call *call = find_call(server, id);
+
+	if (call == NULL)
+		return;
+	forget_call(server, call);
+	sv_replay(call);
+}
+
 static void
 finish(struct sv_server *server, uint64_t id, bool whole)
 {
@@ -58,6 +69,11 @@
 		if (call != NULL)
 			sv_attempt_start(call, &action->send);
 		break;
+	case DC_ACT_FORWARD:
+		call = find_call(server, action->forward.call);
+		if (call != NULL)
+			sv_forward_start(call, &action->forward);
+		break;
 	case DC_ACT_CANCEL:
 		call = find_call(server, action->cancel.call);
 		if (call != NULL)
@@ -68,6 +84,21 @@
 		if (call != NULL)
 			sv_relay_start(call, action->relay.attempt);
 		break;
+	case DC_ACT_REPLAY:
+		replay(server, action->replay.call);
+		break;
+	case DC_ACT_STORE_CLAIM:
+		call = find_call(server, action->store_claim.call);
+		if (call != NULL)
+			server->params.callbacks.claim(call->id, call->key.a,
+			    call->key.b, server->params.callbacks.user);
+		break;
+	case DC_ACT_MESSAGE:
+		server->params.callbacks.send(action->message.peer,
+		    &action->message.message, server->params.callbacks.user);
+		break;
+	case DC_ACT_TYPES:
+		break;
 	case DC_ACT_REFUSE:
 		refuse(server, &action->refuse);
 		break;
--- a/lib/serve/table.c
+++ b/lib/serve/table.c
@@ -29,6 +29,21 @@
 	sv_target_unref(target);
 }
 
+/* The region of a data centre, as its entry VMs know it. */
+static uint64_t
+region_of(const struct sv_server *server, const char *data_centre)
+{
+	uint32_t i;
+
+	for (i = 0; i < server->entry_count; i++) {
+		if (strcmp(server->entries[i].data_centre, data_centre) == 0)
+			return name_id(server->entries[i].region);
+	}
+	if (strcmp(server->params.data_centre, data_centre) == 0)
+		return name_id(server->params.region);
+	return name_id(data_centre);
+}
+
 static void
 load_pool(struct sv_server *server, GHashTable *kept,
     const struct cf_config *config, const struct cf_pool *pool)
@@ -45,16 +60,17 @@
 		struct sv_target *target =
 		    keep_target(server, kept, t->address);
 
-		sv_feed(server, &(struct dc_event){
-				    .type = DC_EV_TABLE_TARGET,
-				    .table_target =
-					{
-					    .target = target->id,
-					    .region = name_id(t->data_centre),
-					    .slots = t->slots,
-					    .drain = t->drain,
-					},
-				});
+		sv_feed(server,
+		    &(struct dc_event){
+			.type = DC_EV_TABLE_TARGET,
+			.table_target =
+			    {
+				.target = target->id,
+				.region = region_of(server, t->data_centre),
+				.slots = t->slots,
+				.drain = t->drain,
+			    },
+		    });
 	}
 	for (i = 0; i < pool->share_count; i++) {
 		sv_feed(server,
--- a/lib/serve/upstream.c
+++ b/lib/serve/upstream.c
@@ -10,6 +10,7 @@
 #define SILENCE_TIMEOUT_MS 2000
 #define IDLE_CONNECTIONS_MAX 64
 #define HEAD_EXTRA_BYTES 512
+#define STATUS_MISDIRECTED 421
 
 struct sv_target *
 sv_target_new(struct sv_server *server, const char *address)
@@ -179,6 +180,10 @@
 	attempt->status = status;
 	attempt->headers = headers;
 	attempt->header_count = count;
+	if (attempt->forwarded && status == STATUS_MISDIRECTED) {
+		report_end(attempt, DC_RESULT_NOT_HOME);
+		return NULL;
+	}
 	if (!read_framing(attempt, answer_has_no_body(attempt->call, status))) {
 		report_end(attempt, DC_RESULT_UNFRAMED);
 		return NULL;
@@ -257,7 +262,8 @@
 	static const char *const names[] = {"connection", "keep-alive",
 	    "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade",
 	    "expect", "host", "content-length", "chervilshelf-deadline-ms",
-	    "chervilshelf-depth", "chervilshelf-request-id", NULL};
+	    "chervilshelf-depth", "chervilshelf-request-id",
+	    "chervilshelf-forwarded", NULL};
 	const char *const *name;
 	h2o_iovec_t connection = ht_header(req, "connection");
 
@@ -317,23 +323,27 @@
 }
 
 static char *
-append_own_headers(char *at, const struct sv_call *call, bool fresh)
+append_own_headers(
+    char *at, const struct sv_call *call, const struct sv_attempt *attempt)
 {
 	int64_t left_ms = (call->deadline_us - cs_now_us()) / 1000;
 
 	if (call->req->entity.base != NULL)
 		at += sprintf(
 		    at, "Content-Length: %zu\r\n", call->req->entity.len);
-	return at + sprintf(at,
-			"Chervilshelf-Deadline-Ms: %lld\r\n"
-			"Chervilshelf-Depth: %u\r\n"
-			"Chervilshelf-Request-Id: %s\r\n%s\r\n",
-			(long long)(left_ms > 0 ? left_ms : 0), call->depth + 1,
-			call->request_id, fresh ? "Connection: close\r\n" : "");
+	return at +
+	       sprintf(at,
+		   "Chervilshelf-Deadline-Ms: %lld\r\n"
+		   "Chervilshelf-Depth: %u\r\n"
+		   "Chervilshelf-Request-Id: %s\r\n%s%s\r\n",
+		   (long long)(left_ms > 0 ? left_ms : 0),
+		   call->depth + (attempt->forwarded ? 0 : 1), call->request_id,
+		   attempt->fresh ? "Connection: close\r\n" : "",
+		   attempt->forwarded ? "Chervilshelf-Forwarded: 1\r\n" : "");
 }
 
 static h2o_iovec_t
-format_head(struct sv_call *call, bool fresh)
+format_head(struct sv_call *call, const struct sv_attempt *attempt)
 {
 	h2o_req_t *req = call->req;
 	char *start = h2o_mem_alloc_pool(&req->pool, head_bound(call));
@@ -346,7 +356,7 @@
 	at = append(at, req->authority);
 	at = append_text(at, "\r\n");
 	at = append_headers(at, call);
-	at = append_own_headers(at, call, fresh);
+	at = append_own_headers(at, call, attempt);
 	return h2o_iovec_init(start, (size_t)(at - start));
 }
 
@@ -363,14 +373,14 @@
 }
 
 static void
-connect_target(struct sv_attempt *attempt, bool fresh)
+connect_target(struct sv_attempt *attempt)
 {
 	struct sv_server *server = attempt->call->server;
 	struct sv_target *target = attempt->target;
 	char host[INET_ADDRSTRLEN];
 
-	attempt->in_connect = !fresh;
-	if (!fresh) {
+	if (!attempt->fresh) {
+		attempt->in_connect = true;
 		h2o_http1client_connect_with_pool(&attempt->client, attempt,
 		    &server->client, &target->connections, on_connect);
 		attempt->in_connect = false;
@@ -382,35 +392,62 @@
 	    ntohs(target->sockaddr.sin_port), 0, on_connect);
 }
 
-void
-sv_attempt_start(struct sv_call *call, const struct dc_send *send)
+/* Starts an attempt; takes over the reference to the target. */
+static void
+start(struct sv_call *call, const struct dc_send *send,
+    struct sv_target *target, bool forwarded)
 {
-	struct sv_server *server = call->server;
 	struct sv_attempt *attempt = unused_attempt(call);
-	struct sv_target *target;
-
-	target = g_hash_table_lookup(server->targets, &send->target);
-	if (target == NULL || attempt == NULL) {
-		sv_feed(server, &(struct dc_event){
-				    .type = DC_EV_ATTEMPT_ENDED,
-				    .ended =
-					{
-					    .call = call->id,
-					    .attempt = send->attempt,
-					    .result = DC_RESULT_NOT_SENT,
-					},
-				});
+
+	if (target == NULL) {
+		sv_feed(call->server, &(struct dc_event){
+					  .type = DC_EV_ATTEMPT_ENDED,
+					  .ended =
+					      {
+						  .call = call->id,
+						  .attempt = send->attempt,
+						  .result = DC_RESULT_NOT_SENT,
+					      },
+				      });
 		return;
 	}
-	cs_ref_take(&target->ref);
 	cs_ref_take(&call->ref);
 	*attempt = (struct sv_attempt){
 	    .call = call,
 	    .target = target,
-	    .number = send->attempt,
-	    .buffers = {format_head(call, send->fresh), call->req->entity},
+	    .number = (uint32_t)send->attempt,
+	    .forwarded = forwarded,
+	    .fresh = send->fresh != 0,
 	};
-	connect_target(attempt, send->fresh);
+	attempt->buffers[0] = format_head(call, attempt);
+	attempt->buffers[1] = call->req->entity;
+	connect_target(attempt);
+}
+
+void
+sv_attempt_start(struct sv_call *call, const struct dc_send *send)
+{
+	struct sv_target *target =
+	    g_hash_table_lookup(call->server->targets, &send->target);
+
+	if (target != NULL)
+		cs_ref_take(&target->ref);
+	start(call, send, target, false);
+}
+
+void
+sv_forward_start(struct sv_call *call, const struct dc_send *send)
+{
+	struct sv_server *server = call->server;
+	struct sv_target *target = NULL;
+	uint32_t i;
+
+	for (i = 0; i < server->entry_count; i++) {
+		if (server->entries[i].id == send->target)
+			target =
+			    sv_target_new(server, server->entries[i].address);
+	}
+	start(call, send, target, true);
 }
 
 void
--- a/programs/entry.c
+++ b/programs/entry.c
@@ -1,63 +1,24 @@
 /* chervilshelf entry: runs an entry VM until it is told to stop. */
+#include "entry.h"
+
 #include <glib.h>
-#include <jansson.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
-#include <unistd.h>
-#include <uv.h>
-
-#include "../lib/base/base.h"
-#include "../lib/config/config.h"
-#include "../lib/http/http.h"
-#include "../lib/platform/platform.h"
-#include "../lib/serve/serve.h"
+
 #include "commands.h"
 #include "settings.h"
 
-#define REGISTER_INTERVAL_MS 1000
-#define RETRY_PAUSE_MS 500
 /* After the kept directory answers have lapsed, before the listener closes. */
-#define LINGER_MS 500
+#define LINGER_MS 1000
 #define STOP_CHECK_MS 20
+#define BACK_OFF_MS 250
+#define BACK_OFF_DOUBLINGS_MAX 5
 
-struct options {
-	const char *name;
-	const char *data_centre;
-	const char *region;
-	const char *listen;
-	const char *peer_listen;
-	const char *admin_listen;
-	const char *platform;
-	const char *log_level;
-	int64_t keep_ms;
-	int64_t depth_max;
-};
-
-struct entry {
-	struct options options;
-	uv_loop_t loop;
-	struct sv_server *server;
-	struct pf_client *platform;
-	uint64_t epoch;
-	uint64_t config_object_version;
-	bool platform_lost;
-	bool leaving;
-	bool deregistered;
-	int64_t stop_after_us;
-	uv_timer_t config_timer;
-	uv_timer_t register_timer;
-	uv_timer_t stop_timer;
-	uv_signal_t signals[2];
-	char object_name[PF_NAME_BYTES_MAX];
-};
-
-static void watch_config(struct entry *entry);
-
-static void
-note_platform(struct entry *entry, int error)
+void
+en_note_platform(struct en_entry *entry, int error)
 {
 	bool lost = error == CS_E_UNAVAILABLE || error == CS_E_UNKNOWN;
 
@@ -69,127 +30,21 @@
 	entry->platform_lost = lost;
 }
 
-static void
-take_config(struct entry *entry, const struct pf_result *result)
-{
-	char fault[CF_FAULT_BYTES_MAX];
-	struct cf_config *config;
-
-	entry->config_object_version = result->version;
-	if (cf_parse_stored(
-		result->value, result->value_bytes, fault, &config) != CS_OK) {
-		cs_log(CS_LOG_CONFIG_REFUSED, "fault=\"%s\"", fault);
-		return;
-	}
-	if (sv_set_config(entry->server, config) == CS_OK)
-		cs_log(CS_LOG_CONFIG_IN_FORCE, "version=%llu",
-		    (unsigned long long)cf_version(config));
-	else
-		cs_log(CS_LOG_CONFIG_STALE, "version=%llu",
-		    (unsigned long long)cf_version(config));
-	cf_unref(config);
-}
-
-static void
-on_config_timer(uv_timer_t *timer)
-{
-	watch_config(timer->data);
-}
-
-static void
-on_config(const struct pf_result *result, void *user)
+uint32_t
+en_back_off_ms(struct en_entry *entry, uint32_t failures)
 {
-	struct entry *entry = user;
-
-	note_platform(entry, result->error);
-	if (result->error == CS_OK)
-		take_config(entry, result);
-	if (result->error == CS_OK || result->error == CS_E_STALE)
-		watch_config(entry);
-	else
-		uv_timer_start(
-		    &entry->config_timer, on_config_timer, RETRY_PAUSE_MS, 0);
-}
+	uint32_t ms;
 
-static void
-watch_config(struct entry *entry)
-{
-	pf_watch(entry->platform, CF_OBJECT_NAME, entry->config_object_version,
-	    on_config, entry);
-}
-
-static void
-copy_field(json_t *object, const char *key, char *out, size_t out_bytes)
-{
-	const char *value = json_string_value(json_object_get(object, key));
-
-	g_strlcpy(out, value != NULL ? value : "", out_bytes);
-}
-
-static void
-on_entries(const struct pf_result *result, void *user)
-{
-	static struct sv_entry entries[SV_ENTRIES_MAX];
-	struct entry *entry = user;
-	uint32_t count = 0;
-	const char *key;
-	json_t *root, *row;
-
-	note_platform(entry, result->error);
-	if (result->error != CS_OK)
-		return;
-	root = json_loadb(result->value, result->value_bytes, 0, NULL);
-	json_object_foreach(root, key, row)
-	{
-		struct sv_entry *out = &entries[count];
-
-		if (count == SV_ENTRIES_MAX)
-			break;
-		copy_field(row, "address", out->address, sizeof(out->address));
-		copy_field(row, "data_centre", out->data_centre,
-		    sizeof(out->data_centre));
-		copy_field(row, "region", out->region, sizeof(out->region));
-		count++;
-	}
-	json_decref(root);
-	sv_set_entries(entry->server, entries, count);
-}
-
-static void
-on_registered(const struct pf_result *result, void *user)
-{
-	struct entry *entry = user;
-
-	note_platform(entry, result->error);
-	pf_list(entry->platform, "entries/", on_entries, entry);
-}
-
-static void
-register_entry(uv_timer_t *timer)
-{
-	struct entry *entry = timer->data;
-	char address[HT_ADDRESS_BYTES_MAX], admin[HT_ADDRESS_BYTES_MAX];
-	json_t *root;
-	char *text;
-
-	if (entry->leaving)
-		return;
-	sv_address(entry->server, address);
-	sv_admin_address(entry->server, admin);
-	root = json_pack("{s:s, s:s, s:s, s:s, s:I}", "address", address,
-	    "admin", admin, "data_centre", entry->options.data_centre, "region",
-	    entry->options.region, "epoch", (json_int_t)entry->epoch);
-	text = json_dumps(root, JSON_COMPACT);
-	json_decref(root);
-	pf_put(entry->platform, entry->object_name, 0, text, strlen(text),
-	    on_registered, entry);
-	free(text);
+	if (failures > BACK_OFF_DOUBLINGS_MAX)
+		failures = BACK_OFF_DOUBLINGS_MAX;
+	ms = (uint32_t)BACK_OFF_MS << failures;
+	return ms / 2 + cs_random_below(&entry->random, ms);
 }
 
 static void
 on_stop_check(uv_timer_t *timer)
 {
-	struct entry *entry = timer->data;
+	struct en_entry *entry = timer->data;
 
 	if (cs_now_us() < entry->stop_after_us)
 		return;
@@ -198,38 +53,32 @@
 		uv_stop(&entry->loop);
 }
 
-static void
-on_deregistered(const struct pf_result *result, void *user)
-{
-	(void)result;
-	((struct entry *)user)->deregistered = true;
-}
-
 static void
 on_signal(uv_signal_t *handle, int number)
 {
-	struct entry *entry = handle->data;
+	struct en_entry *entry = handle->data;
 
 	if (entry->leaving)
 		return;
 	entry->leaving = true;
 	entry->stop_after_us =
-	    cs_now_us() +
-	    (entry->options.keep_ms + REGISTER_INTERVAL_MS + LINGER_MS) * 1000;
+	    cs_now_us() + (entry->options.keep_ms + LINGER_MS) * 1000;
 	cs_log(CS_LOG_ENTRY_STOPPING, "signal=%d", number);
-	pf_delete(entry->platform, entry->object_name, on_deregistered, entry);
+	en_members_leave(entry);
 	sv_drain(entry->server);
 	uv_timer_start(
 	    &entry->stop_timer, on_stop_check, STOP_CHECK_MS, STOP_CHECK_MS);
 }
 
 static void
-watch_signals(struct entry *entry)
+watch_signals(struct en_entry *entry)
 {
 	static const int numbers[] = {SIGTERM, SIGINT};
 	uint32_t i;
 
 	signal(SIGPIPE, SIG_IGN);
+	uv_timer_init(&entry->loop, &entry->stop_timer);
+	entry->stop_timer.data = entry;
 	for (i = 0; i < 2; i++) {
 		uv_signal_init(&entry->loop, &entry->signals[i]);
 		entry->signals[i].data = entry;
@@ -238,16 +87,26 @@
 }
 
 static void
-start_timers(struct entry *entry)
+send_message(uint64_t peer, const struct dc_message *message, void *user)
 {
-	uv_timer_init(&entry->loop, &entry->config_timer);
-	entry->config_timer.data = entry;
-	uv_timer_init(&entry->loop, &entry->register_timer);
-	entry->register_timer.data = entry;
-	uv_timer_init(&entry->loop, &entry->stop_timer);
-	entry->stop_timer.data = entry;
-	uv_timer_start(
-	    &entry->register_timer, register_entry, 0, REGISTER_INTERVAL_MS);
+	struct en_entry *entry = user;
+
+	if (peer == 0)
+		pr_mesh_broadcast(entry->mesh, message);
+	else
+		pr_mesh_send(entry->mesh, peer, message);
+}
+
+static void
+on_message(uint64_t from, const struct dc_message *message, void *user)
+{
+	sv_message(((struct en_entry *)user)->server, from, message);
+}
+
+static void
+on_link(uint64_t peer, void *user)
+{
+	sv_link_up(((struct en_entry *)user)->server, peer);
 }
 
 static int
@@ -259,9 +118,9 @@
 }
 
 static int
-create_server(struct entry *entry)
+create_server(struct en_entry *entry)
 {
-	const struct options *o = &entry->options;
+	const struct en_options *o = &entry->options;
 	struct sv_params params = {
 	    .loop = &entry->loop,
 	    .name = o->name,
@@ -271,39 +130,96 @@
 	    .epoch = entry->epoch,
 	    .keep_ms = (uint32_t)o->keep_ms,
 	    .depth_max = (uint32_t)o->depth_max,
-	    .dispatch = "two-choices",
+	    .dispatch = o->dispatch,
+	    .callbacks =
+		{
+		    .send = send_message,
+		    .claim = en_claim,
+		    .user = entry,
+		},
 	};
 
 	if (parse_listen("listen", o->listen, &params.listen) != CS_OK ||
 	    parse_listen(
 		"admin-listen", o->admin_listen, &params.admin_listen) != CS_OK)
 		return ST_EXIT_USAGE;
-	if (pf_create(&entry->loop, o->platform, &entry->platform) != CS_OK) {
-		st_refuse("platform", o->platform, "http://IPV4:PORT");
+	if (sv_create(&params, &entry->server) == CS_OK)
+		return ST_EXIT_DONE;
+	fprintf(stderr,
+	    "chervilshelf: --listen %s or --admin-listen %s: the address "
+	    "cannot be bound\n",
+	    o->listen, o->admin_listen);
+	return ST_EXIT_REFUSED;
+}
+
+static int
+create_mesh(struct en_entry *entry)
+{
+	const struct en_options *o = &entry->options;
+	struct pr_mesh_params params = {
+	    .loop = &entry->loop,
+	    .self = {.epoch = entry->epoch},
+	    .callbacks =
+		{
+		    .on_members = en_members_changed,
+		    .on_message = on_message,
+		    .on_link = on_link,
+		    .on_config = en_config_from_peer,
+		    .config_text = en_config_text,
+		    .user = entry,
+		},
+	};
+	struct pr_member *self = &params.self;
+
+	if (parse_listen("peer-listen", o->peer_listen, &params.listen) !=
+	    CS_OK)
 		return ST_EXIT_USAGE;
-	}
-	if (sv_create(&params, &entry->server) != CS_OK) {
-		fprintf(stderr,
-		    "chervilshelf: --listen %s or --admin-listen "
-		    "%s: the address cannot be bound\n",
-		    o->listen, o->admin_listen);
-		return ST_EXIT_REFUSED;
-	}
-	return ST_EXIT_DONE;
+	g_strlcpy(self->name, o->name, sizeof(self->name));
+	g_strlcpy(self->data_centre, o->data_centre, sizeof(self->data_centre));
+	g_strlcpy(self->region, o->region, sizeof(self->region));
+	sv_address(entry->server, self->listen);
+	sv_admin_address(entry->server, self->admin);
+	if (pr_mesh_create(&params, &entry->mesh) == CS_OK)
+		return ST_EXIT_DONE;
+	fprintf(stderr,
+	    "chervilshelf: --peer-listen %s: the address cannot be bound\n",
+	    o->peer_listen);
+	return ST_EXIT_REFUSED;
+}
+
+static int
+check_options(const struct en_options *o)
+{
+	if (strlen(o->name) >= SV_NAME_BYTES_MAX || o->name[0] == '\0' ||
+	    strchr(o->name, '/') != NULL)
+		return st_refuse("name", o->name, "1 to 63 bytes without /");
+	if (strlen(o->data_centre) >= SV_NAME_BYTES_MAX)
+		return st_refuse(
+		    "data-centre", o->data_centre, "up to 63 bytes");
+	if (strlen(o->region) >= SV_NAME_BYTES_MAX)
+		return st_refuse("region", o->region, "up to 63 bytes");
+	if (strcmp(o->dispatch, "leases") != 0 &&
+	    strcmp(o->dispatch, "two-choices") != 0)
+		return st_refuse(
+		    "dispatch", o->dispatch, "leases or two-choices");
+	if (cs_log_open(o->log_level) != CS_OK)
+		return st_refuse(
+		    "log-level", o->log_level, "debug, info, warn or error");
+	return CS_OK;
 }
 
 static void
-announce(struct entry *entry)
+announce(struct en_entry *entry)
 {
-	char address[HT_ADDRESS_BYTES_MAX], admin[HT_ADDRESS_BYTES_MAX];
+	const struct pr_member *self =
+	    pr_members_self(pr_mesh_members(entry->mesh));
 
-	sv_address(entry->server, address);
-	sv_admin_address(entry->server, admin);
-	printf("chervilshelf entry %s listen=%s admin=%s\n",
-	    entry->options.name, address, admin);
+	printf("chervilshelf entry %s listen=%s peer=%s admin=%s\n", self->name,
+	    self->listen, self->peer, self->admin);
 	fflush(stdout);
-	cs_log(CS_LOG_ENTRY_STARTED, "entry=%s listen=%s admin=%s epoch=%llx",
-	    entry->options.name, address, admin,
+	cs_log(CS_LOG_ENTRY_STARTED,
+	    "entry=%s listen=%s peer=%s admin=%s epoch=%llx", self->name,
+	    self->listen, self->peer, self->admin,
 	    (unsigned long long)entry->epoch);
 }
 
@@ -318,25 +234,42 @@
 }
 
 static int
-run(struct entry *entry)
+create_parts(struct en_entry *entry)
 {
 	int code;
 
-	if (cs_log_open(entry->options.log_level) != CS_OK) {
-		st_refuse("log-level", entry->options.log_level,
-		    "debug, info, warn or error");
+	if (pf_create(&entry->loop, entry->options.platform,
+		&entry->platform) != CS_OK) {
+		st_refuse(
+		    "platform", entry->options.platform, "http://IPV4:PORT");
 		return ST_EXIT_USAGE;
 	}
+	code = create_server(entry);
+	if (code != ST_EXIT_DONE)
+		return code;
+	return create_mesh(entry);
+}
+
+static int
+run(struct en_entry *entry)
+{
+	int code;
+
+	if (check_options(&entry->options) != CS_OK)
+		return ST_EXIT_USAGE;
 	entry->epoch = make_epoch();
+	entry->own_id =
+	    cs_hash(entry->options.name, strlen(entry->options.name));
+	cs_random_seed(&entry->random, entry->epoch);
 	uv_loop_init(&entry->loop);
-	code = create_server(entry);
+	code = create_parts(entry);
 	if (code != ST_EXIT_DONE)
 		return code;
 	snprintf(entry->object_name, sizeof(entry->object_name), "entries/%s",
 	    entry->options.name);
-	start_timers(entry);
 	watch_signals(entry);
-	watch_config(entry);
+	en_members_start(entry);
+	en_config_start(entry);
 	announce(entry);
 	uv_run(&entry->loop, UV_RUN_DEFAULT);
 	cs_log(CS_LOG_ENTRY_STOPPED, "entry=%s", entry->options.name);
@@ -347,15 +280,16 @@
 int
 cm_entry(int argc, char **argv)
 {
-	static struct entry entry = {
+	static struct en_entry entry = {
 	    .options =
 		{
 		    .log_level = "info",
+		    .dispatch = "leases",
 		    .keep_ms = 2000,
 		    .depth_max = 13,
 		},
 	};
-	struct options *o = &entry.options;
+	struct en_options *o = &entry.options;
 	const struct st_setting settings[] = {
 	    {.name = "name",
 		.kind = ST_TEXT,
@@ -404,6 +338,11 @@
 		.text = &o->log_level,
 		.argument = "LEVEL",
 		.help = "debug, info, warn or error"},
+	    {.name = "dispatch",
+		.kind = ST_TEXT,
+		.text = &o->dispatch,
+		.argument = "POLICY",
+		.help = "leases or two-choices"},
 	    {.name = "keep-ms",
 		.kind = ST_NUMBER,
 		.number = &o->keep_ms,
--- /dev/null
+++ b/programs/entry.h
@@ -0,0 +1,82 @@
+/* State of `chervilshelf entry`, shared by its parts. */
+#ifndef EN_ENTRY_H
+#define EN_ENTRY_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <uv.h>
+
+#include "../lib/base/base.h"
+#include "../lib/config/config.h"
+#include "../lib/http/http.h"
+#include "../lib/peer/peer.h"
+#include "../lib/platform/platform.h"
+#include "../lib/serve/serve.h"
+
+/* VMs that watch the platform for the others. */
+#define EN_WATCHERS 3
+
+struct en_options {
+	const char *name;
+	const char *data_centre;
+	const char *region;
+	const char *listen;
+	const char *peer_listen;
+	const char *admin_listen;
+	const char *platform;
+	const char *log_level;
+	const char *dispatch;
+	int64_t keep_ms;
+	int64_t depth_max;
+};
+
+struct en_entry {
+	struct en_options options;
+	uv_loop_t loop;
+	struct sv_server *server;
+	struct pf_client *platform;
+	struct pr_mesh *mesh;
+	struct cs_random random;
+	uint64_t epoch;
+	uint64_t own_id;
+	bool platform_lost;
+	bool leaving;
+	int64_t stop_after_us;
+	char object_name[PF_NAME_BYTES_MAX];
+	/* Configuration. */
+	uint64_t object_version; /* seen last in the store */
+	bool watching;
+	bool repairing;
+	uint32_t config_failures;
+	uv_timer_t config_timer;
+	/* Membership. */
+	bool registered;
+	uint32_t register_failures;
+	int64_t listed_us; /* when the registrations were read last */
+	uv_timer_t register_timer;
+	uv_timer_t vm_timer;
+	uv_timer_t stop_timer;
+	uv_signal_t signals[2];
+};
+
+/* en_note_platform(entry, error): logs the edges of a platform outage. */
+void en_note_platform(struct en_entry *entry, int error);
+/* en_back_off_ms(entry, failures): a jittered pause that doubles. */
+uint32_t en_back_off_ms(struct en_entry *entry, uint32_t failures);
+/* en_is_watcher(entry): whether this VM watches the platform. */
+bool en_is_watcher(const struct en_entry *entry);
+
+/* entry_config.c */
+void en_config_start(struct en_entry *entry);
+void en_config_from_peer(const char *text, size_t bytes, void *user);
+char *en_config_text(void *user);
+
+/* entry_members.c */
+void en_members_start(struct en_entry *entry);
+void en_members_changed(void *user);
+void en_members_leave(struct en_entry *entry);
+
+/* entry_claims.c */
+void en_claim(uint64_t call, uint64_t key_a, uint64_t key_b, void *user);
+
+#endif
--- /dev/null
+++ b/programs/entry_claims.c
@@ -0,0 +1,83 @@
+/*
+ * Claims of bare keys in the object API: an object a key, made only if there
+ * is none. Its value names the claiming call, so that a lost answer is settled
+ * by reading back.
+ */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "entry.h"
+
+#define NAME_BYTES 64
+#define VALUE_BYTES 96
+
+struct claim {
+	struct en_entry *entry;
+	uint64_t call;
+	char name[NAME_BYTES];
+	char value[VALUE_BYTES];
+};
+
+static void
+finish(struct claim *claim, enum dc_store_result result)
+{
+	sv_store_claimed(claim->entry->server, claim->call, result);
+	free(claim);
+}
+
+static void
+on_read_back(const struct pf_result *result, void *user)
+{
+	struct claim *claim = user;
+	bool ours;
+
+	en_note_platform(claim->entry, result->error);
+	if (result->error != CS_OK) {
+		finish(claim, DC_STORE_UNAVAILABLE);
+		return;
+	}
+	ours = result->value_bytes == strlen(claim->value) &&
+	       memcmp(result->value, claim->value, result->value_bytes) == 0;
+	finish(claim, ours ? DC_STORE_CLAIMED : DC_STORE_TAKEN);
+}
+
+static void
+on_put(const struct pf_result *result, void *user)
+{
+	struct claim *claim = user;
+
+	en_note_platform(claim->entry, result->error);
+	switch (result->error) {
+	case CS_OK:
+		finish(claim, DC_STORE_CLAIMED);
+		return;
+	case CS_E_CONFLICT:
+	case CS_E_UNKNOWN:
+		pf_get(
+		    claim->entry->platform, claim->name, on_read_back, claim);
+		return;
+	default:
+		finish(claim, DC_STORE_UNAVAILABLE);
+		return;
+	}
+}
+
+void
+en_claim(uint64_t call, uint64_t key_a, uint64_t key_b, void *user)
+{
+	struct claim *claim = calloc(1, sizeof(*claim));
+	struct en_entry *entry = user;
+
+	claim->entry = entry;
+	claim->call = call;
+	snprintf(claim->name, sizeof(claim->name),
+	    "claims/%016" PRIx64 "%016" PRIx64, key_a, key_b);
+	snprintf(claim->value, sizeof(claim->value),
+	    "{\"epoch\":%" PRIu64 ",\"entry\":%" PRIu64 ",\"call\":%" PRIu64
+	    "}",
+	    entry->epoch, entry->own_id >> 1, call);
+	pf_put(entry->platform, claim->name, 0, claim->value,
+	    strlen(claim->value), on_put, claim);
+}
--- /dev/null
+++ b/programs/entry_config.c
@@ -0,0 +1,159 @@
+/*
+ * The configuration of an entry VM. A few VMs watch the store and the others
+ * learn of new versions from their peers. Versions only rise; when the store
+ * holds an older one than is in force, it is written back.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "entry.h"
+
+#define RECHECK_MS 1000
+
+static void watch(struct en_entry *entry);
+
+static uint64_t
+version_in_force(const struct en_entry *entry)
+{
+	struct cf_config *config = sv_config(entry->server);
+
+	return config == NULL ? 0 : cf_version(config);
+}
+
+/* Puts a stored text in force; CS_E_STALE when it is not newer. */
+static int
+take_text(struct en_entry *entry, const char *text, size_t bytes)
+{
+	char fault[CF_FAULT_BYTES_MAX];
+	struct cf_config *config;
+	uint64_t version;
+	int error;
+
+	if (cf_parse_stored(text, bytes, fault, &config) != CS_OK) {
+		cs_log(CS_LOG_CONFIG_REFUSED, "fault=\"%s\"", fault);
+		return CS_E_INVALID;
+	}
+	version = cf_version(config);
+	error = sv_set_config(entry->server, config);
+	cf_unref(config);
+	if (error != CS_OK)
+		return version < version_in_force(entry) ? CS_E_STALE : CS_OK;
+	cs_log(CS_LOG_CONFIG_IN_FORCE, "version=%llu",
+	    (unsigned long long)version);
+	pr_mesh_config(entry->mesh, version);
+	return CS_OK;
+}
+
+void
+en_config_from_peer(const char *text, size_t bytes, void *user)
+{
+	take_text(user, text, bytes);
+}
+
+char *
+en_config_text(void *user)
+{
+	struct en_entry *entry = user;
+	struct cf_config *config = sv_config(entry->server);
+
+	if (config == NULL)
+		return NULL;
+	return cf_store(config, cf_version(config), cf_writer(config));
+}
+
+static void
+on_repaired(const struct pf_result *result, void *user)
+{
+	struct en_entry *entry = user;
+
+	en_note_platform(entry, result->error);
+	entry->repairing = false;
+	if (result->error == CS_OK)
+		cs_log(CS_LOG_CONFIG_REPAIRED, "version=%llu",
+		    (unsigned long long)version_in_force(entry));
+}
+
+/* The store went back to an old copy: what was accepted is written again. */
+static void
+repair(struct en_entry *entry)
+{
+	char *text = en_config_text(entry);
+
+	cs_log(CS_LOG_CONFIG_STALE, "in_force=%llu",
+	    (unsigned long long)version_in_force(entry));
+	if (text == NULL || entry->repairing)
+		return;
+	entry->repairing = true;
+	pf_put(entry->platform, CF_OBJECT_NAME, entry->object_version, text,
+	    strlen(text), on_repaired, entry);
+	free(text);
+}
+
+static void
+on_config_timer(uv_timer_t *timer)
+{
+	watch(timer->data);
+}
+
+static void
+watch_later(struct en_entry *entry, uint32_t ms)
+{
+	uv_timer_start(&entry->config_timer, on_config_timer, ms, 0);
+}
+
+static void
+on_watched(const struct pf_result *result, void *user)
+{
+	struct en_entry *entry = user;
+
+	entry->watching = false;
+	en_note_platform(entry, result->error);
+	switch (result->error) {
+	case CS_OK:
+		entry->config_failures = 0;
+		entry->object_version = result->version;
+		if (take_text(entry, result->value, result->value_bytes) ==
+		    CS_E_STALE)
+			repair(entry);
+		watch_later(entry, 0);
+		return;
+	case CS_E_STALE:
+		entry->config_failures = 0;
+		watch_later(entry, 0);
+		return;
+	case CS_E_MISSING:
+		entry->object_version = 0;
+		if (version_in_force(entry) > 0)
+			repair(entry);
+		watch_later(entry, RECHECK_MS);
+		return;
+	default:
+		watch_later(
+		    entry, en_back_off_ms(entry, entry->config_failures++));
+		return;
+	}
+}
+
+/* Watches, or looks again later whether it is this VM's turn to watch. */
+static void
+watch(struct en_entry *entry)
+{
+	if (entry->watching)
+		return;
+	if (!en_is_watcher(entry) && version_in_force(entry) > 0) {
+		watch_later(entry, RECHECK_MS);
+		return;
+	}
+	entry->watching = true;
+	pf_watch(entry->platform, CF_OBJECT_NAME, entry->object_version,
+	    on_watched, entry);
+}
+
+void
+en_config_start(struct en_entry *entry)
+{
+	uv_timer_init(&entry->loop, &entry->config_timer);
+	entry->config_timer.data = entry;
+	watch(entry);
+}
--- /dev/null
+++ b/programs/entry_members.c
@@ -0,0 +1,287 @@
+/*
+ * Membership of an entry VM: registers in the store, finds its first peers
+ * there, and hands what the mesh knows to the directory and the core. Also
+ * reads the VM list for leaving targets.
+ */
+#include <glib.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "entry.h"
+
+#define PREFIX "entries/"
+#define LIST_LONELY_MS 500 /* while no other VM is known */
+#define LIST_INTERVAL_MS 30000
+#define CHECK_MS 250
+#define VM_LIST_INTERVAL_MS 1000
+
+static uint64_t
+name_id(const char *name)
+{
+	return cs_hash(name, strlen(name));
+}
+
+static enum dc_peer_state
+core_state(enum pr_state state)
+{
+	switch (state) {
+	case PR_ALIVE:
+	case PR_SUSPECT:
+		return DC_PEER_ALIVE;
+	case PR_LEFT:
+		return DC_PEER_LEAVING;
+	case PR_DEAD:
+		break;
+	}
+	return DC_PEER_DEAD;
+}
+
+static void
+fill(struct sv_entry *out, const struct pr_member *member)
+{
+	*out = (struct sv_entry){
+	    .id = member->id,
+	    .epoch = member->epoch,
+	    .state = pr_state_text(member->state),
+	    .core_state = core_state(member->state),
+	    .listed = member->state == PR_ALIVE,
+	};
+	g_strlcpy(out->name, member->name, sizeof(out->name));
+	g_strlcpy(out->address, member->listen, sizeof(out->address));
+	g_strlcpy(out->admin, member->admin, sizeof(out->admin));
+	g_strlcpy(
+	    out->data_centre, member->data_centre, sizeof(out->data_centre));
+	g_strlcpy(out->region, member->region, sizeof(out->region));
+}
+
+void
+en_members_changed(void *user)
+{
+	static struct sv_entry entries[SV_ENTRIES_MAX];
+	struct en_entry *entry = user;
+	const struct pr_members *members = pr_mesh_members(entry->mesh);
+	uint32_t i, count = pr_members_count(members);
+
+	if (count > SV_ENTRIES_MAX)
+		count = SV_ENTRIES_MAX;
+	for (i = 0; i < count; i++)
+		fill(&entries[i], pr_members_at(members, i));
+	sv_set_entries(entry->server, entries, count);
+}
+
+/* How many live members rank before this VM for a piece of shared work. */
+static uint32_t
+members_before(const struct en_entry *entry, const char *work)
+{
+	const struct pr_members *members = pr_mesh_members(entry->mesh);
+	uint64_t id = name_id(work);
+	uint64_t own_rank = cs_hash_pair(id, entry->own_id);
+	uint32_t i, before = 0;
+
+	for (i = 1; i < pr_members_count(members); i++) {
+		const struct pr_member *m = pr_members_at(members, i);
+
+		if (m->state == PR_ALIVE && cs_hash_pair(id, m->id) > own_rank)
+			before++;
+	}
+	return before;
+}
+
+bool
+en_is_watcher(const struct en_entry *entry)
+{
+	return members_before(entry, "platform") < EN_WATCHERS;
+}
+
+static bool
+is_lonely(const struct en_entry *entry)
+{
+	const struct pr_members *members = pr_mesh_members(entry->mesh);
+	uint32_t i;
+
+	for (i = 1; i < pr_members_count(members); i++) {
+		if (pr_members_at(members, i)->state <= PR_SUSPECT)
+			return false;
+	}
+	return true;
+}
+
+/* Removes the registration of a VM that the mesh knows to be gone. */
+static void
+on_removed(const struct pf_result *result, void *user)
+{
+	en_note_platform(user, result->error);
+}
+
+static void
+tidy(struct en_entry *entry, const char *key, json_int_t epoch)
+{
+	const struct pr_members *members = pr_mesh_members(entry->mesh);
+	int number = pr_members_find(members, name_id(key + strlen(PREFIX)));
+	const struct pr_member *member;
+
+	if (number <= 0 || members_before(entry, key) != 0)
+		return;
+	member = pr_members_at(members, (uint32_t)number);
+	if (member->state >= PR_DEAD && member->epoch == (uint64_t)epoch)
+		pf_delete(entry->platform, key, on_removed, entry);
+}
+
+static void
+on_listed(const struct pf_result *result, void *user)
+{
+	struct en_entry *entry = user;
+	const char *key, *peer;
+	json_t *root, *row;
+
+	en_note_platform(entry, result->error);
+	if (result->error != CS_OK)
+		return;
+	root = json_loadb(result->value, result->value_bytes, 0, NULL);
+	json_object_foreach(root, key, row)
+	{
+		peer = json_string_value(json_object_get(row, "peer"));
+		if (peer == NULL || strcmp(key, entry->object_name) == 0)
+			continue;
+		pr_mesh_seed(entry->mesh, peer);
+		tidy(entry, key,
+		    json_integer_value(json_object_get(row, "epoch")));
+	}
+	json_decref(root);
+}
+
+static void
+on_registered(const struct pf_result *result, void *user)
+{
+	struct en_entry *entry = user;
+	uint32_t ms;
+
+	en_note_platform(entry, result->error);
+	entry->registered = result->error == CS_OK;
+	if (entry->registered)
+		return;
+	ms = en_back_off_ms(entry, entry->register_failures++);
+	uv_timer_start(&entry->register_timer, entry->register_timer.timer_cb,
+	    ms, CHECK_MS);
+}
+
+static void
+send_registration(struct en_entry *entry)
+{
+	const struct pr_member *self =
+	    pr_members_self(pr_mesh_members(entry->mesh));
+	json_t *root;
+	char *text;
+
+	root = json_pack("{s:s, s:s, s:s, s:s, s:s, s:I}", "address",
+	    self->listen, "admin", self->admin, "peer", self->peer,
+	    "data_centre", self->data_centre, "region", self->region, "epoch",
+	    (json_int_t)self->epoch);
+	text = json_dumps(root, JSON_COMPACT);
+	json_decref(root);
+	pf_put(entry->platform, entry->object_name, PF_ANY_VERSION, text,
+	    strlen(text), on_registered, entry);
+	free(text);
+}
+
+static void
+on_register_timer(uv_timer_t *timer)
+{
+	struct en_entry *entry = timer->data;
+	int64_t interval_ms =
+	    is_lonely(entry) ? LIST_LONELY_MS : LIST_INTERVAL_MS;
+	int64_t since_us = cs_now_us() - entry->listed_us;
+
+	if (entry->leaving)
+		return;
+	if (!entry->registered) {
+		send_registration(entry);
+		entry->registered = true; /* until the answer says otherwise */
+	}
+	if (since_us < interval_ms * 1000)
+		return;
+	entry->listed_us = cs_now_us();
+	pf_list(entry->platform, PREFIX, on_listed, entry);
+}
+
+/* Whether a VM of the list is the one that runs a target. */
+static bool
+vm_has_target(const char *vm, const char *target)
+{
+	size_t length = strlen(vm);
+
+	if (strncmp(vm, target, length) != 0)
+		return false;
+	return target[length] == '\0' || target[length] == ':';
+}
+
+static void
+apply_vm(struct en_entry *entry, const char *vm, bool leaving)
+{
+	struct cf_config *config = sv_config(entry->server);
+	uint32_t i;
+
+	for (i = 0; config != NULL && i < cf_target_count(config); i++) {
+		const char *target = cf_target(config, i)->address;
+
+		if (vm_has_target(vm, target))
+			sv_target_drains(entry->server, target, leaving);
+	}
+}
+
+static void
+on_vms(const struct pf_result *result, void *user)
+{
+	struct en_entry *entry = user;
+	json_t *root, *row;
+	size_t i;
+
+	en_note_platform(entry, result->error);
+	if (result->error != CS_OK)
+		return;
+	root = json_loadb(result->value, result->value_bytes, 0, NULL);
+	json_array_foreach(root, i, row)
+	{
+		const char *vm =
+		    json_string_value(json_object_get(row, "address"));
+		const char *state =
+		    json_string_value(json_object_get(row, "state"));
+
+		if (vm != NULL && state != NULL)
+			apply_vm(entry, vm, strcmp(state, "leaving") == 0);
+	}
+	json_decref(root);
+}
+
+static void
+on_vm_timer(uv_timer_t *timer)
+{
+	struct en_entry *entry = timer->data;
+
+	if (!entry->leaving && en_is_watcher(entry))
+		pf_vms(entry->platform, on_vms, entry);
+}
+
+void
+en_members_start(struct en_entry *entry)
+{
+	entry->listed_us = cs_now_us() - LIST_INTERVAL_MS * 1000LL;
+	en_members_changed(entry);
+	uv_timer_init(&entry->loop, &entry->register_timer);
+	entry->register_timer.data = entry;
+	uv_timer_start(&entry->register_timer, on_register_timer, 0, CHECK_MS);
+	uv_timer_init(&entry->loop, &entry->vm_timer);
+	entry->vm_timer.data = entry;
+	uv_timer_start(&entry->vm_timer, on_vm_timer, VM_LIST_INTERVAL_MS,
+	    VM_LIST_INTERVAL_MS);
+}
+
+void
+en_members_leave(struct en_entry *entry)
+{
+	pr_mesh_leave(entry->mesh);
+	en_members_changed(entry);
+	pf_delete(entry->platform, entry->object_name, on_removed, entry);
+}
--- a/programs/session.c
+++ b/programs/session.c
@@ -134,13 +134,57 @@
 	wait_for_answer(session);
 }
 
+static void
+add_entry(struct se_entry *entries, uint32_t *count, const char *name,
+    const char *admin)
+{
+	struct se_entry *entry = &entries[*count];
+
+	if (name == NULL || admin == NULL || *count == SE_ENTRIES_MAX)
+		return;
+	g_strlcpy(entry->name, name, sizeof(entry->name));
+	g_strlcpy(entry->admin, admin, sizeof(entry->admin));
+	(*count)++;
+}
+
+static int
+read_members(struct se_session *session, const char *admin,
+    struct se_entry *entries, uint32_t *count)
+{
+	struct se_answer answer;
+	json_t *root, *row;
+	size_t i;
+
+	se_admin(session, admin, "/members", &answer);
+	root = json_loads(answer.value, 0, NULL);
+	g_free(answer.value);
+	if (answer.error != CS_OK || !json_is_array(root)) {
+		json_decref(root);
+		return CS_E_UNAVAILABLE;
+	}
+	json_array_foreach(root, i, row)
+	{
+		const char *state =
+		    json_string_value(json_object_get(row, "state"));
+
+		if (state != NULL && (strcmp(state, "alive") == 0 ||
+					 strcmp(state, "suspect") == 0))
+			add_entry(entries, count,
+			    json_string_value(json_object_get(row, "name")),
+			    json_string_value(json_object_get(row, "admin")));
+	}
+	json_decref(root);
+	return CS_OK;
+}
+
 int
 se_entries(struct se_session *session, struct se_entry entries[SE_ENTRIES_MAX],
     uint32_t *count)
 {
 	struct se_answer answer;
+	int error = CS_E_UNAVAILABLE;
 	const char *key;
-	json_t *root, *value;
+	json_t *root, *row;
 
 	*count = 0;
 	begin(session, &answer);
@@ -148,23 +192,19 @@
 	wait_for_answer(session);
 	root = json_loads(answer.value, 0, NULL);
 	g_free(answer.value);
-	if (answer.error != CS_OK || root == NULL)
-		return CS_E_UNAVAILABLE;
-	json_object_foreach(root, key, value)
+	json_object_foreach(root, key, row)
 	{
-		struct se_entry *entry = &entries[*count];
 		const char *admin =
-		    json_string_value(json_object_get(value, "admin"));
+		    json_string_value(json_object_get(row, "admin"));
 
-		if (admin == NULL || *count == SE_ENTRIES_MAX)
+		if (admin == NULL)
 			continue;
-		g_strlcpy(
-		    entry->name, key + strlen("entries/"), sizeof(entry->name));
-		g_strlcpy(entry->admin, admin, sizeof(entry->admin));
-		(*count)++;
+		error = read_members(session, admin, entries, count);
+		if (error == CS_OK)
+			break;
 	}
 	json_decref(root);
-	return CS_OK;
+	return error;
 }
 
 static void
--- a/programs/session.h
+++ b/programs/session.h
@@ -42,7 +42,10 @@
 /* se_admin(session, address, path, out): reads from an admin listener. */
 void se_admin(struct se_session *session, const char *address, const char *path,
     struct se_answer *out);
-/* se_entries(session, entries, count): the registered entry VMs. */
+/*
+ * se_entries(session, entries, count): the entry VMs that are live, as the
+ * first registered one that answers knows them.
+ */
 int se_entries(struct se_session *session,
     struct se_entry entries[SE_ENTRIES_MAX], uint32_t *count);
 /* se_sleep(session, ms): lets time pass. */
