--- a/lib/decide/core.c
+++ b/lib/decide/core.c
@@ -410,9 +410,3 @@
 	}
 	return at_us;
 }
-
-void
-dc_counters(const struct dc_core *core, struct dc_counters *out)
-{
-	*out = core->counters;
-}
--- a/lib/decide/decide.h
+++ b/lib/decide/decide.h
@@ -227,7 +227,9 @@
 	DC_MSG_LEASE_RETURN = 3, /* given back, to the owner */
 	DC_MSG_LEASE_SCARCE = 4, /* the group turned scarce, or idle again */
 	DC_MSG_LEASE_RECALL = 5, /* give back what ends next on a target */
-	DC_MSG_LEASE_HELD = 6,	 /* what a holder holds, to a new owner */
+	DC_MSG_LEASE_HELD = 6,	 /* what a holder holds, after a SYNC */
+	DC_MSG_LEASE_SYNC = 7, /* forget what this holder holds; HELD follow */
+	DC_MSG_LEASE_SYNC_ASK = 8, /* by a new owner, to every VM */
 	DC_MSG_KEY_WINDOW_ASK = 16,
 	DC_MSG_KEY_WINDOW = 17, /* the witness's clock */
 	DC_MSG_KEY_CLAIM = 18,	/* by the home, before it sends */
@@ -243,9 +245,14 @@
 	uint64_t count;
 };
 
+/*
+ * The sync is the number of the holder's last SYNC. What was under way when it
+ * said anew what it holds carries an older number and does not count.
+ */
 struct dc_lease_target_count {
 	uint64_t target;
 	uint64_t count;
+	uint64_t sync;
 };
 
 struct dc_key_window {
@@ -308,6 +315,8 @@
 		struct dc_lease_group_count scarce;
 		struct dc_lease_target_count recall;
 		struct dc_lease_target_count held;
+		struct dc_lease_group_count sync; /* count: its number */
+		struct dc_lease_group_count sync_ask;
 		struct dc_key_window window;
 		struct dc_key_claim claim;
 		struct dc_key_claim_result claim_result;
@@ -469,6 +478,27 @@
 };
 void dc_counters(const struct dc_core *core, struct dc_counters *out);
 
+/*
+ * dc_target_info(core, index, out): what is known of one target; the indexes
+ * run from 0 until CS_E_MISSING. Slots without a target give an id of 0.
+ */
+struct dc_target_info {
+	uint64_t id;
+	uint32_t slots;
+	uint32_t in_flight; /* attempts of this VM */
+	uint32_t leased;    /* slots that this VM holds */
+	uint32_t granted;   /* slots given out, when this VM is the owner */
+	uint64_t owner;	    /* entry VM, 0: none */
+	int64_t service_us; /* moving average */
+	bool ejected;
+	bool drains;
+};
+int dc_target_info(
+    const struct dc_core *core, uint32_t index, struct dc_target_info *out);
+/* dc_quarantined(core, index, out): fingerprints in quarantine, likewise. */
+int dc_quarantined(
+    const struct dc_core *core, uint32_t index, uint64_t *fingerprint);
+
 /*
  * dc_check(core): walks the whole state and returns NULL, or the text of the
  * first invariant that does not hold. For tests and the fuzzer.
--- a/lib/decide/decide_internal.h
+++ b/lib/decide/decide_internal.h
@@ -153,6 +153,7 @@
 	uint32_t pool;
 	uint32_t owner; /* peer, DC_NONE: not known yet */
 	/* As a holder. */
+	uint64_t sync;	   /* number of the last SYNC to the owner */
 	bool scarce;	   /* idle leases go back */
 	uint32_t wanted;   /* as the owner was told last */
 	int64_t wanted_us; /* when */
@@ -165,7 +166,8 @@
 	uint32_t want_total;
 	uint32_t want[DC_PEERS_MAX];
 	uint32_t held[DC_PEERS_MAX];
-	bool told[DC_PEERS_MAX]; /* that it is scarce */
+	uint64_t sync_of[DC_PEERS_MAX]; /* 0: has not said what it holds */
+	bool told[DC_PEERS_MAX];	/* that it is scarce */
 };
 
 struct dc_route {
@@ -253,6 +255,7 @@
 	int64_t suspects_until_us; /* the last of them lapses */
 	int64_t pools_wake_us;	   /* look at waiting calls again */
 	int64_t keys_wake_us;	   /* ask the witness for its window again */
+	uint64_t lease_syncs;	   /* numbers given to SYNCs so far */
 	uint32_t peer_count;
 	struct dc_peer peers[DC_PEERS_MAX];
 	uint32_t witness; /* of keys issued now, DC_NONE: none */
@@ -371,8 +374,8 @@
 void dc_lease_ask(struct dc_core *core, struct dc_pool *pool);
 void dc_lease_ended(struct dc_core *core, struct dc_target *target);
 void dc_lease_report_held(struct dc_core *core, struct dc_group *group);
-void dc_lease_on_grant(
-    struct dc_core *core, uint32_t peer, uint64_t target, uint32_t count);
+void dc_lease_on_grant(struct dc_core *core, uint32_t peer,
+    const struct dc_lease_target_count *grant);
 void dc_lease_on_scarce(
     struct dc_core *core, struct dc_group *group, bool scarce);
 void dc_lease_on_recall(
@@ -391,9 +394,11 @@
 void dc_owner_on_want(struct dc_core *core, struct dc_group *group,
     uint32_t peer, uint32_t count);
 void dc_owner_on_return(struct dc_core *core, struct dc_target *target,
-    uint32_t peer, uint32_t count);
+    uint32_t peer, const struct dc_lease_target_count *returned);
+void dc_owner_on_sync(
+    struct dc_core *core, struct dc_group *group, uint32_t peer, uint64_t sync);
 void dc_owner_on_held(struct dc_core *core, struct dc_target *target,
-    uint32_t peer, uint32_t count);
+    uint32_t peer, const struct dc_lease_target_count *held);
 
 /* key_table.c */
 int dc_key_table_init(struct dc_key_table *table, uint32_t size);
--- a/lib/decide/fields.c
+++ b/lib/decide/fields.c
@@ -49,6 +49,8 @@
 	switch (type) {
 	case DC_MSG_LEASE_WANT:
 	case DC_MSG_LEASE_SCARCE:
+	case DC_MSG_LEASE_SYNC:
+	case DC_MSG_LEASE_SYNC_ASK:
 		return FIELDS(dc_lease_group_count);
 	case DC_MSG_LEASE_GRANT:
 	case DC_MSG_LEASE_RETURN:
--- a/lib/decide/holder.c
+++ b/lib/decide/holder.c
@@ -53,19 +53,25 @@
 give_back(struct dc_core *core, struct dc_target *target, uint32_t count)
 {
 	struct dc_group *group = group_of(core, target);
+	struct dc_lease_target_count returned;
 
 	target->leased -= count;
 	target->recalled -= count < target->recalled ? count : target->recalled;
 	if (!target->listed || group->owner == DC_NONE)
 		return;
+	returned = (struct dc_lease_target_count){
+	    .target = target->id,
+	    .count = count,
+	    .sync = group->sync,
+	};
 	if (group->owner == DC_SELF) {
-		dc_owner_on_return(core, target, DC_SELF, count);
+		dc_owner_on_return(core, target, DC_SELF, &returned);
 		return;
 	}
 	dc_peer_send(core, group->owner,
 	    &(struct dc_message){
 		.type = DC_MSG_LEASE_RETURN,
-		.returned = {.target = target->id, .count = count},
+		.returned = returned,
 	    });
 }
 
@@ -101,25 +107,21 @@
 }
 
 void
-dc_lease_on_grant(
-    struct dc_core *core, uint32_t peer, uint64_t id, uint32_t count)
+dc_lease_on_grant(struct dc_core *core, uint32_t peer,
+    const struct dc_lease_target_count *grant)
 {
-	uint32_t number = dc_target_find(core, id);
+	uint32_t count = (uint32_t)grant->count;
+	uint32_t number = dc_target_find(core, grant->target);
 	struct dc_target *target;
 	struct dc_group *group;
 
-	if (number == DC_NONE || !core->targets[number].listed ||
-	    core->groups[core->targets[number].group].owner != peer) {
-		if (peer != DC_SELF)
-			dc_peer_send(core, peer,
-			    &(struct dc_message){
-				.type = DC_MSG_LEASE_RETURN,
-				.returned = {.target = id, .count = count},
-			    });
+	if (number == DC_NONE || !core->targets[number].listed)
 		return;
-	}
 	target = &core->targets[number];
 	group = group_of(core, target);
+	/* A grant from before the last SYNC is forgotten at the other end. */
+	if (group->owner != peer || group->sync != grant->sync)
+		return;
 	target->leased += count;
 	group->wanted -= count < group->wanted ? count : group->wanted;
 	group->asked_us = 0;
@@ -176,23 +178,43 @@
 report_target(struct dc_core *core, struct dc_target *target)
 {
 	struct dc_group *group = group_of(core, target);
+	struct dc_lease_target_count held = {
+	    .target = target->id,
+	    .count = target->leased,
+	    .sync = group->sync,
+	};
 
 	target->recalled = 0;
+	if (target->leased == 0)
+		return;
 	if (group->owner == DC_SELF)
-		dc_owner_on_held(core, target, DC_SELF, target->leased);
-	else if (target->leased > 0)
+		dc_owner_on_held(core, target, DC_SELF, &held);
+	else
 		dc_peer_send(core, group->owner,
 		    &(struct dc_message){
 			.type = DC_MSG_LEASE_HELD,
-			.held = {.target = target->id, .count = target->leased},
+			.held = held,
 		    });
 }
 
+/* Says anew what this VM holds of the group, and that nothing else counts. */
 void
 dc_lease_report_held(struct dc_core *core, struct dc_group *group)
 {
-	if (group->owner != DC_NONE)
-		for_each_target(core, group, report_target);
+	group->sync = ++core->lease_syncs;
+	group->wanted = 0;
+	group->asked_us = 0;
+	if (group->owner == DC_NONE)
+		return;
+	if (group->owner == DC_SELF)
+		dc_owner_on_sync(core, group, DC_SELF, group->sync);
+	else
+		dc_peer_send(core, group->owner,
+		    &(struct dc_message){
+			.type = DC_MSG_LEASE_SYNC,
+			.sync = {.group = group->id, .count = group->sync},
+		    });
+	for_each_target(core, group, report_target);
 }
 
 /* Gives back what neither a waiting call nor the next one may use. */
--- a/lib/decide/owner.c
+++ b/lib/decide/owner.c
@@ -63,17 +63,36 @@
 		group->want[j] = 0;
 		group->held[j] = 0;
 		group->told[j] = false;
+		group->sync_of[j] = 0;
 	}
 	group->want_total = 0;
 	group->told_scarce = false;
 }
 
+/* Holders that saw no change of owner have to say what they hold as well. */
+static void
+ask_for_sync(struct dc_core *core, const struct dc_group *group)
+{
+	uint32_t peer;
+
+	for (peer = 1; peer < core->peer_count; peer++) {
+		if (core->peers[peer].state == DC_PEER_DEAD)
+			continue;
+		dc_peer_send(core, peer,
+		    &(struct dc_message){
+			.type = DC_MSG_LEASE_SYNC_ASK,
+			.sync_ask = {.group = group->id},
+		    });
+	}
+}
+
 void
 dc_owner_begin(struct dc_core *core, struct dc_group *group)
 {
 	clear_grants(core, group);
 	group->owned_since_us = core->now_us;
 	group->idle_since_us = 0;
+	ask_for_sync(core, group);
 }
 
 void
@@ -150,18 +169,22 @@
 grant(struct dc_core *core, struct dc_target *target, uint32_t peer)
 {
 	struct dc_group *group = group_of(core, target);
+	struct dc_lease_target_count granted = {
+	    .target = target->id,
+	    .count = 1,
+	    .sync = group->sync_of[peer],
+	};
 
 	change_granted(core, target, peer, target->granted_to[peer] + 1u);
 	set_want(group, peer, group->want[peer] - 1);
-	if (peer == DC_SELF) {
-		dc_lease_on_grant(core, DC_SELF, target->id, 1);
-		return;
-	}
-	dc_peer_send(core, peer,
-	    &(struct dc_message){
-		.type = DC_MSG_LEASE_GRANT,
-		.grant = {.target = target->id, .count = 1},
-	    });
+	if (peer == DC_SELF)
+		dc_lease_on_grant(core, DC_SELF, &granted);
+	else
+		dc_peer_send(core, peer,
+		    &(struct dc_message){
+			.type = DC_MSG_LEASE_GRANT,
+			.grant = granted,
+		    });
 }
 
 static bool
@@ -335,6 +358,8 @@
 {
 	bool waited = group->want[peer] > 0;
 
+	if (group->sync_of[peer] == 0)
+		return; /* its SYNC was lost, and comes again with a link */
 	set_want(group, peer, count);
 	distribute(core, group);
 	if (group->want[peer] == 0)
@@ -347,32 +372,61 @@
 		recall_for(core, group, peer);
 }
 
+static bool
+is_current(const struct dc_core *core, const struct dc_target *target,
+    uint32_t peer, uint64_t sync)
+{
+	const struct dc_group *group = &core->groups[target->group];
+
+	return target->listed && group->owner == DC_SELF &&
+	       group->sync_of[peer] == sync;
+}
+
 void
 dc_owner_on_return(struct dc_core *core, struct dc_target *target,
-    uint32_t peer, uint32_t count)
+    uint32_t peer, const struct dc_lease_target_count *returned)
 {
 	struct dc_group *group = group_of(core, target);
-	uint32_t had = target->granted_to[peer];
+	uint64_t had = target->granted_to[peer];
+	uint64_t left = returned->count < had ? had - returned->count : 0;
 
-	if (!target->listed || group->owner != DC_SELF)
+	if (!is_current(core, target, peer, returned->sync))
 		return;
-	change_granted(core, target, peer, count < had ? had - count : 0);
+	change_granted(core, target, peer, (uint32_t)left);
 	distribute(core, group);
 	notice_idle(core, group);
 }
 
+/* Forgets what a holder held: it says so anew with the HELD that follow. */
+void
+dc_owner_on_sync(
+    struct dc_core *core, struct dc_group *group, uint32_t peer, uint64_t sync)
+{
+	const struct dc_pool *pool = &core->pools[group->pool];
+	uint32_t i;
+
+	for (i = 0; i < pool->target_count; i++) {
+		struct dc_target *target = &core->targets[pool->targets[i]];
+
+		if (is_in_group(core, group, target))
+			change_granted(core, target, peer, 0);
+	}
+	set_want(group, peer, 0);
+	group->told[peer] = false;
+	group->sync_of[peer] = sync;
+}
+
 void
 dc_owner_on_held(struct dc_core *core, struct dc_target *target, uint32_t peer,
-    uint32_t count)
+    const struct dc_lease_target_count *held)
 {
-	struct dc_group *group = group_of(core, target);
 	uint32_t limit =
 	    target->slots + (uint32_t)core->parameters[DC_P_LEASE_OVER_COMMIT];
 
-	if (!target->listed || group->owner != DC_SELF)
+	if (!is_current(core, target, peer, held->sync))
 		return;
-	change_granted(
-	    core, target, peer, count > GRANTED_MAX ? GRANTED_MAX : count);
+	change_granted(core, target, peer,
+	    held->count > GRANTED_MAX ? GRANTED_MAX : (uint32_t)held->count);
 	if (target->granted > limit && peer != DC_SELF)
 		dc_peer_send(core, peer,
 		    &(struct dc_message){
@@ -401,6 +455,7 @@
 			continue;
 		set_want(group, peer, 0);
 		group->told[peer] = false;
+		group->sync_of[peer] = 0;
 		distribute(core, group);
 	}
 }
--- a/lib/decide/peers.c
+++ b/lib/decide/peers.c
@@ -93,8 +93,6 @@
 		dc_owner_end(core, group);
 	group->owner = owner;
 	group->scarce = false;
-	group->wanted = 0;
-	group->asked_us = 0;
 	if (owner == DC_SELF)
 		dc_owner_begin(core, group);
 	dc_lease_report_held(core, group);
@@ -130,7 +128,6 @@
 
 		if (!group->used || group->owner != peer)
 			continue;
-		group->wanted = 0;
 		dc_lease_report_held(core, group);
 		dc_pool_wake(&core->pools[group->pool]);
 	}
@@ -144,7 +141,7 @@
 {
 	if (peer == DC_NONE || core->actions->count == DC_ACTIONS_MAX)
 		return;
-	if (message->type <= DC_MSG_LEASE_HELD)
+	if (message->type < DC_MSG_KEY_WINDOW_ASK)
 		core->counters.lease_messages++;
 	dc_act(core, DC_ACT_MESSAGE)->message = (struct dc_envelope){
 	    .peer = core->peers[peer].id,
@@ -152,45 +149,83 @@
 	};
 }
 
+/* Lease messages that name a group. */
 static void
-on_lease_message(
+on_group_message(
     struct dc_core *core, uint32_t peer, const struct dc_message *message)
 {
-	struct dc_group *group;
-	uint32_t number;
+	struct dc_group *group = dc_group_find(core, message->want.group);
+	uint64_t count = message->want.count;
 
+	if (group == NULL)
+		return;
 	switch (message->type) {
 	case DC_MSG_LEASE_WANT:
-		group = dc_group_find(core, message->want.group);
-		if (group != NULL && group->owner == DC_SELF)
-			dc_owner_on_want(
-			    core, group, peer, (uint32_t)message->want.count);
+		if (group->owner == DC_SELF)
+			dc_owner_on_want(core, group, peer, (uint32_t)count);
+		return;
+	case DC_MSG_LEASE_SYNC:
+		if (group->owner == DC_SELF)
+			dc_owner_on_sync(core, group, peer, count);
 		return;
 	case DC_MSG_LEASE_SCARCE:
-		group = dc_group_find(core, message->scarce.group);
-		if (group != NULL && group->owner == peer)
-			dc_lease_on_scarce(
-			    core, group, message->scarce.count != 0);
+		if (group->owner == peer)
+			dc_lease_on_scarce(core, group, count != 0);
 		return;
-	case DC_MSG_LEASE_GRANT:
-		dc_lease_on_grant(core, peer, message->grant.target,
-		    (uint32_t)message->grant.count);
+	case DC_MSG_LEASE_SYNC_ASK:
+		if (group->owner == peer)
+			dc_lease_report_held(core, group);
 		return;
 	default:
-		break;
+		return;
 	}
-	number = dc_target_find(core, message->returned.target);
+}
+
+/* Lease messages that name a target. */
+static void
+on_target_message(
+    struct dc_core *core, uint32_t peer, const struct dc_message *message)
+{
+	uint32_t number = dc_target_find(core, message->grant.target);
+	struct dc_target *target;
+
 	if (number == DC_NONE)
 		return;
-	if (message->type == DC_MSG_LEASE_RETURN)
-		dc_owner_on_return(core, &core->targets[number], peer,
-		    (uint32_t)message->returned.count);
-	else if (message->type == DC_MSG_LEASE_HELD)
-		dc_owner_on_held(core, &core->targets[number], peer,
-		    (uint32_t)message->held.count);
-	else
-		dc_lease_on_recall(core, &core->targets[number],
-		    (uint32_t)message->recall.count);
+	target = &core->targets[number];
+	switch (message->type) {
+	case DC_MSG_LEASE_GRANT:
+		dc_lease_on_grant(core, peer, &message->grant);
+		return;
+	case DC_MSG_LEASE_RETURN:
+		dc_owner_on_return(core, target, peer, &message->returned);
+		return;
+	case DC_MSG_LEASE_HELD:
+		dc_owner_on_held(core, target, peer, &message->held);
+		return;
+	case DC_MSG_LEASE_RECALL:
+		dc_lease_on_recall(
+		    core, target, (uint32_t)message->recall.count);
+		return;
+	default:
+		return;
+	}
+}
+
+static void
+on_lease_message(
+    struct dc_core *core, uint32_t peer, const struct dc_message *message)
+{
+	switch (message->type) {
+	case DC_MSG_LEASE_WANT:
+	case DC_MSG_LEASE_SYNC:
+	case DC_MSG_LEASE_SCARCE:
+	case DC_MSG_LEASE_SYNC_ASK:
+		on_group_message(core, peer, message);
+		return;
+	default:
+		on_target_message(core, peer, message);
+		return;
+	}
 }
 
 static void
@@ -286,7 +321,7 @@
 		on_drains(core, &message->drains);
 		return CS_OK;
 	default:
-		if (message->type > DC_MSG_LEASE_HELD)
+		if (message->type == 0 || message->type > DC_MSG_LEASE_SYNC_ASK)
 			return CS_E_INVALID;
 		on_lease_message(core, peer, message);
 		return CS_OK;
