Admission: idle gaps do not count, answers that would be late are not begun

(2) At 3 times capacity 4,033 calls were sent with too little time left, cancelled at their deadline and answered "unknown". (3) A slow call on a VM whose leases are all on one target was never hedged.

Ruled out: shorter queues by count (the right length depends on the service time); a hedge without a lease (over-commits at the crest).

--- a/lib/decide/attempts.c
+++ b/lib/decide/attempts.c
@@ -5,6 +5,9 @@
 /* The running 95th percentile moves by 1/16 of itself at most. */
 #define SLOW_SHIFT 4
 #define SLOW_PERCENT 95
+/* Looks for a free slot for a hedge, and the pause between them. */
+#define HEDGE_TRIES_MAX 4
+#define HEDGE_RETRY_US 5000
 
 static struct dc_route *
 route_of(struct dc_core *core, const struct dc_call *call)
@@ -67,6 +70,19 @@
 	}
 }
 
+static int64_t
+hedge_look_us(const struct dc_core *core, const struct dc_call *call,
+    const struct dc_attempt *attempt, const struct dc_route *route)
+{
+	int64_t slow_at_us = attempt->started_us + route->slow_us;
+
+	if (slow_at_us > core->now_us)
+		return slow_at_us;
+	if (call->hedge_tries > 0 && call->hedge_tries < HEDGE_TRIES_MAX)
+		return core->now_us + HEDGE_RETRY_US;
+	return INT64_MAX;
+}
+
 /* When the attempt is looked at next: connect limit, hedge, or never. */
 static int64_t
 next_look_us(struct dc_core *core, const struct dc_call *call,
@@ -79,7 +95,7 @@
 		       core->parameters[DC_P_CONNECT_TIMEOUT_US];
 	if (attempt->state == DC_ATTEMPT_SENT && call->idempotent &&
 	    call->sends == 1 && route->slow_us > 0)
-		return attempt->started_us + route->slow_us;
+		return hedge_look_us(core, call, attempt, route);
 	return INT64_MAX;
 }
 
@@ -336,8 +352,13 @@
 		return;
 	call->avoid = first->target;
 	choice = dc_target_pick(core, pool, call);
-	if (choice.target == DC_NONE || choice.target == first->target ||
-	    !take_budget(&route->hedge_budget))
+	if (choice.target == DC_NONE || choice.target == first->target) {
+		if (call->hedge_tries < HEDGE_TRIES_MAX &&
+		    dc_lease_ask_spare(core, pool))
+			call->hedge_tries++;
+		return;
+	}
+	if (!take_budget(&route->hedge_budget))
 		return;
 	core->counters.hedges++;
 	dc_attempt_send(core, call, choice);
--- a/lib/decide/decide.h
+++ b/lib/decide/decide.h
@@ -147,6 +147,7 @@
 	uint64_t pool;
 	uint64_t weight;
 	uint64_t idempotent;
+	int64_t objective_us; /* an answer is late after this, 0: none */
 };
 
 /* The key's hash, and what its token says when its scope is DC_KEY_HOME. */
--- a/lib/decide/decide_internal.h
+++ b/lib/decide/decide_internal.h
@@ -75,6 +75,7 @@
 	bool maybe_ran; /* an attempt was sent, or may have been elsewhere */
 	bool suspect;	/* in flight when a target died */
 	bool kill_asked;
+	uint32_t hedge_tries; /* looks for a free slot, so far */
 	int64_t arrived_us;
 	int64_t deadline_us;
 	uint32_t sends;
@@ -137,6 +138,7 @@
 	uint32_t waiting;
 	uint32_t calls; /* in any state */
 	int64_t last_send_us;
+	bool left_waiting;   /* the last send left calls waiting */
 	int64_t interval_us; /* moving average between sends while some wait */
 	int64_t service_us;  /* moving average of an attempt */
 };
@@ -177,6 +179,7 @@
 	uint32_t pool;
 	uint32_t weight;
 	bool idempotent;
+	int64_t objective_us;
 	int64_t retry_budget; /* thousandths of a call */
 	int64_t hedge_budget;
 	int64_t slow_us; /* running estimate of the 95th percentile */
@@ -372,6 +375,7 @@
 struct dc_choice dc_lease_pick(struct dc_core *core, struct dc_pool *pool,
     const struct dc_call *call, bool panic);
 void dc_lease_ask(struct dc_core *core, struct dc_pool *pool);
+bool dc_lease_ask_spare(struct dc_core *core, struct dc_pool *pool);
 void dc_lease_ended(struct dc_core *core, struct dc_target *target);
 void dc_lease_report_held(struct dc_core *core, struct dc_group *group);
 void dc_lease_on_grant(struct dc_core *core, uint32_t peer,
--- a/lib/decide/dispatch.c
+++ b/lib/decide/dispatch.c
@@ -78,17 +78,23 @@
 		route->hedge_budget = BUDGET_MAX;
 }
 
-/* Whether the queue before a call would take the time it has left. */
+/*
+ * Whether the queue before a call would take the time it has left: until its
+ * deadline or, where there is a queue, until its answer would count as late.
+ */
 static bool
-would_be_late(
-    const struct dc_core *core, const struct dc_pool *pool, int64_t deadline_us)
+would_be_late(const struct dc_core *core, const struct dc_pool *pool,
+    const struct dc_route *route, int64_t deadline_us)
 {
-	int64_t wait_us;
+	int64_t limit_us = deadline_us, wait_us;
 
 	if (pool->waiting == 0)
 		return false;
+	if (route->objective_us > 0 &&
+	    core->now_us + route->objective_us < limit_us)
+		limit_us = core->now_us + route->objective_us;
 	wait_us = (int64_t)pool->waiting * pool->interval_us;
-	return core->now_us + wait_us + pool->service_us > deadline_us;
+	return core->now_us + wait_us + route->slow_us > limit_us;
 }
 
 /* Makes room by refusing lighter waiting work; false when there is none. */
@@ -114,7 +120,7 @@
 	if (pool->waiting >= core->parameters[DC_P_QUEUE_MAX] &&
 	    !displace(core, pool, route->weight))
 		return DC_REASON_QUEUE_FULL;
-	if (would_be_late(core, pool, deadline_us) &&
+	if (would_be_late(core, pool, route, deadline_us) &&
 	    !displace(core, pool, route->weight))
 		return DC_REASON_WOULD_BE_LATE;
 	return DC_REASON_NONE;
@@ -205,25 +211,30 @@
 	return CS_OK;
 }
 
-/* Learns how fast the queue moves while calls wait in it. */
+/*
+ * Learns how fast the queue moves: from the gaps between two sends that left
+ * calls waiting. Other gaps include idle time.
+ */
 static void
 note_send(struct dc_core *core, struct dc_pool *pool)
 {
 	int64_t gap_us = core->now_us - pool->last_send_us;
 
-	pool->last_send_us = core->now_us;
-	if (pool->waiting > 0)
+	if (pool->left_waiting)
 		pool->interval_us +=
 		    (gap_us - pool->interval_us) >> AVERAGE_SHIFT;
+	pool->last_send_us = core->now_us;
+	pool->left_waiting = pool->waiting > 0;
 }
 
+/* A call that has waited needs the time that most answers take. */
 static bool
-is_hopeless(const struct dc_core *core, const struct dc_pool *pool,
-    const struct dc_call *call)
+is_hopeless(const struct dc_core *core, const struct dc_call *call)
 {
 	if (call->arrived_us == core->now_us)
 		return false;
-	return core->now_us + pool->service_us / 2 > call->deadline_us;
+	return core->now_us + core->routes[call->route].slow_us >
+	       call->deadline_us;
 }
 
 /* Handles the first waiting call; false when it has to wait on. */
@@ -237,7 +248,7 @@
 		dc_call_refuse(core, call, DC_REASON_NO_TARGET);
 		return true;
 	}
-	if (is_hopeless(core, pool, call)) {
+	if (is_hopeless(core, call)) {
 		dc_call_refuse(core, call, DC_REASON_WOULD_BE_LATE);
 		return true;
 	}
--- a/lib/decide/holder.c
+++ b/lib/decide/holder.c
@@ -262,8 +262,8 @@
 		return;
 	if (count > WANT_MAX)
 		count = WANT_MAX;
-	if (count == 0 && group->wanted == 0)
-		return;
+	if (count == 0 && group->wanted <= 1)
+		return; /* one spare slot may be useful soon */
 	if (group->wanted == 0 || count == 0 || count >= 2 * group->wanted ||
 	    (count != group->wanted && since_us >= WANT_INTERVAL_US) ||
 	    since_us >= WANT_REPEAT_US)
@@ -299,6 +299,24 @@
 	}
 }
 
+/* Asks for one slot beyond the waiting calls; false while slots are scarce. */
+bool
+dc_lease_ask_spare(struct dc_core *core, struct dc_pool *pool)
+{
+	uint32_t preferred = preferred_group(core, pool);
+	struct dc_group *group;
+
+	if (core->parameters[DC_P_DISPATCH] != DC_DISPATCH_LEASES ||
+	    preferred == DC_NONE)
+		return false;
+	group = &core->groups[preferred];
+	if (group->scarce || group->owner == DC_NONE)
+		return false;
+	if (group->wanted == 0)
+		send_want(core, group, 1);
+	return true;
+}
+
 static bool
 owner_is_silent(const struct dc_core *core, const struct dc_group *group)
 {
--- a/lib/decide/table.c
+++ b/lib/decide/table.c
@@ -236,6 +236,7 @@
 	route->pool = pool;
 	route->weight = (uint32_t)event->weight;
 	route->idempotent = event->idempotent != 0;
+	route->objective_us = event->objective_us;
 	dc_queue_add_class(&core->pools[pool], route->weight);
 	return CS_OK;
 }
--- a/lib/serve/admin.c
+++ b/lib/serve/admin.c
@@ -68,6 +68,12 @@
 	g_string_append_printf(text, "chervilshelf_%s %llu\n", name, value);
 }
 
+static void
+add_counter(void *page, const char *name, uint64_t value)
+{
+	append_metric(page, name, "counter", value);
+}
+
 static void
 metrics(struct sv_server *server, h2o_req_t *req)
 {
@@ -95,6 +101,8 @@
 	append_metric(text, "key_kills_total", "counter", c.key_kills);
 	append_metric(text, "calls_waiting", "gauge", c.waiting);
 	append_metric(text, "calls_running", "gauge", c.running);
+	server->params.callbacks.metrics(
+	    add_counter, text, server->params.callbacks.user);
 	ht_reply(req, 200, "text/plain; version=0.0.4", text->str, text->len);
 	g_string_free(text, TRUE);
 }
--- a/lib/serve/serve.h
+++ b/lib/serve/serve.h
@@ -34,6 +34,9 @@
 	bool listed; /* in the directory */
 };
 
+/* Adds one counter to the metrics page that is being written. */
+typedef void (*sv_add_metric)(void *page, const char *name, uint64_t value);
+
 /* What the shell needs done outside it. */
 struct sv_callbacks {
 	/* Delivers a message to another core; peer 0: to every live one. */
@@ -42,6 +45,8 @@
 	/* Claims a key in the object API; sv_store_claimed() follows. */
 	void (*claim)(
 	    uint64_t call, uint64_t key_a, uint64_t key_b, void *user);
+	/* Adds what others count to the metrics page. */
+	void (*metrics)(sv_add_metric add, void *page, void *user);
 	void *user;
 };
 
--- a/lib/serve/table.c
+++ b/lib/serve/table.c
@@ -98,6 +98,8 @@
 			.pool = name_id(cf_pool(config, route->pool)->name),
 			.weight = route->weight,
 			.idempotent = route->kind == CF_KIND_IDEMPOTENT,
+			.objective_us =
+			    (int64_t)route->objective.latency_ms * 1000,
 		    },
 	    });
 }
--- a/programs/entry.c
+++ b/programs/entry.c
@@ -109,6 +109,20 @@
 	sv_link_up(((struct en_entry *)user)->server, peer);
 }
 
+static void
+add_metrics(sv_add_metric add, void *page, void *user)
+{
+	struct en_entry *entry = user;
+	struct pr_mesh_counters c;
+
+	pr_mesh_counters(entry->mesh, &c);
+	add(page, "peer_messages_sent_total", c.messages_sent);
+	add(page, "peer_messages_received_total", c.messages_received);
+	add(page, "peer_bytes_sent_total", c.bytes_sent);
+	add(page, "peer_bytes_received_total", c.bytes_received);
+	add(page, "platform_calls_total", pf_calls(entry->platform));
+}
+
 static int
 parse_listen(const char *flag, const char *text, struct sockaddr_in *out)
 {
@@ -135,6 +149,7 @@
 		{
 		    .send = send_message,
 		    .claim = en_claim,
+		    .metrics = add_metrics,
 		    .user = entry,
 		},
 	};
--- a/tests/scenario/rig.py
+++ b/tests/scenario/rig.py
@@ -163,6 +163,15 @@
         assert result[0] == 0, result
         return result
 
+    def wait_members(self):
+        """Waits until every entry VM sees all others alive."""
+        def agree():
+            return all(
+                sum(m["state"] == "alive"
+                    for m in get_json(e.admin, "/members")) ==
+                len(self.entries) for e in self.entries)
+        wait_until(agree, "every entry VM sees all others")
+
     def call_load(self, *options):
         """Starts the callers' stand-in; finish_load() gives its summary."""
         return subprocess.Popen(
