Rolling replacement cuts off nothing; keys are homed where they are sent

Cause: (1) an entry VM aborted while it stopped ("handle->flags & UV_HANDLE_CLOSING"): the timer inside h2o's socket pool closes in later turns of the loop, and the target around it was freed at once. (2) 1 to 2 of 4,290 calls were refused as killed in a rolling replacement: the token named the VM that answered the directory, not the one that was called, so every keyed call was forwarded, and a key could outlive its home; the callers' stand-in also used answers beyond their time. (3) Log lines were lost: log4c has no appender types before log4c_init().

Ruled out for (1): closing the timer and freeing in its callback (libuv runs closing handles last in, first out).

Change: a target with a pool is freed by a timer of its own, forwards have no pool; each directory line carries its own home token, and the VM that answers is the witness, whose window it knows; a target that comes back makes its group sync, and a grant for an unknown target goes back. test_members replaces all five VMs under load.

--- a/lib/base/log.c
+++ b/lib/base/log.c
@@ -51,6 +51,8 @@
 	if (strcmp(threshold, "debug") != 0 && strcmp(threshold, "info") != 0 &&
 	    strcmp(threshold, "warn") != 0 && strcmp(threshold, "error") != 0)
 		return CS_E_INVALID;
+	if (log4c_init() != 0)
+		return CS_E_SYSTEM;
 	level = log4c_priority_to_int(threshold);
 	log4c_layout_type_set(&layout_type);
 	layout = log4c_layout_get("chervilshelf_line");
--- a/lib/decide/decide.h
+++ b/lib/decide/decide.h
@@ -517,11 +517,12 @@
 const char *dc_action_text(enum dc_action_type type);
 
 /*
- * dc_key_token(core, witness, epoch, window): what a key's token issued now
- * should name. Witness and epoch are 0, and the window is this VM's own, while
- * there is no witness.
+ * dc_key_token(core, own, witness, epoch, window): the witness that a token
+ * issued now should name. For keys whose home is another VM (own is false)
+ * that is this VM. For its own keys it is a peer, or 0 while there is none,
+ * and the window is then this VM's.
  */
-void dc_key_token(const struct dc_core *core, uint64_t *witness,
+void dc_key_token(const struct dc_core *core, bool own, uint64_t *witness,
     uint64_t *epoch, uint64_t *window);
 
 /* dc_reason_text(reason): its fixed name, such as "queue_full". */
--- a/lib/decide/decide_internal.h
+++ b/lib/decide/decide_internal.h
@@ -88,7 +88,8 @@
 
 struct dc_target {
 	bool used;
-	bool listed; /* in the configuration in force */
+	bool listed;	 /* in the configuration in force */
+	bool was_listed; /* in the one before, in the same group */
 	uint64_t id;
 	uint64_t region;
 	uint32_t pool;
@@ -150,6 +151,7 @@
 struct dc_group {
 	bool used;
 	bool listed;
+	bool stale; /* a target came back: holders have to sync */
 	uint64_t id;
 	uint64_t region;
 	uint32_t pool;
@@ -391,6 +393,8 @@
 struct dc_group *dc_group_find(struct dc_core *core, uint64_t id);
 uint32_t dc_group_number(
     const struct dc_core *core, const struct dc_group *group);
+void dc_owner_ask_for_sync(struct dc_core *core, const struct dc_group *group);
+void dc_owner_forget_target(struct dc_core *core, struct dc_target *target);
 void dc_owner_begin(struct dc_core *core, struct dc_group *group);
 void dc_owner_end(struct dc_core *core, struct dc_group *group);
 void dc_owner_on_timer(struct dc_core *core);
--- a/lib/decide/holder.c
+++ b/lib/decide/holder.c
@@ -106,6 +106,18 @@
 		give_back(core, target, 1);
 }
 
+/* The owner's configuration is another one: the slot goes back to it. */
+static void
+refuse_grant(struct dc_core *core, uint32_t peer,
+    const struct dc_lease_target_count *grant)
+{
+	dc_peer_send(core, peer,
+	    &(struct dc_message){
+		.type = DC_MSG_LEASE_RETURN,
+		.returned = *grant,
+	    });
+}
+
 void
 dc_lease_on_grant(struct dc_core *core, uint32_t peer,
     const struct dc_lease_target_count *grant)
@@ -115,8 +127,10 @@
 	struct dc_target *target;
 	struct dc_group *group;
 
-	if (number == DC_NONE || !core->targets[number].listed)
+	if (number == DC_NONE || !core->targets[number].listed) {
+		refuse_grant(core, peer, grant);
 		return;
+	}
 	target = &core->targets[number];
 	group = group_of(core, target);
 	/* A grant from before the last SYNC is forgotten at the other end. */
--- a/lib/decide/keys.c
+++ b/lib/decide/keys.c
@@ -280,13 +280,15 @@
 }
 
 void
-dc_key_token(const struct dc_core *core, uint64_t *witness, uint64_t *epoch,
-    uint64_t *window)
+dc_key_token(const struct dc_core *core, bool own, uint64_t *witness,
+    uint64_t *epoch, uint64_t *window)
 {
-	*witness = 0;
-	*epoch = 0;
+	const struct dc_peer *self = &core->peers[DC_SELF];
+
+	*witness = own ? 0 : self->id;
+	*epoch = own ? 0 : self->epoch;
 	*window = dc_key_own_window(core);
-	if (core->witness == DC_NONE || core->witness_heard_us == 0 ||
+	if (!own || core->witness == DC_NONE || core->witness_heard_us == 0 ||
 	    core->now_us - core->witness_heard_us > WITNESS_NEWS_US)
 		return;
 	*witness = core->peers[core->witness].id;
--- a/lib/decide/owner.c
+++ b/lib/decide/owner.c
@@ -44,6 +44,27 @@
 	       &core->groups[target->group] == group;
 }
 
+static void
+set_want(struct dc_group *group, uint32_t peer, uint32_t count)
+{
+	group->want_total -= group->want[peer];
+	group->want[peer] = count;
+	group->want_total += count;
+}
+
+static void
+change_granted(struct dc_core *core, struct dc_target *target, uint32_t peer,
+    uint32_t count)
+{
+	struct dc_group *group = group_of(core, target);
+
+	target->granted -= target->granted_to[peer];
+	group->held[peer] -= target->granted_to[peer];
+	target->granted_to[peer] = (uint8_t)count;
+	target->granted += count;
+	group->held[peer] += count;
+}
+
 static void
 clear_grants(struct dc_core *core, struct dc_group *group)
 {
@@ -69,9 +90,21 @@
 	group->told_scarce = false;
 }
 
+/* Forgets all grants of a target that was not listed for a while. */
+void
+dc_owner_forget_target(struct dc_core *core, struct dc_target *target)
+{
+	uint32_t peer;
+
+	for (peer = 0; peer < core->peer_count; peer++) {
+		if (target->granted_to[peer] > 0)
+			change_granted(core, target, peer, 0);
+	}
+}
+
 /* Holders that saw no change of owner have to say what they hold as well. */
-static void
-ask_for_sync(struct dc_core *core, const struct dc_group *group)
+void
+dc_owner_ask_for_sync(struct dc_core *core, const struct dc_group *group)
 {
 	uint32_t peer;
 
@@ -92,7 +125,7 @@
 	clear_grants(core, group);
 	group->owned_since_us = core->now_us;
 	group->idle_since_us = 0;
-	ask_for_sync(core, group);
+	dc_owner_ask_for_sync(core, group);
 }
 
 void
@@ -101,27 +134,6 @@
 	clear_grants(core, group);
 }
 
-static void
-set_want(struct dc_group *group, uint32_t peer, uint32_t count)
-{
-	group->want_total -= group->want[peer];
-	group->want[peer] = count;
-	group->want_total += count;
-}
-
-static void
-change_granted(struct dc_core *core, struct dc_target *target, uint32_t peer,
-    uint32_t count)
-{
-	struct dc_group *group = group_of(core, target);
-
-	target->granted -= target->granted_to[peer];
-	group->held[peer] -= target->granted_to[peer];
-	target->granted_to[peer] = (uint8_t)count;
-	target->granted += count;
-	group->held[peer] += count;
-}
-
 /* Compares load per slot without division. */
 static bool
 is_fuller(const struct dc_target *a, const struct dc_target *b)
--- a/lib/decide/table.c
+++ b/lib/decide/table.c
@@ -54,8 +54,10 @@
 		core->groups[i].listed = false;
 	for (i = 0; i < DC_POOLS_MAX; i++)
 		core->pools[i].listed = false;
-	for (i = 0; i < DC_TARGETS_MAX; i++)
+	for (i = 0; i < DC_TARGETS_MAX; i++) {
+		core->targets[i].was_listed = core->targets[i].listed;
 		core->targets[i].listed = false;
+	}
 	for (i = 0; i < DC_ROUTES_MAX; i++)
 		core->routes[i].listed = false;
 	return CS_OK;
@@ -144,6 +146,10 @@
 	if (group == DC_NONE)
 		return CS_E_FULL;
 	core->groups[group].listed = true;
+	if (!target->was_listed || target->group != group) {
+		dc_owner_forget_target(core, target);
+		core->groups[group].stale = true;
+	}
 	target->group = group;
 	for (i = 0; i < pool->group_count; i++) {
 		if (pool->groups[i] == group)
@@ -272,6 +278,27 @@
 	}
 }
 
+/*
+ * Where a target came back, what it had before counts for neither side: its
+ * holders say anew what they hold.
+ */
+static void
+sync_stale_groups(struct dc_core *core)
+{
+	uint32_t i;
+
+	for (i = 0; i < DC_GROUPS_MAX; i++) {
+		struct dc_group *group = &core->groups[i];
+
+		if (!group->used || !group->stale)
+			continue;
+		group->stale = false;
+		dc_lease_report_held(core, group);
+		if (group->owner == DC_SELF)
+			dc_owner_ask_for_sync(core, group);
+	}
+}
+
 static int
 end(struct dc_core *core)
 {
@@ -281,6 +308,7 @@
 	core->loading_pool = DC_NONE;
 	forget_unlisted(core);
 	dc_groups_choose_owners(core);
+	sync_stale_groups(core);
 	for (i = 0; i < DC_TARGETS_MAX; i++) {
 		struct dc_target *target = &core->targets[i];
 
--- a/lib/serve/directory.c
+++ b/lib/serve/directory.c
@@ -24,6 +24,20 @@
 	return SAME_REGION;
 }
 
+static void
+append_entry(
+    const struct sv_server *server, json_t *list, const struct sv_entry *entry)
+{
+	char token[SV_TOKEN_BYTES_MAX];
+	json_t *row;
+
+	sv_format_token(server, entry, token, sizeof(token));
+	row = json_pack("{s:s, s:s, s:s, s:s}", "address", entry->address,
+	    "data_centre", entry->data_centre, "region", entry->region, "home",
+	    token);
+	json_array_append_new(list, row);
+}
+
 /* Appends those of one nearness, from a random one on, to spread callers. */
 static void
 append_entries(struct sv_server *server, json_t *list, h2o_iovec_t region,
@@ -38,12 +52,8 @@
 		const struct sv_entry *entry =
 		    &server->entries[(i + offset) % server->entry_count];
 
-		if (!entry->listed || nearness(server, entry, region) != wanted)
-			continue;
-		json_array_append_new(
-		    list, json_pack("{s:s, s:s, s:s}", "address",
-			      entry->address, "data_centre", entry->data_centre,
-			      "region", entry->region));
+		if (entry->listed && nearness(server, entry, region) == wanted)
+			append_entry(server, list, entry);
 	}
 }
 
@@ -54,7 +64,6 @@
 	json_t *list = json_array();
 	json_t *root;
 	char *text;
-	char token[SV_TOKEN_BYTES_MAX];
 	int tier;
 
 	if (region.base == NULL)
@@ -62,9 +71,8 @@
 		    server->params.region, strlen(server->params.region));
 	for (tier = SAME_DATA_CENTRE; tier < NEARNESS_COUNT; tier++)
 		append_entries(server, list, region, (enum nearness)tier);
-	sv_format_token(server, token, sizeof(token));
-	root = json_pack("{s:o, s:I, s:s}", "entries", list, "keep_ms",
-	    (json_int_t)server->params.keep_ms, "home", token);
+	root = json_pack("{s:o, s:I}", "entries", list, "keep_ms",
+	    (json_int_t)server->params.keep_ms);
 	text = json_dumps(root, JSON_COMPACT);
 	json_decref(root);
 	ht_reply(req, 200, SV_JSON, text, strlen(text));
--- a/lib/serve/key.c
+++ b/lib/serve/key.c
@@ -49,14 +49,21 @@
 	return CS_OK;
 }
 
+/*
+ * A token for keys of calls to one entry VM. This VM is the witness of the
+ * others, since it knows its own window; a peer is the witness of its own.
+ */
 void
-sv_format_token(const struct sv_server *server, char *text, size_t bytes)
+sv_format_token(const struct sv_server *server, const struct sv_entry *entry,
+    char *text, size_t bytes)
 {
+	uint64_t self =
+	    cs_hash(server->params.name, strlen(server->params.name));
 	uint64_t witness, epoch, window;
 
-	dc_key_token(server->core, &witness, &epoch, &window);
+	dc_key_token(
+	    server->core, entry->id == self, &witness, &epoch, &window);
 	snprintf(text, bytes,
 	    "h1-%" PRIx64 "-%" PRIx64 "-%" PRIx64 "-%" PRIx64 "-%" PRIx64,
-	    cs_hash(server->params.name, strlen(server->params.name)),
-	    server->params.epoch, witness, epoch, window);
+	    entry->id, entry->epoch, witness, epoch, window);
 }
--- a/lib/serve/serve_internal.h
+++ b/lib/serve/serve_internal.h
@@ -22,7 +22,9 @@
 	uint64_t id;
 	char address[CF_ADDRESS_BYTES_MAX];
 	struct sockaddr_in sockaddr;
+	bool pooled; /* keeps idle connections */
 	h2o_socketpool_t connections;
+	uv_timer_t free_timer;
 };
 
 struct sv_call;
@@ -123,7 +125,8 @@
 void sv_watch_callers(struct sv_server *server);
 
 /* upstream.c: attempts. */
-struct sv_target *sv_target_new(struct sv_server *server, const char *address);
+struct sv_target *sv_target_new(
+    struct sv_server *server, const char *address, bool pooled);
 void sv_target_unref(struct sv_target *target);
 void sv_attempt_start(struct sv_call *call, const struct dc_send *send);
 void sv_forward_start(struct sv_call *call, const struct dc_send *send);
@@ -143,7 +146,8 @@
 /* key.c: the Idempotency-Key header. */
 int sv_read_key(
     const struct sv_server *server, h2o_iovec_t text, struct dc_key *key);
-void sv_format_token(const struct sv_server *server, char *text, size_t bytes);
+void sv_format_token(const struct sv_server *server,
+    const struct sv_entry *entry, char *text, size_t bytes);
 
 /* directory.c and admin.c: what the VM answers itself. */
 void sv_directory(struct sv_server *server, h2o_req_t *req);
--- a/lib/serve/table.c
+++ b/lib/serve/table.c
@@ -18,7 +18,7 @@
 	if (target != NULL)
 		cs_ref_take(&target->ref);
 	else
-		target = sv_target_new(server, address);
+		target = sv_target_new(server, address, true);
 	g_hash_table_insert(kept, &target->id, target);
 	return target;
 }
--- a/lib/serve/upstream.c
+++ b/lib/serve/upstream.c
@@ -9,19 +9,23 @@
 #define IDLE_CONNECTION_MS 10000
 #define SILENCE_TIMEOUT_MS 2000
 #define IDLE_CONNECTIONS_MAX 64
+#define FREE_DELAY_MS 1000
 #define HEAD_EXTRA_BYTES 512
 #define STATUS_MISDIRECTED 421
 
 struct sv_target *
-sv_target_new(struct sv_server *server, const char *address)
+sv_target_new(struct sv_server *server, const char *address, bool pooled)
 {
 	struct sv_target *target = g_new0(struct sv_target, 1);
 
 	cs_ref_init(&target->ref);
 	target->server = server;
 	target->id = cs_hash(address, strlen(address));
+	target->pooled = pooled;
 	g_strlcpy(target->address, address, sizeof(target->address));
 	ht_parse_address(address, &target->sockaddr);
+	if (!pooled)
+		return target;
 	h2o_socketpool_init_by_address(&target->connections,
 	    (struct sockaddr *)&target->sockaddr, sizeof(target->sockaddr), 0,
 	    IDLE_CONNECTIONS_MAX);
@@ -30,13 +34,32 @@
 	return target;
 }
 
+static void
+on_free_timer_closed(uv_handle_t *handle)
+{
+	g_free(handle->data);
+}
+
+static void
+on_free_timer(uv_timer_t *timer)
+{
+	uv_close((uv_handle_t *)timer, on_free_timer_closed);
+}
+
+/* The pool's own timer closes in the loop's next turns and must outlive it. */
 void
 sv_target_unref(struct sv_target *target)
 {
 	if (!cs_ref_drop(&target->ref))
 		return;
+	if (!target->pooled) {
+		g_free(target);
+		return;
+	}
 	h2o_socketpool_dispose(&target->connections);
-	g_free(target);
+	uv_timer_init(target->server->params.loop, &target->free_timer);
+	target->free_timer.data = target;
+	uv_timer_start(&target->free_timer, on_free_timer, FREE_DELAY_MS, 0);
 }
 
 static void
@@ -444,8 +467,8 @@
 
 	for (i = 0; i < server->entry_count; i++) {
 		if (server->entries[i].id == send->target)
-			target =
-			    sv_target_new(server, server->entries[i].address);
+			target = sv_target_new(
+			    server, server->entries[i].address, false);
 	}
 	start(call, send, target, true);
 }
--- a/tests/fuzz/driver.c
+++ b/tests/fuzz/driver.c
@@ -402,10 +402,13 @@
 		},
 	};
 	if (key->key.scope == DC_KEY_HOME) {
+		int issuer = (int)draw(w, CORES);
+
 		key->key.home = core_id(core);
 		key->key.home_epoch = w->epochs[core];
-		dc_key_token(w->cores[core], &key->key.witness,
-		    &key->key.witness_epoch, &key->key.window);
+		dc_key_token(w->cores[issuer], issuer == core,
+		    &key->key.witness, &key->key.witness_epoch,
+		    &key->key.window);
 	}
 	return (int)slot;
 }
--- /dev/null
+++ b/tests/scenario/test_members.py
@@ -0,0 +1,60 @@
+"""Killed and frozen entry VMs leave the directory in time; a thawed one comes
+back; a rolling replacement of all of them under load cuts off nothing."""
+import signal
+import time
+
+from rig import Rig, get_json, wait_until
+
+
+def listed(entry):
+    answer = get_json(entry.listen, "/.chervilshelf/entries")
+    return {row["address"] for row in answer["entries"]}
+
+
+def state(entry, other):
+    for member in get_json(entry.admin, "/members"):
+        if member["name"] == other.name:
+            return member["state"]
+    return "unknown"
+
+
+def replace_all(rig):
+    """Replaces every entry VM, one after another."""
+    for index in range(len(rig.entries)):
+        old = rig.entries[index]
+        rig.entries.append(rig.start_entry("new%d" % index))
+        wait_until(lambda: rig.entries[-1].listen in listed(rig.entries[-2]),
+                   "the new VM is listed")
+        old.process.send_signal(signal.SIGTERM)
+        assert old.process.wait(timeout=30) == 0
+    rig.entries = rig.entries[len(rig.entries) // 2:]
+
+
+with Rig(entries=5, targets=6, entry_options=["--keep-ms", "500"]) as rig:
+    rig.apply()
+    rig.wait_members()
+
+    killed, frozen, watcher = rig.entries[3], rig.entries[4], rig.entries[0]
+    killed.process.kill()
+    began = time.monotonic()
+    wait_until(lambda: killed.listen not in listed(watcher), "killed is out")
+    print("killed VM out after %.2f s" % (time.monotonic() - began))
+
+    frozen.process.send_signal(signal.SIGSTOP)
+    began = time.monotonic()
+    wait_until(lambda: frozen.listen not in listed(watcher), "frozen is out")
+    print("frozen VM out after %.2f s" % (time.monotonic() - began))
+    wait_until(lambda: state(watcher, frozen) == "dead", "it counts as dead")
+    frozen.process.send_signal(signal.SIGCONT)
+    wait_until(lambda: frozen.listen in listed(watcher), "thawed is back")
+    rig.entries.remove(killed)
+    rig.wait_members()
+
+    load = rig.call_load("--rate", "300", "--seconds", "14", "--post-share",
+                         "0.3", "--callers", "40", "--log",
+                         rig.path("calls.log"))
+    replace_all(rig)
+    totals = rig.finish_load(load)
+    print("rolling replacement:", totals)
+    assert totals["right"] == totals["sent"], totals
+    assert rig.doubled_posts(rig.path("calls.log")) == []
--- a/tests/standins/caller.c
+++ b/tests/standins/caller.c
@@ -24,7 +24,9 @@
 	struct sockaddr_in entries[ENTRIES_MAX];
 	int entry_count;
 	int64_t valid_until_us;
+	char home[96]; /* token for keys, from the directory */
 	bool asking;
+	GQueue pending; /* calls that wait for a directory answer */
 };
 
 struct call {
@@ -33,7 +35,7 @@
 	bool posts;
 	int tries;
 	char tag[40];
-	char key[64];
+	char key[160];
 };
 
 struct totals {
@@ -57,6 +59,7 @@
 	double rate, seconds, post_share;
 	int caller_count, body_bytes;
 	int64_t seed, deadline_ms;
+	int resends; /* of calls whose connection broke */
 	char *body;
 } g = {
     .get_path = "/profiles/1",
@@ -70,6 +73,7 @@
 };
 
 static void send_call(struct call *call);
+static void ask_directory(struct caller *caller);
 
 static void
 log_call(
@@ -119,6 +123,15 @@
 	return "wrong";
 }
 
+/* A connect that failed tries the next address; a break resends the key. */
+static bool
+may_try_again(const struct call *call, const struct ht_response *response)
+{
+	if (response->error == CS_E_UNAVAILABLE)
+		return call->tries + 1 < call->caller->entry_count;
+	return call->tries < g.resends;
+}
+
 static void
 on_answer(const struct ht_response *response, void *user)
 {
@@ -126,8 +139,8 @@
 	int64_t took_us = cs_now_us() - call->intended_us;
 	const char *result;
 
-	if (response->error == CS_E_UNAVAILABLE &&
-	    ++call->tries < call->caller->entry_count) {
+	if (response->error != CS_OK && may_try_again(call, response)) {
+		call->tries++;
 		send_call(call);
 		return;
 	}
@@ -154,20 +167,34 @@
 		snprintf(headers + used, sizeof(headers) - (size_t)used,
 		    "Chervilshelf-Deadline-Ms: %lld\r\n",
 		    (long long)g.deadline_ms);
-	ht_client_send(
-	    g.http, &(struct ht_request){
-			.address = call->caller->entries[call->tries],
-			.method = call->posts ? "POST" : "GET",
-			.path = call->posts ? g.post_path : g.get_path,
-			.headers = headers,
-			.body = g.body,
-			.body_bytes = call->posts ? (size_t)g.body_bytes : 0,
-			.answer_bytes_max = ANSWER_BYTES_MAX,
-			.timeout_ms = CALL_TIMEOUT_MS,
-			.reuse = true,
-			.on_response = on_answer,
-			.user = call,
-		    });
+	ht_client_send(g.http,
+	    &(struct ht_request){
+		.address = call->caller->entries[call->tries %
+						 call->caller->entry_count],
+		.method = call->posts ? "POST" : "GET",
+		.path = call->posts ? g.post_path : g.get_path,
+		.headers = headers,
+		.body = g.body,
+		.body_bytes = call->posts ? (size_t)g.body_bytes : 0,
+		.answer_bytes_max = ANSWER_BYTES_MAX,
+		.timeout_ms = CALL_TIMEOUT_MS,
+		.reuse = true,
+		.on_response = on_answer,
+		.user = call,
+	    });
+}
+
+/* The key is made once, for the entry VM that is called first. */
+static void
+send_pending(struct caller *caller)
+{
+	struct call *call;
+
+	while ((call = g_queue_pop_head(&caller->pending)) != NULL) {
+		snprintf(call->key, sizeof(call->key), "%s.%s", caller->home,
+		    call->tag);
+		send_call(call);
+	}
 }
 
 static void
@@ -175,15 +202,22 @@
 {
 	struct caller *caller = user;
 	json_t *root, *list, *row;
+	const char *home;
 	int64_t keep_ms;
 	size_t i;
 
 	caller->asking = false;
 	root = json_loads(response->body, 0, NULL);
-	if (root == NULL)
+	if (root == NULL) {
+		if (!g_queue_is_empty(&caller->pending))
+			ask_directory(caller);
 		return;
+	}
 	list = json_object_get(root, "entries");
 	keep_ms = json_integer_value(json_object_get(root, "keep_ms"));
+	row = json_array_get(list, 0);
+	home = json_string_value(json_object_get(row, "home"));
+	g_strlcpy(caller->home, home != NULL ? home : "", sizeof(caller->home));
 	if (json_array_size(list) > 0)
 		caller->entry_count = 0;
 	json_array_foreach(list, i, row)
@@ -196,6 +230,7 @@
 	}
 	caller->valid_until_us = cs_now_us() + keep_ms * 1000;
 	json_decref(root);
+	send_pending(caller);
 }
 
 /* Asks an entry VM it knows, any of them, or the one given at start. */
@@ -225,22 +260,20 @@
 {
 	struct caller *caller =
 	    &g.callers[cs_random_below(&g.random, (uint32_t)g.caller_count)];
-	struct call *call;
+	struct call *call = g_new0(struct call, 1);
 
-	if (caller->valid_until_us < cs_now_us() && !caller->asking)
-		ask_directory(caller);
-	if (caller->entry_count == 0)
-		return;
-	call = g_new0(struct call, 1);
 	call->caller = caller;
 	call->intended_us = intended_us;
 	call->posts = cs_random_unit(&g.random) < g.post_share;
 	snprintf(call->tag, sizeof(call->tag), "t%lld-%llu", (long long)g.seed,
 	    (unsigned long long)++g.serial);
-	snprintf(call->key, sizeof(call->key), "%s", call->tag);
 	g.totals.sent++;
 	g.open++;
-	send_call(call);
+	g_queue_push_tail(&caller->pending, call);
+	if (caller->valid_until_us >= cs_now_us())
+		send_pending(caller);
+	else if (!caller->asking)
+		ask_directory(caller);
 }
 
 static void
@@ -329,6 +362,7 @@
 	    {"member", 0, 0, G_OPTION_ARG_STRING, &g.member, NULL, NULL},
 	    {"deadline-ms", 0, 0, G_OPTION_ARG_INT64, &g.deadline_ms, NULL,
 		NULL},
+	    {"resends", 0, 0, G_OPTION_ARG_INT, &g.resends, NULL, NULL},
 	    {"seed", 0, 0, G_OPTION_ARG_INT64, &g.seed, NULL, NULL},
 	    {"log", 0, 0, G_OPTION_ARG_STRING, &g.log_path, NULL, NULL},
 	    {0},
