--- a/lib/peer/codec.c
+++ b/lib/peer/codec.c
@@ -6,7 +6,7 @@
 
 #include "peer_internal.h"
 
-#define MEMBER_FIELDS 9
+#define MEMBER_FIELDS 10
 #define PING_FIELDS 2
 
 static void
@@ -30,6 +30,7 @@
 	msgpack_pack_uint64(packer, member->epoch);
 	msgpack_pack_uint64(packer, member->incarnation);
 	msgpack_pack_uint8(packer, (uint8_t)member->state);
+	msgpack_pack_uint8(packer, member->ready);
 }
 
 static void
@@ -156,6 +157,7 @@
 	if (state > PR_LEFT || member->name[0] == '\0')
 		items->failed = true;
 	member->state = (enum pr_state)state;
+	member->ready = take_number(items) != 0;
 	member->id = cs_hash(member->name, strlen(member->name));
 }
 
--- a/lib/peer/members.c
+++ b/lib/peer/members.c
@@ -154,6 +154,19 @@
 	return set_state(&members->items[number], PR_SUSPECT, now_us);
 }
 
+/* A higher incarnation, so that the news counts over what is known. */
+bool
+pr_members_ready(struct pr_members *members)
+{
+	struct pr_member *self = &members->items[0];
+
+	if (self->ready)
+		return false;
+	self->ready = true;
+	self->incarnation++;
+	return true;
+}
+
 void
 pr_members_leave(struct pr_members *members, int64_t now_us)
 {
--- a/lib/peer/mesh.c
+++ b/lib/peer/mesh.c
@@ -698,6 +698,15 @@
 	}
 }
 
+void
+pr_mesh_ready(struct pr_mesh *mesh)
+{
+	if (!pr_members_ready(mesh->members))
+		return;
+	forward_news(mesh, pr_members_self(mesh->members), NULL);
+	members_changed(mesh);
+}
+
 void
 pr_mesh_leave(struct pr_mesh *mesh)
 {
--- a/lib/peer/peer.h
+++ b/lib/peer/peer.h
@@ -40,6 +40,7 @@
 	uint64_t epoch;
 	uint64_t incarnation;
 	enum pr_state state;
+	bool ready;	    /* has a configuration in force */
 	int64_t changed_us; /* local time of the last change of state */
 	int64_t heard_us;   /* local time of its last sign of life */
 	bool watched;	    /* one of those that this VM pings */
@@ -68,6 +69,8 @@
 /* pr_members_suspect(members, id, now): its link broke; true when changed. */
 bool pr_members_suspect(
     struct pr_members *members, uint64_t id, int64_t now_us);
+/* pr_members_ready(members): this VM can serve; true when that is new. */
+bool pr_members_ready(struct pr_members *members);
 /* pr_members_leave(members, now): this VM stops; its record is then LEFT. */
 void pr_members_leave(struct pr_members *members, int64_t now_us);
 /*
@@ -147,6 +150,8 @@
 void pr_mesh_broadcast(struct pr_mesh *mesh, const struct dc_message *message);
 /* pr_mesh_config(mesh, version): tells peers what is in force here. */
 void pr_mesh_config(struct pr_mesh *mesh, uint64_t version);
+/* pr_mesh_ready(mesh): tells the mesh that this VM can serve. */
+void pr_mesh_ready(struct pr_mesh *mesh);
 /* pr_mesh_leave(mesh): tells the mesh that this VM stops. */
 void pr_mesh_leave(struct pr_mesh *mesh);
 void pr_mesh_counters(const struct pr_mesh *mesh, struct pr_mesh_counters *out);
--- a/programs/entry.c
+++ b/programs/entry.c
@@ -202,6 +202,22 @@
 	return ST_EXIT_REFUSED;
 }
 
+static int
+check_seeds(const char *text)
+{
+	gchar **addresses = g_strsplit(text, ",", 0);
+	struct sockaddr_in parsed;
+	gchar **address;
+	int error = CS_OK;
+
+	for (address = addresses; *address != NULL; address++) {
+		if (ht_parse_address(*address, &parsed) != CS_OK)
+			error = CS_E_INVALID;
+	}
+	g_strfreev(addresses);
+	return error;
+}
+
 static int
 check_options(const struct en_options *o)
 {
@@ -217,6 +233,9 @@
 	    strcmp(o->dispatch, "two-choices") != 0)
 		return st_refuse(
 		    "dispatch", o->dispatch, "leases or two-choices");
+	if (o->seed_peers != NULL && check_seeds(o->seed_peers) != CS_OK)
+		return st_refuse(
+		    "seed-peer", o->seed_peers, "IPV4:PORT, comma separated");
 	if (cs_log_open(o->log_level) != CS_OK)
 		return st_refuse(
 		    "log-level", o->log_level, "debug, info, warn or error");
@@ -358,6 +377,11 @@
 		.text = &o->dispatch,
 		.argument = "POLICY",
 		.help = "leases or two-choices"},
+	    {.name = "seed-peer",
+		.kind = ST_TEXT,
+		.text = &o->seed_peers,
+		.argument = "IP:PORT,...",
+		.help = "peers to join while the platform is down"},
 	    {.name = "keep-ms",
 		.kind = ST_NUMBER,
 		.number = &o->keep_ms,
--- a/programs/entry_config.c
+++ b/programs/entry_config.c
@@ -42,6 +42,7 @@
 	cs_log(CS_LOG_CONFIG_IN_FORCE, "version=%llu",
 	    (unsigned long long)version);
 	pr_mesh_config(entry->mesh, version);
+	pr_mesh_ready(entry->mesh);
 	return CS_OK;
 }
 
--- a/programs/entry_members.c
+++ b/programs/entry_members.c
@@ -46,7 +46,7 @@
 	    .epoch = member->epoch,
 	    .state = pr_state_text(member->state),
 	    .core_state = core_state(member->state),
-	    .listed = member->state == PR_ALIVE,
+	    .listed = member->state == PR_ALIVE && member->ready,
 	};
 	g_strlcpy(out->name, member->name, sizeof(out->name));
 	g_strlcpy(out->address, member->listen, sizeof(out->address));
@@ -264,9 +264,24 @@
 		pf_vms(entry->platform, on_vms, entry);
 }
 
+/* Peers given as settings: a way into the mesh while the store is down. */
+static void
+seed_from_settings(struct en_entry *entry)
+{
+	gchar **addresses, **address;
+
+	if (entry->options.seed_peers == NULL)
+		return;
+	addresses = g_strsplit(entry->options.seed_peers, ",", 0);
+	for (address = addresses; *address != NULL; address++)
+		pr_mesh_seed(entry->mesh, *address);
+	g_strfreev(addresses);
+}
+
 void
 en_members_start(struct en_entry *entry)
 {
+	seed_from_settings(entry);
 	entry->listed_us = cs_now_us() - LIST_INTERVAL_MS * 1000LL;
 	en_members_changed(entry);
 	uv_timer_init(&entry->loop, &entry->register_timer);
--- /dev/null
+++ b/tests/scenario/letters.py
@@ -0,0 +1,49 @@
+"""Keyed letters for the scenarios on at-most-once."""
+import json
+import threading
+
+from rig import get_json, request
+
+
+class Letters:
+    """Posts letters through entry VMs; `witness` answers the directory."""
+
+    def __init__(self, rig, witness):
+        self.rig, self.witness, self.serial = rig, witness, 0
+
+    def new_key(self, home):
+        answer = get_json(self.witness.listen, "/.chervilshelf/entries")
+        token = next(row["home"] for row in answer["entries"]
+                     if row["address"] == home.listen)
+        self.serial += 1
+        return "%s.k%d" % (token, self.serial)
+
+    @staticmethod
+    def tag(key):
+        return key.rsplit(".", 1)[-1]
+
+    def post(self, entry, key, ms=0, timeout=20, deadline_ms=4000):
+        """One letter; returns (status, outcome, reason or None)."""
+        headers = {"X-Tag": self.tag(key), "Idempotency-Key": key,
+                   "Chervilshelf-Deadline-Ms": str(deadline_ms)}
+        status, answer, body = request(
+            entry.listen, "POST", "/letters/1?ms=%d" % ms,
+            body=b"dear pen pal", headers=headers, timeout=timeout)
+        outcome = answer["chervilshelf-outcome"]
+        reason = None if outcome == "ran" else json.loads(body)["reason"]
+        return status, outcome, reason
+
+    def in_background(self, *arguments, **options):
+        """Starts a post; returns its thread and the list it will fill."""
+        def call():
+            try:
+                answers.append(self.post(*arguments, **options))
+            except OSError as error:
+                answers.append((0, "lost", str(error)))
+        answers = []
+        thread = threading.Thread(target=call)
+        thread.start()
+        return thread, answers
+
+    def runs(self, key):
+        return self.rig.runs().get(self.tag(key), 0)
--- a/tests/scenario/rig.py
+++ b/tests/scenario/rig.py
@@ -51,6 +51,7 @@
         fields = dict(f.split("=") for f in line.split() if "=" in f)
         self.process, self.name, self.log = process, name, log
         self.listen, self.admin = fields["listen"], fields["admin"]
+        self.peer = fields["peer"]
 
     def status(self):
         return get_json(self.admin, "/status")
@@ -96,7 +97,7 @@
         self.control = line.split()[1]
         self.target_process = process
 
-    def start_entry(self, name, region=None):
+    def start_entry(self, name, region=None, options=()):
         index = len(self.processes)
         region = region or self.regions[index % len(self.regions)]
         log = os.path.join(self.folder.name, "%s-%d.log" % (name, index))
@@ -104,8 +105,8 @@
             [PROGRAM, "entry", "--name", name, "--data-centre", region + "1",
              "--region", region, "--listen", "127.0.0.1:0",
              "--peer-listen", "127.0.0.1:0", "--admin-listen", "127.0.0.1:0",
-             "--platform", "http://" + self.platform, *self.entry_options],
-            log)
+             "--platform", "http://" + self.platform, *self.entry_options,
+             *options], log)
         return Entry(process, line, name, log)
 
     def config(self, **changes):
@@ -146,6 +147,13 @@
         return [tag for tag, kind, *_ in calls
                 if kind == "post" and runs.get(tag, 0) > 1]
 
+    @staticmethod
+    def not_right(log):
+        """The calls that did not get their right answer."""
+        with open(log) as lines:
+            return [line.strip() for line in lines
+                    if line.split()[2] != "right"]
+
     def file(self, config):
         path = self.path("config.json")
         with open(path, "w") as out:
@@ -172,6 +180,15 @@
                 len(self.entries) for e in self.entries)
         wait_until(agree, "every entry VM sees all others")
 
+    def wait_alive(self, entry):
+        """Waits until every other running entry VM sees this one alive."""
+        def seen(observer):
+            return any(m["name"] == entry.name and m["state"] == "alive"
+                       for m in get_json(observer.admin, "/members"))
+        wait_until(lambda: all(seen(e) for e in self.entries
+                               if e.process.poll() is None),
+                   entry.name + " is alive to all")
+
     def call_load(self, *options):
         """Starts the callers' stand-in; finish_load() gives its summary."""
         return subprocess.Popen(
--- a/tests/scenario/test_members.py
+++ b/tests/scenario/test_members.py
@@ -56,5 +56,6 @@
     replace_all(rig)
     totals = rig.finish_load(load)
     print("rolling replacement:", totals)
-    assert totals["right"] == totals["sent"], totals
+    assert totals["right"] == totals["sent"], \
+        rig.not_right(rig.path("calls.log"))
     assert rig.doubled_posts(rig.path("calls.log")) == []
--- a/tests/standins/caller.c
+++ b/tests/standins/caller.c
@@ -75,14 +75,27 @@
 static void send_call(struct call *call);
 static void ask_directory(struct caller *caller);
 
+/* The answer's reason, as the system itself gives it; "-" without one. */
 static void
-log_call(
-    const struct call *call, const char *result, int status, int64_t took_us)
+read_reason(const struct ht_response *response, char reason[32])
 {
-	if (g.log != NULL)
-		fprintf(g.log, "%s %s %s %d %lld\n", call->tag,
-		    call->posts ? "post" : "get", result, status,
-		    (long long)took_us);
+	if (response->error != CS_OK ||
+	    sscanf(response->body, "{\"reason\":\"%31[a-z_]", reason) != 1)
+		strcpy(reason, "-");
+}
+
+static void
+log_call(const struct call *call, const char *result,
+    const struct ht_response *response, int64_t took_us)
+{
+	char reason[32];
+
+	if (g.log == NULL)
+		return;
+	read_reason(response, reason);
+	fprintf(g.log, "%s %s %s %d %lld %s %d %s\n", call->tag,
+	    call->posts ? "post" : "get", result, response->status,
+	    (long long)took_us, reason, call->tries, call->key);
 }
 
 /* The target echoes the tag, the length and the hash of what it received. */
@@ -147,7 +160,7 @@
 	result = judge(call, response);
 	if (strcmp(result, "right") == 0)
 		cs_histogram_add(&g.totals.latency, took_us);
-	log_call(call, result, response->status, took_us);
+	log_call(call, result, response, took_us);
 	g.open--;
 	g_free(call);
 }
