--- a/lib/decide/attempts.c
+++ b/lib/decide/attempts.c
@@ -8,6 +8,9 @@
 /* Looks for a free slot for a hedge, and the pause between them. */
 #define HEDGE_TRIES_MAX 4
 #define HEDGE_RETRY_US 5000
+/* On an old connection, this many times as slow as most is likely silence. */
+#define SILENT_FACTOR 4
+#define PROBE_INTERVAL_US 500000 /* of one target */
 
 static struct dc_route *
 route_of(struct dc_core *core, const struct dc_call *call)
@@ -78,8 +81,12 @@
 
 	if (slow_at_us > core->now_us)
 		return slow_at_us;
+	if (dc_silence_has(core, attempt))
+		return core->now_us + 1;
 	if (call->hedge_tries > 0 && call->hedge_tries < HEDGE_TRIES_MAX)
 		return core->now_us + HEDGE_RETRY_US;
+	if (attempt->reused)
+		return core->now_us + SILENT_FACTOR * route->slow_us;
 	return INT64_MAX;
 }
 
@@ -94,13 +101,14 @@
 		return attempt->started_us +
 		       core->parameters[DC_P_CONNECT_TIMEOUT_US];
 	if (attempt->state == DC_ATTEMPT_SENT && call->idempotent &&
-	    call->sends == 1 && route->slow_us > 0)
+	    (call->sends == 1 || dc_silence_has(core, attempt)) &&
+	    route->slow_us > 0)
 		return hedge_look_us(core, call, attempt, route);
 	return INT64_MAX;
 }
 
-static void
-arm_timer(struct dc_core *core, struct dc_call *call)
+void
+dc_attempt_arm_timer(struct dc_core *core, struct dc_call *call)
 {
 	int64_t at_us = call->deadline_us;
 	uint32_t i;
@@ -133,13 +141,13 @@
 	    .attempt = attempt->number,
 	    .target = core->targets[choice.target].id,
 	    .deadline_us = call->deadline_us,
-	    .fresh = !call->idempotent || call->suspect,
+	    .fresh = !call->idempotent || call->suspect || call->doubtful,
 	};
 	core->counters.sent++;
 	if (!choice.leased &&
 	    core->parameters[DC_P_DISPATCH] == DC_DISPATCH_LEASES)
 		core->counters.unleased++;
-	arm_timer(core, call);
+	dc_attempt_arm_timer(core, call);
 }
 
 static bool
@@ -159,7 +167,7 @@
 		return false;
 	if (result == DC_RESULT_NOT_SENT && !call->maybe_ran)
 		return true;
-	if (!call->idempotent)
+	if (!call->idempotent || core->parameters[DC_P_RETRY_BUDGET_MILLI] == 0)
 		return false;
 	return take_budget(&route_of(core, call)->retry_budget);
 }
@@ -171,6 +179,12 @@
 	struct dc_choice choice;
 
 	choice = dc_target_pick(core, &core->pools[call->pool], call);
+	if (choice.target == DC_NONE && call->doubtful) {
+		call->suspect = false; /* most likely just its connection */
+		core->counters.retries++;
+		dc_call_enqueue(core, call);
+		return;
+	}
 	if (choice.target == DC_NONE) {
 		dc_call_refuse(core, call, DC_REASON_TARGET_BROKE);
 		return;
@@ -215,7 +229,7 @@
 	attempt->state = DC_ATTEMPT_SENT;
 	attempt->reused = reused;
 	call->maybe_ran = true;
-	arm_timer(core, call);
+	dc_attempt_arm_timer(core, call);
 }
 
 /* Moves the estimate up by 95 parts or down by 5, so that it settles where
@@ -270,6 +284,7 @@
 			return;
 		}
 	}
+	dc_silence_learn(core, attempt);
 	learn_slow(route_of(core, call), core->now_us - attempt->started_us);
 	dc_attempt_relay(core, call, attempt);
 }
@@ -288,6 +303,7 @@
 	else if (attempt->target != DC_NONE)
 		dc_target_failed(core, attempt);
 	if (result == DC_RESULT_WHOLE) {
+		dc_suspect_clear(core, call->fingerprint);
 		dc_act(core, DC_ACT_DONE)->done = ref;
 		core->counters.done++;
 	} else {
@@ -299,21 +315,22 @@
 	dc_call_end(core, call);
 }
 
-/* What an attempt that broke says of its target and of the request. */
+/* What an attempt that broke says of the request; every VM is told. */
 static void
-learn_from_break(
-    struct dc_core *core, struct dc_call *call, enum dc_result result)
+learn_from_break(struct dc_core *core, struct dc_call *call,
+    const struct dc_attempt *attempt)
 {
-	if (result != DC_RESULT_BROKEN)
-		return;
+	struct dc_suspect_news news = {
+	    .fingerprint = call->fingerprint,
+	    .target = core->targets[attempt->target].id,
+	    .fresh = !attempt->reused,
+	};
+
+	call->doubtful = attempt->reused;
 	call->suspect = dc_attempt_live(call) == NULL;
-	dc_suspect_add(core, call->fingerprint);
+	dc_suspect_add(core, &news);
 	dc_act(core, DC_ACT_MESSAGE)->message = (struct dc_envelope){
-	    .message =
-		{
-		    .type = DC_MSG_SUSPECT,
-		    .suspect = {.fingerprint = call->fingerprint},
-		},
+	    .message = {.type = DC_MSG_SUSPECT, .suspect = news},
 	};
 }
 
@@ -321,20 +338,87 @@
 dc_attempt_on_end(struct dc_core *core, struct dc_call *call,
     struct dc_attempt *attempt, enum dc_result result)
 {
-	bool reused = attempt->reused;
-
 	/* A silent or closed old connection says nothing of the target. */
-	if (!reused)
+	if (!attempt->reused)
 		dc_target_failed(core, attempt);
 	drop(core, call, attempt);
-	if (!reused)
-		learn_from_break(core, call, result);
+	if (result == DC_RESULT_BROKEN)
+		learn_from_break(core, call, attempt);
 	if (result == DC_RESULT_UNFRAMED)
 		dc_call_refuse(core, call, DC_REASON_ANSWER_UNFRAMED);
 	else if (dc_attempt_live(call) == NULL)
 		retry_or_refuse(core, call, result);
 }
 
+static int64_t
+running_us(const struct dc_core *core, const struct dc_attempt *attempt)
+{
+	return core->now_us - attempt->started_us;
+}
+
+/* Gives up what is slow on a silent connection; the call is sent again. */
+static void
+give_up_silent(struct dc_core *core, struct dc_call *call)
+{
+	uint32_t i;
+
+	for (i = 0; i < DC_ATTEMPTS_MAX; i++) {
+		struct dc_attempt *a = &call->attempts[i];
+
+		if (dc_silence_has(core, a) && call->idempotent &&
+		    running_us(core, a) >= route_of(core, call)->slow_us) {
+			dc_attempt_cancel(core, call, a);
+			call->resend = true;
+			call->doubtful = true;
+		}
+	}
+}
+
+static bool
+looks_silent(const struct dc_core *core, const struct dc_attempt *attempt,
+    const struct dc_route *route)
+{
+	return attempt->reused &&
+	       running_us(core, attempt) >= SILENT_FACTOR * route->slow_us;
+}
+
+static void
+send_hedge(struct dc_core *core, struct dc_call *call, bool fresh,
+    struct dc_choice choice)
+{
+	core->counters.hedges++;
+	call->doubtful = fresh;
+	dc_attempt_send(core, call, choice);
+}
+
+/*
+ * Without a budget, a target that looks silent gets one call at a time on a
+ * new connection: its answer frees all that are stuck on the old ones.
+ */
+static void
+probe_silent(
+    struct dc_core *core, struct dc_call *call, const struct dc_attempt *first)
+{
+	struct dc_target *target = &core->targets[first->target];
+
+	if (!looks_silent(core, first, route_of(core, call)) ||
+	    core->now_us - target->probed_us < PROBE_INTERVAL_US)
+		return;
+	target->probed_us = core->now_us;
+	send_hedge(
+	    core, call, true, (struct dc_choice){.target = first->target});
+}
+
+static bool
+may_hedge(const struct dc_core *core, struct dc_call *call,
+    const struct dc_attempt *first)
+{
+	if (!call->idempotent || call->suspect || call->sends != 1 ||
+	    first == NULL || first->state != DC_ATTEMPT_SENT)
+		return false;
+	return running_us(core, first) >= core->routes[call->route].slow_us;
+}
+
 /* Sends a second copy of slow idempotent work while nothing else waits. */
 static void
 hedge(struct dc_core *core, struct dc_call *call)
@@ -343,25 +427,29 @@
 	struct dc_pool *pool = &core->pools[call->pool];
 	struct dc_attempt *first = dc_attempt_live(call);
 	struct dc_choice choice;
+	bool silent;
 
-	if (!call->idempotent || call->suspect || call->sends != 1 ||
-	    first == NULL || first->state != DC_ATTEMPT_SENT)
+	if (!may_hedge(core, call, first))
 		return;
-	if (core->now_us - first->started_us < route->slow_us ||
-	    pool->waiting > 0)
+	dc_silence_suspect(core, first);
+	silent = looks_silent(core, first, route);
+	if (pool->waiting > 0 && !silent)
 		return;
 	call->avoid = first->target;
 	choice = dc_target_pick(core, pool, call);
 	if (choice.target == DC_NONE || choice.target == first->target) {
 		if (call->hedge_tries < HEDGE_TRIES_MAX &&
-		    dc_lease_ask_spare(core, pool))
+		    dc_lease_ask_spare(core, pool, silent))
 			call->hedge_tries++;
+		else
+			probe_silent(core, call, first);
 		return;
 	}
-	if (!take_budget(&route->hedge_budget))
-		return;
-	core->counters.hedges++;
-	dc_attempt_send(core, call, choice);
+	if (take_budget(&route->hedge_budget) ||
+	    (silent && take_budget(&route->retry_budget)))
+		send_hedge(core, call, first->reused, choice);
+	else
+		probe_silent(core, call, first);
 }
 
 /* Gives up attempts that did not connect in time. */
@@ -386,10 +474,15 @@
 dc_attempts_on_timer(struct dc_core *core, struct dc_call *call)
 {
 	expire_connects(core, call);
-	if (dc_attempt_live(call) == NULL) {
+	give_up_silent(core, call);
+	if (dc_attempt_live(call) != NULL) {
+		hedge(core, call);
+		dc_attempt_arm_timer(core, call);
+	} else if (call->resend &&
+		   call->sends < core->parameters[DC_P_SENDS_MAX]) {
+		call->resend = false;
+		send_again(core, call);
+	} else {
 		retry_or_refuse(core, call, DC_RESULT_NOT_SENT);
-		return;
 	}
-	hedge(core, call);
-	arm_timer(core, call);
 }
--- a/lib/decide/decide.h
+++ b/lib/decide/decide.h
@@ -305,6 +305,8 @@
 
 struct dc_suspect_news {
 	uint64_t fingerprint;
+	uint64_t target; /* that died */
+	uint64_t fresh;	 /* not on a connection that was used before */
 };
 
 struct dc_message {
@@ -367,6 +369,7 @@
 	DC_ACT_REFUSE,	/* answer the caller ourselves; the call is forgotten */
 	DC_ACT_CUT,	/* the relayed answer broke: close on the caller */
 	DC_ACT_DONE,	/* the whole answer was relayed; call forgotten */
+	DC_ACT_FLUSH,	/* open new connections to a target only */
 	DC_ACT_STORE_CLAIM, /* claim the call's key in the object API */
 	DC_ACT_MESSAGE,	    /* to the core of another entry VM */
 	DC_ACT_TYPES,
@@ -389,6 +392,10 @@
 	uint64_t call;
 };
 
+struct dc_flush {
+	uint64_t target;
+};
+
 struct dc_refuse {
 	uint64_t call;
 	uint64_t reason;  /* enum dc_reason */
@@ -406,6 +413,7 @@
 		struct dc_refuse refuse;
 		struct dc_attempt_ref cut;
 		struct dc_attempt_ref done;
+		struct dc_flush flush;
 		struct dc_call_ref store_claim;
 		struct dc_envelope message;
 		uint64_t fields[DC_FIELDS_MAX];
@@ -469,6 +477,7 @@
 	uint64_t retries;
 	uint64_t hedges;
 	uint64_t ejections;
+	uint64_t silences; /* of targets whose old connections went silent */
 	uint64_t quarantines;
 	uint64_t unleased; /* attempts beyond the leases */
 	uint64_t lease_messages;
@@ -525,6 +534,18 @@
 void dc_key_token(const struct dc_core *core, bool own, uint64_t *witness,
     uint64_t *epoch, uint64_t *window);
 
+/*
+ * Traces: one line an event, "E NOW_US NAME FIELD ...", and one an action,
+ * "A NAME FIELD ...", fields in decimal. dc_trace_parse() reads an event's
+ * line; CS_E_INVALID for anything else.
+ */
+#define DC_TRACE_LINE_BYTES_MAX 512
+int dc_trace_event(const struct dc_event *event, int64_t now_us,
+    char line[DC_TRACE_LINE_BYTES_MAX]);
+int dc_trace_action(
+    const struct dc_action *action, char line[DC_TRACE_LINE_BYTES_MAX]);
+int dc_trace_parse(const char *line, struct dc_event *event, int64_t *now_us);
+
 /* dc_reason_text(reason): its fixed name, such as "queue_full". */
 const char *dc_reason_text(enum dc_reason reason);
 
--- a/lib/decide/decide_internal.h
+++ b/lib/decide/decide_internal.h
@@ -9,8 +9,10 @@
 #define DC_SELF 0 /* this VM's place among the peers */
 #define DC_CALL_INDEX_SIZE (2 * DC_CALLS_MAX) /* open addressing, half full */
 #define DC_SUSPECTS_MAX 1024
+#define DC_KNOWN_GOOD_MAX 8192
 #define DC_CLASSES_MAX 4 /* route weights told apart within one pool */
 #define DC_MILLI 1000	 /* budgets count in thousandths of a call */
+#define DC_BUDGET_MAX (10 * DC_MILLI) /* of retries or hedges, a route */
 #define DC_WITNESSED_MAX 131072
 #define DC_POOL_GROUPS_MAX 16 /* regions that one pool spans */
 
@@ -74,7 +76,9 @@
 	bool idempotent;
 	bool maybe_ran; /* an attempt was sent, or may have been elsewhere */
 	bool suspect;	/* in flight when a target died */
+	bool doubtful;	/* broken off on an old connection */
 	bool kill_asked;
+	bool resend;	      /* its attempt was on a silent connection */
 	uint32_t hedge_tries; /* looks for a free slot, so far */
 	int64_t arrived_us;
 	int64_t deadline_us;
@@ -102,7 +106,10 @@
 	uint32_t failures; /* in a row */
 	uint32_t eject_level;
 	int64_t ejected_until_us;
-	int64_t service_us; /* moving average, 0: none yet */
+	int64_t service_us;	  /* moving average, 0: none yet */
+	int64_t silent_us;	  /* older connections may be silent, 0: none */
+	int64_t silent_before_us; /* older connections are */
+	int64_t probed_us;	  /* last call that was sent to find out */
 	/* As a holder of leases. */
 	uint32_t leased;   /* slots that this VM may use */
 	uint32_t occupied; /* of these, in use */
@@ -189,7 +196,16 @@
 
 struct dc_suspect {
 	uint64_t fingerprint;
+	uint64_t target; /* of the last death */
 	uint32_t deaths;
+	uint32_t fresh_deaths; /* of these, not on an old connection */
+	int64_t died_us;
+	int64_t until_us;
+};
+
+/* A request that was answered whole, by its fingerprint. */
+struct dc_known_good {
+	uint64_t fingerprint;
 	int64_t until_us;
 };
 
@@ -269,6 +285,7 @@
 	struct dc_key_table home_keys;
 	struct dc_key_table witnessed;
 	struct dc_suspect suspects[DC_SUSPECTS_MAX];
+	struct dc_known_good known_good[DC_KNOWN_GOOD_MAX];
 	struct dc_route routes[DC_ROUTES_MAX];
 	struct dc_pool pools[DC_POOLS_MAX];
 	struct dc_group groups[DC_GROUPS_MAX];
@@ -328,8 +345,15 @@
     const struct dc_attempt *attempt);
 void dc_target_failed(struct dc_core *core, const struct dc_attempt *attempt);
 
+/* silence.c: connections that are open and dead. */
+void dc_silence_suspect(struct dc_core *core, const struct dc_attempt *attempt);
+void dc_silence_learn(struct dc_core *core, const struct dc_attempt *attempt);
+bool dc_silence_has(
+    const struct dc_core *core, const struct dc_attempt *attempt);
+
 /* suspects.c: requests that kill targets. */
-void dc_suspect_add(struct dc_core *core, uint64_t fingerprint);
+void dc_suspect_add(struct dc_core *core, const struct dc_suspect_news *news);
+void dc_suspect_clear(struct dc_core *core, uint64_t fingerprint);
 bool dc_suspect_quarantined(const struct dc_core *core, uint64_t fingerprint);
 
 /* dispatch.c: calls from arrival to their first attempt. */
@@ -362,6 +386,7 @@
     struct dc_attempt *attempt, uint32_t status);
 void dc_attempt_on_end(struct dc_core *core, struct dc_call *call,
     struct dc_attempt *attempt, enum dc_result result);
+void dc_attempt_arm_timer(struct dc_core *core, struct dc_call *call);
 void dc_attempts_on_timer(struct dc_core *core, struct dc_call *call);
 
 /* peers.c: the entry VMs, and which of them owns a group. */
@@ -377,7 +402,8 @@
 struct dc_choice dc_lease_pick(struct dc_core *core, struct dc_pool *pool,
     const struct dc_call *call, bool panic);
 void dc_lease_ask(struct dc_core *core, struct dc_pool *pool);
-bool dc_lease_ask_spare(struct dc_core *core, struct dc_pool *pool);
+bool dc_lease_ask_spare(
+    struct dc_core *core, struct dc_pool *pool, bool urgent);
 void dc_lease_ended(struct dc_core *core, struct dc_target *target);
 void dc_lease_report_held(struct dc_core *core, struct dc_group *group);
 void dc_lease_on_grant(struct dc_core *core, uint32_t peer,
--- a/lib/decide/dispatch.c
+++ b/lib/decide/dispatch.c
@@ -5,7 +5,6 @@
  */
 #include "decide_internal.h"
 
-#define BUDGET_MAX (10 * DC_MILLI)
 #define RECHECK_US 10000
 #define AVERAGE_SHIFT 3
 
@@ -71,11 +70,11 @@
 earn_budgets(struct dc_core *core, struct dc_route *route)
 {
 	route->retry_budget += core->parameters[DC_P_RETRY_BUDGET_MILLI];
-	if (route->retry_budget > BUDGET_MAX)
-		route->retry_budget = BUDGET_MAX;
+	if (route->retry_budget > DC_BUDGET_MAX)
+		route->retry_budget = DC_BUDGET_MAX;
 	route->hedge_budget += core->parameters[DC_P_HEDGE_BUDGET_MILLI];
-	if (route->hedge_budget > BUDGET_MAX)
-		route->hedge_budget = BUDGET_MAX;
+	if (route->hedge_budget > DC_BUDGET_MAX)
+		route->hedge_budget = DC_BUDGET_MAX;
 }
 
 /*
--- a/lib/decide/fields.c
+++ b/lib/decide/fields.c
@@ -39,6 +39,7 @@
     [DC_ACT_REFUSE] = {"refuse", FIELDS(dc_refuse)},
     [DC_ACT_CUT] = {"cut", FIELDS(dc_attempt_ref)},
     [DC_ACT_DONE] = {"done", FIELDS(dc_attempt_ref)},
+    [DC_ACT_FLUSH] = {"flush", FIELDS(dc_flush)},
     [DC_ACT_STORE_CLAIM] = {"store_claim", FIELDS(dc_call_ref)},
     [DC_ACT_MESSAGE] = {"message", 8},
 };
--- a/lib/decide/holder.c
+++ b/lib/decide/holder.c
@@ -313,9 +313,12 @@
 	}
 }
 
-/* Asks for one slot beyond the waiting calls; false while slots are scarce. */
+/*
+ * Asks for one slot beyond the waiting calls. False while slots are scarce,
+ * unless it is urgent.
+ */
 bool
-dc_lease_ask_spare(struct dc_core *core, struct dc_pool *pool)
+dc_lease_ask_spare(struct dc_core *core, struct dc_pool *pool, bool urgent)
 {
 	uint32_t preferred = preferred_group(core, pool);
 	struct dc_group *group;
@@ -324,7 +327,7 @@
 	    preferred == DC_NONE)
 		return false;
 	group = &core->groups[preferred];
-	if (group->scarce || group->owner == DC_NONE)
+	if ((group->scarce && !urgent) || group->owner == DC_NONE)
 		return false;
 	if (group->wanted == 0)
 		send_want(core, group, 1);
--- a/lib/decide/owner.c
+++ b/lib/decide/owner.c
@@ -119,11 +119,25 @@
 	}
 }
 
+static bool
+is_alone(const struct dc_core *core)
+{
+	uint32_t peer;
+
+	for (peer = 1; peer < core->peer_count; peer++) {
+		if (core->peers[peer].state != DC_PEER_DEAD)
+			return false;
+	}
+	return true;
+}
+
 void
 dc_owner_begin(struct dc_core *core, struct dc_group *group)
 {
 	clear_grants(core, group);
 	group->owned_since_us = core->now_us;
+	if (is_alone(core)) /* nobody else can hold anything */
+		group->owned_since_us -= OWNER_GRACE_US;
 	group->idle_since_us = 0;
 	dc_owner_ask_for_sync(core, group);
 }
@@ -310,6 +324,8 @@
 		group->idle_since_us = core->now_us;
 	if (core->now_us - group->idle_since_us >= IDLE_AGAIN_US)
 		turn_idle(core, group);
+	else if (group->idle_since_us + IDLE_AGAIN_US < core->pools_wake_us)
+		core->pools_wake_us = group->idle_since_us + IDLE_AGAIN_US;
 }
 
 /* The holder that has the most of what it asks for, by cross product. */
@@ -480,8 +496,10 @@
 	for (i = 0; i < DC_GROUPS_MAX; i++) {
 		struct dc_group *group = &core->groups[i];
 
-		if (group->used && group->owner == DC_SELF &&
-		    group->want_total > 0)
+		if (!group->used || group->owner != DC_SELF)
+			continue;
+		if (group->want_total > 0)
 			distribute(core, group);
+		notice_idle(core, group);
 	}
 }
--- a/lib/decide/peers.c
+++ b/lib/decide/peers.c
@@ -315,7 +315,7 @@
 		dc_forward_on_kill_result(core, &message->kill_result);
 		return CS_OK;
 	case DC_MSG_SUSPECT:
-		dc_suspect_add(core, message->suspect.fingerprint);
+		dc_suspect_add(core, &message->suspect);
 		return CS_OK;
 	case DC_MSG_DRAINS:
 		on_drains(core, &message->drains);
--- a/lib/decide/suspects.c
+++ b/lib/decide/suspects.c
@@ -1,11 +1,15 @@
 /*
  * Requests that kill targets. A fingerprint that was in flight on a target
- * when it died is a suspect; the second death quarantines it for a while. The
+ * when it died is a suspect; the second death quarantines it for a while. A
+ * break on a connection that was used before may just be that connection's
+ * end, so at least one of the two has to be on a new one. The
  * table is a fixed array; the entry that lapses first gives way.
  */
 #include "decide_internal.h"
 
 #define QUARANTINE_DEATHS 2
+#define SAME_DEATH_US 1000000
+#define KNOWN_GOOD_US 600000000
 
 static struct dc_suspect *
 find(struct dc_core *core, uint64_t fingerprint)
@@ -26,19 +30,73 @@
 	return oldest;
 }
 
+/* Answered not long ago: the targets that died had another reason. */
+static bool
+is_known_good(const struct dc_core *core, uint64_t fingerprint)
+{
+	const struct dc_known_good *slot =
+	    &core->known_good[fingerprint % DC_KNOWN_GOOD_MAX];
+
+	return slot->fingerprint == fingerprint &&
+	       slot->until_us > core->now_us;
+}
+
+static bool
+is_quarantined(const struct dc_suspect *suspect)
+{
+	return suspect->deaths >= QUARANTINE_DEATHS &&
+	       suspect->fresh_deaths > 0;
+}
+
 void
-dc_suspect_add(struct dc_core *core, uint64_t fingerprint)
+dc_suspect_add(struct dc_core *core, const struct dc_suspect_news *news)
 {
-	struct dc_suspect *suspect = find(core, fingerprint);
+	struct dc_suspect *suspect;
+	bool was_quarantined;
 
+	if (is_known_good(core, news->fingerprint))
+		return;
+	suspect = find(core, news->fingerprint);
+	was_quarantined = is_quarantined(suspect);
+	/* Several calls that one death broke off are one death. */
+	if (suspect->deaths > 0 && suspect->target == news->target &&
+	    core->now_us - suspect->died_us < SAME_DEATH_US)
+		return;
+	suspect->target = news->target;
+	suspect->died_us = core->now_us;
 	suspect->deaths++;
+	suspect->fresh_deaths += news->fresh != 0;
 	suspect->until_us = core->now_us + core->parameters[DC_P_QUARANTINE_US];
 	if (suspect->until_us > core->suspects_until_us)
 		core->suspects_until_us = suspect->until_us;
-	if (suspect->deaths == QUARANTINE_DEATHS)
+	if (!was_quarantined && is_quarantined(suspect))
 		core->counters.quarantines++;
 }
 
+static struct dc_known_good *
+known_good_slot(struct dc_core *core, uint64_t fingerprint)
+{
+	return &core->known_good[fingerprint % DC_KNOWN_GOOD_MAX];
+}
+
+/* A request that was answered does not kill: it was in bad company. */
+void
+dc_suspect_clear(struct dc_core *core, uint64_t fingerprint)
+{
+	uint32_t i;
+
+	*known_good_slot(core, fingerprint) = (struct dc_known_good){
+	    .fingerprint = fingerprint,
+	    .until_us = core->now_us + KNOWN_GOOD_US,
+	};
+	if (core->suspects_until_us <= core->now_us)
+		return;
+	for (i = 0; i < DC_SUSPECTS_MAX; i++) {
+		if (core->suspects[i].fingerprint == fingerprint)
+			core->suspects[i].until_us = 0;
+	}
+}
+
 bool
 dc_suspect_quarantined(const struct dc_core *core, uint64_t fingerprint)
 {
@@ -51,7 +109,7 @@
 
 		if (suspect->fingerprint == fingerprint &&
 		    suspect->until_us > core->now_us)
-			return suspect->deaths >= QUARANTINE_DEATHS;
+			return is_quarantined(suspect);
 	}
 	return false;
 }
--- a/lib/decide/table.c
+++ b/lib/decide/table.c
@@ -234,8 +234,12 @@
 		number = free_route(core);
 		if (number == DC_NONE)
 			return CS_E_FULL;
-		core->routes[number] =
-		    (struct dc_route){.used = true, .id = event->route};
+		core->routes[number] = (struct dc_route){
+		    .used = true,
+		    .id = event->route,
+		    .retry_budget = DC_BUDGET_MAX,
+		    .hedge_budget = DC_BUDGET_MAX,
+		};
 	}
 	route = &core->routes[number];
 	route->listed = true;
--- a/lib/serve/admin.c
+++ b/lib/serve/admin.c
@@ -60,6 +60,43 @@
 	reply_json(req, 200, list);
 }
 
+static json_t *
+describe_target(struct sv_server *server, const struct dc_target_info *info)
+{
+	const struct sv_target *target =
+	    g_hash_table_lookup(server->targets, &info->id);
+	const char *owner = "";
+	uint32_t i;
+
+	if (target == NULL)
+		return NULL;
+	for (i = 0; i < server->entry_count; i++) {
+		if (server->entries[i].id == info->owner)
+			owner = server->entries[i].name;
+	}
+	return json_pack("{s:s, s:I, s:I, s:I, s:I, s:s, s:I, s:b, s:b}",
+	    "address", target->address, "slots", (json_int_t)info->slots,
+	    "in_flight", (json_int_t)info->in_flight, "leased",
+	    (json_int_t)info->leased, "granted", (json_int_t)info->granted,
+	    "owner", owner, "service_us", (json_int_t)info->service_us,
+	    "ejected", (int)info->ejected, "drains", (int)info->drains);
+}
+
+static void
+targets(struct sv_server *server, h2o_req_t *req)
+{
+	json_t *list = json_array();
+	struct dc_target_info info;
+	uint32_t i;
+
+	for (i = 0; dc_target_info(server->core, i, &info) == CS_OK; i++) {
+		if (info.id != 0)
+			json_array_append_new(
+			    list, describe_target(server, &info));
+	}
+	reply_json(req, 200, list);
+}
+
 static void
 append_metric(
     GString *text, const char *name, const char *kind, unsigned long long value)
@@ -94,6 +131,7 @@
 	append_metric(text, "hedges_total", "counter", c.hedges);
 	append_metric(text, "ejections_total", "counter", c.ejections);
 	append_metric(text, "quarantines_total", "counter", c.quarantines);
+	append_metric(text, "silences_total", "counter", c.silences);
 	append_metric(text, "attempts_unleased_total", "counter", c.unleased);
 	append_metric(
 	    text, "lease_messages_total", "counter", c.lease_messages);
@@ -127,6 +165,8 @@
 		metrics(server, req);
 	else if (path_is(req, "/members"))
 		members(server, req);
+	else if (path_is(req, "/targets"))
+		targets(server, req);
 	else if (path_is(req, "/ready"))
 		ready(server, req);
 	else
--- a/lib/serve/serve.h
+++ b/lib/serve/serve.h
@@ -9,6 +9,7 @@
 #include <netinet/in.h>
 #include <stdbool.h>
 #include <stdint.h>
+#include <stdio.h>
 #include <uv.h>
 
 #include "../config/config.h"
@@ -64,6 +65,7 @@
 	uint32_t keep_ms;     /* how long callers keep a directory answer */
 	uint32_t depth_max;   /* of chains of calls */
 	const char *dispatch; /* "two-choices" or "leases" */
+	FILE *trace; /* what the core sees and does; NULL: not written */
 	struct sv_callbacks callbacks;
 };
 
--- a/lib/serve/serve_internal.h
+++ b/lib/serve/serve_internal.h
@@ -15,16 +15,22 @@
 #define SV_TOKEN_BYTES_MAX 128
 #define SV_KEY_BYTES_MAX 256
 
-/* One target with its pool of idle connections; reference counted. */
+/* Idle connections to one target; reference counted. */
+struct sv_pool {
+	struct cs_ref ref;
+	struct sockaddr_in sockaddr;
+	h2o_socketpool_t sockets;
+	uv_timer_t timer; /* disposes of it, then frees it */
+};
+
+/* One target; reference counted. */
 struct sv_target {
 	struct cs_ref ref;
 	struct sv_server *server;
 	uint64_t id;
 	char address[CF_ADDRESS_BYTES_MAX];
 	struct sockaddr_in sockaddr;
-	bool pooled; /* keeps idle connections */
-	h2o_socketpool_t connections;
-	uv_timer_t free_timer;
+	struct sv_pool *pool; /* NULL: connections are not kept */
 };
 
 struct sv_call;
@@ -42,6 +48,7 @@
 struct sv_attempt {
 	struct sv_call *call;
 	struct sv_target *target;
+	struct sv_pool *pool;	   /* that its connection belongs to */
 	h2o_http1client_t *client; /* NULL when there is none */
 	uint32_t number;
 	bool forwarded;	  /* to another entry VM */
@@ -124,10 +131,17 @@
 void sv_call_unref(struct sv_call *call);
 void sv_watch_callers(struct sv_server *server);
 
-/* upstream.c: attempts. */
+/* connections.c: targets and their idle connections. */
+void sv_pool_unref(struct sv_pool *pool);
+void sv_target_flush(struct sv_target *target);
 struct sv_target *sv_target_new(
     struct sv_server *server, const char *address, bool pooled);
 void sv_target_unref(struct sv_target *target);
+/* request_head.c */
+h2o_iovec_t sv_format_head(
+    struct sv_call *call, const struct sv_attempt *attempt);
+
+/* upstream.c: attempts. */
 void sv_attempt_start(struct sv_call *call, const struct dc_send *send);
 void sv_forward_start(struct sv_call *call, const struct dc_send *send);
 void sv_attempt_cancel(struct sv_call *call, uint32_t number);
--- a/lib/serve/server.c
+++ b/lib/serve/server.c
@@ -72,6 +72,9 @@
 {
 	const struct sv_params *params = &server->params;
 
+	if (params->trace != NULL)
+		fprintf(params->trace, "SEED %llu\n",
+		    (unsigned long long)params->seed);
 	dc_parameter_set(
 	    server->core, "dispatch", dispatch_number(params->dispatch));
 	sv_feed(server,
--- a/lib/serve/shell.c
+++ b/lib/serve/shell.c
@@ -3,6 +3,7 @@
  * events at once (a pooled connection is ready immediately); those wait until
  * the actions of the step under way are done.
  */
+#include <stdio.h>
 #include <string.h>
 
 #include "serve_internal.h"
@@ -58,6 +59,15 @@
 	sv_relay_more(call);
 }
 
+static void
+flush(struct sv_server *server, uint64_t id)
+{
+	struct sv_target *target = g_hash_table_lookup(server->targets, &id);
+
+	if (target != NULL)
+		sv_target_flush(target);
+}
+
 static void
 perform(struct sv_server *server, const struct dc_action *action)
 {
@@ -93,6 +103,9 @@
 			server->params.callbacks.claim(call->id, call->key.a,
 			    call->key.b, server->params.callbacks.user);
 		break;
+	case DC_ACT_FLUSH:
+		flush(server, action->flush.target);
+		break;
 	case DC_ACT_MESSAGE:
 		server->params.callbacks.send(action->message.peer,
 		    &action->message.message, server->params.callbacks.user);
@@ -111,13 +124,32 @@
 	}
 }
 
+static void
+write_trace(
+    struct sv_server *server, const struct dc_event *event, int64_t now_us)
+{
+	char line[DC_TRACE_LINE_BYTES_MAX];
+	uint32_t i;
+
+	dc_trace_event(event, now_us, line);
+	fprintf(server->params.trace, "%s\n", line);
+	for (i = 0; i < server->actions.count; i++) {
+		dc_trace_action(&server->actions.items[i], line);
+		fprintf(server->params.trace, "%s\n", line);
+	}
+}
+
 static void
 step(struct sv_server *server, const struct dc_event *event)
 {
 	uint32_t i;
 	int error;
 
-	error = dc_step(server->core, event, cs_now_us(), &server->actions);
+	int64_t now_us = cs_now_us();
+
+	error = dc_step(server->core, event, now_us, &server->actions);
+	if (server->params.trace != NULL)
+		write_trace(server, event, now_us);
 	if (error != CS_OK)
 		return;
 	for (i = 0; i < server->actions.count; i++)
--- a/lib/serve/upstream.c
+++ b/lib/serve/upstream.c
@@ -6,62 +6,9 @@
 
 #include "serve_internal.h"
 
-#define IDLE_CONNECTION_MS 10000
 #define SILENCE_TIMEOUT_MS 2000
-#define IDLE_CONNECTIONS_MAX 64
-#define FREE_DELAY_MS 1000
-#define HEAD_EXTRA_BYTES 512
 #define STATUS_MISDIRECTED 421
 
-struct sv_target *
-sv_target_new(struct sv_server *server, const char *address, bool pooled)
-{
-	struct sv_target *target = g_new0(struct sv_target, 1);
-
-	cs_ref_init(&target->ref);
-	target->server = server;
-	target->id = cs_hash(address, strlen(address));
-	target->pooled = pooled;
-	g_strlcpy(target->address, address, sizeof(target->address));
-	ht_parse_address(address, &target->sockaddr);
-	if (!pooled)
-		return target;
-	h2o_socketpool_init_by_address(&target->connections,
-	    (struct sockaddr *)&target->sockaddr, sizeof(target->sockaddr), 0,
-	    IDLE_CONNECTIONS_MAX);
-	h2o_socketpool_set_timeout(
-	    &target->connections, server->params.loop, IDLE_CONNECTION_MS);
-	return target;
-}
-
-static void
-on_free_timer_closed(uv_handle_t *handle)
-{
-	g_free(handle->data);
-}
-
-static void
-on_free_timer(uv_timer_t *timer)
-{
-	uv_close((uv_handle_t *)timer, on_free_timer_closed);
-}
-
-/* The pool's own timer closes in the loop's next turns and must outlive it. */
-void
-sv_target_unref(struct sv_target *target)
-{
-	if (!cs_ref_drop(&target->ref))
-		return;
-	if (!target->pooled) {
-		g_free(target);
-		return;
-	}
-	h2o_socketpool_dispose(&target->connections);
-	uv_timer_init(target->server->params.loop, &target->free_timer);
-	target->free_timer.data = target;
-	uv_timer_start(&target->free_timer, on_free_timer, FREE_DELAY_MS, 0);
-}
-
 static void
 release(struct sv_attempt *attempt)
 {
@@ -70,6 +17,8 @@
 
 	attempt->client = NULL;
 	attempt->target = NULL;
+	sv_pool_unref(attempt->pool);
+	attempt->pool = NULL;
 	sv_target_unref(target);
 	sv_call_unref(call);
 }
@@ -278,111 +227,6 @@
 	return on_head;
 }
 
-/* Headers that concern one connection only, or that are written anew. */
-static bool
-is_dropped(const h2o_req_t *req, const h2o_header_t *header)
-{
-	static const char *const names[] = {"connection", "keep-alive",
-	    "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade",
-	    "expect", "host", "content-length", "chervilshelf-deadline-ms",
-	    "chervilshelf-depth", "chervilshelf-request-id",
-	    "chervilshelf-forwarded", NULL};
-	const char *const *name;
-	h2o_iovec_t connection = ht_header(req, "connection");
-
-	for (name = names; *name != NULL; name++) {
-		if (h2o_lcstris(header->name->base, header->name->len, *name,
-			strlen(*name)))
-			return true;
-	}
-	return connection.base != NULL &&
-	       h2o_contains_token(connection.base, connection.len,
-		   header->name->base, header->name->len, ',');
-}
-
-static size_t
-head_bound(const struct sv_call *call)
-{
-	const h2o_req_t *req = call->req;
-	size_t i, bytes = HEAD_EXTRA_BYTES;
-
-	bytes += req->method.len + req->path.len + req->authority.len;
-	for (i = 0; i < req->headers.size; i++)
-		bytes += req->headers.entries[i].name->len +
-			 req->headers.entries[i].value.len + 4;
-	return bytes;
-}
-
-static char *
-append(char *at, h2o_iovec_t bytes)
-{
-	memcpy(at, bytes.base, bytes.len);
-	return at + bytes.len;
-}
-
-static char *
-append_text(char *at, const char *text)
-{
-	return append(at, h2o_iovec_init(text, strlen(text)));
-}
-
-static char *
-append_headers(char *at, const struct sv_call *call)
-{
-	const h2o_req_t *req = call->req;
-	size_t i;
-
-	for (i = 0; i < req->headers.size; i++) {
-		const h2o_header_t *header = &req->headers.entries[i];
-
-		if (is_dropped(req, header))
-			continue;
-		at = append(at, *header->name);
-		at = append_text(at, ": ");
-		at = append(at, header->value);
-		at = append_text(at, "\r\n");
-	}
-	return at;
-}
-
-static char *
-append_own_headers(
-    char *at, const struct sv_call *call, const struct sv_attempt *attempt)
-{
-	int64_t left_ms = (call->deadline_us - cs_now_us()) / 1000;
-
-	if (call->req->entity.base != NULL)
-		at += sprintf(
-		    at, "Content-Length: %zu\r\n", call->req->entity.len);
-	return at +
-	       sprintf(at,
-		   "Chervilshelf-Deadline-Ms: %lld\r\n"
-		   "Chervilshelf-Depth: %u\r\n"
-		   "Chervilshelf-Request-Id: %s\r\n%s%s\r\n",
-		   (long long)(left_ms > 0 ? left_ms : 0),
-		   call->depth + (attempt->forwarded ? 0 : 1), call->request_id,
-		   attempt->fresh ? "Connection: close\r\n" : "",
-		   attempt->forwarded ? "Chervilshelf-Forwarded: 1\r\n" : "");
-}
-
-static h2o_iovec_t
-format_head(struct sv_call *call, const struct sv_attempt *attempt)
-{
-	h2o_req_t *req = call->req;
-	char *start = h2o_mem_alloc_pool(&req->pool, head_bound(call));
-	char *at = start;
-
-	at = append(at, req->method);
-	at = append_text(at, " ");
-	at = append(at, req->path);
-	at = append_text(at, " HTTP/1.1\r\nHost: ");
-	at = append(at, req->authority);
-	at = append_text(at, "\r\n");
-	at = append_headers(at, call);
-	at = append_own_headers(at, call, attempt);
-	return h2o_iovec_init(start, (size_t)(at - start));
-}
-
 static struct sv_attempt *
 unused_attempt(struct sv_call *call)
 {
@@ -403,9 +247,11 @@
 	char host[INET_ADDRSTRLEN];
 
 	if (!attempt->fresh) {
+		attempt->pool = target->pool;
+		cs_ref_take(&attempt->pool->ref);
 		attempt->in_connect = true;
 		h2o_http1client_connect_with_pool(&attempt->client, attempt,
-		    &server->client, &target->connections, on_connect);
+		    &server->client, &attempt->pool->sockets, on_connect);
 		attempt->in_connect = false;
 		return;
 	}
@@ -442,7 +288,7 @@
 	    .forwarded = forwarded,
 	    .fresh = send->fresh != 0,
 	};
-	attempt->buffers[0] = format_head(call, attempt);
+	attempt->buffers[0] = sv_format_head(call, attempt);
 	attempt->buffers[1] = call->req->entity;
 	connect_target(attempt);
 }
--- a/programs/entry.c
+++ b/programs/entry.c
@@ -131,6 +131,19 @@
 	return st_refuse(flag, text, "IPV4:PORT, port 0 for any");
 }
 
+static int
+open_trace(const char *path, FILE **out)
+{
+	*out = NULL;
+	if (path == NULL)
+		return CS_OK;
+	*out = strcmp(path, "-") == 0 ? stdout : fopen(path, "w");
+	if (*out == NULL)
+		return st_refuse("trace", path, "a file that can be written");
+	setvbuf(*out, NULL, _IOLBF, 0);
+	return CS_OK;
+}
+
 static int
 create_server(struct en_entry *entry)
 {
@@ -158,6 +171,8 @@
 	    parse_listen(
 		"admin-listen", o->admin_listen, &params.admin_listen) != CS_OK)
 		return ST_EXIT_USAGE;
+	if (open_trace(o->trace, &params.trace) != CS_OK)
+		return ST_EXIT_USAGE;
 	if (sv_create(&params, &entry->server) == CS_OK)
 		return ST_EXIT_DONE;
 	fprintf(stderr,
@@ -377,6 +392,12 @@
 		.text = &o->dispatch,
 		.argument = "POLICY",
 		.help = "leases or two-choices"},
+	    {.name = "trace",
+		.kind = ST_TEXT,
+		.text = &o->trace,
+		.argument = "FILE",
+		.help = "write what the decision core sees and does; - for "
+			"standard output"},
 	    {.name = "seed-peer",
 		.kind = ST_TEXT,
 		.text = &o->seed_peers,
--- a/programs/entry.h
+++ b/programs/entry.h
@@ -26,6 +26,7 @@
 	const char *platform;
 	const char *log_level;
 	const char *dispatch;
+	const char *trace;	/* file, "-" for standard output, NULL: none */
 	const char *seed_peers; /* comma separated, NULL: none */
 	int64_t keep_ms;
 	int64_t depth_max;
--- a/tests/fuzz/driver.c
+++ b/tests/fuzz/driver.c
@@ -233,6 +233,8 @@
 		send_message(w, core, &action->message);
 		return;
 	}
+	if (action->type == DC_ACT_FLUSH)
+		return;
 	call = find_call(w, core, action->fields[0]);
 	if (call == NULL) {
 		fault(w, "an action for a call that has ended");
--- a/tests/unit/test_decide.c
+++ b/tests/unit/test_decide.c
@@ -275,12 +275,13 @@
 }
 
 static void
-test_no_retry_without_budget(void **state)
+test_no_retry_when_retries_are_off(void **state)
 {
 	struct bench b;
 
 	(void)state;
 	start(&b, 2, 2);
+	dc_parameter_set(b.core, "retry_budget_milli", 0);
 	arrive(&b, 1, BROWSE, 500 * MS);
 	sent(&b, 1, 1);
 	ended(&b, 1, 1, DC_RESULT_BROKEN);
@@ -288,6 +289,33 @@
 	stop(&b);
 }
 
+/* Ten retries to begin with, and one for every ten calls. */
+static void
+test_retries_end_with_their_budget(void **state)
+{
+	struct bench b;
+	uint64_t call, retries = 0;
+
+	(void)state;
+	start(&b, 2, 2);
+	dc_parameter_set(b.core, "eject_failures", 1000);
+	for (call = 1; call <= 40; call++) {
+		arrive(&b, call, BROWSE, 500 * MS);
+		sent(&b, call, 1);
+		head(&b, call, 1, 503);
+		if (action(&b, DC_ACT_SEND) == NULL) {
+			ended(&b, call, 1, DC_RESULT_WHOLE);
+			continue;
+		}
+		retries++;
+		sent(&b, call, 2);
+		head(&b, call, 2, 200);
+		ended(&b, call, 2, DC_RESULT_WHOLE);
+	}
+	assert_int_equal(retries, 10 + 39 / 10); /* the first earns none */
+	stop(&b);
+}
+
 static void
 test_request_that_kills_two_targets_is_quarantined(void **state)
 {
@@ -323,6 +351,36 @@
 	stop(&b);
 }
 
+/* A request that many make was in flight at two deaths, but it is answered. */
+static void
+test_request_that_is_answered_is_no_suspect(void **state)
+{
+	struct bench b;
+	uint64_t call;
+	int death;
+
+	(void)state;
+	start(&b, 3, 4);
+	for (death = 0; death < 4; death++) {
+		feed(&b, &(struct dc_event){.type = DC_EV_MESSAGE,
+			     .message = {.peer = 9,
+				 .message = {.type = DC_MSG_SUSPECT,
+				     .suspect = {77, TARGET + 1, 1}}}});
+		feed(&b, &(struct dc_event){.type = DC_EV_PEER,
+			     .peer = {9, 1, 2, DC_PEER_ALIVE}});
+		call = 200 + (uint64_t)death;
+		feed(&b, &(struct dc_event){.type = DC_EV_CALL_ARRIVED,
+			     .arrived = {.call = call,
+				 .route = BROWSE,
+				 .fingerprint = 77,
+				 .deadline_us = b.now_us + 500 * MS}});
+		assert_null(action(&b, DC_ACT_REFUSE));
+		serve(&b, call, 20 * MS);
+		pass(&b, 2000 * MS);
+	}
+	stop(&b);
+}
+
 static void
 test_suspect_is_not_retried_beside_other_work(void **state)
 {
@@ -598,9 +656,11 @@
 		test_waiting_call_is_refused_not_run_at_its_deadline),
 	    cmocka_unit_test(test_sent_call_is_unknown_at_its_deadline),
 	    cmocka_unit_test(test_ends_of_a_first_attempt),
-	    cmocka_unit_test(test_no_retry_without_budget),
+	    cmocka_unit_test(test_no_retry_when_retries_are_off),
+	    cmocka_unit_test(test_retries_end_with_their_budget),
 	    cmocka_unit_test(
 		test_request_that_kills_two_targets_is_quarantined),
+	    cmocka_unit_test(test_request_that_is_answered_is_no_suspect),
 	    cmocka_unit_test(test_suspect_is_not_retried_beside_other_work),
 	    cmocka_unit_test(test_idle_time_does_not_count_as_waiting_time),
 	    cmocka_unit_test(test_what_cannot_finish_in_time_is_refused_early),
--- /dev/null
+++ b/tests/unit/test_replay.c
@@ -0,0 +1,153 @@
+/*
+ * Replays recorded traces against stated outcomes. A trace holds events as
+ * `chervilshelf entry --trace` writes them; a line "A ..." after an event is
+ * an action that the core must give, in order; "! NAME" says that it must
+ * give none of that name in the step before. The first line may be
+ * "SEED number". Lines that begin with "#" are comments.
+ */
+#include <dirent.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "../../lib/base/base.h"
+#include "../../lib/decide/decide.h"
+
+#define LINE_BYTES 1024
+#define PATH_BYTES 512
+
+struct replay {
+	struct dc_core *core;
+	struct dc_actions actions;
+	uint32_t next; /* action that has not been compared yet */
+	const char *file;
+	int line;
+};
+
+static void
+expect_action(struct replay *r, const char *expected)
+{
+	char line[DC_TRACE_LINE_BYTES_MAX] = "nothing";
+
+	if (r->next < r->actions.count)
+		dc_trace_action(&r->actions.items[r->next++], line);
+	if (strcmp(line, expected) != 0)
+		fail_msg("%s:%d: expected \"%s\", got \"%s\"", r->file, r->line,
+		    expected, line);
+}
+
+static void
+expect_none(struct replay *r, const char *name)
+{
+	uint32_t i;
+
+	for (i = 0; i < r->actions.count; i++) {
+		if (strcmp(dc_action_text(r->actions.items[i].type), name) == 0)
+			fail_msg(
+			    "%s:%d: there is a %s", r->file, r->line, name);
+	}
+}
+
+static void
+take_line(struct replay *r, const char *line)
+{
+	struct dc_event event;
+	int64_t now_us;
+
+	if (strncmp(line, "SEED ", 5) == 0) {
+		dc_core_free(r->core);
+		r->core = dc_core_create(strtoull(line + 5, NULL, 10));
+	} else if (strncmp(line, "E ", 2) == 0) {
+		if (dc_trace_parse(line, &event, &now_us) != CS_OK)
+			fail_msg("%s:%d: not an event", r->file, r->line);
+		dc_step(r->core, &event, now_us, &r->actions);
+		r->next = 0;
+		if (dc_check(r->core) != NULL)
+			fail_msg(
+			    "%s:%d: %s", r->file, r->line, dc_check(r->core));
+	} else if (strncmp(line, "A ", 2) == 0) {
+		expect_action(r, line);
+	} else if (strncmp(line, "! ", 2) == 0) {
+		expect_none(r, line + 2);
+	}
+}
+
+static void
+replay_file(const char *path)
+{
+	struct replay r = {.core = dc_core_create(1), .file = path};
+	FILE *in = fopen(path, "r");
+	char line[LINE_BYTES];
+
+	assert_non_null(in);
+	while (fgets(line, sizeof(line), in) != NULL) {
+		line[strcspn(line, "\n")] = '\0';
+		r.line++;
+		take_line(&r, line);
+	}
+	fclose(in);
+	dc_core_free(r.core);
+}
+
+static void
+test_recorded_traces_lead_to_their_outcomes(void **state)
+{
+	DIR *folder = opendir(TESTS_DIR "/replay/traces");
+	char path[PATH_BYTES];
+	struct dirent *item;
+	int count = 0;
+
+	(void)state;
+	assert_non_null(folder);
+	while ((item = readdir(folder)) != NULL) {
+		if (strstr(item->d_name, ".trace") == NULL)
+			continue;
+		snprintf(path, sizeof(path), TESTS_DIR "/replay/traces/%s",
+		    item->d_name);
+		replay_file(path);
+		count++;
+	}
+	closedir(folder);
+	assert_true(count > 0);
+}
+
+static void
+test_events_survive_writing_and_reading(void **state)
+{
+	int type;
+
+	(void)state;
+	for (type = 0; type < DC_EV_TYPES; type++) {
+		struct dc_event event = {.type = (enum dc_event_type)type};
+		struct dc_event back;
+		char line[DC_TRACE_LINE_BYTES_MAX];
+		uint32_t i, count = dc_event_fields(event.type);
+		int64_t now_us;
+
+		for (i = 0; i < count; i++)
+			event.fields[i] = UINT64_MAX - i;
+		dc_trace_event(&event, 77, line);
+		assert_int_equal(dc_trace_parse(line, &back, &now_us), CS_OK);
+		assert_int_equal(now_us, 77);
+		assert_int_equal(back.type, event.type);
+		assert_memory_equal(
+		    back.fields, event.fields, count * sizeof(uint64_t));
+	}
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_recorded_traces_lead_to_their_outcomes),
+	    cmocka_unit_test(test_events_survive_writing_and_reading),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
