--- a/lib/serve/admin.c
+++ b/lib/serve/admin.c
@@ -154,6 +154,42 @@
 	    json_pack("{s:b}", "ready", (int)is_ready));
 }
 
+static void
+report(struct sv_server *server, h2o_req_t *req)
+{
+	char *text = sv_accounts(server);
+
+	ht_reply(req, 200, SV_JSON, text, strlen(text));
+	free(text);
+}
+
+#define EXPLAIN_PREFIX "/explain/"
+
+static bool
+is_explain(const h2o_req_t *req)
+{
+	return req->path_normalized.len > strlen(EXPLAIN_PREFIX) &&
+	       memcmp(req->path_normalized.base, EXPLAIN_PREFIX,
+		   strlen(EXPLAIN_PREFIX)) == 0;
+}
+
+static void
+explain(struct sv_server *server, h2o_req_t *req)
+{
+	size_t skip = strlen(EXPLAIN_PREFIX);
+	char id[SV_ID_BYTES_MAX] = "";
+	json_t *story;
+
+	if (req->path_normalized.len - skip < sizeof(id))
+		memcpy(id, req->path_normalized.base + skip,
+		    req->path_normalized.len - skip);
+	story = sv_story_json(server, id);
+	if (story != NULL)
+		reply_json(req, 200, story);
+	else
+		reply_json(req, 404, json_pack("{s:s}", "error", "not kept"));
+}
+
 void
 sv_on_admin_request(h2o_req_t *req, void *user)
 {
@@ -167,6 +203,10 @@
 		members(server, req);
 	else if (path_is(req, "/targets"))
 		targets(server, req);
+	else if (path_is(req, "/report"))
+		report(server, req);
+	else if (is_explain(req))
+		explain(server, req);
 	else if (path_is(req, "/ready"))
 		ready(server, req);
 	else
--- a/lib/serve/caller.c
+++ b/lib/serve/caller.c
@@ -90,11 +90,34 @@
 	call->req = NULL;
 	sv_call_answered(call);
 	call->server->open_calls--;
-	if (call->known_to_core)
+	if (call->known_to_core) {
+		sv_story_ended(call, RP_LEFT, DC_REASON_CALLER_LEFT);
 		leave(call);
+	}
 	sv_call_unref(call);
 }
 
+void
+sv_format_request_id(
+    const struct sv_server *server, uint64_t call, char id[SV_ID_BYTES_MAX])
+{
+	snprintf(id, SV_ID_BYTES_MAX, "%.60s-%llx-%llx", server->params.name,
+	    (unsigned long long)server->params.epoch, (unsigned long long)call);
+}
+
+static void
+read_member(struct sv_call *call)
+{
+	h2o_iovec_t member = ht_header(call->req, "chervilshelf-member");
+	size_t bytes = member.len;
+
+	if (bytes >= sizeof(call->member))
+		bytes = sizeof(call->member) - 1;
+	memcpy(call->member, member.base, bytes);
+	call->forwarded =
+	    ht_header(call->req, "chervilshelf-forwarded").base != NULL;
+}
+
 static struct sv_call *
 new_call(struct sv_server *server, h2o_req_t *req)
 {
@@ -113,9 +136,8 @@
 		call->config = server->config;
 		cf_ref(call->config);
 	}
-	snprintf(call->request_id, sizeof(call->request_id), "%s-%llx-%llx",
-	    server->params.name, (unsigned long long)server->params.epoch,
-	    (unsigned long long)call->id);
+	sv_format_request_id(server, call->id, call->request_id);
+	read_member(call);
 	server->open_calls++;
 	link_unanswered(call);
 	return call;
@@ -158,6 +180,8 @@
 	int length;
 
 	sv_call_answered(call);
+	sv_story_ended(call,
+	    outcome == DC_OUTCOME_NOT_RUN ? RP_NOT_RUN : RP_UNKNOWN, reason);
 	length = snprintf(body, sizeof(body),
 	    "{\"reason\":\"%s\",\"code\":%d,\"outcome\":\"%s\","
 	    "\"request_id\":\"%s\"}\n",
@@ -252,7 +276,7 @@
 hand_to_core(struct sv_call *call)
 {
 	struct sv_server *server = call->server;
-	h2o_iovec_t member = ht_header(call->req, "chervilshelf-member");
+	h2o_iovec_t member = h2o_iovec_init(call->member, strlen(call->member));
 
 	call->known_to_core = true;
 	g_hash_table_insert(server->calls, &call->id, call);
@@ -293,6 +317,7 @@
 		return;
 	}
 	fault = read_request(call);
+	sv_story_begin(call);
 	if (fault != DC_REASON_NONE)
 		sv_refuse(call, fault, DC_OUTCOME_NOT_RUN);
 	else
@@ -343,6 +368,7 @@
 		call = g_hash_table_lookup(server->calls, &ids[i]);
 		if (call == NULL)
 			continue;
+		sv_story_ended(call, RP_LEFT, DC_REASON_CALLER_LEFT);
 		leave(call);
 		sv_refuse(call, DC_REASON_CALLER_LEFT, DC_OUTCOME_UNKNOWN);
 	}
--- a/lib/serve/relay.c
+++ b/lib/serve/relay.c
@@ -33,6 +33,27 @@
 	    H2O_STRLIT("chervilshelf-outcome"));
 }
 
+/* What the home said of a call that was forwarded to it. */
+static enum rp_result
+forwarded_outcome(const struct sv_attempt *attempt)
+{
+	size_t i;
+
+	for (i = 0; i < attempt->header_count; i++) {
+		const h2o_header_t *h = &attempt->headers[i];
+
+		if (!is_outcome(h))
+			continue;
+		if (h2o_memis(
+			h->value.base, h->value.len, H2O_STRLIT("not-run")))
+			return RP_NOT_RUN;
+		if (h2o_memis(
+			h->value.base, h->value.len, H2O_STRLIT("unknown")))
+			return RP_UNKNOWN;
+	}
+	return RP_SERVED;
+}
+
 /* Whether the target's Connection header names this header. */
 static bool
 is_named_by_connection(
@@ -106,7 +127,9 @@
 	req->res.reason = "Relayed";
 	req->res.content_length = call->relayed->content_length;
 	copy_headers(call, call->relayed);
-	if (!call->relayed->forwarded)
+	if (call->relayed->forwarded)
+		call->outcome = forwarded_outcome(call->relayed);
+	else
 		ht_add_header(req, "chervilshelf-outcome", "ran");
 	ht_add_header(req, "chervilshelf-request-id", call->request_id);
 	call->generator = (h2o_generator_t){on_proceed, on_stop};
--- a/lib/serve/serve.h
+++ b/lib/serve/serve.h
@@ -105,6 +105,11 @@
 void sv_drain(struct sv_server *server);
 /* sv_stop_accepting(server): closes the listener for callers. */
 void sv_stop_accepting(struct sv_server *server);
+/*
+ * sv_accounts(server): the accounts of this process as JSON,
+ * {"entry", "epoch", "accounts"}; the caller frees it.
+ */
+char *sv_accounts(struct sv_server *server);
 /* sv_open_calls(server): requests whose answer is not complete. */
 uint32_t sv_open_calls(const struct sv_server *server);
 
--- a/lib/serve/serve_internal.h
+++ b/lib/serve/serve_internal.h
@@ -5,9 +5,11 @@
 #include <glib.h>
 #include <h2o.h>
 #include <h2o/http1client.h>
+#include <jansson.h>
 
 #include "../base/base.h"
 #include "../http/http.h"
+#include "../report/report.h"
 #include "serve.h"
 
 #define SV_ID_BYTES_MAX 96
@@ -35,6 +37,32 @@
 
 struct sv_call;
 
+/* What is kept of one attempt and of one call, for `explain`. */
+#define SV_STORIES_MAX 4096
+#define SV_STORY_ATTEMPTS_MAX 4
+
+struct sv_story_attempt {
+	uint32_t number;
+	char address[CF_ADDRESS_BYTES_MAX];
+	bool forwarded;
+	int64_t after_us; /* the call's arrival */
+	int64_t took_us;
+	const char *end;
+	int status;
+};
+
+struct sv_story {
+	uint64_t call; /* 0: the place is free */
+	char member[SV_NAME_BYTES_MAX];
+	char route[CF_NAME_BYTES_MAX];
+	enum dc_key_scope key_scope;
+	int64_t took_us;
+	const char *end;
+	enum dc_reason reason;
+	uint32_t attempt_count;
+	struct sv_story_attempt attempts[SV_STORY_ATTEMPTS_MAX];
+};
+
 /* A whole small answer, kept for resends of its key. */
 struct sv_answer {
 	uint64_t key_a;
@@ -78,6 +106,10 @@
 	int64_t arrived_us;
 	int64_t deadline_us;
 	bool known_to_core;
+	bool forwarded; /* by another entry VM, which counts it */
+	bool counted;
+	enum rp_result outcome; /* of a whole relayed answer */
+	char member[SV_NAME_BYTES_MAX];
 	struct sv_answer *capture; /* copy of the answer for resends */
 	struct sv_attempt attempts[DC_ATTEMPTS_MAX];
 	struct sv_attempt *relayed;
@@ -116,7 +148,8 @@
 	uint64_t next_call;
 	uint32_t open_calls;
 	bool draining;
-	struct cs_histogram latency;
+	struct rp_accounts *accounts;
+	struct sv_story *stories;
 };
 
 /* shell.c: feeds the core and carries out its actions. */
@@ -146,6 +179,17 @@
 void sv_forward_start(struct sv_call *call, const struct dc_send *send);
 void sv_attempt_cancel(struct sv_call *call, uint32_t number);
 
+/* story.c: recent calls and the accounts. */
+void sv_story_begin(struct sv_call *call);
+void sv_story_sent(const struct sv_attempt *attempt);
+void sv_story_attempt_ended(
+    const struct sv_call *call, uint32_t number, const char *end, int status);
+void sv_story_ended(
+    struct sv_call *call, enum rp_result result, enum dc_reason reason);
+json_t *sv_story_json(struct sv_server *server, const char *request_id);
+void sv_format_request_id(
+    const struct sv_server *server, uint64_t call, char id[SV_ID_BYTES_MAX]);
+
 /* relay.c: a target's answer on its way to the caller. */
 void sv_relay_start(struct sv_call *call, uint32_t number);
 void sv_relay_more(struct sv_call *call);
--- a/lib/serve/server.c
+++ b/lib/serve/server.c
@@ -102,6 +102,8 @@
 		return CS_E_SYSTEM;
 	cs_random_seed(&server->random, params->seed + 1);
 	server->pending = g_array_new(FALSE, FALSE, sizeof(struct dc_event));
+	server->accounts = rp_create();
+	server->stories = g_new0(struct sv_story, SV_STORIES_MAX);
 	server->calls = g_hash_table_new(g_int64_hash, g_int64_equal);
 	server->answers = g_hash_table_new(g_int64_hash, g_int64_equal);
 	g_queue_init(&server->answers_by_age);
@@ -164,3 +166,16 @@
 {
 	return server->open_calls;
 }
+
+char *
+sv_accounts(struct sv_server *server)
+{
+	json_t *list = rp_json(server->accounts, cs_now_us());
+	json_t *root =
+	    json_pack("{s:s, s:I, s:o}", "entry", server->params.name, "epoch",
+		(json_int_t)server->params.epoch, "accounts", list);
+	char *text = json_dumps(root, JSON_COMPACT);
+
+	json_decref(root);
+	return text;
+}
--- a/lib/serve/shell.c
+++ b/lib/serve/shell.c
@@ -44,6 +44,7 @@
 		return;
 	forget_call(server, call);
 	sv_replay(call);
+	sv_story_ended(call, RP_SERVED, DC_REASON_NONE);
 }
 
 static void
@@ -56,6 +57,7 @@
 	forget_call(server, call);
 	call->whole = whole;
 	call->cut = !whole;
+	sv_story_ended(call, whole ? call->outcome : RP_CUT, DC_REASON_NONE);
 	sv_relay_more(call);
 }
 
--- a/lib/serve/upstream.c
+++ b/lib/serve/upstream.c
@@ -23,6 +23,26 @@
 	sv_call_unref(call);
 }
 
+static const char *
+result_text(enum dc_result result)
+{
+	switch (result) {
+	case DC_RESULT_WHOLE:
+		return "whole";
+	case DC_RESULT_NOT_SENT:
+		return "not sent";
+	case DC_RESULT_BROKEN:
+		return "broken";
+	case DC_RESULT_TRUNCATED:
+		return "truncated";
+	case DC_RESULT_UNFRAMED:
+		return "unframed";
+	case DC_RESULT_NOT_HOME:
+		return "not home";
+	}
+	return "unlisted";
+}
+
 static void
 report_end(struct sv_attempt *attempt, enum dc_result result)
 {
@@ -37,6 +57,8 @@
 		},
 	};
 
+	sv_story_attempt_ended(attempt->call, attempt->number,
+	    result_text(result), attempt->status);
 	release(attempt);
 	sv_feed(server, &event);
 }
@@ -290,6 +312,7 @@
 	};
 	attempt->buffers[0] = sv_format_head(call, attempt);
 	attempt->buffers[1] = call->req->entity;
+	sv_story_sent(attempt);
 	connect_target(attempt);
 }
 
@@ -329,6 +352,8 @@
 
 		if (attempt->target == NULL || attempt->number != number)
 			continue;
+		sv_story_attempt_ended(
+		    call, number, "cancelled", attempt->status);
 		if (attempt->in_callback) {
 			attempt->cancelled = true;
 			return;
--- a/programs/chervilshelf.c
+++ b/programs/chervilshelf.c
@@ -22,6 +22,8 @@
     {"get", cm_get, "print the stored configuration"},
     {"status", cm_status, "show the entry VMs and what they run"},
     {"drain", cm_drain, "give a target no new work"},
+    {"report", cm_report, "show each member's service"},
+    {"explain", cm_explain, "tell what happened to one request"},
 };
 
 static void
--- a/programs/entry.c
+++ b/programs/entry.c
@@ -14,6 +14,8 @@
 /* After the kept directory answers have lapsed, before the listener closes. */
 #define LINGER_MS 1000
 #define STOP_CHECK_MS 20
+/* For the last save of the accounts, before the process ends. */
+#define SAVE_MS 200
 #define BACK_OFF_MS 250
 #define BACK_OFF_DOUBLINGS_MAX 5
 
@@ -49,8 +51,15 @@
 	if (cs_now_us() < entry->stop_after_us)
 		return;
 	sv_stop_accepting(entry->server);
-	if (sv_open_calls(entry->server) == 0)
-		uv_stop(&entry->loop);
+	if (sv_open_calls(entry->server) != 0)
+		return;
+	if (!entry->saving) {
+		entry->saving = true;
+		entry->stop_after_us = cs_now_us() + SAVE_MS * 1000;
+		en_accounts_save(entry);
+		return;
+	}
+	uv_stop(&entry->loop);
 }
 
 static void
@@ -319,6 +328,7 @@
 	watch_signals(entry);
 	en_members_start(entry);
 	en_config_start(entry);
+	en_accounts_start(entry);
 	announce(entry);
 	uv_run(&entry->loop, UV_RUN_DEFAULT);
 	cs_log(CS_LOG_ENTRY_STOPPED, "entry=%s", entry->options.name);
--- a/programs/entry.h
+++ b/programs/entry.h
@@ -43,6 +43,7 @@
 	uint64_t own_id;
 	bool platform_lost;
 	bool leaving;
+	bool saving; /* the accounts, for the last time */
 	int64_t stop_after_us;
 	char object_name[PF_NAME_BYTES_MAX];
 	/* Configuration. */
@@ -58,6 +59,7 @@
 	uv_timer_t register_timer;
 	uv_timer_t vm_timer;
 	uv_timer_t stop_timer;
+	uv_timer_t accounts_timer;
 	uv_signal_t signals[2];
 };
 
@@ -78,6 +80,10 @@
 void en_members_changed(void *user);
 void en_members_leave(struct en_entry *entry);
 
+/* entry_accounts.c */
+void en_accounts_start(struct en_entry *entry);
+void en_accounts_save(struct en_entry *entry);
+
 /* entry_claims.c */
 void en_claim(uint64_t call, uint64_t key_a, uint64_t key_b, void *user);
 
--- /dev/null
+++ b/programs/report.c
@@ -0,0 +1,285 @@
+/* The operators' commands report and explain. */
+#include <glib.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../lib/base/base.h"
+#include "../lib/report/report.h"
+#include "commands.h"
+#include "session.h"
+#include "settings.h"
+
+#define PATH_BYTES_MAX 256
+
+struct options {
+	const char *platform;
+	const char *html;
+	const char *member;
+	bool json;
+};
+
+/* Which processes the total holds already. */
+struct seen {
+	GHashTable *processes; /* "ENTRY-EPOCH" */
+};
+
+static char *
+process_of(const json_t *root)
+{
+	const char *entry = json_string_value(json_object_get(root, "entry"));
+
+	return g_strdup_printf("%s-%lld", entry != NULL ? entry : "",
+	    (long long)json_integer_value(json_object_get(root, "epoch")));
+}
+
+static void
+add_process(struct seen *seen, json_t *total, const json_t *root)
+{
+	char *process = process_of(root);
+
+	if (g_hash_table_contains(seen->processes, process)) {
+		g_free(process);
+		return;
+	}
+	g_hash_table_add(seen->processes, process);
+	rp_merge(total, json_object_get(root, "accounts"));
+}
+
+static uint32_t
+add_live(struct se_session *session, struct seen *seen, json_t *total)
+{
+	static struct se_entry entries[SE_ENTRIES_MAX];
+	uint32_t i, count, answered = 0;
+
+	if (se_entries(session, entries, &count) != CS_OK)
+		return 0;
+	for (i = 0; i < count; i++) {
+		struct se_answer answer;
+		json_t *root;
+
+		se_admin(session, entries[i].admin, "/report", &answer);
+		root = json_loads(answer.value, 0, NULL);
+		g_free(answer.value);
+		if (root == NULL) {
+			fprintf(stderr, "chervilshelf: no answer from %s\n",
+			    entries[i].name);
+			continue;
+		}
+		add_process(seen, total, root);
+		json_decref(root);
+		answered++;
+	}
+	return answered;
+}
+
+/* Stored accounts are old: their windows say nothing of now. */
+static void
+clear_windows(json_t *root)
+{
+	json_t *row;
+	size_t i;
+
+	json_array_foreach(json_object_get(root, "accounts"), i, row)
+	{
+		json_object_set_new(
+		    row, "short", json_pack("{s:i, s:i}", "good", 0, "bad", 0));
+		json_object_set_new(
+		    row, "long", json_pack("{s:i, s:i}", "good", 0, "bad", 0));
+	}
+}
+
+static void
+add_stored(struct se_session *session, struct seen *seen, json_t *total)
+{
+	struct se_answer answer;
+	const char *key;
+	json_t *root, *process;
+
+	se_list(session, "accounts/", &answer);
+	root = json_loads(answer.value, 0, NULL);
+	g_free(answer.value);
+	json_object_foreach(root, key, process)
+	{
+		clear_windows(process);
+		add_process(seen, total, process);
+	}
+	json_decref(root);
+}
+
+static void
+keep_member(json_t *total, const char *member)
+{
+	size_t i = 0;
+
+	while (i < json_array_size(total)) {
+		const char *name = json_string_value(
+		    json_object_get(json_array_get(total, i), "member"));
+
+		if (strcmp(name, member) != 0)
+			json_array_remove(total, i);
+		else
+			i++;
+	}
+}
+
+static int
+write_html(const char *path, const json_t *total)
+{
+	char *page = rp_html(total);
+	GError *fault = NULL;
+	int code = ST_EXIT_DONE;
+
+	if (!g_file_set_contents(path, page, -1, &fault)) {
+		fprintf(stderr, "chervilshelf: %s\n", fault->message);
+		g_error_free(fault);
+		code = ST_EXIT_REFUSED;
+	}
+	free(page);
+	return code;
+}
+
+/* The accounts with their burn rates, as JSON. */
+static void
+print_json(json_t *total)
+{
+	json_t *row;
+	char *out;
+	size_t i;
+
+	json_array_foreach(total, i, row)
+	{
+		json_object_set_new(row, "burn_short",
+		    json_real(rp_burn(row, RP_SHORT_MINUTES)));
+		json_object_set_new(
+		    row, "burn_long", json_real(rp_burn(row, RP_LONG_MINUTES)));
+	}
+	out = json_dumps(total, JSON_INDENT(2));
+	puts(out);
+	free(out);
+}
+
+static int
+print_report(const struct options *o, json_t *total)
+{
+	char *out;
+
+	if (o->member != NULL)
+		keep_member(total, o->member);
+	if (o->html != NULL)
+		return write_html(o->html, total);
+	if (o->json) {
+		print_json(total);
+		return ST_EXIT_DONE;
+	}
+	out = rp_text(total);
+	fputs(out, stdout);
+	free(out);
+	return ST_EXIT_DONE;
+}
+
+int
+cm_report(int argc, char **argv)
+{
+	struct options o = {0};
+	const struct st_setting settings[] = {
+	    {.name = "platform",
+		.kind = ST_TEXT,
+		.text = &o.platform,
+		.required = true,
+		.argument = "URL",
+		.help = "the platform's address, http://IPV4:PORT"},
+	    {.name = "member",
+		.kind = ST_TEXT,
+		.text = &o.member,
+		.argument = "NAME",
+		.help = "only this member's accounts"},
+	    {.name = "html",
+		.kind = ST_TEXT,
+		.text = &o.html,
+		.argument = "FILE",
+		.help = "write a page with plots"},
+	    {.name = "json",
+		.kind = ST_SWITCH,
+		.flag = &o.json,
+		.help = "print JSON"},
+	};
+	const struct st_command command = {"report", "",
+	    "Prints each member's service and how fast its objectives burn.",
+	    settings, sizeof(settings) / sizeof(settings[0]), 0};
+	struct seen seen;
+	struct se_session *session;
+	json_t *total;
+	uint32_t answered;
+	int code;
+
+	if (st_parse(&command, argc, argv, NULL) != CS_OK ||
+	    se_open(o.platform, &session) != CS_OK)
+		return ST_EXIT_USAGE;
+	total = json_array();
+	seen.processes = g_hash_table_new(g_str_hash, g_str_equal);
+	answered = add_live(session, &seen, total);
+	add_stored(session, &seen, total);
+	se_close(session);
+	if (answered == 0)
+		fprintf(stderr, "chervilshelf: no entry VM answered\n");
+	code = print_report(&o, total);
+	json_decref(total);
+	return answered == 0 ? ST_EXIT_REFUSED : code;
+}
+
+static int
+explain(struct se_session *session, const char *id)
+{
+	static struct se_entry entries[SE_ENTRIES_MAX];
+	char path[PATH_BYTES_MAX];
+	uint32_t i, count;
+
+	if (se_entries(session, entries, &count) != CS_OK) {
+		fprintf(stderr, "chervilshelf: no entry VM answered\n");
+		return ST_EXIT_REFUSED;
+	}
+	snprintf(path, sizeof(path), "/explain/%s", id);
+	for (i = 0; i < count; i++) {
+		struct se_answer answer;
+		bool found;
+
+		se_admin(session, entries[i].admin, path, &answer);
+		found = answer.error == CS_OK;
+		if (found)
+			puts(answer.value);
+		g_free(answer.value);
+		if (found)
+			return ST_EXIT_DONE;
+	}
+	fprintf(stderr, "chervilshelf: no live entry VM keeps %s\n", id);
+	return ST_EXIT_REFUSED;
+}
+
+int
+cm_explain(int argc, char **argv)
+{
+	const char *platform = NULL, *id;
+	const struct st_setting settings[] = {
+	    {.name = "platform",
+		.kind = ST_TEXT,
+		.text = &platform,
+		.required = true,
+		.argument = "URL",
+		.help = "the platform's address, http://IPV4:PORT"},
+	};
+	const struct st_command command = {"explain", "ID",
+	    "Tells what happened to one request, by its "
+	    "Chervilshelf-Request-Id.",
+	    settings, 1, 1};
+	struct se_session *session;
+	int code;
+
+	if (st_parse(&command, argc, argv, &id) != CS_OK ||
+	    se_open(platform, &session) != CS_OK)
+		return ST_EXIT_USAGE;
+	code = explain(session, id);
+	se_close(session);
+	return code;
+}
--- a/programs/session.c
+++ b/programs/session.c
@@ -96,6 +96,14 @@
 	wait_for_answer(session);
 }
 
+void
+se_list(struct se_session *session, const char *prefix, struct se_answer *out)
+{
+	begin(session, out);
+	pf_list(session->platform, prefix, on_result, session);
+	wait_for_answer(session);
+}
+
 static void
 on_admin_response(const struct ht_response *response, void *user)
 {
@@ -187,9 +195,7 @@
 	json_t *root, *row;
 
 	*count = 0;
-	begin(session, &answer);
-	pf_list(session->platform, "entries/", on_result, session);
-	wait_for_answer(session);
+	se_list(session, "entries/", &answer);
 	root = json_loads(answer.value, 0, NULL);
 	g_free(answer.value);
 	json_object_foreach(root, key, row)
--- a/programs/session.h
+++ b/programs/session.h
@@ -39,6 +39,9 @@
     struct se_session *session, const char *name, struct se_answer *out);
 void se_put(struct se_session *session, const char *name, uint64_t expected,
     const char *value, struct se_answer *out);
+/* se_list(session, prefix, out): objects as JSON, {"NAME": VALUE, ...}. */
+void se_list(
+    struct se_session *session, const char *prefix, struct se_answer *out);
 /* se_admin(session, address, path, out): reads from an admin listener. */
 void se_admin(struct se_session *session, const char *address, const char *path,
     struct se_answer *out);
--- /dev/null
+++ b/tests/scenario/test_report.py
@@ -0,0 +1,52 @@
+"""Accounts add up over VMs and restarts; explain tells one call's story."""
+import json
+import signal
+
+from rig import Rig, request
+
+
+def accounts(*options):
+    code, out, err = rig.command("report", "--json", *options)
+    assert code == 0, err
+    return json.loads(out)
+
+
+def served(rows, route):
+    return sum(r["served"] + r["late"] for r in rows if r["route"] == route)
+
+
+with Rig(entries=3, targets=4, entry_options=["--keep-ms", "200"]) as rig:
+    rig.apply()
+    rig.wait_members()
+    totals = rig.finish_load(rig.call_load(
+        "--rate", "200", "--seconds", "1", "--post-share", "0.5",
+        "--callers", "20", "--member", "barua"))
+    assert totals["right"] == totals["sent"], totals
+    rows = accounts()
+    assert served(rows, "browse") + served(rows, "letter") == totals["right"]
+    assert accounts("--member", "nobody") == []
+    assert len(accounts("--member", "barua")) == 2
+
+    status, headers, _ = request(rig.entries[0].listen, "GET", "/profiles/1")
+    code, out, err = rig.command(
+        "explain", headers["chervilshelf-request-id"])
+    story = json.loads(out)
+    assert code == 0 and story["end"] == "served", (out, err)
+    assert story["attempts"][0]["address"] in rig.targets
+    assert rig.command("explain", "no-such-request")[0] == 1
+
+    before = accounts()
+    rig.entries[0].process.send_signal(signal.SIGTERM)
+    assert rig.entries[0].process.wait(timeout=20) == 0
+    after = accounts()
+    assert served(after, "browse") == served(before, "browse")
+    assert served(after, "letter") == served(before, "letter")
+
+    page = rig.path("report.html")
+    assert rig.command("report", "--html", page)[0] == 0
+    with open(page) as text:
+        assert "<svg" in text.read()
+    code, out, _ = rig.command("report")
+    assert code == 0 and "barua" in out, out
+    code, out, _ = rig.command("status", "--json")
+    assert code == 0 and len(json.loads(out)) == 2, out
--- /dev/null
+++ b/tests/unit/test_codec.c
@@ -0,0 +1,102 @@
+/* Frames between entry VMs: each survives the way, damaged ones are refused. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "../../lib/peer/peer_internal.h"
+
+static const struct pr_frame frames[] = {
+    {.type = PR_FRAME_HELLO,
+	.hello = {.name = "a", .peer = "1.2.3.4:5", .epoch = UINT64_MAX}},
+    {.type = PR_FRAME_NEWS,
+	.news =
+	    {.name = "b", .incarnation = 7, .state = PR_LEFT, .ready = true}},
+    {.type = PR_FRAME_PING, .ping = {.config_version = 9, .digest = 10}},
+    {.type = PR_FRAME_PONG, .ping = {.config_version = 1, .digest = 2}},
+    {.type = PR_FRAME_PULL},
+    {.type = PR_FRAME_CONFIG, .config = {.text = "{}", .bytes = 2}},
+    {.type = PR_FRAME_CORE,
+	.core = {.type = DC_MSG_KEY_CLAIM, .claim = {1, 2, 3, 4, 5, 6}}},
+};
+
+#define FRAMES (sizeof(frames) / sizeof(frames[0]))
+
+static int
+decode(const msgpack_sbuffer *bytes, size_t length, struct pr_frame *out)
+{
+	msgpack_unpacked unpacked;
+	int error;
+
+	msgpack_unpacked_init(&unpacked);
+	error = pr_decode(
+	    bytes->data + PR_FRAME_HEADER_BYTES, length, &unpacked, out);
+	msgpack_unpacked_destroy(&unpacked);
+	return error;
+}
+
+static void
+test_frames_survive_the_way(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < FRAMES; i++) {
+		msgpack_sbuffer bytes;
+		struct pr_frame back;
+
+		msgpack_sbuffer_init(&bytes);
+		pr_encode(&frames[i], &bytes);
+		assert_int_equal(
+		    decode(&bytes, bytes.size - PR_FRAME_HEADER_BYTES, &back),
+		    CS_OK);
+		assert_int_equal(back.type, frames[i].type);
+		if (back.type == PR_FRAME_CORE)
+			assert_memory_equal(
+			    &back.core, &frames[i].core, 7 * sizeof(uint64_t));
+		if (back.type == PR_FRAME_NEWS) {
+			assert_string_equal(back.news.name, "b");
+			assert_int_equal(back.news.state, PR_LEFT);
+			assert_true(back.news.ready);
+		}
+		msgpack_sbuffer_destroy(&bytes);
+	}
+}
+
+static void
+test_damaged_frames_are_refused(void **state)
+{
+	size_t i, length;
+
+	(void)state;
+	for (i = 0; i < FRAMES; i++) {
+		msgpack_sbuffer bytes;
+		struct pr_frame back;
+
+		msgpack_sbuffer_init(&bytes);
+		pr_encode(&frames[i], &bytes);
+		for (length = 0; length < bytes.size - PR_FRAME_HEADER_BYTES;
+		     length++)
+			assert_int_equal(
+			    decode(&bytes, length, &back), CS_E_INVALID);
+		bytes.data[PR_FRAME_HEADER_BYTES + 1] = 99; /* no such type */
+		assert_int_equal(
+		    decode(&bytes, bytes.size - PR_FRAME_HEADER_BYTES, &back),
+		    CS_E_INVALID);
+		msgpack_sbuffer_destroy(&bytes);
+	}
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_frames_survive_the_way),
+	    cmocka_unit_test(test_damaged_frames_are_refused),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/unit/test_members.c
@@ -0,0 +1,296 @@
+/* Membership on virtual time: several VMs, links that can be cut. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "../../lib/base/base.h"
+#include "../../lib/peer/peer.h"
+
+#define VMS 15
+#define MS 1000
+#define TICK_US (100 * MS)
+/* The stated bound: out of the directory within two seconds. */
+#define GONE_WITHIN_US (2000 * MS)
+
+struct fleet {
+	struct pr_members *vms[VMS];
+	bool running[VMS];
+	int64_t now_us;
+};
+
+static struct pr_member
+record_of(int vm, uint64_t epoch)
+{
+	struct pr_member member = {.epoch = epoch, .ready = true};
+
+	snprintf(member.name, sizeof(member.name), "vm%d", vm);
+	snprintf(member.peer, sizeof(member.peer), "10.0.0.%d:1", vm + 1);
+	member.id = cs_hash(member.name, strlen(member.name));
+	return member;
+}
+
+static int
+vm_of(const struct pr_member *member)
+{
+	int vm;
+
+	sscanf(member->name, "vm%d", &vm);
+	return vm;
+}
+
+/* News reaches everybody who runs; the mesh floods it in milliseconds. */
+static void
+spread(struct fleet *f, int from, const struct pr_member *news)
+{
+	int vm;
+
+	for (vm = 0; vm < VMS; vm++) {
+		bool about_self;
+
+		if (vm == from || !f->running[vm])
+			continue;
+		about_self = vm_of(news) == vm;
+		if (pr_members_news(f->vms[vm], news, f->now_us) && about_self)
+			spread(f, vm, pr_members_self(f->vms[vm]));
+	}
+}
+
+static void
+tick(struct fleet *f, int vm)
+{
+	uint32_t changed[PR_MEMBERS_MAX], i, count;
+	uint32_t watched[PR_MONITORED];
+
+	count = pr_members_monitored(f->vms[vm], watched);
+	for (i = 0; i < count; i++) {
+		const struct pr_member *m =
+		    pr_members_at(f->vms[vm], watched[i]);
+
+		if (f->running[vm_of(m)])
+			pr_members_heard(f->vms[vm], m->id, f->now_us);
+	}
+	count = pr_members_tick(f->vms[vm], f->now_us, changed, PR_MEMBERS_MAX);
+	for (i = 0; i < count; i++) {
+		struct pr_member news = *pr_members_at(f->vms[vm], changed[i]);
+
+		spread(f, vm, &news);
+	}
+}
+
+static void
+run(struct fleet *f, int64_t us)
+{
+	int64_t until_us = f->now_us + us;
+	int vm;
+
+	while (f->now_us < until_us) {
+		f->now_us += TICK_US;
+		for (vm = 0; vm < VMS; vm++) {
+			if (f->running[vm])
+				tick(f, vm);
+		}
+	}
+}
+
+static void
+start(struct fleet *f)
+{
+	int vm;
+
+	*f = (struct fleet){.now_us = 1000 * MS};
+	for (vm = 0; vm < VMS; vm++) {
+		struct pr_member self = record_of(vm, 1);
+
+		f->vms[vm] = pr_members_create(&self, f->now_us);
+		f->running[vm] = true;
+	}
+	for (vm = 0; vm < VMS; vm++)
+		spread(f, vm, pr_members_self(f->vms[vm]));
+	run(f, 1000 * MS);
+}
+
+static void
+stop(struct fleet *f)
+{
+	int vm;
+
+	for (vm = 0; vm < VMS; vm++)
+		pr_members_free(f->vms[vm]);
+}
+
+static enum pr_state
+state(const struct fleet *f, int observer, int vm)
+{
+	struct pr_member member = record_of(vm, 1);
+	int number = pr_members_find(f->vms[observer], member.id);
+
+	assert_true(number >= 0);
+	return pr_members_at(f->vms[observer], (uint32_t)number)->state;
+}
+
+static void
+assert_all_see(const struct fleet *f, int vm, enum pr_state wanted)
+{
+	int observer;
+
+	for (observer = 0; observer < VMS; observer++) {
+		if (observer != vm && f->running[observer])
+			assert_string_equal(
+			    pr_state_text(state(f, observer, vm)),
+			    pr_state_text(wanted));
+	}
+}
+
+static void
+test_nobody_is_suspected_without_cause(void **unused)
+{
+	struct fleet f;
+	int vm;
+
+	(void)unused;
+	start(&f);
+	run(&f, 600000LL * MS);
+	for (vm = 0; vm < VMS; vm++)
+		assert_all_see(&f, vm, PR_ALIVE);
+	stop(&f);
+}
+
+static void
+test_silent_vm_is_suspected_then_dead_in_time(void **unused)
+{
+	struct fleet f;
+
+	(void)unused;
+	start(&f);
+	f.running[4] = false;
+	run(&f, 700 * MS);
+	assert_all_see(&f, 4, PR_SUSPECT);
+	run(&f, GONE_WITHIN_US - 700 * MS);
+	assert_all_see(&f, 4, PR_DEAD);
+	stop(&f);
+}
+
+static void
+test_a_rack_of_four_neighbours_is_dead_in_time(void **unused)
+{
+	struct fleet f;
+	uint32_t watched[PR_MONITORED], i, count;
+
+	(void)unused;
+	start(&f);
+	count = pr_members_monitored(f.vms[0], watched);
+	f.running[0] = false;
+	for (i = 0; i < count; i++)
+		f.running[vm_of(pr_members_at(f.vms[0], watched[i]))] = false;
+	run(&f, 2 * GONE_WITHIN_US); /* two rounds: the ring closes first */
+	for (i = 0; i < count; i++)
+		assert_all_see(
+		    &f, vm_of(pr_members_at(f.vms[0], watched[i])), PR_DEAD);
+	assert_all_see(&f, 0, PR_DEAD);
+	stop(&f);
+}
+
+static void
+test_thawed_vm_contradicts_its_death(void **unused)
+{
+	struct fleet f;
+	struct pr_member news;
+
+	(void)unused;
+	start(&f);
+	f.running[4] = false;
+	run(&f, 5000 * MS);
+	assert_all_see(&f, 4, PR_DEAD);
+	f.running[4] = true;
+	/* It judges nobody for its own pause... */
+	run(&f, 200 * MS);
+	assert_all_see(&f, 7, PR_ALIVE);
+	/* ...and hears of its death from the first VM it talks to. */
+	news = record_of(4, 1);
+	news.state = PR_DEAD;
+	assert_true(pr_members_news(f.vms[4], &news, f.now_us));
+	spread(&f, 4, pr_members_self(f.vms[4]));
+	assert_all_see(&f, 4, PR_ALIVE);
+	stop(&f);
+}
+
+/* Old news must not win, in whatever order it comes. */
+struct news_case {
+	uint64_t epoch, incarnation;
+	enum pr_state state;
+	bool taken; /* over epoch 5, incarnation 3, suspect */
+};
+
+static const struct news_case news_cases[] = {
+    {5, 3, PR_ALIVE, false},
+    {5, 3, PR_SUSPECT, false},
+    {5, 3, PR_DEAD, true},
+    {5, 2, PR_DEAD, false},
+    {5, 4, PR_ALIVE, true},
+    {5, 1, PR_LEFT, true},
+    {4, 9, PR_ALIVE, false},
+    {4, 9, PR_LEFT, false},
+    {6, 0, PR_ALIVE, true},
+};
+
+static void
+test_old_news_never_wins(void **unused)
+{
+	size_t i;
+
+	(void)unused;
+	for (i = 0; i < sizeof(news_cases) / sizeof(news_cases[0]); i++) {
+		struct pr_member self = record_of(0, 1);
+		struct pr_member known = record_of(1, 5);
+		struct pr_member news = record_of(1, news_cases[i].epoch);
+		struct pr_members *members = pr_members_create(&self, 0);
+
+		known.incarnation = 3;
+		known.state = PR_SUSPECT;
+		assert_true(pr_members_news(members, &known, 1));
+		news.incarnation = news_cases[i].incarnation;
+		news.state = news_cases[i].state;
+		assert_int_equal(
+		    pr_members_news(members, &news, 2), news_cases[i].taken);
+		pr_members_free(members);
+	}
+}
+
+static void
+test_fan_out_grows_with_the_logarithm(void **unused)
+{
+	struct pr_member self = record_of(0, 1);
+	struct pr_members *members = pr_members_create(&self, 0);
+	uint32_t numbers[PR_NEIGHBOURS_MAX];
+	int vm;
+
+	(void)unused;
+	for (vm = 1; vm < 300; vm++) {
+		struct pr_member news = record_of(vm, 1);
+
+		pr_members_news(members, &news, 1);
+	}
+	assert_int_equal(pr_members_monitored(members, numbers), PR_MONITORED);
+	assert_in_range(pr_members_neighbours(members, numbers), 8, 11);
+	pr_members_free(members);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_nobody_is_suspected_without_cause),
+	    cmocka_unit_test(test_silent_vm_is_suspected_then_dead_in_time),
+	    cmocka_unit_test(test_a_rack_of_four_neighbours_is_dead_in_time),
+	    cmocka_unit_test(test_thawed_vm_contradicts_its_death),
+	    cmocka_unit_test(test_old_news_never_wins),
+	    cmocka_unit_test(test_fan_out_grows_with_the_logarithm),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
