Uploads: a refused caller gets a reset at the end; benchmarks

Its socket had data in flight to a socket that had been shut down and closed with nothing unread, which gives no reset; window probes went on and on (ss showed FIN-WAIT-2 without an owner and a persist timer at the caller).

Change: SO_LINGER with no time before the cut, so that the close resets.

--- a/lib/http/uploads.c
+++ b/lib/http/uploads.c
@@ -104,6 +104,19 @@
 	uploads->reserved_bytes += upload->reserved_bytes;
 }
 
+/*
+ * Lets h2o see the end, and the caller a reset: without it a caller that is
+ * still sending would wait for room at a socket that nobody reads.
+ */
+static void
+reset(int fd)
+{
+	struct linger at_once = {.l_onoff = 1, .l_linger = 0};
+
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+	shutdown(fd, SHUT_RDWR);
+}
+
 /* Answers past h2o, which has not begun an answer while it reads a body. */
 static void
 refuse(struct ht_upload *upload, h2o_socket_t *sock)
@@ -113,7 +126,7 @@
 	upload->state = HT_UPLOAD_REFUSED;
 	(void)send(fd, refusal, sizeof(refusal) - 1, MSG_NOSIGNAL);
 	if (sock->input->capacity > LINGER_BYTES_MAX) {
-		shutdown(fd, SHUT_RDWR); /* its space is needed now */
+		reset(fd); /* its space is needed now */
 		return;
 	}
 	upload->refused_us = cs_now_us();
@@ -136,7 +149,7 @@
 		got = recv(fd, scratch, sizeof(scratch), MSG_DONTWAIT);
 	if (got != 0 && cs_now_us() - upload->refused_us < LINGER_US)
 		return;
-	shutdown(fd, SHUT_RDWR);
+	reset(fd);
 	h2o_socket_read_start(sock, upload->read); /* h2o sees the end */
 	upload->read = NULL;
 }
--- a/tests/standins/caller.c
+++ b/tests/standins/caller.c
@@ -56,7 +56,9 @@
 	uint64_t serial, open;
 	/* options */
 	char *directory_text, *log_path, *get_path, *post_path, *member;
+	char *direct_text;
 	double rate, seconds, post_share;
+	double swing_rate, swing_from, swing_to;
 	int caller_count, body_bytes;
 	int64_t seed, deadline_ms;
 	int resends; /* of calls whose connection broke */
@@ -294,19 +296,32 @@
 {
 	const struct totals *t = &g.totals;
 
-	printf("{\"sent\":%llu,\"right\":%llu,\"wrong\":%llu,"
-	       "\"not_run\":%llu,\"unknown\":%llu,\"lost\":%llu,"
-	       "\"p50_us\":%lld,\"p95_us\":%lld,\"p99_us\":%lld,"
-	       "\"p999_us\":%lld}\n",
+	printf(
+	    "{\"sent\":%llu,\"right\":%llu,\"wrong\":%llu,"
+	    "\"not_run\":%llu,\"unknown\":%llu,\"lost\":%llu,"
+	    "\"p50_us\":%lld,\"p95_us\":%lld,\"p98_us\":%lld,\"p99_us\":%lld,"
+	    "\"p999_us\":%lld}\n",
 	    (unsigned long long)t->sent, (unsigned long long)t->right,
 	    (unsigned long long)t->wrong, (unsigned long long)t->not_run,
 	    (unsigned long long)t->unknown, (unsigned long long)t->lost,
 	    (long long)cs_histogram_quantile(&t->latency, 0.5),
 	    (long long)cs_histogram_quantile(&t->latency, 0.95),
+	    (long long)cs_histogram_quantile(&t->latency, 0.98),
 	    (long long)cs_histogram_quantile(&t->latency, 0.99),
 	    (long long)cs_histogram_quantile(&t->latency, 0.999));
 }
 
+/* The rate of arrivals, higher during the swing. */
+static double
+rate_at(int64_t at_us)
+{
+	double second = g.seconds - (double)(g.end_us - at_us) / 1e6;
+
+	if (g.swing_rate > 0 && second >= g.swing_from && second < g.swing_to)
+		return g.swing_rate;
+	return g.rate;
+}
+
 static void
 on_tick(uv_timer_t *timer)
 {
@@ -316,19 +331,30 @@
 	while (g.next_us <= now_us && g.next_us < g.end_us) {
 		arrive(g.next_us);
 		g.next_us += (int64_t)si_exponential(
-		    cs_random_unit(&g.random), 1e6 / g.rate);
+		    cs_random_unit(&g.random), 1e6 / rate_at(g.next_us));
 	}
 	if (g.next_us >= g.end_us && g.open == 0)
 		uv_stop(&g.loop);
 }
 
+/* Calls one address without a directory, such as a target itself. */
+static void
+use_direct(struct caller *caller)
+{
+	ht_parse_address(g.direct_text, &caller->entries[0]);
+	caller->entry_count = 1;
+	caller->valid_until_us = INT64_MAX;
+}
+
 static void
 on_first_directory(uv_timer_t *timer)
 {
 	int i;
 
 	for (i = 0; i < g.caller_count; i++) {
-		if (g.callers[i].entry_count == 0 && !g.callers[i].asking)
+		if (g.direct_text != NULL)
+			use_direct(&g.callers[i]);
+		else if (g.callers[i].entry_count == 0 && !g.callers[i].asking)
 			ask_directory(&g.callers[i]);
 	}
 	for (i = 0; i < g.caller_count; i++) {
@@ -366,6 +392,12 @@
 		NULL},
 	    {"rate", 0, 0, G_OPTION_ARG_DOUBLE, &g.rate, NULL, NULL},
 	    {"seconds", 0, 0, G_OPTION_ARG_DOUBLE, &g.seconds, NULL, NULL},
+	    {"direct", 0, 0, G_OPTION_ARG_STRING, &g.direct_text, NULL, NULL},
+	    {"swing-rate", 0, 0, G_OPTION_ARG_DOUBLE, &g.swing_rate, NULL,
+		NULL},
+	    {"swing-from", 0, 0, G_OPTION_ARG_DOUBLE, &g.swing_from, NULL,
+		NULL},
+	    {"swing-to", 0, 0, G_OPTION_ARG_DOUBLE, &g.swing_to, NULL, NULL},
 	    {"callers", 0, 0, G_OPTION_ARG_INT, &g.caller_count, NULL, NULL},
 	    {"post-share", 0, 0, G_OPTION_ARG_DOUBLE, &g.post_share, NULL,
 		NULL},
@@ -384,8 +416,10 @@
 
 	g_option_context_add_main_entries(context, options, NULL);
 	if (!g_option_context_parse(context, &argc, &argv, NULL) ||
-	    g.directory_text == NULL ||
-	    ht_parse_address(g.directory_text, &g.directory) != CS_OK)
+	    (g.directory_text == NULL && g.direct_text == NULL) ||
+	    ht_parse_address(
+		g.directory_text != NULL ? g.directory_text : g.direct_text,
+		&g.directory) != CS_OK)
 		return 2;
 	prepare();
 	uv_run(&g.loop, UV_RUN_DEFAULT);
