--- a/lib/decide/decide_internal.h
+++ b/lib/decide/decide_internal.h
@@ -110,6 +110,7 @@
 	int64_t silent_us;	  /* older connections may be silent, 0: none */
 	int64_t silent_before_us; /* older connections are */
 	int64_t probed_us;	  /* last call that was sent to find out */
+	int64_t flushed_us; /* last time its connections were left behind */
 	/* As a holder of leases. */
 	uint32_t leased;   /* slots that this VM may use */
 	uint32_t occupied; /* of these, in use */
--- a/lib/decide/holder.c
+++ b/lib/decide/holder.c
@@ -356,10 +356,29 @@
 	return a->service_us < b->service_us;
 }
 
+/* Whether there is anything but the target of the failed attempt. */
+static bool
+has_other_target(const struct dc_core *core, const struct dc_pool *pool,
+    const struct dc_call *call, bool panic)
+{
+	uint32_t i;
+
+	if (call->avoid == DC_NONE)
+		return false;
+	for (i = 0; i < pool->target_count; i++) {
+		if (pool->targets[i] != call->avoid &&
+		    dc_target_is_usable(
+			core, &core->targets[pool->targets[i]], call, panic))
+			return true;
+	}
+	return false;
+}
+
 struct dc_choice
 dc_lease_pick(struct dc_core *core, struct dc_pool *pool,
     const struct dc_call *call, bool panic)
 {
+	bool avoidable = has_other_target(core, pool, call, panic);
 	struct dc_choice best = {.target = DC_NONE};
 	uint32_t i, offset;
 
@@ -370,7 +389,7 @@
 		const struct dc_target *target = &core->targets[number];
 		bool leased = target->leased > target->occupied;
 
-		if (number == call->avoid && pool->target_count > 1)
+		if (number == call->avoid && avoidable)
 			continue;
 		if (!leased && !call->suspect &&
 		    (target->unleased >= UNLEASED_MAX ||
--- a/lib/decide/silence.c
+++ b/lib/decide/silence.c
@@ -1,15 +1,17 @@
 /*
  * Open connections that went silent for good, because something between the
- * two ends has lost track of them. A call that is slow on a connection used
- * before is a first sign: further calls open new connections. When one of
- * these answers, the target is well and its old connections are not; the calls
- * that are stuck on them are sent again. Their number is bounded by the slots,
- * so they need no budget.
+ * two ends has lost track of them. A call that is slower than most on a
+ * connection used before is a first sign: further calls open new connections.
+ * When one of these answers, the target is well and its old connections are
+ * not; the calls that are stuck on them are sent again. Their number is bounded
+ * by the slots, so they need no budget.
  */
 #include "decide_internal.h"
 
 /* A suspicion that nothing has confirmed by then is dropped. */
 #define SUSPICION_LIFE_US 5000000
+/* New connections cost: stragglers must not ask for them all the time. */
+#define FLUSH_INTERVAL_US 100000
 
 static bool
 is_suspected(const struct dc_core *core, const struct dc_target *target)
@@ -23,8 +25,10 @@
 {
 	struct dc_target *target = &core->targets[attempt->target];
 
-	if (!attempt->reused || is_suspected(core, target))
+	if (!attempt->reused || is_suspected(core, target) ||
+	    core->now_us - target->flushed_us < FLUSH_INTERVAL_US)
 		return;
+	target->flushed_us = core->now_us;
 	target->silent_us = core->now_us;
 	dc_act(core, DC_ACT_FLUSH)->flush =
 	    (struct dc_flush){.target = target->id};
--- a/lib/serve/caller.c
+++ b/lib/serve/caller.c
@@ -261,8 +261,7 @@
 	    read_number(req, "chervilshelf-depth", UINT32_MAX, 0,
 		&call->depth) != CS_OK)
 		return DC_REASON_BAD_REQUEST;
-	if (sv_read_key(call->server, ht_header(req, "idempotency-key"),
-		&call->key) != CS_OK)
+	if (sv_read_key(ht_header(req, "idempotency-key"), &call->key) != CS_OK)
 		return DC_REASON_BAD_REQUEST;
 	if (call->depth >= call->server->params.depth_max)
 		return DC_REASON_TOO_DEEP;
--- a/lib/serve/key.c
+++ b/lib/serve/key.c
@@ -26,13 +26,11 @@
 }
 
 int
-sv_read_key(
-    const struct sv_server *server, h2o_iovec_t text, struct dc_key *key)
+sv_read_key(h2o_iovec_t text, struct dc_key *key)
 {
 	char copy[SV_KEY_BYTES_MAX + 1];
 	uint64_t hash;
 
-	(void)server;
 	*key = (struct dc_key){.scope = DC_KEY_NONE};
 	if (text.base == NULL)
 		return CS_OK;
--- a/lib/serve/serve_internal.h
+++ b/lib/serve/serve_internal.h
@@ -202,8 +202,7 @@
 void sv_replay(struct sv_call *call);
 
 /* key.c: the Idempotency-Key header. */
-int sv_read_key(
-    const struct sv_server *server, h2o_iovec_t text, struct dc_key *key);
+int sv_read_key(h2o_iovec_t text, struct dc_key *key);
 void sv_format_token(const struct sv_server *server,
     const struct sv_entry *entry, char *text, size_t bytes);
 
--- a/tests/standins/caller.c
+++ b/tests/standins/caller.c
@@ -24,7 +24,8 @@
 	struct sockaddr_in entries[ENTRIES_MAX];
 	int entry_count;
 	int64_t valid_until_us;
-	char home[96]; /* token for keys, from the directory */
+	int64_t renew_us; /* from when on it asks again beside its calls */
+	char home[96];	  /* token for keys, from the directory */
 	bool asking;
 	GQueue pending; /* calls that wait for a directory answer */
 };
@@ -245,6 +246,7 @@
 			caller->entry_count++;
 	}
 	caller->valid_until_us = cs_now_us() + keep_ms * 1000;
+	caller->renew_us = cs_now_us() + keep_ms * 1000 / 2;
 	json_decref(root);
 	send_pending(caller);
 }
@@ -256,9 +258,8 @@
 	struct sockaddr_in from = g.directory;
 	char path[256];
 
-	snprintf(
-	    path, sizeof(path), "/.chervilshelf/entries?path=%s", g.get_path);
-
+	snprintf(path, sizeof(path), "/.chervilshelf/entries%s%s",
+	    g.ask_path ? "?path=" : "", g.ask_path ? g.get_path : "");
 	if (caller->entry_count > 0)
 		from = caller->entries[cs_random_below(
 		    &g.random, (uint32_t)caller->entry_count)];
@@ -266,7 +267,7 @@
 	ht_client_send(g.http, &(struct ht_request){
 				   .address = from,
 				   .method = "GET",
-				   .path = "/.chervilshelf/entries",
+				   .path = path,
 				   .answer_bytes_max = ANSWER_BYTES_MAX,
 				   .timeout_ms = 1000,
 				   .reuse = true,
@@ -292,7 +293,7 @@
 	g_queue_push_tail(&caller->pending, call);
 	if (caller->valid_until_us >= cs_now_us())
 		send_pending(caller);
-	else if (!caller->asking)
+	if (caller->renew_us <= cs_now_us() && !caller->asking)
 		ask_directory(caller);
 }
 
@@ -349,6 +350,7 @@
 	ht_parse_address(g.direct_text, &caller->entries[0]);
 	caller->entry_count = 1;
 	caller->valid_until_us = INT64_MAX;
+	caller->renew_us = INT64_MAX;
 }
 
 static void
--- a/tests/unit/test_decide.c
+++ b/tests/unit/test_decide.c
@@ -566,6 +566,22 @@
 	stop(&b);
 }
 
+static void
+test_only_target_left_is_tried_again(void **state)
+{
+	struct bench b;
+
+	(void)state;
+	start(&b, 2, 2);
+	feed(&b, &(struct dc_event){
+		     .type = DC_EV_TARGET_DRAINS, .drains = {TARGET + 1, 1}});
+	arrive(&b, 1, LETTER, 500 * MS);
+	ended(&b, 1, 1, DC_RESULT_NOT_SENT);
+	assert_non_null(action(&b, DC_ACT_SEND));
+	assert_int_equal(action(&b, DC_ACT_SEND)->send.target, TARGET);
+	stop(&b);
+}
+
 /* With most targets out, it is the measurement that is wrong. */
 static void
 test_ejections_are_not_heeded_when_most_are_out(void **state)
@@ -635,6 +651,44 @@
 	stop(&b);
 }
 
+/* A call that takes longer than most on an old connection. */
+static bool
+slow_call_flushes(struct bench *b, uint64_t call)
+{
+	bool flushed;
+
+	arrive(b, call, BROWSE, 5000 * MS);
+	feed(b, &(struct dc_event){
+		    .type = DC_EV_ATTEMPT_SENT, .sent = {call, 1, 1}});
+	pass(b, 45 * MS);
+	flushed = action(b, DC_ACT_FLUSH) != NULL;
+	head(b, call, 1, 200);
+	ended(b, call, 1, DC_RESULT_WHOLE);
+	return flushed;
+}
+
+/* One call in twenty is slow: it must not cost open connections each time. */
+static void
+test_slow_calls_flush_at_most_ten_times_a_second(void **state)
+{
+	struct bench b;
+	uint64_t call;
+
+	(void)state;
+	start(&b, 1, 2);
+	for (call = 1; call <= 40; call++) {
+		arrive(&b, call, BROWSE, 500 * MS);
+		serve(&b, call, 20 * MS);
+	}
+	assert_true(slow_call_flushes(&b, 90));
+	arrive(&b, 91, BROWSE, 500 * MS); /* answered on a new connection */
+	serve(&b, 91, 20 * MS);
+	assert_false(slow_call_flushes(&b, 92));
+	pass(&b, 100 * MS);
+	assert_true(slow_call_flushes(&b, 93));
+	stop(&b);
+}
+
 static void
 test_non_idempotent_call_is_never_hedged(void **state)
 {
@@ -713,10 +767,12 @@
 	    cmocka_unit_test(test_earliest_deadline_first_within_a_member),
 	    cmocka_unit_test(test_drained_target_gets_no_new_work),
 	    cmocka_unit_test(test_failing_target_is_ejected_unless_most_are),
+	    cmocka_unit_test(test_only_target_left_is_tried_again),
 	    cmocka_unit_test(test_ejections_are_not_heeded_when_most_are_out),
 	    cmocka_unit_test(test_leases_are_the_only_bound_of_a_target),
 	    cmocka_unit_test(
 		test_slow_idempotent_call_is_hedged_and_the_loser_cancelled),
+	    cmocka_unit_test(test_slow_calls_flush_at_most_ten_times_a_second),
 	    cmocka_unit_test(test_non_idempotent_call_is_never_hedged),
 	    cmocka_unit_test(test_new_table_keeps_running_calls),
 	    cmocka_unit_test(test_parameters_have_bounds),
