--- a/lib/serve/caller.c
+++ b/lib/serve/caller.c
@@ -113,7 +113,8 @@
 
 	if (bytes >= sizeof(call->member))
 		bytes = sizeof(call->member) - 1;
-	memcpy(call->member, member.base, bytes);
+	if (bytes > 0)
+		memcpy(call->member, member.base, bytes);
 	call->forwarded =
 	    ht_header(call->req, "chervilshelf-forwarded").base != NULL;
 }
--- a/tests/scenario/test_http.py
+++ b/tests/scenario/test_http.py
@@ -1,6 +1,7 @@
 """Callers' side of HTTP: big bodies whole, pipelining, broken and oversize
 requests, slow and vanished callers, broken target answers."""
 import hashlib
+import os
 import socket
 import threading
 import time
@@ -9,6 +10,7 @@
 
 BIG = 20 * 1000 * 1000
 UPLOADERS = 60
+SANITIZED = os.environ.get("SANITIZED") == "1"
 
 
 def raw(entry, data, read=True, timeout=10):
@@ -176,7 +178,8 @@
         whole, refused, closed, rig.peak_mb(entry)))
     assert whole + refused + closed == UPLOADERS
     assert whole >= 1 or chunked
-    assert rig.peak_mb(entry) < 256
+    if not SANITIZED:  # the sanitizer's own memory is counted as well
+        assert rig.peak_mb(entry) < 256
     still_serves()
 
 
