Bodies: 200 callers at once, sending and fetching 20 MB

Cause: only 60 at once had been run; the users ask for 200, each clearly answered, within 256 MB.

Change: tests/bench/bodies.py, and make bench runs all benchmarks.

--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,10 @@
 
 bench: build
 	BUILD_DIR=$(BUILD) python3 tests/bench/bench.py
+	BUILD_DIR=$(BUILD) python3 tests/bench/swing.py
+	BUILD_DIR=$(BUILD) python3 tests/bench/overhead.py
+	BUILD_DIR=$(BUILD) python3 tests/bench/bodies.py
+	BUILD_DIR=$(BUILD) python3 tests/bench/capacity.py
 
 lint: deps
 	sh scripts/lint.sh
--- /dev/null
+++ b/tests/bench/bodies.py
@@ -0,0 +1,61 @@
+"""200 slow callers send 20 MB at once, then 200 fetch 20 MB at once, through
+one entry VM: how each was answered, and the entry VM's peak memory."""
+import os
+import socket
+import sys
+import threading
+import time
+
+sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "scenario"))
+from rig import Rig, request  # noqa: E402
+
+CALLERS, BIG = 200, 20 * 1000 * 1000
+
+
+def exchange(head, pieces, read_pause, results):
+    host, port = entry.listen.split(":")
+    received, start = 0, b""
+    try:
+        with socket.create_connection((host, int(port)), timeout=90) as s:
+            s.sendall(head)
+            for piece in pieces:
+                s.sendall(piece)
+                time.sleep(0.02)
+            while True:
+                part = s.recv(262144)
+                if not part:
+                    break
+                received += len(part)
+                start = start or part
+                time.sleep(read_pause)
+    except OSError:
+        pass
+    results.append((received, start))
+
+
+def run(label, head, pieces, read_pause, is_whole):
+    results = []
+    threads = [threading.Thread(target=exchange, args=(
+        head, pieces, read_pause, results)) for _ in range(CALLERS)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    whole = sum(is_whole(*r) for r in results)
+    refused = sum(b"not-run" in start for _, start in results)
+    print("%s: %d whole, %d refused not-run, %d closed; peak %.0f MB" % (
+        label, whole, refused, CALLERS - whole - refused,
+        rig.peak_mb(entry)), flush=True)
+
+
+with Rig(entries=1, targets=2, slots=8) as rig:
+    rig.apply(rig.config(deadline_ms=60000))
+    entry = rig.entries[0]
+    run("sent", b"POST /letters/1?ms=1 HTTP/1.1\r\nHost: x\r\n"
+        b"Connection: close\r\nContent-Length: %d\r\n\r\n" % BIG,
+        [b"z" * (BIG // 20)] * 20, 0,
+        lambda n, start: b" 200 " in start)
+    run("fetched", b"GET /profiles/1?ms=1&size=%d HTTP/1.1\r\nHost: x\r\n"
+        b"Connection: close\r\n\r\n" % BIG, [], 0.002,
+        lambda n, start: b" 200 " in start and n > BIG)
+    assert request(entry.listen, "GET", "/profiles/1?ms=1")[0] == 200
