Ejection: a target that fails when it is back is out again at once

Cause: in a run on a loaded machine test_targets got one answer 503 from a target that sheds. Each time its ejection lapsed it took three more calls, and the ten retries a route begins with were used up.

Ruled out: more retries (the budget is there against storms).

Change: after an ejection one failure is enough for the next.

Measured: test_decide: retries until the second ejection 6 before, 4 after; the case failed first.

--- a/lib/decide/targets.c
+++ b/lib/decide/targets.c
@@ -223,10 +223,13 @@
 dc_target_failed(struct dc_core *core, const struct dc_attempt *attempt)
 {
 	struct dc_target *target = &core->targets[attempt->target];
+	int64_t limit = core->parameters[DC_P_EJECT_FAILURES];
 	int64_t back_off_us;
 
 	target->failures++;
-	if (target->failures < core->parameters[DC_P_EJECT_FAILURES])
+	if (target->eject_level > 0)
+		limit = 1; /* it failed again as soon as it was back */
+	if (target->failures < limit)
 		return;
 	back_off_us = core->parameters[DC_P_EJECT_US] << target->eject_level;
 	back_off_us +=
--- a/tests/unit/test_decide.c
+++ b/tests/unit/test_decide.c
@@ -566,6 +566,36 @@
 	stop(&b);
 }
 
+/* After its time out, one more failure is enough. */
+static void
+test_target_that_fails_when_it_is_back_is_out_again(void **state)
+{
+	struct dc_counters counters;
+	struct bench b;
+	uint64_t call;
+
+	(void)state;
+	start(&b, 4, 1);
+	for (call = 1; call <= 60; call++) {
+		arrive(&b, call, LETTER, 500 * MS);
+		if (action(&b, DC_ACT_SEND)->send.target == TARGET) {
+			ended(&b, call, 1, DC_RESULT_NOT_SENT);
+			sent(&b, call, 2);
+			head(&b, call, 2, 200);
+			ended(&b, call, 2, DC_RESULT_WHOLE);
+		} else {
+			serve(&b, call, 0);
+		}
+		pass(&b, 300 * MS);
+		dc_counters(b.core, &counters);
+		if (counters.ejections == 2)
+			break;
+	}
+	assert_int_equal(counters.ejections, 2);
+	assert_int_equal(counters.retries, 4); /* three, then one */
+	stop(&b);
+}
+
 static void
 test_only_target_left_is_tried_again(void **state)
 {
@@ -767,6 +797,8 @@
 	    cmocka_unit_test(test_earliest_deadline_first_within_a_member),
 	    cmocka_unit_test(test_drained_target_gets_no_new_work),
 	    cmocka_unit_test(test_failing_target_is_ejected_unless_most_are),
+	    cmocka_unit_test(
+		test_target_that_fails_when_it_is_back_is_out_again),
 	    cmocka_unit_test(test_only_target_left_is_tried_again),
 	    cmocka_unit_test(test_ejections_are_not_heeded_when_most_are_out),
 	    cmocka_unit_test(test_leases_are_the_only_bound_of_a_target),
