--- /dev/null
+++ b/lib/balance/budget.c
@@ -0,0 +1,61 @@
+/*
+ * Repeats, kept within a share of the requests of the last window. Answers
+ * loads in which failing targets would double the work of the others. Each VM
+ * earns repeats by the requests that it sees and has an equal part of the
+ * slack, so that the sum over the fleet holds without any exchange.
+ */
+#include "balance_internal.h"
+
+/* Kept back for windows that lie across the buckets. */
+#define SAFE_SHARE 0.8
+
+static struct bl_budget_bucket *
+bucket_at(struct bl_budget *budget, int64_t slot)
+{
+	struct bl_budget_bucket *bucket =
+	    &budget->buckets[slot % BL_BUDGET_BUCKETS];
+
+	if (bucket->slot != slot)
+		*bucket = (struct bl_budget_bucket){.slot = slot};
+	return bucket;
+}
+
+static int64_t
+slot_of(const struct bl_budget_terms *terms, int64_t now_us)
+{
+	int64_t width_us = terms->window_us / (BL_BUDGET_BUCKETS - 1);
+
+	return now_us / (width_us > 0 ? width_us : 1);
+}
+
+void
+bl_count_request(
+    struct bl_pool *pool, const struct bl_budget_terms *terms, int64_t now_us)
+{
+	bucket_at(&pool->budget, slot_of(terms, now_us))->requests++;
+}
+
+bool
+bl_may_retry(
+    struct bl_pool *pool, const struct bl_budget_terms *terms, int64_t now_us)
+{
+	int64_t slot = slot_of(terms, now_us);
+	double requests = 0, repeats = 0, allowed;
+	uint32_t i, members = terms->members > 0 ? terms->members : 1;
+
+	for (i = 0; i < BL_BUDGET_BUCKETS; i++) {
+		const struct bl_budget_bucket *bucket =
+		    &pool->budget.buckets[i];
+
+		if (bucket->slot <= slot - BL_BUDGET_BUCKETS)
+			continue;
+		requests += bucket->requests;
+		repeats += bucket->repeats;
+	}
+	allowed = SAFE_SHARE *
+		  (terms->ratio * requests + terms->slack / (double)members);
+	if (repeats + 1 > allowed)
+		return false;
+	bucket_at(&pool->budget, slot)->repeats++;
+	return true;
+}
--- /dev/null
+++ b/lib/balance/outcome.c
@@ -0,0 +1,85 @@
+/*
+ * What follows the end of one attempt at a target. Answers failures in which
+ * it is not known whether work ran: only what surely did not run, or may run
+ * twice, is sent again.
+ */
+#include "balance_internal.h"
+
+#define GOLDEN_RATIO_32 UINT64_C(2654435769) /* its fraction times 2^32 */
+
+const char *
+bl_outcome_text(enum bl_outcome outcome)
+{
+	switch (outcome) {
+	case BL_SERVED:
+		return "served";
+	case BL_FAILED:
+		return "failed";
+	case BL_SHED:
+		return "shed";
+	case BL_MISPLACED:
+		return "misplaced";
+	case BL_UNREACHED:
+		return "unreached";
+	case BL_LOST:
+		return "lost";
+	case BL_GARBLED:
+		return "garbled";
+	case BL_CANCELLED:
+		return "cancelled";
+	}
+	return "unknown";
+}
+
+bool
+bl_arrived(enum bl_outcome outcome)
+{
+	return outcome != BL_UNREACHED;
+}
+
+enum bl_step
+bl_next_step(enum bl_outcome outcome, enum rt_kind kind, bool attempts_left)
+{
+	bool repeatable = kind == RT_IDEMPOTENT;
+
+	switch (outcome) {
+	case BL_SERVED:
+		return BL_RELAY;
+	case BL_FAILED:
+		return repeatable && attempts_left ? BL_AGAIN : BL_RELAY;
+	case BL_SHED:
+	case BL_MISPLACED:
+	case BL_UNREACHED:
+		return attempts_left ? BL_AGAIN : BL_FAIL_NOT_RUN;
+	case BL_LOST:
+	case BL_GARBLED:
+		return repeatable && attempts_left ? BL_AGAIN : BL_FAIL_UNKNOWN;
+	case BL_CANCELLED:
+		return BL_FAIL_UNKNOWN;
+	}
+	return BL_FAIL_UNKNOWN;
+}
+
+enum bl_step
+bl_without_retry(enum bl_outcome outcome)
+{
+	return bl_next_step(outcome, RT_ONCE, false);
+}
+
+uint32_t
+bl_pick_backend(const struct rt_route *route, uint64_t count)
+{
+	uint64_t total = 0, at;
+	uint32_t i;
+
+	for (i = 0; i < route->backend_count; i++)
+		total += route->backends[i].weight;
+	/* Multiples of the golden ratio fall evenly, over any stretch. */
+	at = ((count * GOLDEN_RATIO_32 & UINT32_MAX) * total) >> 32;
+	for (i = 0; i + 1 < route->backend_count; i++) {
+		if (at < route->backends[i].weight)
+			return i;
+		at -= route->backends[i].weight;
+	}
+	return i;
+}
--- a/lib/base/base.c
+++ b/lib/base/base.c
@@ -1,4 +1,5 @@
 /* Error texts, clock, random numbers and hashes. */
+#include <string.h>
 #include "base.h"
 
 #include <time.h>
@@ -92,3 +93,14 @@
 {
 	return mix64(a ^ mix64(b + 0x9e3779b97f4a7c15ULL));
 }
+
+int
+cs_copy_text(char *out, size_t size, const char *text)
+{
+	size_t length = strlen(text);
+	size_t copied = length < size ? length : size - 1;
+
+	memcpy(out, text, copied);
+	out[copied] = '\0';
+	return copied == length ? CS_OK : CS_E_FULL;
+}
--- a/lib/base/base.h
+++ b/lib/base/base.h
@@ -28,6 +28,12 @@
  */
 const char *cs_error_text(int code);
 
+/*
+ * cs_copy_text(out, size, text): copies what fits, always NUL terminated.
+ * Returns CS_E_FULL when text was cut short.
+ */
+int cs_copy_text(char *out, size_t size, const char *text);
+
 /* cs_now_us(): monotonic time in microseconds. */
 int64_t cs_now_us(void);
 
@@ -114,6 +120,14 @@
  */
 int cs_log_open(const char *threshold);
 void cs_log_close(void);
+/*
+ * cs_log_gather(): from now on lines are kept in memory, bounded, and written
+ * to standard output by cs_log_flush(), which never waits. Under load lines of
+ * level info are dropped first; cs_log_flush() returns how many lines were
+ * dropped since it last wrote.
+ */
+int cs_log_gather(void);
+uint64_t cs_log_flush(void);
 /*
  * cs_log(event, format, ...): writes one event. The format makes the
  * key=value part; the level comes from the catalogue.
--- a/lib/base/log.c
+++ b/lib/base/log.c
@@ -1,8 +1,14 @@
-/* Numbered log events on log4c, one key=value line each on standard error. */
+/*
+ * Numbered log events on log4c, one key=value line each: at once on standard
+ * error, or gathered and written to standard output without ever waiting.
+ */
+#include <errno.h>
+#include <fcntl.h>
 #include <log4c.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "base.h"
 
@@ -40,6 +46,93 @@
     .format = format_line,
 };
 
+/* Lines that wait for the next flush. */
+#define GATHERED_BYTES_MAX (256 * 1024)
+/* Lines of level info in one second; above it they are counted only. */
+#define INFO_LINES_PER_S_MAX 2000
+
+static struct {
+	char data[GATHERED_BYTES_MAX];
+	size_t length;
+	uint64_t dropped;
+	int64_t second;
+	uint32_t info_lines;
+} gathered;
+
+static bool
+is_over_rate(const log4c_logging_event_t *event)
+{
+	int64_t second = cs_now_us() / 1000000;
+
+	if (event->evt_priority < LOG4C_PRIORITY_INFO)
+		return false;
+	if (second != gathered.second) {
+		gathered.second = second;
+		gathered.info_lines = 0;
+	}
+	return ++gathered.info_lines > INFO_LINES_PER_S_MAX;
+}
+
+static int
+gather(log4c_appender_t *appender, const log4c_logging_event_t *event)
+{
+	size_t length = strlen(event->evt_rendered_msg);
+
+	(void)appender;
+	if (is_over_rate(event) ||
+	    gathered.length + length > sizeof(gathered.data)) {
+		gathered.dropped++;
+		return 0;
+	}
+	memcpy(gathered.data + gathered.length, event->evt_rendered_msg,
+	    length);
+	gathered.length += length;
+	return 0;
+}
+
+static const log4c_appender_type_t gather_type = {
+    .name = "chervilshelf_gather",
+    .append = gather,
+};
+
+uint64_t
+cs_log_flush(void)
+{
+	uint64_t dropped = gathered.dropped;
+	ssize_t written;
+
+	if (gathered.length == 0)
+		return 0;
+	written = write(STDOUT_FILENO, gathered.data, gathered.length);
+	if (written < 0 && errno != EAGAIN && errno != EINTR)
+		written = (ssize_t)gathered.length; /* nobody reads */
+	if (written <= 0)
+		return 0;
+	memmove(gathered.data, gathered.data + written,
+	    gathered.length - (size_t)written);
+	gathered.length -= (size_t)written;
+	gathered.dropped = 0;
+	return dropped;
+}
+
+int
+cs_log_gather(void)
+{
+	log4c_appender_t *appender;
+	int flags = fcntl(STDOUT_FILENO, F_GETFL);
+
+	/* Where this fails a slow reader can delay the process. */
+	if (flags >= 0)
+		fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+	log4c_appender_type_set(&gather_type);
+	appender = log4c_appender_get("gather");
+	log4c_appender_set_type(appender, &gather_type);
+	log4c_appender_set_layout(
+	    appender, log4c_layout_get("chervilshelf_line"));
+	log4c_category_set_appender(log4c_category_get(CATEGORY), appender);
+	return CS_OK;
+}
+
 int
 cs_log_open(const char *threshold)
 {
--- /dev/null
+++ b/lib/fleet/fleet.h
@@ -0,0 +1,172 @@
+/*
+ * fleet: the entry VMs of one region. They know one another by heartbeats,
+ * agree without votes on which of them follows the store, and the others get
+ * its news from that one over TCP. Regions do not depend on each other: each
+ * has its own follower, so a cut between regions leaves both informed.
+ */
+#ifndef FL_FLEET_H
+#define FL_FLEET_H
+
+#include <netinet/in.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <uv.h>
+
+#include "../base/base.h"
+#include "../store/cache.h"
+
+#define FL_NAME_BYTES_MAX 64
+#define FL_MEMBERS_MAX 1024
+
+struct fl_member {
+	char name[FL_NAME_BYTES_MAX];
+	char data_centre[FL_NAME_BYTES_MAX];
+	struct sockaddr_in fleet; /* heartbeats (UDP) and news (TCP) */
+	struct sockaddr_in front; /* where callers connect */
+	uint64_t boot;		  /* random number of its process */
+	bool near;		  /* in this VM's region */
+	bool ready;		  /* has a configuration, takes calls */
+	bool stopping;
+	bool current;	    /* follows the store and is up to date */
+	uint64_t news;	    /* sum of the revisions that it knows */
+	int64_t heard_us;   /* 0: never */
+	int64_t current_us; /* last heard to be current */
+};
+
+/* What this VM is to do about the store. */
+enum fl_role {
+	FL_IDLE,   /* too early to tell */
+	FL_WATCH,  /* follow the store, pass the news on */
+	FL_LISTEN, /* get the news from another VM */
+};
+
+/*
+ * Membership and the choice of the follower: no input or output, time is
+ * passed in.
+ */
+struct fl_members {
+	struct fl_member self;
+	struct fl_member *list;
+	uint32_t count, capacity;
+	int64_t began_us;
+	int64_t lacking_us; /* since when no VM is known to be current */
+	int64_t ticked_us;
+	bool watching;
+	int64_t shadowed_us; /* a better placed VM is current since */
+};
+
+void fl_members_init(
+    struct fl_members *members, const struct fl_member *self, int64_t now_us);
+void fl_members_free(struct fl_members *members);
+/*
+ * fl_members_learn(members, news): a VM that exists, not a sign of life.
+ * Returns it, or NULL for this VM itself and when the list is full.
+ */
+struct fl_member *fl_members_learn(
+    struct fl_members *members, const struct fl_member *news);
+/* fl_members_heard(members, news, now): a heartbeat; true: a new process. */
+bool fl_members_heard(
+    struct fl_members *members, const struct fl_member *news, int64_t now_us);
+bool fl_is_alive(const struct fl_member *member, int64_t now_us);
+/*
+ * fl_members_tick(members, now): judges the role; *leader is the VM to listen
+ * to with FL_LISTEN. A late tick forgives silence: this VM was paused.
+ */
+enum fl_role fl_members_tick(struct fl_members *members, int64_t now_us,
+    const struct fl_member **leader);
+/* fl_members_total(members, now): VMs in the whole fleet, this one too. */
+uint32_t fl_members_total(const struct fl_members *members);
+/*
+ * fl_members_listed(members, now, out, max): front addresses for callers:
+ * live, ready VMs of this region; one that hears nobody names all it knew.
+ */
+uint32_t fl_members_listed(const struct fl_members *members, int64_t now_us,
+    struct sockaddr_in *out, uint32_t max);
+
+/* Frames between VMs, encoded with msgpack. */
+enum fl_frame_type {
+	FL_FRAME_HEARTBEAT = 1,
+	FL_FRAME_SUSPECT = 2, /* a request that crashed a target */
+	FL_FRAME_HELLO = 3,   /* what the listener knows of each kind */
+	FL_FRAME_NEWS = 4,
+};
+
+struct fl_news {
+	uint32_t kind;
+	bool whole;
+	struct st_batch batch;
+};
+
+#define FL_PEERS_MAX 16 /* addresses of others in one heartbeat */
+
+struct fl_frame {
+	enum fl_frame_type type;
+	union {
+		struct {
+			struct fl_member member;
+			uint32_t peer_count;
+			struct sockaddr_in peers[FL_PEERS_MAX];
+			char region[FL_NAME_BYTES_MAX];
+		} heartbeat;
+		struct {
+			uint64_t fingerprint;
+		} suspect;
+		struct {
+			uint64_t revisions[ST_KINDS_MAX];
+		} hello;
+		struct fl_news news;
+	} as;
+};
+
+struct fl_buffer {
+	char *data;
+	size_t length;
+};
+
+/* fl_encode(frame, out): out->data is freed with free(). */
+int fl_encode(const struct fl_frame *frame, struct fl_buffer *out);
+/*
+ * fl_decode(data, length, out): the batch of news is freed by the caller with
+ * st_batch_free(). Returns CS_E_INVALID for anything else than a frame.
+ */
+int fl_decode(const char *data, size_t length, struct fl_frame *out);
+
+struct fl_events {
+	void (*on_role)(
+	    void *user, enum fl_role role, const struct fl_member *leader);
+	/* Another VM's news; returns whether it was taken. */
+	void (*on_news)(void *user, const struct fl_news *news);
+	void (*on_suspect)(void *user, uint64_t fingerprint);
+	void (*on_member)(
+	    void *user, const struct fl_member *member, const char *what);
+};
+
+struct fl_params {
+	uv_loop_t *loop;
+	struct fl_member self;
+	char region[FL_NAME_BYTES_MAX];
+	uint32_t seed_count;
+	struct sockaddr_in seeds[8];
+	const struct st_cache *cache; /* what listeners are brought up to */
+	uint32_t kind_count;
+	const struct fl_events *events;
+	void *user;
+};
+
+struct fleet;
+
+int fl_create(const struct fl_params *params, struct fleet **out);
+/* fl_know(fleet, member): the store lists this VM. */
+void fl_know(struct fleet *fleet, const struct fl_member *member);
+/* fl_pass_on(fleet, news): to all that listen here. */
+void fl_pass_on(struct fleet *fleet, const struct fl_news *news);
+void fl_suspect(struct fleet *fleet, uint64_t fingerprint);
+void fl_set_ready(struct fleet *fleet, bool ready);
+void fl_set_current(struct fleet *fleet, bool current);
+/* fl_leave(fleet): tells the others at once that this VM stops. */
+void fl_leave(struct fleet *fleet);
+const struct fl_members *fl_get_members(const struct fleet *fleet);
+void fl_close(struct fleet *fleet);
+
+#endif
--- /dev/null
+++ b/lib/fleet/link.c
@@ -0,0 +1,249 @@
+/* Framed TCP links. */
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "link.h"
+
+#define FRAME_BYTES_MAX (8 * 1024 * 1024) /* a whole kind of objects */
+#define QUEUED_BYTES_MAX (16 * 1024 * 1024)
+#define LENGTH_BYTES 4
+#define SILENCE_MS 1200 /* unacknowledged bytes: the peer is cut off */
+
+struct write_request {
+	uv_write_t request;
+	size_t length;
+	char data[];
+};
+
+static void
+on_closed(uv_handle_t *handle)
+{
+	struct fl_link *link = (struct fl_link *)handle;
+
+	free(link->in);
+	free(link);
+}
+
+void
+fl_link_close(struct fl_link *link)
+{
+	if (link->closing)
+		return;
+	link->closing = true;
+	uv_close((uv_handle_t *)&link->tcp, on_closed);
+}
+
+static void
+end(struct fl_link *link)
+{
+	if (link->closing)
+		return;
+	fl_link_close(link);
+	link->events->on_end(link);
+}
+
+static uint32_t
+frame_length(const char *data)
+{
+	uint32_t length;
+
+	memcpy(&length, data, LENGTH_BYTES);
+	return ntohl(length);
+}
+
+/* Hands over every whole frame that has arrived. */
+static void
+deliver(struct fl_link *link)
+{
+	size_t at = 0;
+
+	while (!link->closing && link->in_length - at >= LENGTH_BYTES) {
+		uint32_t length = frame_length(link->in + at);
+		struct fl_frame frame;
+
+		if (length > FRAME_BYTES_MAX) {
+			end(link);
+			return;
+		}
+		if (link->in_length - at - LENGTH_BYTES < length)
+			break;
+		if (fl_decode(link->in + at + LENGTH_BYTES, length, &frame) !=
+		    CS_OK) {
+			end(link);
+			return;
+		}
+		at += LENGTH_BYTES + length;
+		link->events->on_frame(link, &frame);
+		if (frame.type == FL_FRAME_NEWS)
+			st_batch_free(&frame.as.news.batch);
+	}
+	memmove(link->in, link->in + at, link->in_length - at);
+	link->in_length -= at;
+}
+
+static void
+on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
+{
+	static char bytes[64 * 1024]; /* one loop, one read at a time */
+
+	(void)handle;
+	(void)suggested;
+	*buffer = uv_buf_init(bytes, sizeof(bytes));
+}
+
+static void
+on_read(uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer)
+{
+	struct fl_link *link = (struct fl_link *)stream;
+	size_t wanted = link->in_length + (size_t)(length > 0 ? length : 0);
+	char *grown;
+
+	if (length < 0) {
+		end(link);
+		return;
+	}
+	if (wanted > link->in_capacity) {
+		grown = realloc(link->in, wanted * 2);
+		if (grown == NULL) {
+			end(link);
+			return;
+		}
+		link->in = grown;
+		link->in_capacity = wanted * 2;
+	}
+	memcpy(link->in + link->in_length, buffer->base, (size_t)length);
+	link->in_length = wanted;
+	deliver(link);
+}
+
+static void
+set_options(struct fl_link *link)
+{
+	unsigned silence_ms = SILENCE_MS;
+	int one = 1;
+	uv_os_fd_t fd;
+
+	uv_tcp_nodelay(&link->tcp, 1);
+	if (uv_fileno((uv_handle_t *)&link->tcp, &fd) != 0)
+		return;
+	/* Failing options only make a dead peer show later. */
+	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &one, sizeof(one));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &one, sizeof(one));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &one, sizeof(one));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &one, sizeof(one));
+	setsockopt(
+	    fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silence_ms, sizeof(silence_ms));
+}
+
+static void
+on_connect(uv_connect_t *request, int status)
+{
+	struct fl_link *link = request->data;
+
+	if (link->closing)
+		return;
+	if (status < 0 ||
+	    uv_read_start((uv_stream_t *)&link->tcp, on_alloc, on_read) != 0) {
+		end(link);
+		return;
+	}
+	link->events->on_open(link);
+}
+
+static struct fl_link *
+new_link(uv_loop_t *loop, const struct fl_link_events *events, void *owner)
+{
+	struct fl_link *link = calloc(1, sizeof(*link));
+
+	if (link == NULL)
+		return NULL;
+	link->events = events;
+	link->owner = owner;
+	if (uv_tcp_init_ex(loop, &link->tcp, AF_INET) != 0) {
+		free(link);
+		return NULL;
+	}
+	return link;
+}
+
+struct fl_link *
+fl_link_connect(uv_loop_t *loop, const struct sockaddr_in *address,
+    const struct fl_link_events *events, void *owner)
+{
+	struct fl_link *link = new_link(loop, events, owner);
+
+	if (link == NULL)
+		return NULL;
+	set_options(link);
+	link->connecting.data = link;
+	if (uv_tcp_connect(&link->connecting, &link->tcp,
+		(const struct sockaddr *)address, on_connect) != 0) {
+		fl_link_close(link);
+		return NULL;
+	}
+	return link;
+}
+
+struct fl_link *
+fl_link_accept(
+    uv_stream_t *listener, const struct fl_link_events *events, void *owner)
+{
+	struct fl_link *link = calloc(1, sizeof(*link));
+
+	if (link == NULL)
+		return NULL;
+	link->events = events;
+	link->owner = owner;
+	uv_tcp_init(listener->loop, &link->tcp);
+	if (uv_accept(listener, (uv_stream_t *)&link->tcp) != 0 ||
+	    uv_read_start((uv_stream_t *)&link->tcp, on_alloc, on_read) != 0) {
+		fl_link_close(link);
+		return NULL;
+	}
+	set_options(link);
+	return link;
+}
+
+static void
+on_written(uv_write_t *request, int status)
+{
+	struct fl_link *link = (struct fl_link *)request->handle;
+	struct write_request *write = (struct write_request *)request;
+
+	link->queued_bytes -= write->length;
+	free(write);
+	if (status < 0 && status != UV_ECANCELED)
+		end(link);
+}
+
+void
+fl_link_send(struct fl_link *link, const struct fl_buffer *frame)
+{
+	struct write_request *write;
+	uint32_t length = htonl((uint32_t)frame->length);
+	uv_buf_t buffer;
+
+	if (link->closing)
+		return;
+	if (link->queued_bytes + frame->length > QUEUED_BYTES_MAX) {
+		end(link);
+		return;
+	}
+	write = malloc(sizeof(*write) + LENGTH_BYTES + frame->length);
+	if (write == NULL) {
+		end(link);
+		return;
+	}
+	write->length = LENGTH_BYTES + frame->length;
+	memcpy(write->data, &length, LENGTH_BYTES);
+	memcpy(write->data + LENGTH_BYTES, frame->data, frame->length);
+	link->queued_bytes += write->length;
+	buffer = uv_buf_init(write->data, (unsigned)write->length);
+	if (uv_write(&write->request, (uv_stream_t *)&link->tcp, &buffer, 1,
+		on_written) != 0) {
+		link->queued_bytes -= write->length;
+		free(write);
+		end(link);
+	}
+}
--- /dev/null
+++ b/lib/fleet/link.h
@@ -0,0 +1,38 @@
+/* A TCP link that carries frames, each behind its length in four bytes. */
+#ifndef FL_LINK_H
+#define FL_LINK_H
+
+#include "fleet.h"
+
+struct fl_link;
+
+struct fl_link_events {
+	void (*on_open)(struct fl_link *link);
+	void (*on_frame)(struct fl_link *link, const struct fl_frame *frame);
+	void (*on_end)(struct fl_link *link); /* it is freed afterwards */
+};
+
+struct fl_link {
+	uv_tcp_t tcp; /* first: handles are cast to links */
+	uv_connect_t connecting;
+	const struct fl_link_events *events;
+	void *owner;
+	struct fl_link *next;
+	char *in;
+	size_t in_length, in_capacity;
+	size_t queued_bytes;
+	bool said_hello;
+	bool closing;
+};
+
+struct fl_link *fl_link_connect(uv_loop_t *loop,
+    const struct sockaddr_in *address, const struct fl_link_events *events,
+    void *owner);
+struct fl_link *fl_link_accept(
+    uv_stream_t *listener, const struct fl_link_events *events, void *owner);
+/* fl_link_send(link, frame): a peer that does not read is cut off. */
+void fl_link_send(struct fl_link *link, const struct fl_buffer *frame);
+/* fl_link_close(link): closes without a callback. */
+void fl_link_close(struct fl_link *link);
+
+#endif
--- /dev/null
+++ b/lib/fleet/members.c
@@ -0,0 +1,234 @@
+/*
+ * Who is there, and who follows the store. Answers many VMs starting at once,
+ * frozen and cut-off VMs, and a store that serves only some of them: the VM
+ * with the lowest rank that is current is listened to; when none is, the VMs
+ * try in the order of their ranks, a little apart.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "fleet.h"
+
+#define SILENT_US 1300000    /* three heartbeats of 400 ms were missed */
+#define LATE_TICK_US 1000000 /* far over a tick: this VM did not run */
+#define KNOWN_US 30000000    /* how long one that fell silent is remembered */
+/* At the start VMs learn of one another before one begins to follow. */
+#define SETTLE_US 250000
+/* Between the tries of VMs of consecutive ranks. */
+#define TURN_US 400000
+/* Two may follow for this long before the one of higher rank stops. */
+#define OVERLAP_US 2000000
+
+void
+fl_members_init(
+    struct fl_members *members, const struct fl_member *self, int64_t now_us)
+{
+	*members = (struct fl_members){.self = *self};
+	members->self.near = true;
+	members->began_us = members->ticked_us = now_us;
+	members->lacking_us = now_us;
+}
+
+void
+fl_members_free(struct fl_members *members)
+{
+	free(members->list);
+	members->list = NULL;
+	members->count = members->capacity = 0;
+}
+
+static bool
+same_address(const struct sockaddr_in *a, const struct sockaddr_in *b)
+{
+	return a->sin_addr.s_addr == b->sin_addr.s_addr &&
+	       a->sin_port == b->sin_port;
+}
+
+static struct fl_member *
+find(struct fl_members *members, const struct sockaddr_in *fleet)
+{
+	uint32_t i;
+
+	for (i = 0; i < members->count; i++) {
+		if (same_address(&members->list[i].fleet, fleet))
+			return &members->list[i];
+	}
+	return NULL;
+}
+
+struct fl_member *
+fl_members_learn(struct fl_members *members, const struct fl_member *news)
+{
+	struct fl_member *member = find(members, &news->fleet), *grown;
+	uint32_t capacity;
+
+	if (member != NULL || same_address(&members->self.fleet, &news->fleet))
+		return member;
+	if (members->count == FL_MEMBERS_MAX)
+		return NULL;
+	if (members->count == members->capacity) {
+		capacity = members->capacity == 0 ? 16 : members->capacity * 2;
+		grown = realloc(members->list, capacity * sizeof(*grown));
+		if (grown == NULL)
+			return NULL;
+		members->list = grown;
+		members->capacity = capacity;
+	}
+	member = &members->list[members->count++];
+	*member = *news;
+	member->heard_us = member->current_us = 0;
+	return member;
+}
+
+bool
+fl_members_heard(
+    struct fl_members *members, const struct fl_member *news, int64_t now_us)
+{
+	struct fl_member *member = fl_members_learn(members, news);
+	bool is_new;
+
+	if (member == NULL)
+		return false;
+	is_new = member->boot != news->boot || member->heard_us == 0;
+	*member = *news;
+	member->heard_us = now_us;
+	member->current_us = news->current ? now_us : 0;
+	return is_new;
+}
+
+bool
+fl_is_alive(const struct fl_member *member, int64_t now_us)
+{
+	return member->heard_us != 0 && now_us - member->heard_us < SILENT_US;
+}
+
+static uint64_t
+rank(const struct fl_member *member)
+{
+	return cs_hash(member->name, strlen(member->name));
+}
+
+/* The live VM of the region with the lowest rank that is current. */
+static const struct fl_member *
+find_leader(const struct fl_members *members, int64_t now_us)
+{
+	const struct fl_member *best = NULL;
+	uint32_t i;
+
+	for (i = 0; i < members->count; i++) {
+		const struct fl_member *member = &members->list[i];
+
+		if (member->near && member->current && !member->stopping &&
+		    fl_is_alive(member, now_us) &&
+		    (best == NULL || rank(member) < rank(best)))
+			best = member;
+	}
+	return best;
+}
+
+/* How many live VMs of the region come before this one. */
+static uint32_t
+turn(const struct fl_members *members, int64_t now_us)
+{
+	uint32_t i, before = 0;
+
+	for (i = 0; i < members->count; i++) {
+		const struct fl_member *member = &members->list[i];
+
+		before += member->near && !member->stopping &&
+			  fl_is_alive(member, now_us) &&
+			  rank(member) < rank(&members->self);
+	}
+	return before;
+}
+
+static void
+forgive_silence(struct fl_members *members, int64_t now_us)
+{
+	uint32_t i;
+
+	for (i = 0; i < members->count; i++) {
+		if (members->list[i].heard_us != 0)
+			members->list[i].heard_us = now_us;
+	}
+}
+
+/* Another VM is current: this one stops unless it should lead. */
+static enum fl_role
+yield_to(
+    struct fl_members *members, const struct fl_member *leader, int64_t now_us)
+{
+	members->lacking_us = now_us;
+	if (!members->watching)
+		return FL_LISTEN;
+	if (members->self.current && rank(&members->self) < rank(leader)) {
+		members->shadowed_us = 0;
+		return FL_WATCH;
+	}
+	if (members->shadowed_us == 0)
+		members->shadowed_us = now_us;
+	if (now_us - members->shadowed_us < OVERLAP_US)
+		return FL_WATCH;
+	members->shadowed_us = 0;
+	members->watching = false;
+	return FL_LISTEN;
+}
+
+enum fl_role
+fl_members_tick(
+    struct fl_members *members, int64_t now_us, const struct fl_member **leader)
+{
+	int64_t lacking_us;
+
+	if (now_us - members->ticked_us > LATE_TICK_US)
+		forgive_silence(members, now_us);
+	members->ticked_us = now_us;
+	*leader = find_leader(members, now_us);
+	if (*leader != NULL)
+		return yield_to(members, *leader, now_us);
+	members->shadowed_us = 0;
+	if (members->watching) {
+		if (members->self.current)
+			members->lacking_us = now_us;
+		return FL_WATCH;
+	}
+	lacking_us = now_us - members->lacking_us;
+	if (now_us - members->began_us < SETTLE_US ||
+	    lacking_us < (int64_t)turn(members, now_us) * TURN_US)
+		return FL_IDLE;
+	members->watching = true;
+	return FL_WATCH;
+}
+
+uint32_t
+fl_members_total(const struct fl_members *members)
+{
+	return members->count + 1;
+}
+
+uint32_t
+fl_members_listed(const struct fl_members *members, int64_t now_us,
+    struct sockaddr_in *out, uint32_t max)
+{
+	uint32_t i, listed = 0;
+	bool alone;
+
+	if (members->self.ready && !members->self.stopping && max > 0)
+		out[listed++] = members->self.front;
+	for (i = 0; i < members->count && listed < max; i++) {
+		const struct fl_member *member = &members->list[i];
+
+		if (member->near && member->ready && !member->stopping &&
+		    fl_is_alive(member, now_us))
+			out[listed++] = member->front;
+	}
+	alone = listed <= (members->self.ready ? 1U : 0U);
+	for (i = 0; alone && i < members->count && listed < max; i++) {
+		const struct fl_member *member = &members->list[i];
+
+		if (member->near && member->ready && !member->stopping &&
+		    now_us - member->heard_us < KNOWN_US)
+			out[listed++] = member->front;
+	}
+	return listed;
+}
--- /dev/null
+++ b/lib/gateway/gateway.c
@@ -0,0 +1,300 @@
+/* The gateway as a whole: its pools and targets, its table, its life. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "gateway_internal.h"
+
+#define SWEEP_MS 200 /* idle connections and unanswered probes */
+/* Until the first table says otherwise. */
+#define HEAD_BYTES_FIRST (16 * 1024)
+#define BODY_BYTES_FIRST (1024 * 1024)
+#define HEAD_TIMEOUT_FIRST_MS 3000
+#define IDLE_TIMEOUT_FIRST_MS 15000
+
+static const char *const reason_texts[] = {
+#define GW_REASON(symbol, text) text,
+#include "reasons.def"
+#undef GW_REASON
+};
+
+const char *
+gw_reason_text(enum gw_reason reason)
+{
+	return reason < GW_REASONS ? reason_texts[reason] : "unknown";
+}
+
+static struct gw_pool *
+create_pool(struct gw *gw, const char *name)
+{
+	struct gw_pool *pool = calloc(1, sizeof(*pool));
+
+	if (pool == NULL)
+		return NULL;
+	pool->gw = gw;
+	pool->decide = bl_pool_create(name);
+	if (pool->decide == NULL) {
+		free(pool);
+		return NULL;
+	}
+	pool->decide->waiting = pool;
+	uv_timer_init(gw->params.loop, &pool->timer);
+	pool->timer.data = pool;
+	g_hash_table_insert(gw->pools, pool->decide->name, pool);
+	return pool;
+}
+
+struct gw_pool *
+gw_pool_of(struct gw *gw, const char *name)
+{
+	struct gw_pool *pool = g_hash_table_lookup(gw->pools, name);
+
+	return pool != NULL ? pool : create_pool(gw, name);
+}
+
+struct gw_pool *
+gw_pool_of_target(const struct bl_target *target)
+{
+	return target->pool == NULL ? NULL : target->pool->waiting;
+}
+
+static void
+on_request(struct h1_conn *conn, const struct h1_message *request)
+{
+	gw_call_begin(h1_conn_user(conn), conn, request);
+}
+
+static void
+on_gone(struct h1_conn *conn)
+{
+	struct gw_call *call = h1_conn_call(conn);
+
+	if (call != NULL)
+		gw_call_gone(call);
+}
+
+static const struct h1_server_events server_events = {
+    .on_request = on_request,
+    .on_gone = on_gone,
+};
+
+static void
+on_sweep(uv_timer_t *timer)
+{
+	struct gw *gw = timer->data;
+	int64_t now_us = cs_now_us();
+	GList *targets = g_hash_table_get_values(gw->targets), *at;
+
+	h1_server_sweep(gw->server, now_us);
+	for (at = targets; at != NULL; at = at->next) {
+		struct bl_target *target = at->data;
+
+		if (target->channels != NULL)
+			gw_channels_sweep(target->channels, now_us);
+	}
+	g_list_free(targets);
+}
+
+int
+gw_create(const struct gw_params *params, struct gw **out)
+{
+	struct gw *gw = calloc(1, sizeof(*gw));
+	struct h1_server_params server = {
+	    .loop = params->loop,
+	    .address = params->front,
+	    .limits = {HEAD_BYTES_FIRST, BODY_BYTES_FIRST},
+	    .head_timeout_ms = HEAD_TIMEOUT_FIRST_MS,
+	    .idle_timeout_ms = IDLE_TIMEOUT_FIRST_MS,
+	    .connections_max = params->connections_max,
+	    .bodies_bytes_max = params->memory_bytes_max,
+	    .events = &server_events,
+	    .user = gw,
+	};
+
+	if (gw == NULL)
+		return CS_E_SYSTEM;
+	gw->params = *params;
+	if (h1_server_create(&server, &gw->server) != CS_OK) {
+		free(gw);
+		return CS_E_SYSTEM;
+	}
+	gw->pools = g_hash_table_new(g_str_hash, g_str_equal);
+	gw->targets = g_hash_table_new(g_str_hash, g_str_equal);
+	cs_random_seed(&gw->random, params->seed);
+	gw->numbers = cs_random_next(&gw->random) >> 32;
+	gw->probe_tokens_us = cs_now_us();
+	uv_timer_init(params->loop, &gw->sweep);
+	gw->sweep.data = gw;
+	uv_timer_start(&gw->sweep, on_sweep, SWEEP_MS, SWEEP_MS);
+	*out = gw;
+	return CS_OK;
+}
+
+void
+gw_set_table(struct gw *gw, struct rt_table *table)
+{
+	uint32_t i;
+
+	cs_ref_take(&table->ref);
+	rt_table_drop(gw->table);
+	gw->table = table;
+	for (i = 0; i < table->pool_count; i++) {
+		struct gw_pool *pool = gw_pool_of(gw, table->pools[i].name);
+
+		if (pool == NULL)
+			continue;
+		memcpy(pool->health_path, table->pools[i].health_path,
+		    sizeof(pool->health_path));
+		pool->channels_max = table->pools[i].channels_max;
+	}
+	h1_server_set_limits(gw->server,
+	    (struct h1_limits){
+		table->limits.head_bytes, table->limits.body_bytes},
+	    table->limits.head_timeout_ms, table->limits.idle_timeout_ms);
+}
+
+const struct rt_table *
+gw_table(const struct gw *gw)
+{
+	return gw->table;
+}
+
+static void
+remove_target(struct gw *gw, struct bl_target *target)
+{
+	struct gw_pool *pool = gw_pool_of_target(target);
+
+	cs_ref_take(&target->ref);
+	g_hash_table_remove(gw->targets, target->id);
+	bl_pool_remove(pool->decide, target);
+	if (target->channels != NULL)
+		gw_channels_close(target->channels);
+	bl_target_drop(target);
+}
+
+static struct bl_target *
+add_target(struct gw *gw, const struct gw_target_news *news)
+{
+	struct gw_pool *pool = gw_pool_of(gw, news->pool);
+	struct bl_target *target = bl_target_create(news->id);
+
+	if (pool == NULL || target == NULL ||
+	    bl_pool_add(pool->decide, target) != CS_OK) {
+		bl_target_drop(target);
+		return NULL;
+	}
+	g_hash_table_insert(gw->targets, target->id, target);
+	return target;
+}
+
+static bool
+is_another(const struct bl_target *target, const struct gw_target_news *news)
+{
+	return target->born_ms != news->born_ms ||
+	       target->address.sin_addr.s_addr !=
+		   news->address.sin_addr.s_addr ||
+	       target->address.sin_port != news->address.sin_port ||
+	       strcmp(target->pool->name, news->pool) != 0;
+}
+
+void
+gw_target_seen(struct gw *gw, const struct gw_target_news *news)
+{
+	struct bl_target *target = g_hash_table_lookup(gw->targets, news->id);
+	bool is_new = target == NULL;
+
+	if (target != NULL && is_another(target, news)) {
+		remove_target(gw, target);
+		target = NULL;
+	}
+	if (target == NULL)
+		target = add_target(gw, news);
+	if (target == NULL)
+		return;
+	if (is_new || target->leaving != news->leaving)
+		cs_log(
+		    news->leaving ? CS_LOG_TARGET_LEAVING : CS_LOG_TARGET_SEEN,
+		    "target=%s pool=%s slots=%u born_ms=%llu", news->id,
+		    news->pool, news->slots, (unsigned long long)news->born_ms);
+	target->address = news->address;
+	target->place = news->place;
+	target->born_ms = news->born_ms;
+	if (news->slots > 0)
+		target->slots = news->slots;
+	target->leaving = news->leaving;
+	target->cold_until_us =
+	    news->cold_ms > 0 ? cs_now_us() + news->cold_ms * 1000 : 0;
+	gw_pool_pump(gw_pool_of_target(target));
+}
+
+void
+gw_target_gone(struct gw *gw, const char *id)
+{
+	struct bl_target *target = g_hash_table_lookup(gw->targets, id);
+
+	if (target == NULL)
+		return;
+	cs_log(CS_LOG_TARGET_GONE, "target=%s pool=%s in_flight=%u", id,
+	    target->pool->name, target->in_flight);
+	remove_target(gw, target);
+}
+
+void
+gw_set_members(struct gw *gw, uint32_t members)
+{
+	gw->params.budget.members = members;
+}
+
+void
+gw_suspect(struct gw *gw, uint64_t fingerprint)
+{
+	bl_crashed(&gw->poison, fingerprint, cs_now_us());
+}
+
+void
+gw_stop(struct gw *gw, int64_t until_us)
+{
+	gw->stopping = true;
+	gw->stop_us = until_us;
+	h1_server_drain(gw->server);
+}
+
+void
+gw_close_idle(struct gw *gw)
+{
+	h1_server_stop(gw->server);
+	h1_server_close_idle(gw->server);
+}
+
+bool
+gw_is_done(const struct gw *gw)
+{
+	return h1_server_connections(gw->server) == 0;
+}
+
+const struct gw_counters *
+gw_get_counters(const struct gw *gw)
+{
+	return &gw->counters;
+}
+
+void
+gw_each_pool(const struct gw *gw,
+    void (*visit)(void *arg, const struct bl_pool *pool, uint32_t waiting),
+    void *arg)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, gw->pools);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct gw_pool *pool = value;
+
+		visit(arg, pool->decide, pool->waiting_count);
+	}
+}
+
+uint32_t
+gw_connections(const struct gw *gw)
+{
+	return h1_server_connections(gw->server);
+}
--- /dev/null
+++ b/lib/gateway/gateway_internal.h
@@ -0,0 +1,137 @@
+#ifndef GW_GATEWAY_INTERNAL_H
+#define GW_GATEWAY_INTERNAL_H
+
+#include <glib.h>
+
+#include "gateway.h"
+
+struct gw_call;
+
+/* One pool with those of this VM that wait for it. */
+struct gw_pool {
+	struct bl_pool *decide;
+	struct gw *gw;
+	char health_path[RT_NAME_BYTES_MAX];
+	uint32_t channels_max;
+	struct gw_call *waiting; /* most urgent first */
+	uint32_t waiting_count;
+	struct gw_call *asking; /* answers to probes are due */
+	uv_timer_t timer;	/* places the waiting again */
+};
+
+/* Open connections to one target. */
+struct gw_channels {
+	struct gw *gw;
+	struct bl_target *target;
+	struct gw_channel *idle;  /* last used first */
+	struct gw_channel *probe; /* NULL: none under way */
+	uint32_t open;
+	uint64_t probe_fingerprint; /* asked because of a crash, or 0 */
+};
+
+#define GW_ID_BYTES_MAX 128
+
+struct gw_channel {
+	struct h1_channel *line;
+	struct gw_channels *owner;
+	struct gw_channel *next_idle;
+	struct gw_call *call; /* NULL: idle, or a probe */
+	bool probing;
+	int64_t used_us;
+	int64_t idle_limit_us;
+	char last_id[GW_ID_BYTES_MAX]; /* of the request before */
+	char id[GW_ID_BYTES_MAX];
+	bool reused;
+};
+
+enum gw_state {
+	GW_CALL_FREE,
+	GW_CALL_PLACING,
+	GW_CALL_ASKING,
+	GW_CALL_WAITING,
+	GW_CALL_SENT,
+};
+
+struct gw_call {
+	struct gw *gw;
+	struct h1_conn *conn;
+	const struct h1_message *request; /* the connection's */
+	struct rt_table *table;
+	const struct rt_route *route;
+	struct gw_pool *pool;
+	struct gw_call *next; /* in a list of its pool, or free */
+	uv_timer_t final;     /* the caller gets an answer by then */
+	uv_timer_t step;      /* bounds connecting and asking */
+	enum gw_state state;
+	int64_t received_us;
+	int64_t objective_us;
+	int64_t due_us; /* route's time-out or the caller's deadline */
+	int64_t started_us;
+	int64_t waited_us; /* until the first attempt */
+	int64_t expected_us;
+	uint64_t number;
+	uint64_t fingerprint;
+	uint32_t attempts;
+	uint32_t asked; /* probes whose answers are due */
+	bool has_asked;
+	struct bl_target *asked_targets[BL_PROBES_MAX];
+	struct bl_target *tried[BL_TRIED_MAX];
+	uint32_t tried_count;
+	struct bl_target *target;
+	struct gw_channel *channel;
+	enum bl_outcome outcome;
+	char id[GW_ID_BYTES_MAX];
+};
+
+struct gw {
+	struct gw_params params;
+	struct h1_server *server;
+	struct rt_table *table;
+	GHashTable *pools;   /* by name */
+	GHashTable *targets; /* by id, of those that are not gone */
+	struct gw_call *free_calls;
+	struct bl_poison poison;
+	struct cs_random random;
+	uv_timer_t sweep;
+	struct gw_counters counters;
+	struct h1_bytes head; /* scratch for a request or an answer */
+	uint64_t numbers;
+	double probe_tokens;
+	int64_t probe_tokens_us;
+	bool stopping;
+	int64_t stop_us;
+};
+
+/* call.c: one request from a caller */
+void gw_call_begin(
+    struct gw *gw, struct h1_conn *conn, const struct h1_message *request);
+void gw_call_gone(struct gw_call *call);
+/* gw_call_place(call): asks for a target and does what is decided. */
+void gw_call_place(struct gw_call *call);
+/* gw_call_attempt_ended(call, ...): answer is NULL without one. */
+void gw_call_attempt_ended(struct gw_call *call, enum bl_outcome outcome,
+    const struct h1_message *answer);
+void gw_call_probe_ended(struct gw_pool *pool, struct bl_target *target);
+/* gw_pool_pump(pool): places those that wait, most urgent first. */
+void gw_pool_pump(struct gw_pool *pool);
+
+/* answer.c: what callers get */
+void gw_answer_relay(struct gw_call *call, const struct h1_message *answer);
+void gw_answer_own(struct gw_call *call, int status, enum gw_reason reason,
+    int64_t retry_after_us);
+/* gw_call_end(call, status, reason): logs, counts and frees it. */
+void gw_call_end(struct gw_call *call, int status, enum gw_reason reason);
+
+/* channels.c: connections to targets */
+int gw_send(struct gw_call *call, struct bl_target *target);
+/* gw_cancel(call): gives up on the attempt under way. */
+void gw_cancel(struct gw_call *call);
+/* gw_probe(gw, target): asks a target for its load. */
+int gw_probe(struct gw *gw, struct bl_target *target);
+void gw_channels_sweep(struct gw_channels *channels, int64_t now_us);
+void gw_channels_close(struct gw_channels *channels);
+
+struct gw_pool *gw_pool_of(struct gw *gw, const char *name);
+struct gw_pool *gw_pool_of_target(const struct bl_target *target);
+
+#endif
--- /dev/null
+++ b/lib/h1/channel.c
@@ -0,0 +1,334 @@
+/* Outgoing connections that carry one request at a time. */
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../base/base.h"
+#include "h1.h"
+
+/* Keep-alive probes find a peer that lost power while it owes an answer. */
+#define PROBE_IDLE_S 1
+#define PROBE_EVERY_S 1
+
+#define READ_BYTES_MAX (64 * 1024)
+
+struct h1_channel {
+	uv_tcp_t tcp; /* first: handles are cast to channels */
+	uv_connect_t connecting;
+	uv_write_t writing;
+	struct h1_reader reader;
+	struct h1_bytes out;
+	const struct h1_channel_events *events;
+	void *owner;
+	int64_t opened_us;
+	int64_t connect_us;
+	uint32_t silence_ms;
+	uint32_t probes_lost;
+	bool connected;
+	bool waiting; /* an answer is due */
+	bool write_pending;
+	bool sent;
+	bool closing;
+};
+
+const char *
+h1_end_text(enum h1_end end)
+{
+	switch (end) {
+	case H1_END_UNREACHED:
+		return "unreached";
+	case H1_END_RESET:
+		return "reset";
+	case H1_END_EOF:
+		return "closed";
+	case H1_END_BROKEN:
+		return "broken_off";
+	case H1_END_BAD:
+		return "not_an_answer";
+	}
+	return "unknown";
+}
+
+static void
+on_closed(uv_handle_t *handle)
+{
+	struct h1_channel *channel = (struct h1_channel *)handle;
+
+	h1_reader_free(&channel->reader);
+	h1_bytes_free(&channel->out);
+	free(channel);
+}
+
+void
+h1_channel_close(struct h1_channel *channel)
+{
+	if (channel->closing)
+		return;
+	channel->closing = true;
+	uv_close((uv_handle_t *)&channel->tcp, on_closed);
+}
+
+static void
+end(struct h1_channel *channel, enum h1_end why)
+{
+	if (channel->closing)
+		return;
+	h1_channel_close(channel);
+	channel->events->on_end(channel, why);
+}
+
+static void
+on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
+{
+	static char bytes[READ_BYTES_MAX]; /* one loop, one read at a time */
+
+	(void)handle;
+	(void)suggested;
+	*buffer = uv_buf_init(bytes, sizeof(bytes));
+}
+
+/*
+ * Hands a whole answer over; false when the channel is gone afterwards. An
+ * answer with bytes behind it is the last one: they belong to no request.
+ */
+static bool
+deliver(struct h1_channel *channel, bool bytes_behind)
+{
+	struct h1_message *answer = &channel->reader.message;
+	bool reusable =
+	    answer->keep_alive && answer->framed && !channel->write_pending;
+	bool skip_body = channel->reader.skip_body;
+
+	answer->keep_alive = reusable && !bytes_behind;
+	channel->waiting = false;
+	switch (channel->events->on_answer(channel, answer)) {
+	case H1_READ_NEXT:
+		channel->waiting = true;
+		if (!reusable) {
+			end(channel, H1_END_BROKEN);
+			return false;
+		}
+		h1_reader_next(&channel->reader);
+		channel->reader.skip_body = skip_body;
+		return true;
+	case H1_KEEP: /* its owner may have sent the next request already */
+		break;
+	case H1_CLOSE:
+		h1_channel_close(channel);
+		return false;
+	}
+	if (channel->closing)
+		return false;
+	if (!channel->waiting)
+		h1_reader_next(&channel->reader);
+	return true;
+}
+
+static void
+take(struct h1_channel *channel, const char *data, size_t length)
+{
+	size_t used;
+
+	while (length > 0) {
+		if (!channel->waiting) {
+			end(channel, H1_END_BAD);
+			return;
+		}
+		switch (h1_reader_feed(&channel->reader, data, length, &used)) {
+		case H1_READ_MORE:
+			return;
+		case H1_READ_WHOLE:
+			if (!deliver(channel, used < length))
+				return;
+			break;
+		case H1_READ_BAD:
+		case H1_READ_HEAD_LARGE:
+		case H1_READ_BODY_LARGE:
+			end(channel, H1_END_BAD);
+			return;
+		}
+		data += used;
+		length -= used;
+	}
+}
+
+static void
+on_end_of_stream(struct h1_channel *channel, bool clean)
+{
+	struct h1_reader *reader = &channel->reader;
+	size_t used;
+
+	if (!channel->waiting || !reader->started) {
+		end(channel, clean ? H1_END_EOF : H1_END_RESET);
+		return;
+	}
+	if (clean && reader->head_done && !reader->message.framed &&
+	    h1_reader_feed(reader, NULL, 0, &used) == H1_READ_WHOLE) {
+		if (deliver(channel, false))
+			end(channel, H1_END_EOF);
+		return;
+	}
+	end(channel, H1_END_BROKEN);
+}
+
+static void
+on_read(uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer)
+{
+	struct h1_channel *channel = (struct h1_channel *)stream;
+
+	if (length > 0)
+		take(channel, buffer->base, (size_t)length);
+	else if (length < 0)
+		on_end_of_stream(channel, length == UV_EOF);
+}
+
+static void
+on_written(uv_write_t *request, int status)
+{
+	struct h1_channel *channel = request->data;
+
+	channel->write_pending = false;
+	if (status < 0 && status != UV_ECANCELED)
+		end(channel, H1_END_RESET);
+}
+
+static void
+flush(struct h1_channel *channel)
+{
+	uv_stream_t *stream = (uv_stream_t *)&channel->tcp;
+	uv_buf_t buffer =
+	    uv_buf_init(channel->out.data, (unsigned)channel->out.length);
+	int written;
+
+	if (channel->out.length == 0)
+		return;
+	written = uv_try_write(stream, &buffer, 1);
+	channel->sent = written > 0;
+	if (written == (int)channel->out.length)
+		return;
+	if (written < 0 && written != UV_EAGAIN)
+		return; /* nothing left; reading tells the end */
+	if (written > 0) {
+		buffer.base += written;
+		buffer.len -= (unsigned)written;
+	}
+	channel->sent = true;
+	channel->writing.data = channel;
+	channel->write_pending =
+	    uv_write(&channel->writing, stream, &buffer, 1, on_written) == 0;
+}
+
+static void
+set_options(struct h1_channel *channel)
+{
+	unsigned silence_ms = channel->silence_ms;
+	int one = 1, idle = PROBE_IDLE_S, every = PROBE_EVERY_S;
+	int lost = (int)channel->probes_lost;
+	uv_os_fd_t fd;
+
+	if (uv_fileno((uv_handle_t *)&channel->tcp, &fd) != 0)
+		return;
+	/* Failing options only make a dead peer show later. */
+	uv_tcp_nodelay(&channel->tcp, 1);
+	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &one, sizeof(one));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &every, sizeof(every));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &lost, sizeof(lost));
+	setsockopt(
+	    fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silence_ms, sizeof(silence_ms));
+}
+
+static void
+on_connect(uv_connect_t *request, int status)
+{
+	struct h1_channel *channel = request->data;
+
+	if (channel->closing)
+		return;
+	if (status < 0) {
+		end(channel, H1_END_UNREACHED);
+		return;
+	}
+	channel->connected = true;
+	channel->connect_us = cs_now_us() - channel->opened_us;
+	uv_read_start((uv_stream_t *)&channel->tcp, on_alloc, on_read);
+	flush(channel);
+}
+
+int
+h1_channel_open(const struct h1_channel_params *params, struct h1_channel **out)
+{
+	struct h1_channel *channel = calloc(1, sizeof(*channel));
+
+	if (channel == NULL)
+		return CS_E_SYSTEM;
+	channel->events = params->events;
+	channel->owner = params->owner;
+	channel->silence_ms = params->silence_ms;
+	channel->probes_lost = params->probes_lost;
+	channel->opened_us = cs_now_us();
+	h1_reader_init(&channel->reader, HTTP_RESPONSE, params->limits);
+	if (uv_tcp_init_ex(params->loop, &channel->tcp, AF_INET) != 0) {
+		free(channel);
+		return CS_E_SYSTEM;
+	}
+	set_options(channel);
+	channel->connecting.data = channel;
+	if (uv_tcp_connect(&channel->connecting, &channel->tcp,
+		(const struct sockaddr *)&params->address, on_connect) != 0) {
+		h1_channel_close(channel);
+		return CS_E_SYSTEM;
+	}
+	*out = channel;
+	return CS_OK;
+}
+
+int
+h1_channel_send(struct h1_channel *channel, const struct h1_bytes *head,
+    const struct h1_bytes *body, bool skip_body)
+{
+	if (channel->waiting || channel->write_pending || channel->closing)
+		return CS_E_CONFLICT;
+	channel->out.length = 0;
+	if (h1_bytes_add(&channel->out, head->data, head->length) != 0 ||
+	    (body != NULL &&
+		h1_bytes_add(&channel->out, body->data, body->length) != 0))
+		return CS_E_SYSTEM;
+	h1_reader_next(&channel->reader);
+	channel->waiting = true;
+	channel->sent = false;
+	channel->reader.skip_body = skip_body;
+	if (channel->connected)
+		flush(channel);
+	return CS_OK;
+}
+
+bool
+h1_channel_sent(const struct h1_channel *channel)
+{
+	return channel->sent;
+}
+
+bool
+h1_channel_connected(const struct h1_channel *channel)
+{
+	return channel->connected;
+}
+
+int64_t
+h1_channel_connect_us(const struct h1_channel *channel)
+{
+	return channel->connect_us;
+}
+
+void *
+h1_channel_owner(const struct h1_channel *channel)
+{
+	return channel->owner;
+}
+
+void
+h1_channel_set_owner(struct h1_channel *channel, void *owner)
+{
+	channel->owner = owner;
+}
--- /dev/null
+++ b/lib/h1/h1.h
@@ -0,0 +1,230 @@
+/*
+ * h1: HTTP/1.1 messages, outgoing channels and a listener on libuv streams.
+ *
+ * h2o's listener stops reading a connection while its request is being
+ * answered, so it cannot notice a caller that leaves; this library keeps
+ * reading. Messages are parsed by http_parser and held whole.
+ */
+#ifndef H1_H1_H
+#define H1_H1_H
+
+#include <http_parser.h>
+#include <netinet/in.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <uv.h>
+
+#define H1_HEADERS_MAX 64
+#define H1_HEAD_BYTES_MAX (64 * 1024) /* of one message, before its body */
+
+/* A growing byte string; bytes may be NULL while length is 0. */
+struct h1_bytes {
+	char *data;
+	size_t length;
+	size_t capacity;
+};
+
+int h1_bytes_add(struct h1_bytes *bytes, const void *data, size_t length);
+int h1_bytes_print(struct h1_bytes *bytes, const char *format, ...)
+    __attribute__((format(printf, 2, 3)));
+void h1_bytes_free(struct h1_bytes *bytes);
+
+struct h1_header {
+	uint32_t name; /* offsets into the message's head, NUL terminated */
+	uint32_t value;
+};
+
+/* One request or response, valid until its owner reads the next one. */
+struct h1_message {
+	struct h1_bytes head;
+	struct h1_bytes body;
+	struct h1_header headers[H1_HEADERS_MAX];
+	uint32_t header_count;
+	uint32_t target; /* offset of the request's target */
+	const char *method;
+	uint16_t status;
+	bool keep_alive;
+	bool framed; /* a length, chunks or no body; else ends at close */
+	bool expects_continue;
+};
+
+/* h1_find(message, name): a header's value, or NULL; case is ignored. */
+const char *h1_find(const struct h1_message *message, const char *name);
+/* h1_count(message, name): how many headers have this name. */
+uint32_t h1_count(const struct h1_message *message, const char *name);
+const char *h1_name(const struct h1_message *message, uint32_t index);
+const char *h1_value(const struct h1_message *message, uint32_t index);
+const char *h1_target(const struct h1_message *message);
+/*
+ * h1_concerns_channel(message, index): the header describes one connection
+ * only (hop-by-hop) and must not be forwarded.
+ */
+bool h1_concerns_channel(const struct h1_message *message, uint32_t index);
+/* h1_media_status(status): the reason phrase, never NULL. */
+const char *h1_status_text(int status);
+
+enum h1_read {
+	H1_READ_MORE = 0, /* needs more bytes */
+	H1_READ_WHOLE = 1,
+	H1_READ_BAD = -1,	 /* not HTTP, or framed ambiguously */
+	H1_READ_HEAD_LARGE = -2, /* over the limit of the head */
+	H1_READ_BODY_LARGE = -3, /* over the limit of the body */
+};
+
+struct h1_limits {
+	uint32_t head_bytes;
+	uint64_t body_bytes;
+};
+
+/* Reads one message after the other from a byte stream. */
+struct h1_reader {
+	http_parser parser;
+	struct h1_message message;
+	struct h1_limits limits;
+	enum h1_read failure;
+	uint32_t header_bytes;
+	bool in_value;
+	bool started; /* a byte of the current message was read */
+	bool head_done;
+	bool whole;
+	bool skip_body; /* answer to HEAD */
+};
+
+void h1_reader_init(struct h1_reader *reader, enum http_parser_type type,
+    struct h1_limits limits);
+/* h1_reader_next(reader): forgets the message, ready for the next. */
+void h1_reader_next(struct h1_reader *reader);
+/*
+ * h1_reader_feed(reader, data, length, used): parses up to the end of one
+ * message. *used tells how many bytes belong to it. Length 0 tells the end of
+ * the stream, which completes a response without a length.
+ */
+enum h1_read h1_reader_feed(
+    struct h1_reader *reader, const char *data, size_t length, size_t *used);
+void h1_reader_free(struct h1_reader *reader);
+
+/* Why an outgoing channel ended. */
+enum h1_end {
+	H1_END_UNREACHED, /* never connected: nothing was sent */
+	H1_END_RESET,
+	H1_END_EOF,    /* closed by the other side outside an answer */
+	H1_END_BROKEN, /* closed or reset in the middle of an answer */
+	H1_END_BAD,    /* bytes that are no answer, or that belong to none */
+};
+
+const char *h1_end_text(enum h1_end end);
+
+struct h1_channel;
+
+enum h1_keep {
+	H1_CLOSE,
+	H1_KEEP,      /* idle again */
+	H1_READ_NEXT, /* this answer was not the one waited for */
+};
+
+struct h1_channel_events {
+	/* A whole answer; says what becomes of the channel. */
+	enum h1_keep (*on_answer)(
+	    struct h1_channel *channel, const struct h1_message *answer);
+	/* The channel is gone; the pointer must not be used afterwards. */
+	void (*on_end)(struct h1_channel *channel, enum h1_end end);
+};
+
+struct h1_channel_params {
+	uv_loop_t *loop;
+	struct sockaddr_in address;
+	struct h1_limits limits;
+	uint32_t silence_ms;  /* unacknowledged bytes break the channel off */
+	uint32_t probes_lost; /* keep-alive probes that do, at 1 s each */
+	const struct h1_channel_events *events;
+	void *owner;
+};
+
+/*
+ * h1_channel_open(params, out): starts to connect. Requests may be sent at
+ * once; they go out when the connection is made. Returns CS_E_SYSTEM when no
+ * socket could be made.
+ */
+int h1_channel_open(
+    const struct h1_channel_params *params, struct h1_channel **out);
+/*
+ * h1_channel_send(channel, head, body, skip_body): sends one request; the
+ * bytes are copied. Returns CS_E_CONFLICT while another is not answered.
+ */
+int h1_channel_send(struct h1_channel *channel, const struct h1_bytes *head,
+    const struct h1_bytes *body, bool skip_body);
+/* h1_channel_sent(channel): any byte of the request may have left. */
+bool h1_channel_sent(const struct h1_channel *channel);
+bool h1_channel_connected(const struct h1_channel *channel);
+/* h1_channel_connect_us(channel): how long connecting took, 0 while it does. */
+int64_t h1_channel_connect_us(const struct h1_channel *channel);
+/* h1_channel_close(channel): closes without a callback. */
+void h1_channel_close(struct h1_channel *channel);
+void *h1_channel_owner(const struct h1_channel *channel);
+void h1_channel_set_owner(struct h1_channel *channel, void *owner);
+
+struct h1_server;
+struct h1_conn;
+
+struct h1_server_events {
+	/* A whole request; it is answered once, now or later. */
+	void (*on_request)(
+	    struct h1_conn *conn, const struct h1_message *request);
+	/* The caller left before its answer. */
+	void (*on_gone)(struct h1_conn *conn);
+};
+
+struct h1_server_params {
+	uv_loop_t *loop;
+	struct sockaddr_in address;
+	struct h1_limits limits;
+	uint32_t head_timeout_ms; /* first byte to whole head, else 408 */
+	uint32_t idle_timeout_ms; /* between requests, else closed */
+	uint32_t connections_max;
+	uint64_t bodies_bytes_max; /* all requests together, else 503 */
+	const struct h1_server_events *events;
+	void *user;
+};
+
+/*
+ * h1_server_create(params, out): binds and listens. Returns CS_E_SYSTEM when
+ * the address cannot be bound. h1_server_stop() closes the listener alone.
+ */
+int h1_server_create(
+    const struct h1_server_params *params, struct h1_server **out);
+void h1_server_set_limits(struct h1_server *server, struct h1_limits limits,
+    uint32_t head_timeout_ms, uint32_t idle_timeout_ms);
+/* h1_server_drain(server): every further answer ends its connection. */
+void h1_server_drain(struct h1_server *server);
+/* h1_server_close_idle(server): closes connections without a request. */
+void h1_server_close_idle(struct h1_server *server);
+void h1_server_stop(struct h1_server *server);
+/* h1_server_sweep(server, now): closes what is over its time; call often. */
+void h1_server_sweep(struct h1_server *server, int64_t now_us);
+uint32_t h1_server_connections(const struct h1_server *server);
+uint32_t h1_server_busy(const struct h1_server *server);
+uint16_t h1_server_port(const struct h1_server *server);
+
+/* What is sent to a caller. The headers end in \r\n each. */
+struct h1_answer {
+	int status;
+	const char *headers;
+	size_t headers_length;
+	const char *body;
+	size_t body_length;
+	bool close; /* the connection ends with this answer */
+};
+
+/* h1_conn_answer(conn, answer): answers the request of this connection. */
+void h1_conn_answer(struct h1_conn *conn, const struct h1_answer *answer);
+/* h1_conn_reply(conn, status, type, text): a short answer. */
+void h1_conn_reply(
+    struct h1_conn *conn, int status, const char *type, const char *text);
+void *h1_conn_user(const struct h1_conn *conn); /* the server's user */
+void h1_conn_set_call(struct h1_conn *conn, void *call);
+void *h1_conn_call(const struct h1_conn *conn);
+/* h1_conn_peer(conn): the caller's IPv4 address, host byte order. */
+uint32_t h1_conn_peer(const struct h1_conn *conn);
+
+#endif
--- /dev/null
+++ b/lib/h1/message.c
@@ -0,0 +1,374 @@
+/* HTTP/1.1 messages, parsed as their bytes arrive. */
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "../base/base.h"
+#include "h1.h"
+
+int
+h1_bytes_add(struct h1_bytes *bytes, const void *data, size_t length)
+{
+	size_t capacity = bytes->capacity == 0 ? 256 : bytes->capacity;
+	char *grown;
+
+	if (length == 0)
+		return CS_OK;
+	while (capacity < bytes->length + length)
+		capacity *= 2;
+	if (capacity != bytes->capacity) {
+		grown = realloc(bytes->data, capacity);
+		if (grown == NULL)
+			return CS_E_SYSTEM;
+		bytes->data = grown;
+		bytes->capacity = capacity;
+	}
+	memcpy(bytes->data + bytes->length, data, length);
+	bytes->length += length;
+	return CS_OK;
+}
+
+int
+h1_bytes_print(struct h1_bytes *bytes, const char *format, ...)
+{
+	char line[4096];
+	va_list args;
+	int length;
+
+	va_start(args, format);
+	length = vsnprintf(line, sizeof(line), format, args);
+	va_end(args);
+	if (length < 0 || (size_t)length >= sizeof(line))
+		return CS_E_FULL;
+	return h1_bytes_add(bytes, line, (size_t)length);
+}
+
+void
+h1_bytes_free(struct h1_bytes *bytes)
+{
+	free(bytes->data);
+	*bytes = (struct h1_bytes){.data = NULL};
+}
+
+const char *
+h1_name(const struct h1_message *message, uint32_t index)
+{
+	return message->head.data + message->headers[index].name;
+}
+
+const char *
+h1_value(const struct h1_message *message, uint32_t index)
+{
+	return message->head.data + message->headers[index].value;
+}
+
+const char *
+h1_target(const struct h1_message *message)
+{
+	return message->head.data + message->target;
+}
+
+const char *
+h1_find(const struct h1_message *message, const char *name)
+{
+	uint32_t i;
+
+	for (i = 0; i < message->header_count; i++) {
+		if (strcasecmp(h1_name(message, i), name) == 0)
+			return h1_value(message, i);
+	}
+	return NULL;
+}
+
+uint32_t
+h1_count(const struct h1_message *message, const char *name)
+{
+	uint32_t i, count = 0;
+
+	for (i = 0; i < message->header_count; i++)
+		count += strcasecmp(h1_name(message, i), name) == 0;
+	return count;
+}
+
+static bool
+lists_word(const char *list, const char *word)
+{
+	size_t length = strlen(word);
+	const char *at = list;
+
+	while (*at != '\0') {
+		at += strspn(at, ", \t");
+		if (strncasecmp(at, word, length) == 0 &&
+		    strchr(", \t", at[length]) != NULL)
+			return true;
+		at += strcspn(at, ",");
+	}
+	return false;
+}
+
+bool
+h1_concerns_channel(const struct h1_message *message, uint32_t index)
+{
+	static const char *const names[] = {"connection", "keep-alive",
+	    "proxy-authenticate", "proxy-authorization", "proxy-connection",
+	    "te", "trailer", "transfer-encoding", "upgrade", "content-length",
+	    "expect"};
+	const char *name = h1_name(message, index);
+	const char *connection = h1_find(message, "connection");
+	size_t i;
+
+	for (i = 0; i < sizeof(names) / sizeof(names[0]); i++) {
+		if (strcasecmp(name, names[i]) == 0)
+			return true;
+	}
+	return connection != NULL && lists_word(connection, name);
+}
+
+const char *
+h1_status_text(int status)
+{
+	switch (status) {
+#define H1_STATUS(number, symbol, text) \
+	case number:                    \
+		return #text;
+		HTTP_STATUS_MAP(H1_STATUS)
+#undef H1_STATUS
+	default:
+		return "Status";
+	}
+}
+
+static struct h1_reader *
+reader_of(http_parser *parser)
+{
+	return parser->data;
+}
+
+static int
+fail(struct h1_reader *reader, enum h1_read failure)
+{
+	reader->failure = failure;
+	return -1;
+}
+
+static int
+add_to_head(struct h1_reader *reader, const char *data, size_t length)
+{
+	reader->header_bytes += (uint32_t)length;
+	if (reader->header_bytes > reader->limits.head_bytes)
+		return fail(reader, H1_READ_HEAD_LARGE);
+	if (memchr(data, '\0', length) != NULL)
+		return fail(reader, H1_READ_BAD);
+	return h1_bytes_add(&reader->message.head, data, length) == 0
+		   ? 0
+		   : fail(reader, H1_READ_BAD);
+}
+
+static int
+end_text(struct h1_reader *reader)
+{
+	return h1_bytes_add(&reader->message.head, "", 1);
+}
+
+static int
+on_url(http_parser *parser, const char *data, size_t length)
+{
+	return add_to_head(reader_of(parser), data, length);
+}
+
+static int
+on_field(http_parser *parser, const char *data, size_t length)
+{
+	struct h1_reader *reader = reader_of(parser);
+	struct h1_message *message = &reader->message;
+
+	if (reader->head_done)
+		return 0; /* a trailer: nothing here needs one */
+	if (reader->in_value || message->header_count == 0) {
+		if (message->header_count == H1_HEADERS_MAX)
+			return fail(reader, H1_READ_HEAD_LARGE);
+		end_text(reader);
+		message->headers[message->header_count++] =
+		    (struct h1_header){.name = (uint32_t)message->head.length};
+		reader->in_value = false;
+	}
+	return add_to_head(reader, data, length);
+}
+
+static int
+on_value(http_parser *parser, const char *data, size_t length)
+{
+	struct h1_reader *reader = reader_of(parser);
+	struct h1_message *message = &reader->message;
+
+	if (reader->head_done)
+		return 0;
+	if (!reader->in_value) {
+		end_text(reader);
+		message->headers[message->header_count - 1].value =
+		    (uint32_t)message->head.length;
+		reader->in_value = true;
+	}
+	return add_to_head(reader, data, length);
+}
+
+static bool
+has_no_body(const struct h1_reader *reader)
+{
+	int status = reader->message.status;
+
+	return reader->skip_body || status / 100 == 1 || status == 204 ||
+	       status == 304;
+}
+
+static int
+on_head(http_parser *parser)
+{
+	struct h1_reader *reader = reader_of(parser);
+	struct h1_message *message = &reader->message;
+	const char *expect;
+
+	end_text(reader);
+	reader->head_done = true;
+	message->status = (uint16_t)parser->status_code;
+	message->method =
+	    parser->type == HTTP_REQUEST
+		? http_method_str((enum http_method)parser->method)
+		: "";
+	message->keep_alive = http_should_keep_alive(parser) != 0;
+	message->framed = parser->type == HTTP_REQUEST || has_no_body(reader) ||
+			  (parser->flags & F_CHUNKED) != 0 ||
+			  parser->content_length != UINT64_MAX;
+	expect = h1_find(message, "expect");
+	message->expects_continue =
+	    expect != NULL && strcasecmp(expect, "100-continue") == 0;
+	if (parser->content_length != UINT64_MAX && !has_no_body(reader) &&
+	    parser->content_length > reader->limits.body_bytes)
+		return fail(reader, H1_READ_BODY_LARGE);
+	return parser->type == HTTP_RESPONSE && reader->skip_body ? 1 : 0;
+}
+
+static int
+on_body(http_parser *parser, const char *data, size_t length)
+{
+	struct h1_reader *reader = reader_of(parser);
+	struct h1_bytes *body = &reader->message.body;
+
+	if (body->length + length > reader->limits.body_bytes)
+		return fail(reader, H1_READ_BODY_LARGE);
+	return h1_bytes_add(body, data, length) == 0
+		   ? 0
+		   : fail(reader, H1_READ_BAD);
+}
+
+static int
+on_whole(http_parser *parser)
+{
+	reader_of(parser)->whole = true;
+	http_parser_pause(parser, 1);
+	return 0;
+}
+
+static const http_parser_settings callbacks = {
+    .on_url = on_url,
+    .on_header_field = on_field,
+    .on_header_value = on_value,
+    .on_headers_complete = on_head,
+    .on_body = on_body,
+    .on_message_complete = on_whole,
+};
+
+void
+h1_reader_init(struct h1_reader *reader, enum http_parser_type type,
+    struct h1_limits limits)
+{
+	*reader = (struct h1_reader){.limits = limits};
+	http_parser_init(&reader->parser, type);
+	reader->parser.data = reader;
+}
+
+#define KEPT_BYTES_MAX (16 * 1024) /* buffers above this are given back */
+
+static void
+empty(struct h1_bytes *bytes)
+{
+	if (bytes->capacity > KEPT_BYTES_MAX)
+		h1_bytes_free(bytes);
+	bytes->length = 0;
+}
+
+void
+h1_reader_next(struct h1_reader *reader)
+{
+	struct h1_message *message = &reader->message;
+
+	empty(&message->head);
+	empty(&message->body);
+	message->header_count = 0;
+	message->target = 0;
+	message->status = 0;
+	message->method = "";
+	message->keep_alive = message->framed = false;
+	message->expects_continue = false;
+	reader->failure = H1_READ_MORE;
+	reader->header_bytes = 0;
+	reader->in_value = reader->started = reader->head_done = false;
+	reader->whole = reader->skip_body = false;
+	http_parser_init(
+	    &reader->parser, (enum http_parser_type)reader->parser.type);
+	reader->parser.data = reader;
+}
+
+static bool
+is_interim(const struct h1_reader *reader)
+{
+	int status = reader->message.status;
+
+	return reader->parser.type == HTTP_RESPONSE && status / 100 == 1 &&
+	       status != 101;
+}
+
+enum h1_read
+h1_reader_feed(
+    struct h1_reader *reader, const char *data, size_t length, size_t *used)
+{
+	bool skip_body = reader->skip_body;
+	size_t parsed;
+
+	*used = 0;
+	for (;;) {
+		reader->started |= length > 0;
+		parsed = http_parser_execute(
+		    &reader->parser, &callbacks, data, length);
+		if (reader->failure != H1_READ_MORE)
+			return reader->failure;
+		if (reader->whole && !is_interim(reader)) {
+			*used += parsed;
+			return H1_READ_WHOLE;
+		}
+		if (reader->whole) { /* 100 Continue and the like */
+			h1_reader_next(reader);
+			reader->skip_body = skip_body;
+			*used += parsed;
+			data += parsed;
+			length -= parsed;
+			if (length > 0)
+				continue;
+			return H1_READ_MORE;
+		}
+		*used += parsed;
+		if (HTTP_PARSER_ERRNO(&reader->parser) != HPE_OK ||
+		    reader->parser.upgrade)
+			return reader->failure = H1_READ_BAD;
+		return H1_READ_MORE;
+	}
+}
+
+void
+h1_reader_free(struct h1_reader *reader)
+{
+	h1_bytes_free(&reader->message.head);
+	h1_bytes_free(&reader->message.body);
+}
--- /dev/null
+++ b/lib/routes/routes.h
@@ -0,0 +1,85 @@
+/*
+ * routes: the table of routes and pools in force, with its index. A table is
+ * built once, sealed, and then shared by reference; it never changes.
+ */
+#ifndef RT_ROUTES_H
+#define RT_ROUTES_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "../base/base.h"
+
+#define RT_NAME_BYTES_MAX 128
+#define RT_BACKENDS_MAX 16
+
+enum rt_kind {
+	RT_IDEMPOTENT,
+	RT_ONCE, /* runs at most once for each attempt of a caller */
+};
+
+struct rt_backend {
+	char pool_name[RT_NAME_BYTES_MAX];
+	uint32_t pool; /* index into the table's pools, set when sealed */
+	uint32_t weight;
+};
+
+struct rt_route {
+	char host[RT_NAME_BYTES_MAX]; /* lower case, without a port */
+	char prefix[RT_NAME_BYTES_MAX];
+	enum rt_kind kind;
+	uint32_t timeout_ms;   /* longest wait that a caller is kept */
+	uint32_t objective_ms; /* an answer within it is of full use */
+	uint32_t attempts_max; /* targets that one attempt may reach */
+	uint32_t priority;     /* 0 is the most urgent */
+	uint32_t backend_count;
+	struct rt_backend backends[RT_BACKENDS_MAX];
+	uint64_t key; /* hash of host and prefix */
+};
+
+struct rt_pool {
+	char name[RT_NAME_BYTES_MAX];
+	char health_path[RT_NAME_BYTES_MAX];
+	uint32_t channels_max; /* of one target, from all VMs together */
+};
+
+struct rt_limits {
+	uint32_t head_bytes;
+	uint64_t body_bytes;
+	uint32_t head_timeout_ms;
+	uint32_t idle_timeout_ms;
+};
+
+struct rt_table {
+	struct cs_ref ref;
+	uint64_t version;
+	struct rt_limits limits;
+	uint32_t route_count, route_capacity;
+	uint32_t pool_count, pool_capacity;
+	struct rt_route *routes;
+	struct rt_pool *pools;
+	uint32_t *index; /* open addressing by key: route number + 1 */
+	uint32_t index_size;
+};
+
+struct rt_table *rt_table_create(uint64_t version);
+/* rt_table_drop(table): gives a reference back; NULL is allowed. */
+void rt_table_drop(struct rt_table *table);
+/* The adders copy. They return CS_E_INVALID for values out of range. */
+int rt_table_add_pool(struct rt_table *table, const struct rt_pool *pool);
+int rt_table_add_route(struct rt_table *table, const struct rt_route *route);
+/*
+ * rt_table_seal(table): resolves pools and builds the index. Returns
+ * CS_E_MISSING when a route names a pool that is not there, CS_E_CONFLICT
+ * when two routes have the same host and prefix.
+ */
+int rt_table_seal(struct rt_table *table);
+/*
+ * rt_table_find(table, host, target): the route with this host and the longest
+ * prefix of the target's path, or NULL.
+ */
+const struct rt_route *rt_table_find(
+    const struct rt_table *table, const char *host, const char *target);
+
+#endif
--- /dev/null
+++ b/lib/store/cache.c
@@ -0,0 +1,246 @@
+/* Objects by kind and name, and the names of those that went lately. */
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cache.h"
+
+#define GONE_MAX 256 /* deletions remembered; beyond it a snapshot is sent */
+
+struct object {
+	char name[ST_NAME_BYTES_MAX];
+	uint64_t revision;
+	char *text;
+	size_t text_length;
+	bool seen; /* in the snapshot being taken */
+};
+
+struct gone {
+	char name[ST_NAME_BYTES_MAX];
+	uint64_t revision;
+};
+
+struct kind {
+	GHashTable *objects;
+	uint64_t revision;
+	uint64_t gone_since; /* deletions after this are all remembered */
+	struct gone gone[GONE_MAX];
+	uint32_t gone_count; /* in all; the ring holds the last ones */
+};
+
+struct st_cache {
+	struct kind kinds[ST_KINDS_MAX];
+};
+
+static void
+free_object(gpointer data)
+{
+	struct object *object = data;
+
+	free(object->text);
+	free(object);
+}
+
+struct st_cache *
+st_cache_create(void)
+{
+	struct st_cache *cache = calloc(1, sizeof(*cache));
+	uint32_t i;
+
+	for (i = 0; cache != NULL && i < ST_KINDS_MAX; i++)
+		cache->kinds[i].objects = g_hash_table_new_full(
+		    g_str_hash, g_str_equal, NULL, free_object);
+	return cache;
+}
+
+void
+st_cache_free(struct st_cache *cache)
+{
+	uint32_t i;
+
+	for (i = 0; i < ST_KINDS_MAX; i++)
+		g_hash_table_destroy(cache->kinds[i].objects);
+	free(cache);
+}
+
+uint64_t
+st_cache_revision(const struct st_cache *cache, uint32_t kind)
+{
+	return cache->kinds[kind].revision;
+}
+
+static void
+remember_gone(struct kind *kind, const char *name, uint64_t revision)
+{
+	struct gone *slot = &kind->gone[kind->gone_count % GONE_MAX];
+
+	if (kind->gone_count >= GONE_MAX && slot->revision > kind->gone_since)
+		kind->gone_since = slot->revision;
+	cs_copy_text(slot->name, sizeof(slot->name), name);
+	slot->revision = revision;
+	kind->gone_count++;
+}
+
+static void
+add_change(struct st_batch *out, const struct object *object)
+{
+	struct st_change *change = &out->changes[out->count++];
+
+	*change = (struct st_change){
+	    .revision = object->revision,
+	    .text = object->text,
+	    .text_length = object->text_length,
+	};
+	memcpy(change->name, object->name, sizeof(change->name));
+}
+
+static void
+add_gone(struct st_batch *out, const char *name, uint64_t revision)
+{
+	struct st_change *change = &out->changes[out->count++];
+
+	*change = (struct st_change){.revision = revision, .gone = true};
+	cs_copy_text(change->name, sizeof(change->name), name);
+}
+
+/* Takes one object; true when it is news. */
+static bool
+take_object(struct kind *kind, const struct st_change *change)
+{
+	struct object *object =
+	    g_hash_table_lookup(kind->objects, change->name);
+	char *text;
+
+	if (object != NULL) {
+		object->seen = true;
+		if (change->revision <= object->revision)
+			return false;
+	}
+	text = malloc(change->text_length + 1);
+	if (text == NULL)
+		return false;
+	memcpy(text, change->text, change->text_length);
+	text[change->text_length] = '\0';
+	if (object == NULL) {
+		object = calloc(1, sizeof(*object));
+		if (object == NULL) {
+			free(text);
+			return false;
+		}
+		memcpy(object->name, change->name, sizeof(object->name));
+		object->seen = true;
+		g_hash_table_insert(kind->objects, object->name, object);
+	}
+	free(object->text);
+	object->text = text;
+	object->text_length = change->text_length;
+	object->revision = change->revision;
+	return true;
+}
+
+static bool
+take_gone(struct kind *kind, const struct st_change *change)
+{
+	struct object *object =
+	    g_hash_table_lookup(kind->objects, change->name);
+
+	if (object == NULL || object->revision > change->revision)
+		return false;
+	remember_gone(kind, change->name, change->revision);
+	g_hash_table_remove(kind->objects, change->name);
+	return true;
+}
+
+int
+st_cache_changes(struct st_cache *cache, uint32_t number,
+    const struct st_batch *batch, struct st_batch *out)
+{
+	struct kind *kind = &cache->kinds[number];
+	uint32_t i;
+
+	*out = (struct st_batch){.revision = batch->revision};
+	out->changes = calloc(batch->count + 1, sizeof(*out->changes));
+	if (out->changes == NULL)
+		return CS_E_SYSTEM;
+	for (i = 0; i < batch->count; i++) {
+		const struct st_change *change = &batch->changes[i];
+
+		if (change->gone && take_gone(kind, change))
+			add_gone(out, change->name, change->revision);
+		if (!change->gone && take_object(kind, change))
+			add_change(out,
+			    g_hash_table_lookup(kind->objects, change->name));
+	}
+	if (batch->revision > kind->revision)
+		kind->revision = batch->revision;
+	return CS_OK;
+}
+
+int
+st_cache_snapshot(struct st_cache *cache, uint32_t number,
+    const struct st_batch *batch, struct st_batch *out)
+{
+	struct kind *kind = &cache->kinds[number];
+	uint32_t before = g_hash_table_size(kind->objects), i;
+	GHashTableIter iter;
+	gpointer value;
+
+	*out = (struct st_batch){.revision = batch->revision};
+	if (batch->revision < kind->revision)
+		return CS_E_STALE;
+	out->changes = calloc(batch->count + before + 1, sizeof(*out->changes));
+	if (out->changes == NULL)
+		return CS_E_SYSTEM;
+	g_hash_table_iter_init(&iter, kind->objects);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((struct object *)value)->seen = false;
+	for (i = 0; i < batch->count; i++) {
+		if (take_object(kind, &batch->changes[i]))
+			add_change(out, g_hash_table_lookup(kind->objects,
+					    batch->changes[i].name));
+	}
+	g_hash_table_iter_init(&iter, kind->objects);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct object *object = value;
+
+		if (object->seen || object->revision > batch->revision)
+			continue;
+		add_gone(out, object->name, batch->revision);
+		remember_gone(kind, object->name, batch->revision);
+		g_hash_table_iter_remove(&iter);
+	}
+	if (kind->revision == 0) /* what went before is not known here */
+		kind->gone_since = batch->revision;
+	kind->revision = batch->revision;
+	return CS_OK;
+}
+
+int
+st_cache_since(const struct st_cache *cache, uint32_t number, uint64_t revision,
+    struct st_batch *out, bool *whole)
+{
+	const struct kind *kind = &cache->kinds[number];
+	uint32_t kept =
+	    kind->gone_count < GONE_MAX ? kind->gone_count : GONE_MAX;
+	uint32_t size = g_hash_table_size(kind->objects), i;
+	GHashTableIter iter;
+	gpointer value;
+
+	*whole = revision < kind->gone_since || revision == 0;
+	*out = (struct st_batch){.revision = kind->revision};
+	out->changes = calloc(size + kept + 1, sizeof(*out->changes));
+	if (out->changes == NULL)
+		return CS_E_SYSTEM;
+	g_hash_table_iter_init(&iter, kind->objects);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		if (*whole || ((struct object *)value)->revision > revision)
+			add_change(out, value);
+	}
+	for (i = 0; !*whole && i < kept; i++) {
+		if (kind->gone[i].revision > revision &&
+		    !g_hash_table_contains(kind->objects, kind->gone[i].name))
+			add_gone(
+			    out, kind->gone[i].name, kind->gone[i].revision);
+	}
+	return CS_OK;
+}
--- /dev/null
+++ b/lib/store/client.c
@@ -0,0 +1,260 @@
+/* The client as a whole: which kinds are followed, whether the store answers,
+ * and this VM's own object. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "store_internal.h"
+
+#define BACKOFF_FIRST_MS 80
+#define BACKOFF_MAX_MS 1500 /* back within the bound of a configuration */
+/*
+ * A watch that waits does not show a store that turned silent; a stale read
+ * does, at a tenth of the price of a call.
+ */
+#define CHECK_EVERY_MS 600
+#define CHECK_TIMEOUT_MS 700
+#define ANNOUNCE_TIMEOUT_MS 2000
+
+uint32_t
+st_backoff_ms(struct st_client *client, uint32_t failures)
+{
+	uint32_t pause_ms = BACKOFF_FIRST_MS;
+
+	for (; failures > 1 && pause_ms < BACKOFF_MAX_MS; failures--)
+		pause_ms *= 2;
+	if (pause_ms > BACKOFF_MAX_MS)
+		pause_ms = BACKOFF_MAX_MS;
+	return pause_ms / 2 + cs_random_below(&client->random, pause_ms);
+}
+
+void
+st_reach(struct st_client *client, bool reached, const char *reason)
+{
+	if (client->reached == reached)
+		return;
+	client->reached = reached;
+	client->params.events->on_reach(client->params.user, reached, reason);
+}
+
+static void
+start_follows(struct st_client *client)
+{
+	uint32_t i;
+
+	for (i = 0; i < client->params.kind_count; i++)
+		st_follow_start(&client->follows[i]);
+}
+
+static void
+on_checked(struct st_call *call, int status, const char *body)
+{
+	struct st_client *client = call->client;
+	uint32_t i;
+
+	(void)body;
+	if (!client->following)
+		return;
+	if (status == 200 || status == 404) {
+		start_follows(client);
+		st_reach(client, true, "checked");
+		return;
+	}
+	/* The watches wait on the same path: they start anew when it is back.
+	 */
+	for (i = 0; i < client->params.kind_count; i++)
+		st_follow_stop(&client->follows[i]);
+	st_reach(client, false,
+	    status == ST_NO_REPLY ? "check_unanswered" : "check_refused");
+}
+
+static void
+on_check_due(uv_timer_t *timer)
+{
+	struct st_client *client = timer->data;
+	const struct st_params *params = &client->params;
+	char path[ST_PATH_BYTES_MAX];
+
+	if (client->check.busy)
+		return;
+	if (params->codec->check_path(
+		path, params->own_kind, params->own_name) == CS_OK)
+		st_call_send(
+		    &client->check, "GET", path, NULL, CHECK_TIMEOUT_MS);
+}
+
+static void announce(struct st_client *client);
+
+static void
+on_announce_due(uv_timer_t *timer)
+{
+	announce(timer->data);
+}
+
+static void
+announce_failed(struct st_client *client)
+{
+	uv_timer_start(&client->announce_timer, on_announce_due,
+	    st_backoff_ms(client, ++client->announce_failures), 0);
+	client->on_announced(client->params.user, NULL);
+}
+
+static void
+list_own_kind(struct st_client *client, const char *after)
+{
+	char path[ST_PATH_BYTES_MAX];
+
+	client->announce_listing = true;
+	if (client->params.codec->list_path(
+		path, client->params.own_kind, after) == CS_OK)
+		st_call_send(
+		    &client->announce, "GET", path, NULL, ANNOUNCE_TIMEOUT_MS);
+}
+
+static void
+on_announced(struct st_call *call, int status, const char *body)
+{
+	struct st_client *client = call->client;
+	struct st_batch batch = {.count = 0};
+
+	if (!client->announce_listing) {
+		if (status / 100 == 2 || status == 409)
+			list_own_kind(client, NULL);
+		else
+			announce_failed(client);
+		return;
+	}
+	if (status != 200 ||
+	    client->params.codec->parse_list(body, &batch) != CS_OK) {
+		announce_failed(client);
+		return;
+	}
+	client->announce_failures = 0;
+	client->on_announced(client->params.user, &batch);
+	if (batch.more && batch.count > 0)
+		list_own_kind(client, batch.changes[batch.count - 1].name);
+	st_batch_free(&batch);
+}
+
+static void
+announce(struct st_client *client)
+{
+	char path[ST_PATH_BYTES_MAX], *object;
+
+	client->announce_listing = false;
+	object = client->params.codec->write_object(
+	    client->params.own_name, client->announced);
+	if (object != NULL && client->params.codec->kind_path(
+				  path, client->params.own_kind) == CS_OK)
+		st_call_send(&client->announce, "POST", path, object,
+		    ANNOUNCE_TIMEOUT_MS);
+	free(object);
+}
+
+void
+st_client_announce(struct st_client *client, const char *value_json,
+    void (*done)(void *user, const struct st_batch *batch))
+{
+	free(client->announced);
+	client->announced = strdup(value_json);
+	client->on_announced = done;
+	announce(client);
+}
+
+int
+st_client_create(const struct st_params *params, struct st_client **out)
+{
+	struct st_client *client = calloc(1, sizeof(*client));
+	uint32_t i;
+
+	if (client == NULL)
+		return CS_E_SYSTEM;
+	client->params = *params;
+	cs_random_seed(&client->random, params->seed);
+	for (i = 0; i < params->kind_count; i++)
+		st_follow_init(&client->follows[i], client, i);
+	st_call_init(&client->check, client, on_checked);
+	st_call_init(&client->announce, client, on_announced);
+	uv_timer_init(params->loop, &client->check_timer);
+	client->check_timer.data = client;
+	uv_timer_init(params->loop, &client->announce_timer);
+	client->announce_timer.data = client;
+	*out = client;
+	return CS_OK;
+}
+
+void
+st_client_follow(struct st_client *client, bool on)
+{
+	uint32_t i;
+
+	if (client->following == on)
+		return;
+	client->following = on;
+	if (on) {
+		start_follows(client);
+		uv_timer_start(&client->check_timer, on_check_due,
+		    CHECK_EVERY_MS, CHECK_EVERY_MS);
+		return;
+	}
+	for (i = 0; i < client->params.kind_count; i++)
+		st_follow_stop(&client->follows[i]);
+	uv_timer_stop(&client->check_timer);
+	st_call_cancel(&client->check);
+	client->reached = false;
+}
+
+void
+st_client_resume(struct st_client *client, uint32_t kind, uint64_t revision)
+{
+	if (revision > client->follows[kind].revision)
+		client->follows[kind].revision = revision;
+}
+
+void
+st_client_list_anew(struct st_client *client, uint32_t kind)
+{
+	st_follow_stop(&client->follows[kind]);
+	client->follows[kind].revision = 0;
+	if (client->following)
+		st_follow_start(&client->follows[kind]);
+}
+
+bool
+st_client_current(const struct st_client *client)
+{
+	uint32_t i;
+
+	for (i = 0; i < client->params.kind_count; i++) {
+		if (client->follows[i].revision == 0 ||
+		    !client->follows[i].watching)
+			return false;
+	}
+	return client->following && client->reached;
+}
+
+uint64_t
+st_client_revision(const struct st_client *client, uint32_t kind)
+{
+	return client->follows[kind].revision;
+}
+
+uint64_t
+st_client_calls(const struct st_client *client)
+{
+	return client->calls;
+}
+
+void
+st_client_close(struct st_client *client)
+{
+	uint32_t i;
+
+	for (i = 0; i < client->params.kind_count; i++)
+		st_follow_close(&client->follows[i]);
+	st_call_close(&client->check);
+	st_call_close(&client->announce);
+	uv_close((uv_handle_t *)&client->check_timer, NULL);
+	uv_close((uv_handle_t *)&client->announce_timer, NULL);
+	free(client->announced);
+	client->announced = NULL;
+}
--- /dev/null
+++ b/lib/store/follow.c
@@ -0,0 +1,209 @@
+/* Follows one kind of objects: list, watch, resume, and list again on a gap. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "store_internal.h"
+
+#define LIST_TIMEOUT_MS 2000  /* many times a slow store's answer */
+#define WATCH_WAIT_MS 25000   /* a store ends a watch at 30 s */
+#define WATCH_MARGIN_MS 3000  /* for the answer that ends a watch */
+#define RETRY_LIST_FAILURES 3 /* a watch that fails so often lists anew */
+#define STATUS_HISTORY_GONE 410
+
+void
+st_batch_free(struct st_batch *batch)
+{
+	uint32_t i;
+
+	for (i = 0; i < batch->count; i++)
+		free(batch->changes[i].text);
+	free(batch->changes);
+	*batch = (struct st_batch){.count = 0};
+}
+
+static void
+list_from(struct st_follow *follow, const char *after)
+{
+	const struct st_params *params = &follow->call.client->params;
+	char path[ST_PATH_BYTES_MAX];
+
+	follow->listing = true;
+	follow->watching = false;
+	if (params->codec->list_path(
+		path, params->kinds[follow->kind], after) == CS_OK)
+		st_call_send(&follow->call, "GET", path, NULL, LIST_TIMEOUT_MS);
+}
+
+static void
+watch(struct st_follow *follow)
+{
+	const struct st_params *params = &follow->call.client->params;
+	char path[ST_PATH_BYTES_MAX];
+
+	follow->listing = false;
+	follow->watching = true;
+	if (params->codec->watch_path(path, params->kinds[follow->kind],
+		follow->revision, WATCH_WAIT_MS) == CS_OK)
+		st_call_send(&follow->call, "GET", path, NULL,
+		    WATCH_WAIT_MS + WATCH_MARGIN_MS);
+}
+
+void
+st_follow_start(struct st_follow *follow)
+{
+	if (follow->call.busy || uv_is_active((uv_handle_t *)&follow->pause))
+		return;
+	st_batch_free(&follow->list);
+	if (follow->revision == 0)
+		list_from(follow, NULL);
+	else
+		watch(follow);
+}
+
+void
+st_follow_stop(struct st_follow *follow)
+{
+	uv_timer_stop(&follow->pause);
+	st_call_cancel(&follow->call);
+	st_batch_free(&follow->list);
+	follow->listing = follow->watching = false;
+}
+
+static void
+on_pause_over(uv_timer_t *timer)
+{
+	st_follow_start(timer->data);
+}
+
+static void
+fail(struct st_follow *follow, int status)
+{
+	struct st_client *client = follow->call.client;
+
+	follow->failures++;
+	if (follow->failures >= RETRY_LIST_FAILURES && follow->listing == false)
+		follow->revision = 0;
+	follow->watching = false;
+	uv_timer_start(&follow->pause, on_pause_over,
+	    st_backoff_ms(client, follow->failures), 0);
+	st_reach(client, false, status == ST_NO_REPLY ? "no_reply" : "refused");
+}
+
+/* Appends a page to the list; takes over its changes. */
+static int
+add_page(struct st_follow *follow, struct st_batch *page)
+{
+	struct st_batch *list = &follow->list;
+	struct st_change *grown;
+
+	if (list->count == 0) {
+		*list = *page;
+		follow->list_revision = page->revision;
+		return CS_OK;
+	}
+	if (page->count > 0) {
+		grown = realloc(list->changes,
+		    (list->count + page->count) * sizeof(*grown));
+		if (grown == NULL)
+			return CS_E_SYSTEM;
+		memcpy(grown + list->count, page->changes,
+		    page->count * sizeof(*grown));
+		list->changes = grown;
+		list->count += page->count;
+	}
+	free(page->changes);
+	return CS_OK;
+}
+
+static void
+on_list(struct st_follow *follow, const char *body)
+{
+	struct st_client *client = follow->call.client;
+	struct st_batch page = {.count = 0};
+	char last[ST_NAME_BYTES_MAX];
+	bool more;
+
+	if (client->params.codec->parse_list(body, &page) != CS_OK) {
+		fail(follow, ST_NO_REPLY);
+		return;
+	}
+	more = page.more && page.count > 0;
+	if (more)
+		memcpy(last, page.changes[page.count - 1].name, sizeof(last));
+	if (add_page(follow, &page) != CS_OK) {
+		st_batch_free(&page);
+		fail(follow, ST_NO_REPLY);
+		return;
+	}
+	if (more) {
+		list_from(follow, last);
+		return;
+	}
+	/* Changes made between pages are seen again by the watch. */
+	follow->revision = follow->list_revision;
+	follow->list.revision = follow->list_revision;
+	follow->failures = 0;
+	client->params.events->on_snapshot(
+	    client->params.user, follow->kind, &follow->list);
+	st_batch_free(&follow->list);
+	watch(follow);
+	st_reach(client, true, "listed");
+}
+
+static void
+on_events(struct st_follow *follow, const char *body)
+{
+	struct st_client *client = follow->call.client;
+	struct st_batch batch = {.count = 0};
+
+	if (client->params.codec->parse_events(body, &batch) != CS_OK) {
+		fail(follow, ST_NO_REPLY);
+		return;
+	}
+	if (batch.revision > follow->revision)
+		follow->revision = batch.revision;
+	follow->failures = 0;
+	if (batch.count > 0)
+		client->params.events->on_changes(
+		    client->params.user, follow->kind, &batch);
+	st_batch_free(&batch);
+	watch(follow);
+	st_reach(client, true, "watched");
+}
+
+static void
+on_done(struct st_call *call, int status, const char *body)
+{
+	struct st_follow *follow = (struct st_follow *)call;
+
+	if (!call->client->following)
+		return;
+	if (status == STATUS_HISTORY_GONE) {
+		follow->revision = 0;
+		st_follow_start(follow);
+	} else if (status != 200) {
+		fail(follow, status);
+	} else if (follow->listing) {
+		on_list(follow, body);
+	} else {
+		on_events(follow, body);
+	}
+}
+
+void
+st_follow_init(
+    struct st_follow *follow, struct st_client *client, uint32_t kind)
+{
+	st_call_init(&follow->call, client, on_done);
+	uv_timer_init(client->params.loop, &follow->pause);
+	follow->pause.data = follow;
+	follow->kind = kind;
+}
+
+void
+st_follow_close(struct st_follow *follow)
+{
+	st_call_close(&follow->call);
+	st_batch_free(&follow->list);
+	uv_close((uv_handle_t *)&follow->pause, NULL);
+}
--- a/programs/chervilshelf.c
+++ b/programs/chervilshelf.c
@@ -17,6 +17,7 @@
 
 static const struct command commands[] = {
     {"entry", cm_entry, "run an entry VM"},
+    {"gateway", cm_gateway, "run an entry VM on the platform"},
     {"check", cm_check, "check a configuration file"},
     {"apply", cm_apply, "put a configuration in force"},
     {"get", cm_get, "print the stored configuration"},
--- a/programs/commands.h
+++ b/programs/commands.h
@@ -3,6 +3,7 @@
 #define CM_COMMANDS_H
 
 int cm_entry(int argc, char **argv);
+int cm_gateway(int argc, char **argv);
 int cm_check(int argc, char **argv);
 int cm_apply(int argc, char **argv);
 int cm_get(int argc, char **argv);
--- /dev/null
+++ b/programs/gateway.c
@@ -0,0 +1,371 @@
+/* The gateway command: an entry VM on the platform. */
+#include <glib.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "commands.h"
+#include "gateway.h"
+#include "settings.h"
+
+#define TICK_MS 250
+#define RELOAD_TICKS 20	  /* settings may change without a signal */
+#define PAUSED_US 1000000 /* far over a tick: the process did not run */
+/* Round trips until they were measured. */
+#define RTT_OWN_US 500
+#define RTT_NEAR_US 3000
+#define RTT_FAR_US 26000
+/* Files kept for everything that is no caller's connection. */
+#define FILES_KEPT 600
+#define BODIES_SHARE 4 /* a quarter of the memory may hold bodies */
+/*
+ * A VM that stops is in no directory answer that callers still hold after
+ * three times the time for which they should keep one.
+ */
+#define LEAVE_US 4300000
+#define STOP_MARGIN_US 300000	/* the process ends before it is killed */
+#define CLOSE_MARGIN_US 1100000 /* idle connections are closed before that */
+
+static int64_t
+boot_time_us(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_BOOTTIME, &now);
+	return (int64_t)now.tv_sec * 1000000 + now.tv_nsec / 1000;
+}
+
+static void
+fill_topology(struct ga_app *app)
+{
+	const struct pl_settings *settings = &app->settings;
+	struct bl_topology *topology = &app->topology;
+	uint32_t i;
+
+	for (i = 0; i < settings->place_count; i++) {
+		bool own = strcmp(settings->places[i].data_centre,
+			       settings->data_centre) == 0;
+		bool near =
+		    strcmp(settings->places[i].region, settings->region) == 0;
+
+		strcpy(
+		    topology->places[i].name, settings->places[i].data_centre);
+		strcpy(topology->places[i].region, settings->places[i].region);
+		topology->places[i].near = near;
+		topology->places[i].rtt_us = own    ? RTT_OWN_US
+					     : near ? RTT_NEAR_US
+						    : RTT_FAR_US;
+		if (own)
+			topology->own = i;
+	}
+	topology->count = settings->place_count;
+}
+
+static void
+on_crash(void *user, uint64_t fingerprint)
+{
+	struct ga_app *app = user;
+
+	fl_suspect(app->fleet, fingerprint);
+}
+
+static const struct gw_events gateway_events = {.on_crash = on_crash};
+
+static struct bl_budget_terms
+budget_terms(const struct pl_settings *settings, uint32_t members)
+{
+	return (struct bl_budget_terms){
+	    .ratio = settings->retry_ratio,
+	    .slack = settings->retry_slack,
+	    .window_us = settings->retry_window_ms * 1000,
+	    .members = members,
+	};
+}
+
+static int
+create_gateway(struct ga_app *app, uint64_t seed)
+{
+	const struct pl_settings *settings = &app->settings;
+	uint64_t memory = (uint64_t)settings->memory_mb * 1024 * 1024;
+	struct gw_params params = {
+	    .loop = &app->loop,
+	    .dialect = &pl_dialect,
+	    .topology = &app->topology,
+	    .budget = budget_terms(settings, 1),
+	    .front = settings->front,
+	    .connections_max = settings->files_max > 2 * FILES_KEPT
+				   ? settings->files_max - FILES_KEPT
+				   : settings->files_max / 2,
+	    .memory_bytes_max = memory / BODIES_SHARE,
+	    .probes_per_s = settings->probes_per_s,
+	    .seed = seed,
+	    .events = &gateway_events,
+	    .user = app,
+	};
+
+	return gw_create(&params, &app->gw);
+}
+
+static int
+create_store(struct ga_app *app, uint64_t seed)
+{
+	struct st_params params = {
+	    .loop = &app->loop,
+	    .address = app->settings.store,
+	    .codec = &pl_codec,
+	    .events = &ga_store_events,
+	    .user = app,
+	    .kind_count = GA_KINDS,
+	    .kinds =
+		{[GA_CONFIG] = PL_KIND_CONFIG, [GA_TARGETS] = PL_KIND_TARGETS},
+	    .own_kind = PL_KIND_MEMBERS,
+	    .own_name = app->settings.name,
+	    .seed = seed,
+	};
+
+	return st_client_create(&params, &app->store);
+}
+
+static int
+create_fleet(struct ga_app *app, uint64_t seed)
+{
+	const struct pl_settings *settings = &app->settings;
+	struct fl_params params = {
+	    .loop = &app->loop,
+	    .self = {.fleet = settings->fleet,
+		.front = settings->front,
+		.boot = seed},
+	    .seed_count = settings->seed_count,
+	    .cache = app->cache,
+	    .kind_count = GA_KINDS,
+	    .events = &ga_fleet_events,
+	    .user = app,
+	};
+
+	cs_copy_text(
+	    params.self.name, sizeof(params.self.name), settings->name);
+	cs_copy_text(params.self.data_centre, sizeof(params.self.data_centre),
+	    settings->data_centre);
+	cs_copy_text(params.region, sizeof(params.region), settings->region);
+	memcpy(params.seeds, settings->seeds, sizeof(params.seeds));
+	return fl_create(&params, &app->fleet);
+}
+
+static void
+reload(struct ga_app *app, bool asked)
+{
+	char fault[PL_TEXT_BYTES_MAX];
+	struct pl_settings *fresh = malloc(sizeof(*fresh));
+
+	if (fresh == NULL)
+		return;
+	if (pl_settings_read(app->settings_path, fresh, fault) != CS_OK) {
+		cs_log(CS_LOG_SETTINGS_REFUSED, "fault=\"%s\"", fault);
+	} else if (asked ||
+		   memcmp(fresh, &app->settings, sizeof(*fresh)) != 0) {
+		/* Addresses stay; bounds are taken when the VM starts. */
+		cs_log(CS_LOG_SETTINGS_RELOADED, "asked=%d", asked);
+		app->settings.directory_keep_max_ms =
+		    fresh->directory_keep_max_ms;
+		app->settings.grace_ms = fresh->grace_ms;
+	}
+	free(fresh);
+}
+
+static void
+check_pause(struct ga_app *app)
+{
+	int64_t now_us = boot_time_us();
+	int64_t gap_us = now_us - app->ticked_boot_us;
+
+	app->ticked_boot_us = now_us;
+	if (gap_us < PAUSED_US + TICK_MS * 1000)
+		return;
+	cs_log(CS_LOG_PROCESS_PAUSED, "for_us=%lld", (long long)gap_us);
+	if (app->role != FL_WATCH)
+		return;
+	/* Watches may have missed their end: they start anew. */
+	st_client_follow(app->store, false);
+	st_client_follow(app->store, true);
+}
+
+static void
+on_tick(uv_timer_t *timer)
+{
+	struct ga_app *app = timer->data;
+	uint64_t dropped;
+
+	check_pause(app);
+	ga_sweep(app);
+	ga_update_standing(app);
+	if (++app->ticks % RELOAD_TICKS == 0)
+		reload(app, false);
+	dropped = cs_log_flush();
+	if (dropped > 0)
+		cs_log(CS_LOG_LINES_DROPPED, "lines=%llu",
+		    (unsigned long long)dropped);
+}
+
+static void
+finish(struct ga_app *app)
+{
+	cs_log(CS_LOG_GATEWAY_STOPPED, "after_us=%lld connections=%u",
+	    (long long)(cs_now_us() - app->stopping_us),
+	    gw_connections(app->gw));
+	cs_log_flush();
+	uv_stop(&app->loop);
+}
+
+static void
+on_stop_tick(uv_timer_t *timer)
+{
+	struct ga_app *app = timer->data;
+	int64_t grace_us = app->settings.grace_ms * 1000;
+	int64_t since_us = cs_now_us() - app->stopping_us;
+
+	if (since_us > grace_us - CLOSE_MARGIN_US || since_us > LEAVE_US)
+		gw_close_idle(app->gw);
+	if (since_us > grace_us - STOP_MARGIN_US ||
+	    (since_us > LEAVE_US && gw_is_done(app->gw)))
+		finish(app);
+}
+
+static void
+on_terminate(uv_signal_t *signal, int number)
+{
+	struct ga_app *app = signal->data;
+	int64_t grace_us = app->settings.grace_ms * 1000;
+
+	if (app->stopping_us != 0)
+		return;
+	cs_log(CS_LOG_GATEWAY_STOPPING, "signal=%d connections=%u", number,
+	    gw_connections(app->gw));
+	app->stopping_us = cs_now_us();
+	ga_update_standing(app);
+	fl_leave(app->fleet);
+	gw_stop(app->gw, app->stopping_us + grace_us - STOP_MARGIN_US);
+	uv_timer_start(&app->stop, on_stop_tick, TICK_MS / 2, TICK_MS / 2);
+}
+
+static void
+on_reload(uv_signal_t *signal, int number)
+{
+	(void)number;
+	reload(signal->data, true);
+}
+
+static void
+start_timers(struct ga_app *app)
+{
+	uv_timer_init(&app->loop, &app->tick);
+	uv_timer_init(&app->loop, &app->stop);
+	uv_timer_init(&app->loop, &app->relist);
+	uv_signal_init(&app->loop, &app->terminate);
+	uv_signal_init(&app->loop, &app->interrupt);
+	uv_signal_init(&app->loop, &app->reload);
+	app->tick.data = app->stop.data = app->relist.data = app;
+	app->terminate.data = app->interrupt.data = app->reload.data = app;
+	uv_timer_start(&app->tick, on_tick, TICK_MS, TICK_MS);
+	uv_signal_start(&app->terminate, on_terminate, SIGTERM);
+	uv_signal_start(&app->interrupt, on_terminate, SIGINT);
+	uv_signal_start(&app->reload, on_reload, SIGHUP);
+}
+
+static int
+start(struct ga_app *app)
+{
+	uint64_t seed =
+	    cs_hash(app->settings.name, strlen(app->settings.name)) ^
+	    (uint64_t)boot_time_us() ^ (uint64_t)getpid() << 32 ^
+	    (uint64_t)time(NULL) << 16;
+
+	fill_topology(app);
+	app->cache = st_cache_create();
+	if (app->cache == NULL || create_gateway(app, seed) != CS_OK ||
+	    create_store(app, seed) != CS_OK ||
+	    create_fleet(app, seed) != CS_OK || ga_serve(app) != CS_OK)
+		return CS_E_SYSTEM;
+	start_timers(app);
+	ga_announce(app);
+	cs_log(CS_LOG_GATEWAY_STARTED,
+	    "vm=%s data_centre=%s version=%s memory_mb=%u", app->settings.name,
+	    app->settings.data_centre, CHERVILSHELF_VERSION,
+	    app->settings.memory_mb);
+	return CS_OK;
+}
+
+static struct ga_app *
+prepare(const char *path, const char *level)
+{
+	struct ga_app *app = calloc(1, sizeof(*app));
+	char fault[PL_TEXT_BYTES_MAX];
+
+	if (app == NULL)
+		return NULL;
+	app->settings_path = path;
+	app->started_us = cs_now_us();
+	app->ticked_boot_us = boot_time_us();
+	if (path == NULL ||
+	    pl_settings_read(path, &app->settings, fault) != CS_OK) {
+		fprintf(stderr, "chervilshelf gateway: %s: %s\n",
+		    path == NULL ? "no settings file" : path,
+		    path == NULL ? "set " PL_SETTINGS_ENV " or --settings"
+				 : fault);
+		free(app);
+		return NULL;
+	}
+	if (cs_log_open(level) != CS_OK || cs_log_gather() != CS_OK) {
+		fprintf(stderr,
+		    "chervilshelf gateway: --log-level is one of debug, info, "
+		    "warn, error; \"%s\" was given\n",
+		    level);
+		free(app);
+		return NULL;
+	}
+	return app;
+}
+
+int
+cm_gateway(int argc, char **argv)
+{
+	gchar *path = NULL, *level = NULL;
+	const GOptionEntry entries[] = {
+	    {"settings", 0, 0, G_OPTION_ARG_FILENAME, &path,
+		"settings file (environment: " PL_SETTINGS_ENV ")", "PATH"},
+	    {"log-level", 0, 0, G_OPTION_ARG_STRING, &level,
+		"debug, info, warn or error (environment: "
+		"CHERVILSHELF_LOG_LEVEL)",
+		"LEVEL"},
+	    {NULL, 0, 0, 0, NULL, NULL, NULL}};
+	GOptionContext *context = g_option_context_new("");
+	GError *error = NULL;
+	struct ga_app *app;
+	bool parsed;
+
+	g_option_context_add_main_entries(context, entries, NULL);
+	parsed = g_option_context_parse(context, &argc, &argv, &error);
+	g_option_context_free(context);
+	if (!parsed || argc > 1) {
+		fprintf(stderr, "chervilshelf gateway: %s\n",
+		    parsed ? "takes no arguments" : error->message);
+		g_clear_error(&error);
+		return ST_EXIT_USAGE;
+	}
+	if (level == NULL)
+		level = g_strdup(getenv("CHERVILSHELF_LOG_LEVEL"));
+	signal(SIGPIPE, SIG_IGN);
+	app = prepare(path != NULL ? path : getenv(PL_SETTINGS_ENV),
+	    level != NULL ? level : "info");
+	if (app == NULL)
+		return ST_EXIT_USAGE;
+	uv_loop_init(&app->loop);
+	if (start(app) != CS_OK) {
+		fprintf(stderr, "chervilshelf gateway: cannot listen\n");
+		return ST_EXIT_REFUSED;
+	}
+	uv_run(&app->loop, UV_RUN_DEFAULT);
+	return ST_EXIT_DONE;
+}
--- /dev/null
+++ b/programs/gateway.h
@@ -0,0 +1,54 @@
+/* The gateway command: what its parts share. */
+#ifndef GA_GATEWAY_H
+#define GA_GATEWAY_H
+
+#include "../lib/fleet/fleet.h"
+#include "../lib/gateway/gateway.h"
+#include "../lib/store/store.h"
+#include "../platform/platform.h"
+
+enum ga_kind { GA_CONFIG, GA_TARGETS, GA_KINDS };
+
+struct ga_app {
+	uv_loop_t loop;
+	const char *settings_path;
+	struct pl_settings settings;
+	struct bl_topology topology;
+	struct gw *gw;
+	struct st_client *store;
+	struct st_cache *cache;
+	struct fleet *fleet;
+	struct h1_server *directory;
+	struct h1_server *readiness;
+	struct h1_server *metrics;
+	uv_signal_t terminate, interrupt, reload;
+	uv_timer_t tick; /* logs, limits of connections, pauses */
+	uv_timer_t stop;
+	uv_timer_t relist;
+	uint64_t ticks;
+	int64_t ticked_boot_us;
+	int64_t started_us;
+	int64_t lost_us;	    /* since when the store is not reached */
+	int64_t forgiving_until_us; /* removals are not believed */
+	int64_t stopping_us;
+	uint32_t files_max;
+	bool targets_known;
+	enum fl_role role;
+};
+
+/* gateway_news.c: what the store says, from wherever it came */
+void ga_news(struct ga_app *app, uint32_t kind, const struct st_batch *batch,
+    bool whole);
+extern const struct st_events ga_store_events;
+extern const struct fl_events ga_fleet_events;
+void ga_announce(struct ga_app *app);
+bool ga_is_ready(const struct ga_app *app);
+/* ga_update_standing(app): tells the fleet whether this VM is ready, current.
+ */
+void ga_update_standing(struct ga_app *app);
+
+/* gateway_serve.c: directory, readiness and metrics */
+int ga_serve(struct ga_app *app);
+void ga_sweep(struct ga_app *app);
+
+#endif
--- /dev/null
+++ b/programs/gateway_news.c
@@ -0,0 +1,335 @@
+/*
+ * Takes the store's news, from the store or from another VM, puts it in force
+ * and passes it on.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "gateway.h"
+
+/*
+ * Registrations lapse while the store is away and are back within about 2 s of
+ * its return. Until then a target that is missing is not taken as gone.
+ */
+#define FORGIVE_US 2300000
+/* A store that was away for less cannot have let registrations lapse. */
+#define OUTAGE_US 1000000
+
+static void
+apply_config(struct ga_app *app, const struct st_change *change)
+{
+	const struct rt_table *old = gw_table(app->gw);
+	char fault[PL_TEXT_BYTES_MAX];
+	struct rt_table *table;
+
+	if (change->gone || strcmp(change->name, PL_CONFIG_NAME) != 0)
+		return;
+	if (pl_read_table(change->text, &table, fault) != CS_OK) {
+		cs_log(CS_LOG_TABLE_REFUSED, "revision=%llu fault=\"%s\"",
+		    (unsigned long long)change->revision, fault);
+		return;
+	}
+	if (old != NULL && table->version < old->version) {
+		cs_log(CS_LOG_TABLE_REFUSED,
+		    "revision=%llu version=%llu fault=\"older than %llu\"",
+		    (unsigned long long)change->revision,
+		    (unsigned long long)table->version,
+		    (unsigned long long)old->version);
+	} else {
+		gw_set_table(app->gw, table);
+		cs_log(CS_LOG_TABLE_IN_FORCE,
+		    "version=%llu revision=%llu routes=%u pools=%u",
+		    (unsigned long long)table->version,
+		    (unsigned long long)change->revision, table->route_count,
+		    table->pool_count);
+	}
+	rt_table_drop(table);
+}
+
+static void
+apply_target(struct ga_app *app, const struct st_change *change)
+{
+	char fault[PL_TEXT_BYTES_MAX] = "data centre";
+	struct pl_target target;
+	int place = CS_E_MISSING;
+
+	if (change->gone) {
+		gw_target_gone(app->gw, change->name);
+		return;
+	}
+	if (pl_read_target(change->name, change->text, &target, fault) == CS_OK)
+		place = bl_topology_find(&app->topology, target.data_centre);
+	if (place < 0) {
+		cs_log(CS_LOG_TARGET_REFUSED, "target=%s fault=\"%s\"",
+		    change->name, fault);
+		gw_target_gone(app->gw, change->name);
+		return;
+	}
+	gw_target_seen(app->gw, &(struct gw_target_news){
+				    .id = target.id,
+				    .pool = target.pool,
+				    .address = target.address,
+				    .place = (uint32_t)place,
+				    .slots = target.slots,
+				    .born_ms = target.born_ms,
+				    .cold_ms = target.cold_ms,
+				    .leaving = target.leaving,
+				});
+}
+
+static void
+apply(struct ga_app *app, uint32_t kind, const struct st_batch *news)
+{
+	uint32_t i;
+
+	for (i = 0; i < news->count; i++) {
+		switch ((enum ga_kind)kind) {
+		case GA_CONFIG:
+			apply_config(app, &news->changes[i]);
+			break;
+		case GA_TARGETS:
+			apply_target(app, &news->changes[i]);
+			break;
+		case GA_KINDS:
+			break;
+		}
+	}
+	if (kind == GA_TARGETS)
+		app->targets_known = true;
+}
+
+void
+ga_news(
+    struct ga_app *app, uint32_t kind, const struct st_batch *batch, bool whole)
+{
+	struct fl_news news = {.kind = kind, .whole = whole, .batch = *batch};
+	struct st_batch changed;
+	int error = whole ? st_cache_snapshot(app->cache, kind, batch, &changed)
+			  : st_cache_changes(app->cache, kind, batch, &changed);
+
+	if (error != CS_OK)
+		return; /* older than what is known here */
+	apply(app, kind, &changed);
+	if (changed.count > 0)
+		fl_pass_on(app->fleet, &news);
+	free(changed.changes);
+	ga_update_standing(app);
+}
+
+/* The batch without removals; its array is freed with free(). */
+static struct st_batch
+without_removals(const struct st_batch *batch)
+{
+	struct st_batch kept = {.revision = batch->revision};
+	uint32_t i;
+
+	kept.changes = calloc(batch->count + 1, sizeof(*kept.changes));
+	for (i = 0; kept.changes != NULL && i < batch->count; i++) {
+		if (batch->changes[i].gone)
+			cs_log(CS_LOG_TARGET_MISSING, "target=%s",
+			    batch->changes[i].name);
+		else
+			kept.changes[kept.count++] = batch->changes[i];
+	}
+	return kept;
+}
+
+static bool
+is_forgiving(const struct ga_app *app)
+{
+	return cs_now_us() < app->forgiving_until_us;
+}
+
+static void
+take_forgiving(struct ga_app *app, uint32_t kind, const struct st_batch *batch)
+{
+	struct st_batch kept = without_removals(batch);
+
+	if (kept.changes != NULL)
+		ga_news(app, kind, &kept, false);
+	free(kept.changes);
+}
+
+static void
+on_relist(uv_timer_t *timer)
+{
+	struct ga_app *app = timer->data;
+
+	app->forgiving_until_us = 0;
+	st_client_list_anew(app->store, GA_TARGETS);
+}
+
+static void
+on_snapshot(void *user, uint32_t kind, const struct st_batch *batch)
+{
+	struct ga_app *app = user;
+
+	if (kind == GA_TARGETS && is_forgiving(app) && app->targets_known)
+		take_forgiving(app, kind, batch);
+	else
+		ga_news(app, kind, batch, true);
+}
+
+static void
+on_changes(void *user, uint32_t kind, const struct st_batch *batch)
+{
+	struct ga_app *app = user;
+
+	if (kind == GA_TARGETS && is_forgiving(app))
+		take_forgiving(app, kind, batch);
+	else
+		ga_news(app, kind, batch, false);
+}
+
+static void
+on_reach(void *user, bool reached, const char *reason)
+{
+	struct ga_app *app = user;
+	int64_t now_us = cs_now_us();
+
+	if (!reached) {
+		app->lost_us = now_us;
+		cs_log(CS_LOG_STORE_LOST, "reason=%s", reason);
+	} else {
+		cs_log(CS_LOG_STORE_REACHED, "reason=%s away_us=%lld", reason,
+		    app->lost_us == 0 ? 0LL
+				      : (long long)(now_us - app->lost_us));
+		if (app->lost_us != 0 && now_us - app->lost_us > OUTAGE_US) {
+			app->forgiving_until_us = now_us + FORGIVE_US;
+			uv_timer_start(
+			    &app->relist, on_relist, FORGIVE_US / 1000, 0);
+		}
+		app->lost_us = 0;
+	}
+	ga_update_standing(app);
+}
+
+const struct st_events ga_store_events = {
+    .on_snapshot = on_snapshot,
+    .on_changes = on_changes,
+    .on_reach = on_reach,
+};
+
+static const char *
+role_text(enum fl_role role)
+{
+	switch (role) {
+	case FL_IDLE:
+		return "idle";
+	case FL_WATCH:
+		return "watch";
+	case FL_LISTEN:
+		return "listen";
+	}
+	return "unknown";
+}
+
+static void
+on_role(void *user, enum fl_role role, const struct fl_member *leader)
+{
+	struct ga_app *app = user;
+	uint32_t i;
+
+	app->role = role;
+	cs_log(CS_LOG_ROLE_CHANGED, "role=%s leader=%s", role_text(role),
+	    leader == NULL ? "-" : leader->name);
+	for (i = 0; i < GA_KINDS; i++)
+		st_client_resume(
+		    app->store, i, st_cache_revision(app->cache, i));
+	st_client_follow(app->store, role == FL_WATCH);
+	ga_update_standing(app);
+}
+
+static void
+on_news(void *user, const struct fl_news *news)
+{
+	struct ga_app *app = user;
+
+	ga_news(app, news->kind, &news->batch, news->whole);
+	st_client_resume(
+	    app->store, news->kind, st_cache_revision(app->cache, news->kind));
+}
+
+static void
+on_suspect(void *user, uint64_t fingerprint)
+{
+	struct ga_app *app = user;
+
+	gw_suspect(app->gw, fingerprint);
+}
+
+static void
+on_member(void *user, const struct fl_member *member, const char *what)
+{
+	struct ga_app *app = user;
+
+	cs_log(CS_LOG_MEMBER_CHANGED, "member=%s what=%s boot=%llx",
+	    member->name, what, (unsigned long long)member->boot);
+	gw_set_members(app->gw, fl_members_total(fl_get_members(app->fleet)));
+}
+
+const struct fl_events ga_fleet_events = {
+    .on_role = on_role,
+    .on_news = on_news,
+    .on_suspect = on_suspect,
+    .on_member = on_member,
+};
+
+static void
+learn_member(struct ga_app *app, const struct st_change *change)
+{
+	struct fl_member member = {.ready = false};
+	struct pl_member found;
+
+	if (pl_read_member(change->name, change->text, &found) != CS_OK)
+		return;
+	cs_copy_text(member.name, sizeof(member.name), found.name);
+	cs_copy_text(
+	    member.data_centre, sizeof(member.data_centre), found.data_centre);
+	member.fleet = found.fleet;
+	member.near = strcmp(found.region, app->settings.region) == 0;
+	fl_know(app->fleet, &member);
+}
+
+static void
+on_announced(void *user, const struct st_batch *batch)
+{
+	struct ga_app *app = user;
+	uint32_t i;
+
+	for (i = 0; batch != NULL && i < batch->count; i++)
+		learn_member(app, &batch->changes[i]);
+	gw_set_members(app->gw, fl_members_total(fl_get_members(app->fleet)));
+}
+
+void
+ga_announce(struct ga_app *app)
+{
+	struct pl_member member = {.fleet = app->settings.fleet};
+	char *text;
+
+	strcpy(member.data_centre, app->settings.data_centre);
+	strcpy(member.region, app->settings.region);
+	text = pl_write_member(&member);
+	if (text != NULL)
+		st_client_announce(app->store, text, on_announced);
+	free(text);
+}
+
+bool
+ga_is_ready(const struct ga_app *app)
+{
+	return gw_table(app->gw) != NULL && app->targets_known &&
+	       app->stopping_us == 0;
+}
+
+void
+ga_update_standing(struct ga_app *app)
+{
+	if (app->fleet == NULL)
+		return;
+	fl_set_ready(app->fleet, ga_is_ready(app));
+	fl_set_current(app->fleet, app->role == FL_WATCH &&
+				       app->stopping_us == 0 &&
+				       st_client_current(app->store));
+}
--- /dev/null
+++ b/programs/gateway_serve.c
@@ -0,0 +1,236 @@
+/* What the gateway serves besides calls: directory, readiness, metrics. */
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "gateway.h"
+
+#define DIRECTORY_MAX 64 /* addresses that a caller takes from one answer */
+/*
+ * How long callers keep an answer. Some keep it three times as long, which
+ * must end before a VM that stops has to.
+ */
+#define DIRECTORY_KEEP_MS 1400
+#define METRICS_PORT 9464 /* also in deploy/system.toml */
+#define CONNECTIONS_MAX 512
+#define REQUEST_BYTES_MAX 8192
+#define IDLE_TIMEOUT_MS 15000
+
+static void
+reply_directory(struct ga_app *app, struct h1_conn *conn)
+{
+	struct sockaddr_in addresses[DIRECTORY_MAX];
+	uint32_t count = fl_members_listed(
+	    fl_get_members(app->fleet), cs_now_us(), addresses, DIRECTORY_MAX);
+	int64_t keep_ms = DIRECTORY_KEEP_MS;
+	char *text;
+
+	if (keep_ms > app->settings.directory_keep_max_ms)
+		keep_ms = app->settings.directory_keep_max_ms;
+	if (count == 0) {
+		h1_conn_reply(
+		    conn, 503, "text/plain", "no entry VM is ready\n");
+		return;
+	}
+	text = pl_write_directory(addresses, count, keep_ms);
+	if (text == NULL)
+		h1_conn_reply(conn, 503, "text/plain", "out of memory\n");
+	else
+		h1_conn_reply(conn, 200, "application/json", text);
+	free(text);
+}
+
+static bool
+is_path(const struct h1_message *request, const char *path)
+{
+	const char *target = h1_target(request);
+	size_t length = strcspn(target, "?");
+
+	return strlen(path) == length && strncmp(target, path, length) == 0;
+}
+
+static void
+on_directory(struct h1_conn *conn, const struct h1_message *request)
+{
+	if (is_path(request, PL_DIRECTORY_PATH))
+		reply_directory(h1_conn_user(conn), conn);
+	else
+		h1_conn_reply(conn, 404, "text/plain", "not found\n");
+}
+
+static void
+on_readiness(struct h1_conn *conn, const struct h1_message *request)
+{
+	const struct ga_app *app = h1_conn_user(conn);
+
+	if (!is_path(request, PL_READINESS_PATH))
+		h1_conn_reply(conn, 404, "text/plain", "not found\n");
+	else if (ga_is_ready(app))
+		h1_conn_reply(conn, 200, "text/plain", "ready\n");
+	else
+		h1_conn_reply(conn, 503, "text/plain", "not ready\n");
+}
+
+static void
+print_histogram(
+    struct h1_bytes *out, const char *name, const struct cs_histogram *h)
+{
+	static const double quantiles[] = {0.5, 0.9, 0.99, 0.999};
+	size_t i;
+
+	h1_bytes_print(out, "# TYPE chervilshelf_%s_seconds summary\n", name);
+	for (i = 0; i < sizeof(quantiles) / sizeof(quantiles[0]); i++)
+		h1_bytes_print(out,
+		    "chervilshelf_%s_seconds{quantile=\"%g\"} %.6f\n", name,
+		    quantiles[i],
+		    (double)cs_histogram_quantile(h, quantiles[i]) / 1e6);
+	h1_bytes_print(out,
+	    "chervilshelf_%s_seconds_sum %.6f\n"
+	    "chervilshelf_%s_seconds_count %llu\n",
+	    name, (double)h->sum_us / 1e6, name, (unsigned long long)h->count);
+}
+
+static void
+print_pool(void *arg, const struct bl_pool *pool, uint32_t waiting)
+{
+	struct h1_bytes *out = arg;
+	uint32_t i, leaving = 0, shut = 0, in_flight = 0;
+
+	for (i = 0; i < pool->count; i++) {
+		leaving += pool->targets[i]->leaving;
+		shut += pool->targets[i]->shut_until_us > cs_now_us();
+		in_flight += pool->targets[i]->in_flight;
+	}
+	h1_bytes_print(out,
+	    "chervilshelf_targets{pool=\"%s\",state=\"known\"} %u\n"
+	    "chervilshelf_targets{pool=\"%s\",state=\"leaving\"} %u\n"
+	    "chervilshelf_targets{pool=\"%s\",state=\"unreached\"} %u\n"
+	    "chervilshelf_in_flight{pool=\"%s\"} %u\n"
+	    "chervilshelf_waiting{pool=\"%s\"} %u\n"
+	    "chervilshelf_work_seconds{pool=\"%s\"} %.6f\n",
+	    pool->name, pool->count, pool->name, leaving, pool->name, shut,
+	    pool->name, in_flight, pool->name, waiting, pool->name,
+	    pool->work_us / 1e6);
+}
+
+static void
+print_counters(struct h1_bytes *out, const struct gw_counters *counters)
+{
+	uint32_t i;
+
+	h1_bytes_print(out, "chervilshelf_calls_total %llu\n",
+	    (unsigned long long)counters->calls);
+	for (i = 0; i < GW_REASONS; i++)
+		h1_bytes_print(out,
+		    "chervilshelf_calls_ended_total{reason=\"%s\"} %llu\n",
+		    gw_reason_text((enum gw_reason)i),
+		    (unsigned long long)counters->ended[i]);
+	h1_bytes_print(out,
+	    "chervilshelf_attempts_total %llu\n"
+	    "chervilshelf_retries_total %llu\n"
+	    "chervilshelf_probes_total %llu\n"
+	    "chervilshelf_channels_opened_total %llu\n",
+	    (unsigned long long)counters->attempts,
+	    (unsigned long long)counters->retries,
+	    (unsigned long long)counters->probes,
+	    (unsigned long long)counters->channels_opened);
+}
+
+static void
+print_standing(struct h1_bytes *out, const struct ga_app *app)
+{
+	const struct rt_table *table = gw_table(app->gw);
+
+	h1_bytes_print(out,
+	    "chervilshelf_ready %d\nchervilshelf_follows_store %d\n"
+	    "chervilshelf_table_version %llu\n"
+	    "chervilshelf_targets_revision %llu\n"
+	    "chervilshelf_members %u\nchervilshelf_store_calls_total %llu\n"
+	    "chervilshelf_caller_connections %u\n",
+	    ga_is_ready(app), app->role == FL_WATCH,
+	    table == NULL ? 0ULL : (unsigned long long)table->version,
+	    (unsigned long long)st_cache_revision(app->cache, GA_TARGETS),
+	    fl_members_total(fl_get_members(app->fleet)),
+	    (unsigned long long)st_client_calls(app->store),
+	    gw_connections(app->gw));
+}
+
+static void
+on_metrics(struct h1_conn *conn, const struct h1_message *request)
+{
+	const struct ga_app *app = h1_conn_user(conn);
+	const struct gw_counters *counters = gw_get_counters(app->gw);
+	struct h1_bytes out = {.data = NULL};
+
+	(void)request;
+	print_standing(&out, app);
+	print_counters(&out, counters);
+	print_histogram(&out, "answered", &counters->answered);
+	print_histogram(&out, "waited", &counters->waited);
+	print_histogram(&out, "at_target", &counters->at_target);
+	gw_each_pool(app->gw, print_pool, &out);
+	h1_bytes_add(&out, "", 1);
+	h1_conn_reply(
+	    conn, 200, "text/plain", out.data == NULL ? "" : out.data);
+	h1_bytes_free(&out);
+}
+
+static void
+on_gone(struct h1_conn *conn)
+{
+	(void)conn; /* answers here are never late */
+}
+
+static int
+listen_at(struct ga_app *app, struct sockaddr_in address,
+    const struct h1_server_events *events, struct h1_server **out)
+{
+	struct h1_server_params params = {
+	    .loop = &app->loop,
+	    .address = address,
+	    .limits = {REQUEST_BYTES_MAX, REQUEST_BYTES_MAX},
+	    .head_timeout_ms = IDLE_TIMEOUT_MS,
+	    .idle_timeout_ms = IDLE_TIMEOUT_MS,
+	    .connections_max = CONNECTIONS_MAX,
+	    .bodies_bytes_max = CONNECTIONS_MAX * REQUEST_BYTES_MAX,
+	    .events = events,
+	    .user = app,
+	};
+
+	return h1_server_create(&params, out);
+}
+
+int
+ga_serve(struct ga_app *app)
+{
+	static const struct h1_server_events directory = {
+	    .on_request = on_directory, .on_gone = on_gone};
+	static const struct h1_server_events readiness = {
+	    .on_request = on_readiness, .on_gone = on_gone};
+	static const struct h1_server_events metrics = {
+	    .on_request = on_metrics, .on_gone = on_gone};
+	struct sockaddr_in address = app->settings.fleet;
+
+	address.sin_port = htons(METRICS_PORT);
+	if (listen_at(app, app->settings.directory, &directory,
+		&app->directory) != CS_OK ||
+	    listen_at(app, app->settings.readiness, &readiness,
+		&app->readiness) != CS_OK)
+		return CS_E_SYSTEM;
+	/* Calls go on without metrics. */
+	if (listen_at(app, address, &metrics, &app->metrics) != CS_OK)
+		app->metrics = NULL;
+	return CS_OK;
+}
+
+void
+ga_sweep(struct ga_app *app)
+{
+	int64_t now_us = cs_now_us();
+
+	h1_server_sweep(app->directory, now_us);
+	h1_server_sweep(app->readiness, now_us);
+	if (app->metrics != NULL)
+		h1_server_sweep(app->metrics, now_us);
+}
