Answers without a length reach callers without one

Ruled out: telling whole from cut by the socket; both ends look alike here. Change: such an answer ends with the caller's connection too.

--- a/lib/h1/h1.h
+++ b/lib/h1/h1.h
@@ -213,7 +213,8 @@
 	size_t headers_length;
 	const char *body;
 	size_t body_length;
-	bool close; /* the connection ends with this answer */
+	bool close;    /* the connection ends with this answer */
+	bool unframed; /* its end is the connection's end, no length is told */
 };
 
 /* h1_conn_answer(conn, answer): answers the request of this connection. */
--- a/lib/h1/server.c
+++ b/lib/h1/server.c
@@ -171,8 +171,8 @@
 h1_conn_answer(struct h1_conn *conn, const struct h1_answer *answer)
 {
 	struct h1_bytes *out = &conn->out;
-	bool close = answer->close || conn->server->draining ||
-		     !conn->reader.message.keep_alive;
+	bool close = answer->close || answer->unframed ||
+		     conn->server->draining || !conn->reader.message.keep_alive;
 	bool bodiless = conn->reader.message.method != NULL &&
 			strcmp(conn->reader.message.method, "HEAD") == 0;
 
@@ -184,7 +184,8 @@
 	if (h1_bytes_print(out, "HTTP/1.1 %d %s\r\n", answer->status,
 		h1_status_text(answer->status)) != 0 ||
 	    h1_bytes_add(out, answer->headers, answer->headers_length) != 0 ||
-	    (answer->status != 204 && answer->status != 304 &&
+	    (!answer->unframed && answer->status != 204 &&
+		answer->status != 304 &&
 		h1_bytes_print(out, "Content-Length: %zu\r\n",
 		    answer->body_length) != 0) ||
 	    h1_bytes_print(
