--- a/lib/gateway/answer.c
+++ b/lib/gateway/answer.c
@@ -30,13 +30,16 @@
 	}
 	gw_call_end(call, answer->status,
 	    answer->status >= 500 ? GW_TARGET_FAILED : GW_ANSWERED);
-	h1_conn_answer(conn, &(struct h1_answer){
-				 .status = answer->status,
-				 .headers = head->data,
-				 .headers_length = head->length,
-				 .body = answer->body.data,
-				 .body_length = answer->body.length,
-			     });
+	h1_conn_answer(
+	    conn, &(struct h1_answer){
+		      .status = answer->status,
+		      .headers = head->data,
+		      .headers_length = head->length,
+		      .body = answer->body.data,
+		      .body_length = answer->body.length,
+		      /* Whether it is whole only its reader can tell. */
+		      .unframed = !answer->framed,
+		  });
 }
 
 void
