Store: list anew after any gap; news that comes together costs one call

Change: after a cut, a failure or a change of role the client lists. 150 ms lie between a watch with news and the next one.

--- a/lib/balance/balance_internal.h
+++ b/lib/balance/balance_internal.h
@@ -16,7 +16,8 @@
 #define BL_COLD_X 2.0
 
 /* How long news keeps its weight (time to 1/e). */
-#define BL_LOAD_FADE_US 250000.0 /* pressure of neighbours changes in 300 ms \
+#define BL_LOAD_FADE_US                                                      \
+	250000.0		 /* pressure of neighbours changes in 300 ms \
 				  */
 #define BL_BUSY_FADE_US 150000.0 /* a few times the work of one request */
 #define BL_SLOWNESS_FADE_US 2000000.0
--- a/lib/base/base.c
+++ b/lib/base/base.c
@@ -1,6 +1,6 @@
 /* Error texts, clock, random numbers and hashes. */
-#include <string.h>
 #include "base.h"
+#include <string.h>
 
 #include <time.h>
 #include <xxhash.h>
--- a/lib/base/log.c
+++ b/lib/base/log.c
@@ -84,8 +84,8 @@
 		gathered.dropped++;
 		return 0;
 	}
-	memcpy(gathered.data + gathered.length, event->evt_rendered_msg,
-	    length);
+	memcpy(
+	    gathered.data + gathered.length, event->evt_rendered_msg, length);
 	gathered.length += length;
 	return 0;
 }
--- a/lib/store/client.c
+++ b/lib/store/client.c
@@ -203,13 +203,6 @@
 	client->reached = false;
 }
 
-void
-st_client_resume(struct st_client *client, uint32_t kind, uint64_t revision)
-{
-	if (revision > client->follows[kind].revision)
-		client->follows[kind].revision = revision;
-}
-
 void
 st_client_list_anew(struct st_client *client, uint32_t kind)
 {
--- a/lib/store/follow.c
+++ b/lib/store/follow.c
@@ -1,13 +1,14 @@
-/* Follows one kind of objects: list, watch, resume, and list again on a gap. */
+/* Follows one kind of objects: list, watch, and list again on any gap. */
 #include <stdlib.h>
 #include <string.h>
 
 #include "store_internal.h"
 
-#define LIST_TIMEOUT_MS 2000  /* many times a slow store's answer */
-#define WATCH_WAIT_MS 25000   /* a store ends a watch at 30 s */
-#define WATCH_MARGIN_MS 3000  /* for the answer that ends a watch */
-#define RETRY_LIST_FAILURES 3 /* a watch that fails so often lists anew */
+#define LIST_TIMEOUT_MS 2000 /* many times a slow store's answer */
+#define WATCH_WAIT_MS 25000  /* a store ends a watch at 30 s */
+#define WATCH_MARGIN_MS 3000 /* for the answer that ends a watch */
+/* Between a watch with news and the next; a small part of any bound. */
+#define GATHER_MS 150
 #define STATUS_HISTORY_GONE 410
 
 void
@@ -64,6 +65,8 @@
 st_follow_stop(struct st_follow *follow)
 {
 	uv_timer_stop(&follow->pause);
+	if (follow->call.busy)
+		follow->revision = 0; /* as after a cut */
 	st_call_cancel(&follow->call);
 	st_batch_free(&follow->list);
 	follow->listing = follow->watching = false;
@@ -81,8 +84,11 @@
 	struct st_client *client = follow->call.client;
 
 	follow->failures++;
-	if (follow->failures >= RETRY_LIST_FAILURES && follow->listing == false)
-		follow->revision = 0;
+	/*
+	 * A watch that was cut is not resumed: the store may be about to drop
+	 * the history in between, and would then say nothing.
+	 */
+	follow->revision = 0;
 	follow->watching = false;
 	uv_timer_start(&follow->pause, on_pause_over,
 	    st_backoff_ms(client, follow->failures), 0);
@@ -166,8 +172,11 @@
 	if (batch.count > 0)
 		client->params.events->on_changes(
 		    client->params.user, follow->kind, &batch);
+	if (batch.count > 0) /* news that comes together costs one call */
+		uv_timer_start(&follow->pause, on_pause_over, GATHER_MS, 0);
+	else
+		watch(follow);
 	st_batch_free(&batch);
-	watch(follow);
 	st_reach(client, true, "watched");
 }
 
@@ -178,6 +187,11 @@
 
 	if (!call->client->following)
 		return;
+	cs_log(CS_LOG_STORE_NEWS,
+	    "kind=%s call=%s status=%d known_revision=%llu bytes=%zu",
+	    call->client->params.kinds[follow->kind],
+	    follow->listing ? "list" : "watch", status,
+	    (unsigned long long)follow->revision, strlen(body));
 	if (status == STATUS_HISTORY_GONE) {
 		follow->revision = 0;
 		st_follow_start(follow);
--- a/lib/store/store.h
+++ b/lib/store/store.h
@@ -1,8 +1,8 @@
 /*
  * store: a client of a versioned object store. It lists kinds of objects,
- * watches them from there on, resumes where a watch ended, and starts anew
- * when the store has forgotten that point. How calls are written and replies
- * read is the codec's; this library knows neither names nor formats.
+ * watches them from there on, and lists anew after any gap: a watch that was
+ * cut, or a history that the store has dropped. How calls are written and
+ * replies read is the codec's; this library knows neither names nor formats.
  */
 #ifndef ST_STORE_H
 #define ST_STORE_H
@@ -82,12 +82,6 @@
 int st_client_create(const struct st_params *params, struct st_client **out);
 /* st_client_follow(client, on): starts or stops to list and watch. */
 void st_client_follow(struct st_client *client, bool on);
-/*
- * st_client_resume(client, kind, revision): the caller knows the kind up to
- * this revision, so that following can start with a watch.
- */
-void st_client_resume(
-    struct st_client *client, uint32_t kind, uint64_t revision);
 /*
  * st_client_list_anew(client, kind): takes a snapshot, whatever is known. For
  * use after news that was not taken at its word.
--- a/programs/gateway_news.c
+++ b/programs/gateway_news.c
@@ -228,14 +228,10 @@
 on_role(void *user, enum fl_role role, const struct fl_member *leader)
 {
 	struct ga_app *app = user;
-	uint32_t i;
 
 	app->role = role;
 	cs_log(CS_LOG_ROLE_CHANGED, "role=%s leader=%s", role_text(role),
 	    leader == NULL ? "-" : leader->name);
-	for (i = 0; i < GA_KINDS; i++)
-		st_client_resume(
-		    app->store, i, st_cache_revision(app->cache, i));
 	st_client_follow(app->store, role == FL_WATCH);
 	ga_update_standing(app);
 }
@@ -246,8 +242,6 @@
 	struct ga_app *app = user;
 
 	ga_news(app, news->kind, &news->batch, news->whole);
-	st_client_resume(
-	    app->store, news->kind, st_cache_revision(app->cache, news->kind));
 }
 
 static void
