A reset right behind an answer without a length is not its end

Cause: found by the new contract test of hostile targets: libuv reports the end of the stream when a partial read is followed by a hang-up, also when that is a reset, so a cut answer without a length was relayed as whole. Change: the end counts as clean only when the socket has no error. Contract test of lib/gateway: 21 scripts of targets for both kinds of request, odd callers, late, early and extra answers, leaving callers and targets.

--- a/lib/h1/channel.c
+++ b/lib/h1/channel.c
@@ -171,6 +171,23 @@
 	end(channel, H1_END_BROKEN);
 }
 
+/*
+ * libuv tells the end of the stream where a reset came right behind the last
+ * bytes; the socket's error tells the two apart.
+ */
+static bool
+was_reset(const struct h1_channel *channel)
+{
+	int error = 0;
+	socklen_t length = sizeof(error);
+	uv_os_fd_t fd;
+
+	if (uv_fileno((const uv_handle_t *)&channel->tcp, &fd) != 0 ||
+	    getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &length) != 0)
+		return true;
+	return error != 0;
+}
+
 static void
 on_read(uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer)
 {
@@ -179,7 +196,8 @@
 	if (length > 0)
 		take(channel, buffer->base, (size_t)length);
 	else if (length < 0)
-		on_end_of_stream(channel, length == UV_EOF);
+		on_end_of_stream(
+		    channel, length == UV_EOF && !was_reset(channel));
 }
 
 static void
--- /dev/null
+++ b/tests/unit/gateway_rig.c
@@ -0,0 +1,562 @@
+#include <arpa/inet.h>
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "gateway_rig.h"
+
+#define TEXT_BYTES_MAX (1024 * 1024)
+#define TURNS_MAX 200000 /* of the loop, before a test counts as stuck */
+
+/* Holds in every build, unlike assert(). */
+static void
+require(bool holds)
+{
+	if (!holds)
+		abort();
+}
+
+struct peer {
+	uv_tcp_t tcp;
+	struct rig *rig;
+	struct h1_bytes in;
+	uint32_t script; /* of the request being read */
+	bool answered;
+	bool open;
+	struct peer *next;
+};
+
+struct rig {
+	uv_loop_t loop;
+	struct rig_params params;
+	struct bl_topology topology;
+	struct gw *gw;
+	uv_tcp_t listeners[RIG_TARGETS_MAX];
+	struct peer *peers;
+	uv_tcp_t caller;
+	uv_connect_t connecting;
+	uv_timer_t tick;
+	struct h1_bytes sent;
+	struct h1_bytes got;
+	struct h1_bytes last;
+	bool caller_done;
+	bool caller_open;
+	uint32_t requests, connections, closes;
+	struct sockaddr_in front;
+};
+
+static void
+on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
+{
+	static char bytes[64 * 1024];
+
+	(void)handle;
+	(void)suggested;
+	*buffer = uv_buf_init(bytes, sizeof(bytes));
+}
+
+static void
+write_text(uv_stream_t *stream, const char *data, size_t length)
+{
+	size_t done = 0;
+
+	while (done < length) {
+		uv_buf_t buffer = uv_buf_init(
+		    (char *)(uintptr_t)data + done, (unsigned)(length - done));
+		int written = uv_try_write(stream, &buffer, 1);
+
+		if (written == UV_EAGAIN) {
+			uv_run(stream->loop, UV_RUN_NOWAIT);
+			continue;
+		}
+		if (written < 0)
+			return;
+		done += (size_t)written;
+	}
+}
+
+/* The value of a header in raw bytes; empty when it is not there. */
+static void
+raw_header(const char *text, const char *name, char *out, size_t size)
+{
+	const char *at = strcasestr(text, name);
+	size_t length = 0;
+
+	out[0] = '\0';
+	if (at == NULL)
+		return;
+	at += strlen(name) + 2;
+	while (length + 1 < size && at[length] != '\r' && at[length] != '\0')
+		length++;
+	memcpy(out, at, length);
+	out[length] = '\0';
+}
+
+static void
+send_script(struct peer *peer, const char *bytes, const char *id)
+{
+	struct h1_bytes out = {.data = NULL};
+	const char *at = bytes, *mark;
+
+	while ((mark = strstr(at, "%I")) != NULL) {
+		h1_bytes_add(&out, at, (size_t)(mark - at));
+		h1_bytes_add(&out, id, strlen(id));
+		at = mark + 2;
+	}
+	h1_bytes_add(&out, at, strlen(at));
+	write_text((uv_stream_t *)&peer->tcp, out.data, out.length);
+	h1_bytes_free(&out);
+}
+
+static void
+on_peer_closed(uv_handle_t *handle)
+{
+	((struct peer *)handle)->open = false;
+}
+
+static void
+close_peer(struct peer *peer)
+{
+	if (!uv_is_closing((uv_handle_t *)&peer->tcp))
+		uv_close((uv_handle_t *)&peer->tcp, on_peer_closed);
+}
+
+static void
+reset_peer(struct peer *peer)
+{
+	struct linger linger = {.l_onoff = 1};
+	uv_os_fd_t fd;
+
+	if (uv_fileno((uv_handle_t *)&peer->tcp, &fd) == 0)
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+	close_peer(peer);
+}
+
+static const struct rig_script *
+script_at(const struct rig *rig, uint32_t number)
+{
+	uint32_t last = rig->params.script_count - 1;
+
+	return &rig->params.scripts[number < last ? number : last];
+}
+
+static void
+play(struct peer *peer, const struct rig_script *script)
+{
+	char id[128];
+
+	raw_header(peer->in.data, "chervilshelf-attempt-id", id, sizeof(id));
+	peer->answered = true;
+	if (script->bytes != NULL)
+		send_script(peer, script->bytes, id);
+	switch (script->end) {
+	case RIG_KEEP:
+	case RIG_SILENT:
+		break;
+	case RIG_CLOSE:
+		close_peer(peer);
+		break;
+	case RIG_RESET:
+		reset_peer(peer);
+		break;
+	}
+}
+
+static bool
+is_probe(const struct peer *peer)
+{
+	return strncmp(peer->in.data, "GET /health ", 12) == 0;
+}
+
+static void
+take_request(struct peer *peer)
+{
+	struct rig *rig = peer->rig;
+	char *head_end =
+	    peer->in.data == NULL ? NULL : strstr(peer->in.data, "\r\n\r\n");
+	char length[32];
+	size_t whole;
+
+	if (head_end == NULL)
+		return;
+	raw_header(peer->in.data, "content-length", length, sizeof(length));
+	whole = (size_t)(head_end + 4 - peer->in.data) +
+		(size_t)strtoul(length, NULL, 10);
+	if (!peer->answered && !is_probe(peer)) {
+		peer->script = rig->requests++;
+		rig->last.length = 0;
+	}
+	if (is_probe(peer)) {
+		write_text((uv_stream_t *)&peer->tcp,
+		    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 38);
+		peer->in.length = 0;
+		return;
+	}
+	peer->answered = true;
+	if (peer->in.length < whole && !script_at(rig, peer->script)->at_head)
+		return;
+	h1_bytes_add(&rig->last, peer->in.data, peer->in.length);
+	h1_bytes_add(&rig->last, "", 1);
+	play(peer, script_at(rig, peer->script));
+	peer->in.length = 0;
+	peer->answered = false;
+}
+
+static void
+on_peer_read(uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer)
+{
+	struct peer *peer = (struct peer *)stream;
+
+	if (length < 0) {
+		peer->rig->closes++;
+		close_peer(peer);
+		return;
+	}
+	h1_bytes_add(&peer->in, buffer->base, (size_t)length);
+	h1_bytes_add(&peer->in, "", 1);
+	peer->in.length--;
+	take_request(peer);
+}
+
+static void
+on_accept(uv_stream_t *listener, int status)
+{
+	struct rig *rig = listener->data;
+	struct peer *peer = calloc(1, sizeof(*peer));
+
+	require(status == 0 && peer != NULL);
+	peer->rig = rig;
+	peer->open = true;
+	peer->next = rig->peers;
+	rig->peers = peer;
+	rig->connections++;
+	uv_tcp_init(&rig->loop, &peer->tcp);
+	uv_accept(listener, (uv_stream_t *)&peer->tcp);
+	uv_read_start((uv_stream_t *)&peer->tcp, on_alloc, on_peer_read);
+}
+
+static bool
+has_whole_answer(const struct rig *rig)
+{
+	const char *text = rig->got.data;
+	const char *end = text == NULL ? NULL : strstr(text, "\r\n\r\n");
+	char length[32];
+
+	if (end == NULL)
+		return false;
+	if (strncmp(text, "HTTP/1.1 100", 12) == 0)
+		return false;
+	raw_header(text, "Content-Length", length, sizeof(length));
+	return length[0] != '\0' &&
+	       strlen(end + 4) >= strtoul(length, NULL, 10);
+}
+
+static void
+on_caller_read(uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer)
+{
+	struct rig *rig = stream->data;
+
+	if (length < 0) {
+		rig->caller_done = true;
+		return;
+	}
+	h1_bytes_add(&rig->got, buffer->base, (size_t)length);
+	h1_bytes_add(&rig->got, "", 1);
+	rig->got.length--;
+	if (has_whole_answer(rig))
+		rig->caller_done = true;
+}
+
+static void
+on_caller_connected(uv_connect_t *request, int status)
+{
+	struct rig *rig = request->data;
+
+	require(status == 0);
+	uv_read_start((uv_stream_t *)&rig->caller, on_alloc, on_caller_read);
+	write_text(
+	    (uv_stream_t *)&rig->caller, rig->sent.data, rig->sent.length);
+}
+
+static void
+on_caller_closed(uv_handle_t *handle)
+{
+	((struct rig *)handle->data)->caller_open = false;
+}
+
+static void
+on_tick(uv_timer_t *timer)
+{
+	(void)timer; /* wakes the loop, so that turns go on */
+}
+
+static void
+run_once(struct rig *rig, uint32_t *turns)
+{
+	require(++*turns < TURNS_MAX);
+	uv_run(&rig->loop, UV_RUN_ONCE);
+}
+
+static void
+connect_caller(struct rig *rig, const char *bytes, size_t length)
+{
+	rig->got.length = 0;
+	rig->sent.length = 0;
+	h1_bytes_add(&rig->sent, bytes, length);
+	rig->caller_done = false;
+	rig->caller_open = true;
+	uv_tcp_init(&rig->loop, &rig->caller);
+	rig->caller.data = rig->connecting.data = rig;
+	uv_tcp_connect(&rig->connecting, &rig->caller,
+	    (const struct sockaddr *)&rig->front, on_caller_connected);
+}
+
+static void
+close_caller(struct rig *rig)
+{
+	uint32_t turns = 0;
+
+	uv_close((uv_handle_t *)&rig->caller, on_caller_closed);
+	while (rig->caller_open)
+		run_once(rig, &turns);
+}
+
+static void
+send_later(struct rig *rig)
+{
+	struct peer *peer;
+
+	for (peer = rig->peers; peer != NULL; peer = peer->next) {
+		const char *later = script_at(rig, peer->script)->later;
+
+		if (peer->open && later != NULL && rig->requests > 0)
+			send_script(peer, later, "first");
+	}
+}
+
+const char *
+rig_ask(struct rig *rig, const char *bytes, size_t length)
+{
+	uint32_t turns = 0;
+
+	connect_caller(rig, bytes, length);
+	while (!rig->caller_done)
+		run_once(rig, &turns);
+	close_caller(rig);
+	send_later(rig);
+	return rig->got.data == NULL || rig->got.length == 0 ? ""
+							     : rig->got.data;
+}
+
+void
+rig_leave(struct rig *rig, const char *bytes, size_t length)
+{
+	uint32_t turns = 0, before = rig->requests;
+
+	connect_caller(rig, bytes, length);
+	while (rig->requests == before)
+		run_once(rig, &turns);
+	close_caller(rig);
+}
+
+void
+rig_await_closes(struct rig *rig, uint32_t closes)
+{
+	uint32_t turns = 0;
+
+	while (rig->closes < closes)
+		run_once(rig, &turns);
+}
+
+static struct sockaddr_in
+loopback(uint16_t port)
+{
+	struct sockaddr_in address;
+
+	uv_ip4_addr("127.0.0.1", port, &address);
+	return address;
+}
+
+static struct sockaddr_in
+bound_address(const uv_tcp_t *tcp)
+{
+	struct sockaddr_in address;
+	int length = sizeof(address);
+
+	uv_tcp_getsockname(tcp, (struct sockaddr *)&address, &length);
+	return address;
+}
+
+static void
+add_table(struct rig *rig)
+{
+	static const struct {
+		const char *prefix;
+		enum rt_kind kind;
+	} routes[] = {{"/safe/", RT_IDEMPOTENT}, {"/once/", RT_ONCE}};
+	struct rt_table *table = rt_table_create(1);
+	size_t i;
+
+	table->limits = (struct rt_limits){
+	    .head_bytes = 4096,
+	    .body_bytes = 512 * 1024,
+	    .head_timeout_ms = 60000,
+	    .idle_timeout_ms = 60000,
+	};
+	rt_table_add_pool(
+	    table, &(struct rt_pool){.name = "p", .health_path = "/health"});
+	for (i = 0; i < 2; i++) {
+		struct rt_route route = {
+		    .host = "h",
+		    .kind = routes[i].kind,
+		    .timeout_ms = rig->params.timeout_ms,
+		    .objective_ms = rig->params.timeout_ms,
+		    .attempts_max = rig->params.attempts_max,
+		    .backend_count = 1,
+		    .backends = {{.pool_name = "p", .weight = 1}},
+		};
+
+		strcpy(route.prefix, routes[i].prefix);
+		require(rt_table_add_route(table, &route) == CS_OK);
+	}
+	require(rt_table_seal(table) == CS_OK);
+	gw_set_table(rig->gw, table);
+	rt_table_drop(table);
+}
+
+const char *
+rig_target_id(uint32_t number)
+{
+	static const char *const ids[] = {"t-0", "t-1", "t-2"};
+
+	return ids[number];
+}
+
+static void
+add_target(struct rig *rig, uint32_t number)
+{
+	struct sockaddr_in address;
+	bool dead = rig->params.dead_target && number == 0;
+
+	uv_tcp_init(&rig->loop, &rig->listeners[number]);
+	rig->listeners[number].data = rig;
+	address = loopback(0);
+	uv_tcp_bind(
+	    &rig->listeners[number], (const struct sockaddr *)&address, 0);
+	address = bound_address(&rig->listeners[number]);
+	if (!dead)
+		uv_listen(
+		    (uv_stream_t *)&rig->listeners[number], 64, on_accept);
+	gw_target_seen(rig->gw, &(struct gw_target_news){
+				    .id = rig_target_id(number),
+				    .pool = "p",
+				    .address = address,
+				    .slots = 4,
+				    .born_ms = 1,
+				});
+}
+
+static void
+on_crash(void *user, uint64_t fingerprint)
+{
+	(void)user;
+	(void)fingerprint;
+}
+
+static uint16_t
+free_port(struct rig *rig)
+{
+	uv_tcp_t tcp;
+	struct sockaddr_in address = loopback(0);
+
+	uv_tcp_init(&rig->loop, &tcp);
+	uv_tcp_bind(&tcp, (const struct sockaddr *)&address, 0);
+	address = bound_address(&tcp);
+	uv_close((uv_handle_t *)&tcp, NULL);
+	uv_run(&rig->loop, UV_RUN_NOWAIT);
+	return ntohs(address.sin_port);
+}
+
+struct rig *
+rig_create(const struct rig_params *params)
+{
+	static const struct gw_events events = {.on_crash = on_crash};
+	struct rig *rig = calloc(1, sizeof(*rig));
+	struct gw_params gateway = {
+	    .dialect = &pl_dialect,
+	    .budget = {.ratio = 1.0,
+		.slack = 100,
+		.window_us = 10000000,
+		.members = 1},
+	    .connections_max = 100,
+	    .memory_bytes_max = 64 * 1024 * 1024,
+	    .probes_per_s = 0,
+	    .seed = 1,
+	    .events = &events,
+	};
+	uint32_t i;
+
+	require(rig != NULL);
+	rig->params = *params;
+	uv_loop_init(&rig->loop);
+	uv_timer_init(&rig->loop, &rig->tick);
+	uv_timer_start(&rig->tick, on_tick, 5, 5);
+	rig->topology.count = 1;
+	rig->topology.places[0].near = true;
+	gateway.loop = &rig->loop;
+	gateway.topology = &rig->topology;
+	rig->front = gateway.front = loopback(free_port(rig));
+	gateway.user = rig;
+	require(gw_create(&gateway, &rig->gw) == CS_OK);
+	if (params->with_table)
+		add_table(rig);
+	for (i = 0; i < params->target_count; i++)
+		add_target(rig, i);
+	return rig;
+}
+
+void
+rig_free(struct rig *rig)
+{
+	struct peer *peer, *next;
+
+	for (peer = rig->peers; peer != NULL; peer = next) {
+		next = peer->next;
+		h1_bytes_free(&peer->in);
+	}
+	h1_bytes_free(&rig->got);
+	h1_bytes_free(&rig->sent);
+	h1_bytes_free(&rig->last);
+	/* The loop's handles go with the process of this one test program. */
+}
+
+uint32_t
+rig_requests(const struct rig *rig)
+{
+	return rig->requests;
+}
+
+uint32_t
+rig_connections(const struct rig *rig)
+{
+	return rig->connections;
+}
+
+uint32_t
+rig_closes(const struct rig *rig)
+{
+	return rig->closes;
+}
+
+const char *
+rig_last(const struct rig *rig)
+{
+	return rig->last.data == NULL ? "" : rig->last.data;
+}
+
+struct gw *
+rig_gateway(struct rig *rig)
+{
+	return rig->gw;
+}
--- /dev/null
+++ b/tests/unit/test_gateway.c
@@ -0,0 +1,479 @@
+/*
+ * Contract of lib/gateway towards callers and targets: hostile targets, odd
+ * callers, and what each caller must be told.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "gateway_rig.h"
+
+#define ID "Chervilshelf-Attempt-Id: %I\r\n"
+#define SEAL "Chervilshelf-Response-Seal: s\r\n"
+#define WHOLE "HTTP/1.1 200 OK\r\n" ID SEAL "Content-Length: 5\r\n\r\nwhole"
+#define NOT_RUN                                   \
+	"HTTP/1.1 503 Service Unavailable\r\n" ID \
+	"Chervilshelf-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+
+#define SAFE                                  \
+	"GET /safe/x HTTP/1.1\r\nHost: h\r\n" \
+	"Chervilshelf-Attempt-Id: first\r\n"  \
+	"Chervilshelf-Request-Deadline: 30000\r\n\r\n"
+#define ONCE                                       \
+	"POST /once/x HTTP/1.1\r\nHost: h\r\n"     \
+	"Chervilshelf-Attempt-Id: first\r\n"       \
+	"Chervilshelf-Request-Deadline: 30000\r\n" \
+	"Content-Length: 4\r\n\r\nbody"
+#define SECOND                                \
+	"GET /safe/y HTTP/1.1\r\nHost: h\r\n" \
+	"Chervilshelf-Attempt-Id: second\r\n\r\n"
+
+/* The first request gets the script, each further one a whole answer. */
+struct answer_case {
+	const char *name;
+	struct rig_script script;
+	int safe_status; /* to a caller whose request may be repeated */
+	uint32_t safe_requests;
+	int once_status; /* to one whose request must not */
+	uint32_t once_requests;
+};
+
+static const struct answer_case answer_cases[] = {
+    {"whole", {WHOLE, RIG_KEEP, NULL, false}, 200, 1, 200, 1},
+    {"whole, then closed", {WHOLE, RIG_CLOSE, NULL, false}, 200, 1, 200, 1},
+    {"in chunks",
+	{"HTTP/1.1 200 OK\r\n" ID SEAL
+	 "Transfer-Encoding: chunked\r\n\r\n3\r\nwho\r\n2\r\nle\r\n0\r\n\r\n",
+	    RIG_KEEP, NULL, false},
+	200, 1, 200, 1},
+    {"after an interim answer",
+	{"HTTP/1.1 100 Continue\r\n\r\n" WHOLE, RIG_KEEP, NULL, false}, 200, 1,
+	200, 1},
+    {"no signature",
+	{"HTTP/1.1 200 OK\r\n" ID "Content-Length: 5\r\n\r\nwhole", RIG_KEEP,
+	    NULL, false},
+	200, 2, 502, 1},
+    {"another's id",
+	{"HTTP/1.1 200 OK\r\nChervilshelf-Attempt-Id: other\r\n" SEAL
+	 "Content-Length: 5\r\n\r\nwrong",
+	    RIG_KEEP, NULL, false},
+	200, 2, 502, 1},
+    {"no id",
+	{"HTTP/1.1 200 OK\r\n" SEAL "Content-Length: 5\r\n\r\nwrong", RIG_KEEP,
+	    NULL, false},
+	200, 2, 502, 1},
+    {"cut short",
+	{"HTTP/1.1 200 OK\r\n" ID SEAL "Content-Length: 9\r\n\r\nwhol",
+	    RIG_CLOSE, NULL, false},
+	200, 2, 502, 1},
+    {"chunks cut short",
+	{"HTTP/1.1 200 OK\r\n" ID SEAL
+	 "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n",
+	    RIG_CLOSE, NULL, false},
+	200, 2, 502, 1},
+    {"head cut short", {"HTTP/1.1 200 OK\r\nX", RIG_CLOSE, NULL, false}, 200, 2,
+	502, 1},
+    {"reset without a byte", {NULL, RIG_RESET, NULL, false}, 200, 2, 502, 1},
+    {"closed without a byte", {NULL, RIG_CLOSE, NULL, false}, 200, 2, 502, 1},
+    {"reset in an answer without a length",
+	{"HTTP/1.1 200 OK\r\n" ID SEAL "\r\nwho", RIG_RESET, NULL, false}, 200,
+	2, 502, 1},
+    {"no HTTP", {"HELLO\r\n\r\n", RIG_CLOSE, NULL, false}, 200, 2, 502, 1},
+    {"encoded",
+	{"HTTP/1.1 200 OK\r\n" ID SEAL
+	 "Content-Encoding: gzip\r\nContent-Length: 5\r\n\r\nwhole",
+	    RIG_KEEP, NULL, false},
+	200, 2, 502, 1},
+    {"vouches that it did not run", {NOT_RUN, RIG_KEEP, NULL, false}, 200, 2,
+	200, 2},
+    {"another target has the address",
+	{"HTTP/1.1 421 Misdirected Request\r\n" ID "Content-Length: 0\r\n\r\n",
+	    RIG_KEEP, NULL, false},
+	200, 2, 200, 2},
+    {"a bare 503 promises nothing",
+	{"HTTP/1.1 503 Service Unavailable\r\n" ID "Content-Length: 0\r\n\r\n",
+	    RIG_KEEP, NULL, false},
+	200, 2, 502, 1},
+    {"a bare 429 promises nothing",
+	{"HTTP/1.1 429 Too Many Requests\r\n" ID "Content-Length: 0\r\n\r\n",
+	    RIG_KEEP, NULL, false},
+	200, 2, 502, 1},
+    {"it ran in vain",
+	{"HTTP/1.1 500 Internal Server Error\r\n" ID SEAL
+	 "Content-Length: 0\r\n\r\n",
+	    RIG_KEEP, NULL, false},
+	200, 2, 500, 1},
+    {"a failure of the caller",
+	{"HTTP/1.1 409 Conflict\r\n" ID SEAL "Content-Length: 0\r\n\r\n",
+	    RIG_KEEP, NULL, false},
+	409, 1, 409, 1},
+};
+
+static int
+status_of(const char *answer)
+{
+	return strncmp(answer, "HTTP/1.1 ", 9) == 0 ? atoi(answer + 9) : 0;
+}
+
+static struct rig *
+make_rig(const struct rig_script *scripts, uint32_t count, uint32_t targets)
+{
+	return rig_create(&(struct rig_params){
+	    .scripts = scripts,
+	    .script_count = count,
+	    .target_count = targets,
+	    .with_table = true,
+	    .timeout_ms = 30000,
+	    .attempts_max = 3,
+	});
+}
+
+static void
+check_answer(const struct answer_case *row, const char *request, int status,
+    uint32_t requests)
+{
+	const struct rig_script scripts[] = {
+	    row->script, {WHOLE, RIG_KEEP, NULL, false}};
+	struct rig *rig = make_rig(scripts, 2, 3);
+	int got = status_of(rig_ask(rig, request, strlen(request)));
+
+	if (got != status || rig_requests(rig) != requests)
+		fail_msg("%s: status %d, %u requests; expected %d, %u",
+		    row->name, got, rig_requests(rig), status, requests);
+	rig_free(rig);
+}
+
+static void
+test_answers(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(answer_cases) / sizeof(answer_cases[0]); i++) {
+		const struct answer_case *row = &answer_cases[i];
+
+		check_answer(row, SAFE, row->safe_status, row->safe_requests);
+		check_answer(row, ONCE, row->once_status, row->once_requests);
+	}
+}
+
+/* An answer without a length ends with the caller's connection too. */
+static void
+test_no_length(void **state)
+{
+	const struct rig_script script = {
+	    "HTTP/1.1 200 OK\r\n" ID SEAL "\r\nwhole", RIG_CLOSE, NULL, false};
+	struct rig *rig = make_rig(&script, 1, 1);
+	const char *answer = rig_ask(rig, ONCE, strlen(ONCE));
+
+	(void)state;
+	assert_int_equal(status_of(answer), 200);
+	assert_null(strstr(answer, "Content-Length"));
+	assert_non_null(strstr(answer, "Connection: close"));
+	assert_non_null(strstr(answer, "\r\n\r\nwhole"));
+	rig_free(rig);
+}
+
+/* A second answer to the first request comes where the next is due. */
+static void
+test_late_extra_answer(void **state)
+{
+	const struct rig_script scripts[] = {{WHOLE, RIG_KEEP, NULL, false},
+	    {"HTTP/1.1 200 OK\r\nChervilshelf-Attempt-Id: first\r\n" SEAL
+	     "Content-Length: 5\r\n\r\nfirst"
+	     "HTTP/1.1 200 OK\r\n" ID SEAL "Content-Length: 6\r\n\r\nsecond",
+		RIG_KEEP, NULL, false}};
+	struct rig *rig = make_rig(scripts, 2, 1);
+	const char *answer;
+
+	(void)state;
+	rig_ask(rig, SAFE, strlen(SAFE));
+	answer = rig_ask(rig, SECOND, strlen(SECOND));
+	assert_int_equal(status_of(answer), 200);
+	assert_non_null(strstr(answer, "\r\n\r\nsecond"));
+	assert_int_equal(rig_connections(rig), 1);
+	rig_free(rig);
+}
+
+/* Bytes on an idle connection: it is closed, nobody gets them. */
+static void
+test_bytes_while_idle(void **state)
+{
+	const struct rig_script scripts[] = {
+	    {WHOLE, RIG_KEEP,
+		"HTTP/1.1 200 OK\r\n" ID SEAL "Content-Length: 5\r\n\r\nwrong",
+		false},
+	    {WHOLE, RIG_KEEP, NULL, false}};
+	struct rig *rig = make_rig(scripts, 2, 1);
+	const char *answer;
+
+	(void)state;
+	rig_ask(rig, SAFE, strlen(SAFE));
+	rig_await_closes(rig, 1);
+	answer = rig_ask(rig, SECOND, strlen(SECOND));
+	assert_int_equal(status_of(answer), 200);
+	assert_non_null(strstr(answer, "\r\n\r\nwhole"));
+	assert_int_equal(rig_connections(rig), 2);
+	rig_free(rig);
+}
+
+/* Answered before the body was in: the connection is not used again. */
+static void
+test_early_answer(void **state)
+{
+	const struct rig_script scripts[] = {
+	    {"HTTP/1.1 400 Bad Request\r\n" ID SEAL "Content-Length: 0\r\n\r\n",
+		RIG_SILENT, NULL, true},
+	    {WHOLE, RIG_KEEP, NULL, false}};
+	struct rig *rig = make_rig(scripts, 2, 1);
+	size_t body = 400 * 1024;
+	char *request = calloc(1, body + 512);
+	int head = snprintf(request, 512,
+	    "POST /once/x HTTP/1.1\r\nHost: h\r\n"
+	    "Chervilshelf-Attempt-Id: first\r\nContent-Length: %zu\r\n\r\n",
+	    body);
+
+	(void)state;
+	memset(request + head, 'b', body);
+	assert_int_equal(
+	    status_of(rig_ask(rig, request, (size_t)head + body)), 400);
+	assert_int_equal(status_of(rig_ask(rig, SECOND, strlen(SECOND))), 200);
+	free(request);
+	rig_free(rig);
+}
+
+/* A target that refuses connections costs nothing but time. */
+static void
+test_refused_connection(void **state)
+{
+	const struct rig_script script = {WHOLE, RIG_KEEP, NULL, false};
+	struct rig *rig = rig_create(&(struct rig_params){
+	    .scripts = &script,
+	    .script_count = 1,
+	    .target_count = 2,
+	    .with_table = true,
+	    .dead_target = true,
+	    .timeout_ms = 30000,
+	    .attempts_max = 2,
+	});
+	int i;
+
+	(void)state;
+	for (i = 0; i < 10; i++)
+		assert_int_equal(
+		    status_of(rig_ask(rig, ONCE, strlen(ONCE))), 200);
+	assert_int_equal(rig_requests(rig), 10);
+	rig_free(rig);
+}
+
+/* Every target vouches that it did not run it: so does the gateway. */
+static void
+test_not_run_everywhere(void **state)
+{
+	const struct rig_script script = {NOT_RUN, RIG_KEEP, NULL, false};
+	struct rig *rig = make_rig(&script, 1, 3);
+	const char *answer = rig_ask(rig, ONCE, strlen(ONCE));
+
+	(void)state;
+	assert_int_equal(status_of(answer), 503);
+	assert_non_null(strstr(answer, "Retry-After: "));
+	assert_int_equal(rig_requests(rig), 3);
+	rig_free(rig);
+}
+
+/* A target that never answers: the route's time-out, and no promise. */
+static void
+test_silent_target(void **state)
+{
+	const struct rig_script script = {NULL, RIG_SILENT, NULL, false};
+	struct rig *rig = rig_create(&(struct rig_params){
+	    .scripts = &script,
+	    .script_count = 1,
+	    .target_count = 2,
+	    .with_table = true,
+	    .timeout_ms = 100,
+	    .attempts_max = 2,
+	});
+
+	(void)state;
+	assert_int_equal(status_of(rig_ask(rig, ONCE, strlen(ONCE))), 504);
+	assert_int_equal(rig_requests(rig), 1);
+	rig_await_closes(rig, 1);
+	rig_free(rig);
+}
+
+/* A caller that leaves cancels its request at the target. */
+static void
+test_caller_leaves(void **state)
+{
+	static const char pipelined[] = ONCE "GET /safe/z HTTP/1.1\r\nHos";
+	const struct rig_script script = {NULL, RIG_SILENT, NULL, false};
+	struct rig *rig = make_rig(&script, 1, 1);
+
+	(void)state;
+	rig_leave(rig, ONCE, strlen(ONCE));
+	rig_await_closes(rig, 1);
+	rig_leave(rig, pipelined, strlen(pipelined));
+	rig_await_closes(rig, 2);
+	assert_int_equal(rig_requests(rig), 2);
+	rig_free(rig);
+}
+
+struct caller_case {
+	const char *name;
+	const char *request;
+	int status;
+	uint32_t requests;
+};
+
+static const struct caller_case caller_cases[] = {
+    {"no such route", "GET /none/x HTTP/1.1\r\nHost: h\r\n\r\n", 404, 0},
+    {"no such host", "GET /safe/x HTTP/1.1\r\nHost: g\r\n\r\n", 404, 0},
+    {"host with a port", "GET /safe/x HTTP/1.1\r\nHost: H:80\r\n\r\n", 200, 1},
+    {"no host", "GET /safe/x HTTP/1.1\r\n\r\n", 400, 0},
+    {"two hosts", "GET /safe/x HTTP/1.1\r\nHost: h\r\nHost: g\r\n\r\n", 400, 0},
+    {"no HTTP", "HELLO\r\n\r\n", 400, 0},
+    {"length and chunks",
+	"POST /once/x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+	"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+	400, 0},
+    {"two lengths",
+	"POST /once/x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+	"Content-Length: 5\r\n\r\nbody",
+	400, 0},
+    {"a body over the limit",
+	"POST /once/x HTTP/1.1\r\nHost: h\r\nContent-Length: 600000\r\n\r\n",
+	413, 0},
+    {"a body in chunks",
+	"POST /once/x HTTP/1.1\r\nHost: h\r\n"
+	"Chervilshelf-Attempt-Id: first\r\n"
+	"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+	200, 1},
+};
+
+static void
+test_callers(void **state)
+{
+	static const char plain[] =
+	    "HTTP/1.1 200 OK\r\n" ID SEAL "Content-Length: 5\r\n\r\nwhole";
+	const struct rig_script script = {plain, RIG_KEEP, NULL, false};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(caller_cases) / sizeof(caller_cases[0]); i++) {
+		const struct caller_case *row = &caller_cases[i];
+		struct rig *rig = make_rig(&script, 1, 1);
+		int status =
+		    status_of(rig_ask(rig, row->request, strlen(row->request)));
+
+		if (status != row->status || rig_requests(rig) != row->requests)
+			fail_msg("%s: status %d, %u requests", row->name,
+			    status, rig_requests(rig));
+		rig_free(rig);
+	}
+}
+
+static void
+test_large_head(void **state)
+{
+	const struct rig_script script = {WHOLE, RIG_KEEP, NULL, false};
+	struct rig *rig = make_rig(&script, 1, 1);
+	char request[8192];
+	int length = snprintf(request, sizeof(request),
+	    "GET /safe/x HTTP/1.1\r\nHost: h\r\nX: %05000d\r\n\r\n", 0);
+
+	(void)state;
+	assert_int_equal(status_of(rig_ask(rig, request, (size_t)length)), 431);
+	rig_free(rig);
+}
+
+/* What a target gets: unchanged but for one connection's own headers. */
+static void
+test_forwarded(void **state)
+{
+	static const char request[] =
+	    "PUT /once/a%20b?q=1 HTTP/1.1\r\nHost: h\r\nX-Own: 1\r\n"
+	    "Connection: keep-alive, X-Drop\r\nX-Drop: 1\r\n"
+	    "Chervilshelf-Attempt-Id: first\r\n"
+	    "Chervilshelf-Expected-Instance: forged\r\n"
+	    "Chervilshelf-Request-Deadline: 700\r\n"
+	    "Content-Length: 4\r\n\r\nbody";
+	const struct rig_script script = {WHOLE, RIG_KEEP, NULL, false};
+	struct rig *rig = make_rig(&script, 1, 1);
+	const char *seen;
+
+	(void)state;
+	rig_ask(rig, request, strlen(request));
+	seen = rig_last(rig);
+	assert_ptr_equal(
+	    strstr(seen, "PUT /once/a%20b?q=1 HTTP/1.1\r\n"), seen);
+	assert_non_null(strstr(seen, "X-Own: 1\r\n"));
+	assert_null(strstr(seen, "X-Drop"));
+	assert_null(strstr(seen, "forged"));
+	assert_non_null(
+	    strstr(seen, "Chervilshelf-Expected-Instance: t-0\r\n"));
+	assert_non_null(strstr(seen, "Chervilshelf-Attempt-Id: first\r\n"));
+	assert_in_range(atoi(strstr(seen, "Request-Deadline: ") + 18), 1, 700);
+	assert_non_null(strstr(seen, "\r\n\r\nbody"));
+	rig_free(rig);
+}
+
+/* Without a configuration: not run, and when to come back. */
+static void
+test_no_configuration(void **state)
+{
+	const struct rig_script script = {WHOLE, RIG_KEEP, NULL, false};
+	struct rig *rig = rig_create(&(struct rig_params){
+	    .scripts = &script, .script_count = 1, .timeout_ms = 30000});
+	const char *answer = rig_ask(rig, SAFE, strlen(SAFE));
+
+	(void)state;
+	assert_int_equal(status_of(answer), 503);
+	assert_non_null(strstr(answer, "Retry-After: "));
+	rig_free(rig);
+}
+
+/* A target that leaves gets no further request. */
+static void
+test_leaving_target(void **state)
+{
+	const struct rig_script script = {WHOLE, RIG_KEEP, NULL, false};
+	struct rig *rig = make_rig(&script, 1, 1);
+
+	(void)state;
+	assert_int_equal(status_of(rig_ask(rig, SAFE, strlen(SAFE))), 200);
+	gw_target_gone(rig_gateway(rig), rig_target_id(0));
+	assert_int_equal(status_of(rig_ask(rig, SAFE, strlen(SAFE))), 503);
+	assert_int_equal(rig_requests(rig), 1);
+	rig_free(rig);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_answers),
+	    cmocka_unit_test(test_no_length),
+	    cmocka_unit_test(test_late_extra_answer),
+	    cmocka_unit_test(test_bytes_while_idle),
+	    cmocka_unit_test(test_early_answer),
+	    cmocka_unit_test(test_refused_connection),
+	    cmocka_unit_test(test_not_run_everywhere),
+	    cmocka_unit_test(test_silent_target),
+	    cmocka_unit_test(test_caller_leaves),
+	    cmocka_unit_test(test_callers),
+	    cmocka_unit_test(test_large_head),
+	    cmocka_unit_test(test_forwarded),
+	    cmocka_unit_test(test_no_configuration),
+	    cmocka_unit_test(test_leaving_target),
+	};
+
+	cs_log_open("error");
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
