--- a/lib/balance/place.c
+++ b/lib/balance/place.c
@@ -100,8 +100,11 @@
 	if (a->full != b->full)
 		return b->full;
 	gap = (a->cost_us - b->cost_us) / (b->cost_us + 1.0);
-	if (gap > ALIKE || gap < -ALIKE)
+		if (gap > ALIKE || gap < -ALIKE)
 		return gap < 0;
+	if (a->fresh != b->fresh)
+		return a->fresh;
+
 	return cs_hash_pair(tie, (uint64_t)(uintptr_t)a->target) <
 	       cs_hash_pair(tie, (uint64_t)(uintptr_t)b->target);
 }
--- /dev/null
+++ b/tests/unit/test_balance.c
@@ -0,0 +1,368 @@
+/* Contract of lib/balance, on virtual time. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "../../lib/balance/balance.h"
+
+#define MS 1000
+#define START_US 10000000
+
+static struct bl_topology topology = {
+    .count = 2,
+    .places = {{.name = "here", .near = true, .rtt_us = 1 * MS},
+	{.name = "there", .near = false, .rtt_us = 25 * MS}},
+};
+
+static struct bl_target *
+add(struct bl_pool *pool, const char *id, uint32_t place, uint32_t slots)
+{
+	struct bl_target *target = bl_target_create(id);
+
+	target->place = place;
+	target->slots = slots;
+	assert_int_equal(bl_pool_add(pool, target), CS_OK);
+	return target;
+}
+
+static struct bl_request
+request_at(int64_t now_us)
+{
+	return (struct bl_request){
+	    .now_us = now_us,
+	    .objective_us = now_us + 200 * MS,
+	    .deadline_us = now_us + 1000 * MS,
+	    .may_wait = true,
+	    .tie = 42,
+	};
+}
+
+static struct bl_load
+load(uint32_t running, uint32_t slowness_pct)
+{
+	return (struct bl_load){
+	    .running = running, .slots = 4, .slowness_pct = slowness_pct};
+}
+
+struct step_case {
+	enum bl_outcome outcome;
+	enum bl_step idempotent, once; /* with attempts left */
+	enum bl_step last;	       /* without */
+};
+
+static const struct step_case step_cases[] = {
+    {BL_SERVED, BL_RELAY, BL_RELAY, BL_RELAY},
+    {BL_FAILED, BL_AGAIN, BL_RELAY, BL_RELAY},
+    {BL_SHED, BL_AGAIN, BL_AGAIN, BL_FAIL_NOT_RUN},
+    {BL_MISPLACED, BL_AGAIN, BL_AGAIN, BL_FAIL_NOT_RUN},
+    {BL_UNREACHED, BL_AGAIN, BL_AGAIN, BL_FAIL_NOT_RUN},
+    {BL_LOST, BL_AGAIN, BL_FAIL_UNKNOWN, BL_FAIL_UNKNOWN},
+    {BL_GARBLED, BL_AGAIN, BL_FAIL_UNKNOWN, BL_FAIL_UNKNOWN},
+    {BL_CANCELLED, BL_FAIL_UNKNOWN, BL_FAIL_UNKNOWN, BL_FAIL_UNKNOWN},
+};
+
+static void
+test_steps(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(step_cases) / sizeof(step_cases[0]); i++) {
+		const struct step_case *row = &step_cases[i];
+
+		assert_int_equal(
+		    bl_next_step(row->outcome, RT_IDEMPOTENT, true),
+		    row->idempotent);
+		assert_int_equal(
+		    bl_next_step(row->outcome, RT_ONCE, true), row->once);
+		assert_int_equal(
+		    bl_next_step(row->outcome, RT_IDEMPOTENT, false),
+		    row->last);
+		assert_int_equal(
+		    bl_next_step(row->outcome, RT_ONCE, false), row->last);
+		assert_int_equal(bl_without_retry(row->outcome), row->last);
+	}
+}
+
+static void
+test_fast_target_first(void **state)
+{
+	struct bl_pool *pool = bl_pool_create("p");
+	struct bl_target *slow = add(pool, "slow", 0, 4);
+	struct bl_target *fast = add(pool, "fast", 0, 4);
+	struct bl_request request = request_at(START_US);
+	struct bl_load said = load(0, 400);
+	struct bl_placement out;
+
+	(void)state;
+	bl_heard(slow, &said, START_US);
+	said = load(2, 100);
+	bl_heard(fast, &said, START_US);
+	bl_place(&topology, pool, &request, &out);
+	assert_int_equal(out.verdict, BL_SEND);
+	assert_ptr_equal(out.target, fast);
+	bl_pool_free(pool);
+}
+
+static void
+test_stale_targets_are_asked(void **state)
+{
+	struct bl_pool *pool = bl_pool_create("p");
+	struct bl_request request = request_at(START_US);
+	struct bl_load calm = load(0, 100);
+	struct bl_target *fresh;
+	struct bl_placement out;
+	int i;
+
+	(void)state;
+	fresh = add(pool, "t", 0, 4);
+	for (i = 0; i < 4; i++)
+		add(pool, "u", 0, 4);
+	request.may_probe = true;
+	bl_place(&topology, pool, &request, &out);
+	assert_int_equal(out.verdict, BL_ASK);
+	assert_int_equal(out.probe_count, BL_PROBES_MAX);
+	/* One that is known to be fast needs no comparison. */
+	bl_heard(fresh, &calm, START_US);
+	bl_place(&topology, pool, &request, &out);
+	assert_int_equal(out.verdict, BL_SEND);
+	assert_ptr_equal(out.target, fresh);
+	bl_pool_free(pool);
+}
+
+static void
+test_region_first(void **state)
+{
+	struct bl_pool *pool = bl_pool_create("p");
+	struct bl_target *near = add(pool, "near", 0, 4);
+	struct bl_target *far = add(pool, "far", 1, 4);
+	struct bl_request request = request_at(START_US);
+	struct bl_load said = load(0, 150);
+	struct bl_placement out;
+
+	(void)state;
+	bl_heard(near, &said, START_US);
+	bl_place(&topology, pool, &request, &out);
+	assert_ptr_equal(out.target, near);
+	/* Not in time here, but there. */
+	said = load(0, 800);
+	bl_heard(near, &said, START_US);
+	bl_place(&topology, pool, &request, &out);
+	assert_ptr_equal(out.target, far);
+	bl_pool_free(pool);
+}
+
+static void
+test_leaving_and_tried_are_left_out(void **state)
+{
+	struct bl_pool *pool = bl_pool_create("p");
+	struct bl_target *a = add(pool, "a", 0, 4);
+	struct bl_target *b = add(pool, "b", 0, 4);
+	struct bl_request request = request_at(START_US);
+	struct bl_placement out;
+
+	(void)state;
+	a->leaving = true;
+	bl_place(&topology, pool, &request, &out);
+	assert_ptr_equal(out.target, b);
+	request.tried[request.tried_count++] = b;
+	bl_place(&topology, pool, &request, &out);
+	assert_int_equal(out.verdict, BL_REFUSE);
+	assert_string_equal(out.reason, "no_target");
+	assert_true(out.retry_after_us > 0);
+	bl_pool_free(pool);
+}
+
+/* Refused connections: others first, but better that target than none. */
+static void
+test_unreached(void **state)
+{
+	struct bl_pool *pool = bl_pool_create("p");
+	struct bl_target *a = add(pool, "a", 0, 4);
+	struct bl_target *b = add(pool, "b", 0, 4);
+	struct bl_request request = request_at(START_US);
+	struct bl_placement out;
+	int i;
+
+	(void)state;
+	bl_started(a, START_US);
+	bl_ended(a, BL_UNREACHED, 0, START_US);
+	for (i = 0; i < 50; i++) {
+		request.tie = (uint64_t)i;
+		bl_place(&topology, pool, &request, &out);
+		assert_ptr_equal(out.target, b);
+	}
+	bl_pool_remove(pool, b);
+	bl_place(&topology, pool, &request, &out);
+	assert_int_equal(out.verdict, BL_SEND);
+	assert_ptr_equal(out.target, a);
+	bl_pool_free(pool);
+}
+
+/* A full pool: wait while it pays, then refuse, never hold to the end. */
+static void
+test_full(void **state)
+{
+	struct bl_pool *pool = bl_pool_create("p");
+	struct bl_target *a = add(pool, "a", 0, 2);
+	struct bl_request request = request_at(START_US);
+	struct bl_placement out;
+	int i;
+
+	(void)state;
+	for (i = 0; i < 3; i++)
+		bl_started(a, START_US);
+	bl_place(&topology, pool, &request, &out);
+	assert_int_equal(out.verdict, BL_WAIT);
+	request.may_wait = false;
+	bl_place(&topology, pool, &request, &out);
+	assert_int_equal(out.verdict, BL_REFUSE);
+	request.may_wait = true;
+	request.deadline_us = START_US + 20 * MS;
+	bl_place(&topology, pool, &request, &out);
+	assert_int_equal(out.verdict, BL_REFUSE);
+	assert_in_range(out.retry_after_us, 50 * MS, 3000 * MS);
+	bl_pool_free(pool);
+}
+
+/* Repeats of all VMs together stay within the fleet's budget. */
+static void
+test_budget(void **state)
+{
+	const struct bl_budget_terms terms = {
+	    .ratio = 0.2, .slack = 60, .window_us = 10000 * MS, .members = 6};
+	struct bl_pool *pools[6];
+	uint32_t sent[200] = {0};
+	int second, vm, i;
+
+	(void)state;
+	for (vm = 0; vm < 6; vm++)
+		pools[vm] = bl_pool_create("p");
+	for (second = 0; second < 60; second++) {
+		for (vm = 0; vm < 6; vm++) {
+			int64_t now_us = START_US + second * INT64_C(1000000);
+
+			for (i = 0; i < 10; i++) {
+				bl_count_request(pools[vm], &terms, now_us);
+				sent[second] +=
+				    bl_may_retry(pools[vm], &terms, now_us);
+				sent[second] +=
+				    bl_may_retry(pools[vm], &terms, now_us);
+			}
+		}
+	}
+	for (second = 10; second < 60; second++) {
+		uint32_t window = 0;
+
+		for (i = 0; i < 10; i++)
+			window += sent[second - i];
+		assert_true(window <= 0.2 * 600 + 60);
+		assert_true(window >= 0.5 * (0.2 * 600 + 60));
+	}
+	for (vm = 0; vm < 6; vm++)
+		bl_pool_free(pools[vm]);
+}
+
+static void
+test_poison(void **state)
+{
+	static struct bl_poison poison;
+	int64_t now_us = START_US;
+	uint64_t i;
+
+	(void)state;
+	assert_false(bl_is_poison(&poison, 7, now_us));
+	bl_crashed(&poison, 7, now_us);
+	assert_false(bl_is_poison(&poison, 7, now_us));
+	bl_crashed(&poison, 7, now_us);
+	assert_true(bl_is_poison(&poison, 7, now_us));
+	assert_false(bl_is_poison(&poison, 8, now_us));
+	for (i = 100; i < 100 + BL_SUSPECTS_MAX - 1; i++)
+		bl_crashed(&poison, i, now_us + 1);
+	assert_true(bl_is_poison(&poison, 7, now_us));
+	assert_false(bl_is_poison(&poison, 7, now_us + 61000 * MS));
+}
+
+/* Shares follow the weights, also over short stretches. */
+static void
+test_weights(void **state)
+{
+	static const uint32_t weights[][3] = {
+	    {90, 10, 0}, {50, 50, 0}, {1, 2, 3}, {7, 8, 0}, {98, 1, 1}};
+	size_t w;
+
+	(void)state;
+	for (w = 0; w < sizeof(weights) / sizeof(weights[0]); w++) {
+		struct rt_route route = {.backend_count = 3};
+		uint32_t got[3] = {0}, total = 0, i;
+		uint64_t n;
+
+		for (i = 0; i < 3; i++) {
+			route.backends[i].weight = weights[w][i];
+			total += weights[w][i];
+		}
+		for (n = 1000; n < 1100; n++)
+			got[bl_pick_backend(&route, n)]++;
+		for (i = 0; i < 3; i++) {
+			double share = weights[w][i] / (double)total;
+
+			assert_true(got[i] / 100.0 < share + 0.04);
+			assert_true(got[i] / 100.0 > share - 0.04);
+		}
+	}
+}
+
+/* A target that fails gets less work, and more again once it is well. */
+static void
+test_failing_target(void **state)
+{
+	struct bl_pool *pool = bl_pool_create("p");
+	struct bl_target *bad = add(pool, "bad", 0, 4);
+	struct bl_target *good = add(pool, "good", 0, 4);
+	struct bl_request request = request_at(START_US);
+	struct bl_placement out;
+	int i;
+
+	(void)state;
+	for (i = 0; i < 5; i++) {
+		bl_started(bad, START_US);
+		bl_ended(bad, BL_FAILED, 5 * MS, START_US);
+	}
+	bl_place(&topology, pool, &request, &out);
+	assert_ptr_equal(out.target, good);
+	request = request_at(START_US + 60000 * MS);
+	for (i = 0; i < 64; i++) {
+		request.tie = (uint64_t)i;
+		bl_place(&topology, pool, &request, &out);
+		if (out.target == bad)
+			break;
+	}
+	assert_true(i < 64);
+	bl_pool_free(pool);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_steps),
+	    cmocka_unit_test(test_fast_target_first),
+	    cmocka_unit_test(test_stale_targets_are_asked),
+	    cmocka_unit_test(test_region_first),
+	    cmocka_unit_test(test_leaving_and_tried_are_left_out),
+	    cmocka_unit_test(test_unreached),
+	    cmocka_unit_test(test_full),
+	    cmocka_unit_test(test_budget),
+	    cmocka_unit_test(test_poison),
+	    cmocka_unit_test(test_weights),
+	    cmocka_unit_test(test_failing_target),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/unit/test_platform.c
@@ -0,0 +1,327 @@
+/* Tables of good and bad input for everything that platform/ reads. */
+#include <arpa/inet.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#include "../../platform/platform.h"
+
+#define INFO                                                             \
+	"\"info\":{\"service\":\"s\",\"version\":\"v1\",\"zone\":\"z\"," \
+	"\"slots\":4}"
+#define STATUS                                                            \
+	"\"status\":{\"state\":\"ready\",\"sequence\":4,\"warmup_left\":" \
+	"\"0ms\"}"
+#define SPEC(rest)                                                         \
+	"{\"metadata\":{\"name\":\"i\"},\"spec\":{\"address\":\"10.0.0.9:" \
+	"80\"," rest "}}"
+
+struct target_case {
+	const char *name;
+	const char *object;
+	const char *fault; /* NULL: it is read */
+};
+
+static const struct target_case target_cases[] = {
+    {"whole", SPEC(INFO "," STATUS ",\"born\":1700000000000"), NULL},
+    {"status on a path of its own",
+	"{\"spec\":{\"address\":\"10.0.0.9:80\"," INFO "}," STATUS "}", NULL},
+    {"no birth", SPEC(INFO "," STATUS), NULL},
+    {"a birth that is no number", SPEC(INFO "," STATUS ",\"born\":\"x\""),
+	"born"},
+    {"an unknown state",
+	SPEC(
+	    INFO ",\"status\":{\"state\":\"sleeping\",\"warmup_left\":\"0s\"}"),
+	"status.state"},
+    {"no status", SPEC(INFO), "status.state"},
+    {"a number as state",
+	SPEC(INFO ",\"status\":{\"state\":1,\"warmup_left\":\"0s\"}"),
+	"status.state"},
+    {"no service", SPEC("\"info\":{\"zone\":\"z\",\"slots\":4}," STATUS),
+	"info.service"},
+    {"no zone", SPEC("\"info\":{\"service\":\"s\",\"slots\":4}," STATUS),
+	"info.zone"},
+    {"no slots", SPEC("\"info\":{\"service\":\"s\",\"zone\":\"z\"}," STATUS),
+	"info.slots"},
+    {"text as slots",
+	SPEC("\"info\":{\"service\":\"s\",\"zone\":\"z\",\"slots\":\"4\"}"
+	     "," STATUS),
+	"info.slots"},
+    {"negative slots",
+	SPEC(
+	    "\"info\":{\"service\":\"s\",\"zone\":\"z\",\"slots\":-4}," STATUS),
+	"info.slots"},
+    {"no port", "{\"spec\":{\"address\":\"10.0.0.9\"," INFO "," STATUS "}}",
+	"address"},
+    {"a name as address",
+	"{\"spec\":{\"address\":\"host:80\"," INFO "," STATUS "}}", "address"},
+    {"a port out of range",
+	"{\"spec\":{\"address\":\"10.0.0.9:99999\"," INFO "," STATUS "}}",
+	"address"},
+    {"a duration without a unit",
+	SPEC(INFO ",\"status\":{\"state\":\"ready\",\"warmup_left\":\"5\"}"),
+	"status.warmup_left"},
+    {"cut short", "{\"spec\":{\"address\":\"10.0.0.9:80\",", "info.service"},
+    {"no object", "[1]", "info.service"},
+    {"nothing", "", "info.service"},
+};
+
+static void
+test_targets(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(target_cases) / sizeof(target_cases[0]); i++) {
+		const struct target_case *row = &target_cases[i];
+		char fault[PL_TEXT_BYTES_MAX] = "";
+		struct pl_target target;
+		int error = pl_read_target("i", row->object, &target, fault);
+
+		if ((error == CS_OK) != (row->fault == NULL) ||
+		    (row->fault != NULL && strcmp(fault, row->fault) != 0))
+			fail_msg("%s: %d \"%s\"", row->name, error, fault);
+	}
+}
+
+static void
+test_target_fields(void **state)
+{
+	char fault[PL_TEXT_BYTES_MAX];
+	struct pl_target target;
+
+	(void)state;
+	assert_int_equal(
+	    pl_read_target("i",
+		SPEC(INFO ",\"born\":17,\"status\":{\"state\":\"draining\","
+			  "\"warmup_left\":\"2.5s\"}"),
+		&target, fault),
+	    CS_OK);
+	assert_string_equal(target.id, "i");
+	assert_string_equal(target.pool, "s");
+	assert_string_equal(target.data_centre, "z");
+	assert_int_equal(ntohs(target.address.sin_port), 80);
+	assert_int_equal(target.slots, 4);
+	assert_int_equal(target.born_ms, 17);
+	assert_int_equal(target.cold_ms, 2500);
+	assert_true(target.leaving);
+}
+
+#define LIMITS                                                       \
+	"\"limits\":{\"header_bytes\":16384,\"body_bytes\":1048576," \
+	"\"header_timeout\":\"3000ms\",\"idle_timeout\":\"15s\"}"
+#define CLUSTERS                                                     \
+	"\"clusters\":[{\"name\":\"a\",\"health_path\":\"/health\"," \
+	"\"max_conns\":220},{\"name\":\"b\",\"health_path\":\"/h\"}]"
+#define RULE(kind, action)                                              \
+	"{\"name\":\"r\",\"kind\":\"" kind "\",\"target_latency\":"     \
+	"\"200ms\",\"priority\":2,\"match\":{\"path_prefix\":\"/p/\"}," \
+	"\"action\":{" action "}}"
+#define ACTION "\"service\":\"a\",\"timeout\":\"1s\",\"max_attempts\":2"
+#define CONFIG(rules)                                                   \
+	"{\"spec\":{\"version\":7," LIMITS ",\"listeners\":[{\"host\":" \
+	"\"H.example\",\"rules\":[" rules "]}]," CLUSTERS "}}"
+
+struct config_case {
+	const char *name;
+	const char *object;
+	bool good;
+};
+
+static const struct config_case config_cases[] = {
+    {"whole", CONFIG(RULE("safe", ACTION)), true},
+    {"no rules", CONFIG(""), true},
+    {"weights",
+	CONFIG(RULE("unsafe",
+	    "\"backends\":[{\"service\":\"a\",\"weight\":90},{\"service\":"
+	    "\"b\",\"weight\":10}],\"timeout\":\"1s\",\"max_attempts\":2")),
+	true},
+    {"an unknown kind", CONFIG(RULE("often", ACTION)), false},
+    {"no timeout", CONFIG(RULE("safe", "\"service\":\"a\"")), false},
+    {"an unknown cluster",
+	CONFIG(RULE("safe", "\"service\":\"c\",\"timeout\":\"1s\"")), false},
+    {"the same prefix twice",
+	CONFIG(RULE("safe", ACTION) "," RULE("unsafe", ACTION)), false},
+    {"weights of zero alone",
+	CONFIG(RULE("safe", "\"backends\":[{\"service\":\"a\",\"weight\":0}],"
+			    "\"timeout\":\"1s\"")),
+	false},
+    {"no version", "{\"spec\":{" LIMITS "," CLUSTERS "}}", false},
+    {"no limits", "{\"spec\":{\"version\":7," CLUSTERS "}}", false},
+    {"cut short", "{\"spec\":{\"version\":7,", false},
+};
+
+static void
+test_configs(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(config_cases) / sizeof(config_cases[0]); i++) {
+		const struct config_case *row = &config_cases[i];
+		char fault[PL_TEXT_BYTES_MAX] = "";
+		struct rt_table *table = NULL;
+		int error = pl_read_table(row->object, &table, fault);
+
+		if ((error == CS_OK) != row->good)
+			fail_msg("%s: %d \"%s\"", row->name, error, fault);
+		rt_table_drop(table);
+	}
+}
+
+static void
+test_config_fields(void **state)
+{
+	char fault[PL_TEXT_BYTES_MAX];
+	struct rt_table *table;
+	const struct rt_route *route;
+
+	(void)state;
+	assert_int_equal(
+	    pl_read_table(CONFIG(RULE("unsafe", ACTION)), &table, fault),
+	    CS_OK);
+	assert_int_equal(table->version, 7);
+	assert_int_equal(table->limits.head_timeout_ms, 3000);
+	assert_int_equal(table->limits.idle_timeout_ms, 15000);
+	route = rt_table_find(table, "h.EXAMPLE:80", "/p/x?y=/z/");
+	assert_non_null(route);
+	assert_int_equal(route->kind, RT_ONCE);
+	assert_int_equal(route->timeout_ms, 1000);
+	assert_int_equal(route->objective_ms, 200);
+	assert_int_equal(route->attempts_max, 2);
+	assert_int_equal(route->priority, 2);
+	assert_null(rt_table_find(table, "h.example", "/p"));
+	assert_null(rt_table_find(table, "g.example", "/p/x"));
+	rt_table_drop(table);
+}
+
+static const char settings_text[] =
+    "{\"node_name\":\"vm-1\",\"zone\":\"z1\",\"region\":\"r1\","
+    "\"zones\":{\"z1\":\"r1\",\"z2\":\"r2\"},"
+    "\"listen\":{\"front\":\"10.1.0.34:8548\",\"ready\":\"10.1.0.34:8542\","
+    "\"directory\":\"10.1.0.34:8546\"},\"internal_ports\":[7540,7555],"
+    "\"seeds\":[\"10.1.0.35:8544\",\"bad\"],\"data_dir\":null,"
+    "\"limits\":{\"memory_mb\":260,\"max_fds\":4100},"
+    "\"bounds\":[\"grace=6s\",\"retry_budget_ratio=0.2\",\"new=1\","
+    "\"retry_budget_slack=58\",\"ttl_max=5s\",\"probes_per_s=60\"],"
+    "\"platform\":{\"address\":\"10.200.1.7:8541\"}}";
+
+static int
+read_settings(const char *text, struct pl_settings *out, char *fault)
+{
+	char path[] = "/tmp/chervilshelf-settings-XXXXXX";
+	int file = mkstemp(path), error;
+
+	assert_true(file >= 0);
+	assert_int_equal(
+	    write(file, text, strlen(text)), (ssize_t)strlen(text));
+	close(file);
+	error = pl_settings_read(path, out, fault);
+	unlink(path);
+	return error;
+}
+
+static void
+test_settings(void **state)
+{
+	static const char *const needed[] = {"node_name", "zone\"", "region",
+	    "zones", "front", "ready", "directory", "internal_ports",
+	    "address"};
+	char fault[PL_TEXT_BYTES_MAX];
+	struct pl_settings settings;
+	size_t i;
+
+	(void)state;
+	assert_int_equal(read_settings(settings_text, &settings, fault), CS_OK);
+	assert_int_equal(settings.grace_ms, 6000);
+	assert_int_equal(settings.place_count, 2);
+	assert_int_equal(settings.seed_count, 1);
+	assert_int_equal(ntohs(settings.seeds[0].sin_port), 7540);
+	assert_int_equal(ntohs(settings.fleet.sin_port), 7540);
+	assert_true(settings.retry_slack == 58);
+	for (i = 0; i < sizeof(needed) / sizeof(needed[0]); i++) {
+		char text[sizeof(settings_text)], *at;
+
+		strcpy(text, settings_text);
+		at = strstr(text, needed[i]);
+		*at = 'X'; /* the field has another name */
+		assert_int_equal(
+		    read_settings(text, &settings, fault), CS_E_INVALID);
+		assert_non_null(strstr(fault, "missing or not valid"));
+	}
+	assert_int_equal(
+	    pl_settings_read("/tmp/none", &settings, fault), CS_E_MISSING);
+}
+
+static void
+test_durations(void **state)
+{
+	int64_t ms = -1;
+
+	(void)state;
+	assert_int_equal(pl_duration_ms("1500ms", &ms), CS_OK);
+	assert_int_equal(ms, 1500);
+	assert_int_equal(pl_duration_ms("2.5s", &ms), CS_OK);
+	assert_int_equal(ms, 2500);
+	assert_int_equal(pl_duration_ms("2", &ms), CS_E_INVALID);
+	assert_int_equal(pl_duration_ms("s", &ms), CS_E_INVALID);
+	assert_int_equal(pl_duration_ms("-1s", &ms), CS_E_INVALID);
+	assert_int_equal(pl_duration_ms("1min", &ms), CS_E_INVALID);
+}
+
+static void
+test_loads(void **state)
+{
+	struct bl_load load;
+
+	(void)state;
+	assert_true(pl_dialect.parse_load("3,1,8", &load));
+	assert_int_equal(load.slowness_pct, 100);
+	assert_true(pl_dialect.parse_load("3,1,8,250", &load));
+	assert_int_equal(load.slowness_pct, 250);
+	assert_int_equal(load.waiting, 1);
+	assert_false(pl_dialect.parse_load("3,1", &load));
+	assert_false(pl_dialect.parse_load("busy", &load));
+}
+
+static void
+test_members(void **state)
+{
+	struct pl_member one = {.data_centre = "z1", .region = "r1"}, out;
+	char object[512], *spec;
+
+	(void)state;
+	uv_ip4_addr("10.1.0.3", 7540, &one.fleet);
+	spec = pl_write_member(&one);
+	snprintf(object, sizeof(object), "{\"spec\":%s}", spec);
+	free(spec);
+	assert_int_equal(pl_read_member("vm-3", object, &out), CS_OK);
+	assert_string_equal(out.region, "r1");
+	assert_int_equal(ntohs(out.fleet.sin_port), 7540);
+	assert_int_equal(
+	    pl_read_member("vm-3", "{\"spec\":{}}", &out), CS_E_INVALID);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_targets),
+	    cmocka_unit_test(test_target_fields),
+	    cmocka_unit_test(test_configs),
+	    cmocka_unit_test(test_config_fields),
+	    cmocka_unit_test(test_settings),
+	    cmocka_unit_test(test_durations),
+	    cmocka_unit_test(test_loads),
+	    cmocka_unit_test(test_members),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/unit/test_store.c
@@ -0,0 +1,332 @@
+/*
+ * Contract of lib/store against a scripted store: lists, watches, gaps,
+ * refusals; and of its cache.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "../../lib/h1/h1.h"
+#include "../../lib/store/cache.h"
+#include "../../platform/platform.h"
+
+#define TURNS_MAX 100000 /* of the loop, before a test counts as stuck */
+#define CALLS_MAX 32
+
+#define ITEM(name, revision)                                          \
+	"{\"metadata\":{\"name\":\"" name "\",\"revision\":" revision \
+	"},\"spec\":{\"v\":1}}"
+#define LIST(items, revision) \
+	"{\"items\":[" items "],\"more\":false,\"store_revision\":" revision "}"
+#define EVENTS(events, revision) \
+	"{\"events\":[" events "],\"store_revision\":" revision "}"
+#define CHANGED(name, revision) \
+	"{\"deleted\":false,\"object\":" ITEM(name, revision) "}"
+#define DELETED(name, revision) \
+	"{\"deleted\":true,\"object\":" ITEM(name, revision) "}"
+
+/* What the store does with the next call for the kind. */
+struct reply {
+	int status; /* 0: fails and closes; -1: never answers */
+	const char *body;
+};
+
+struct setting {
+	uv_loop_t loop;
+	struct h1_server *server;
+	struct st_client *client;
+	uv_timer_t tick;
+	const struct reply *replies;
+	uint32_t reply_count;
+	uint32_t calls;
+	char paths[CALLS_MAX][ST_PATH_BYTES_MAX];
+	struct h1_conn *waiting;
+	char told[512]; /* what the client reported, in order */
+};
+
+static void
+on_store_request(struct h1_conn *conn, const struct h1_message *request)
+{
+	struct setting *setting = h1_conn_user(conn);
+	const struct reply *reply;
+
+	if (strstr(h1_target(request), "allow_stale") != NULL) {
+		h1_conn_reply(conn, 200, "application/json", "{}");
+		return;
+	}
+	if (setting->calls < CALLS_MAX)
+		strcpy(setting->paths[setting->calls], h1_target(request));
+	reply = setting->calls < setting->reply_count
+		    ? &setting->replies[setting->calls]
+		    : NULL;
+	setting->calls++;
+	if (reply == NULL || reply->status < 0)
+		return;
+	if (reply->status == 0)
+		h1_conn_answer(
+		    conn, &(struct h1_answer){.status = 500, .close = true});
+	else
+		h1_conn_reply(
+		    conn, reply->status, "application/json", reply->body);
+}
+
+static void
+on_store_gone(struct h1_conn *conn)
+{
+	(void)conn;
+}
+
+static void
+tell(struct setting *setting, const char *what, const struct st_batch *batch)
+{
+	size_t used = strlen(setting->told);
+	uint32_t i;
+
+	used +=
+	    (size_t)snprintf(setting->told + used, sizeof(setting->told) - used,
+		"%s@%llu", what, (unsigned long long)batch->revision);
+	for (i = 0; i < batch->count; i++)
+		used += (size_t)snprintf(setting->told + used,
+		    sizeof(setting->told) - used, " %s%s",
+		    batch->changes[i].gone ? "-" : "+", batch->changes[i].name);
+	snprintf(setting->told + used, sizeof(setting->told) - used, "; ");
+}
+
+static void
+on_snapshot(void *user, uint32_t kind, const struct st_batch *batch)
+{
+	(void)kind;
+	tell(user, "all", batch);
+}
+
+static void
+on_changes(void *user, uint32_t kind, const struct st_batch *batch)
+{
+	(void)kind;
+	tell(user, "new", batch);
+}
+
+static void
+on_reach(void *user, bool reached, const char *reason)
+{
+	(void)user;
+	(void)reached;
+	(void)reason;
+}
+
+static void
+on_tick(uv_timer_t *timer)
+{
+	(void)timer;
+}
+
+static void
+run_until_calls(struct setting *setting, uint32_t calls)
+{
+	uint32_t turns = 0;
+
+	while (setting->calls < calls) {
+		if (++turns > TURNS_MAX)
+			fail_msg("stuck after %u calls", setting->calls);
+		uv_run(&setting->loop, UV_RUN_ONCE);
+	}
+}
+
+static void
+set_up(struct setting *setting, const struct reply *replies, uint32_t count)
+{
+	static const struct h1_server_events server_events = {
+	    .on_request = on_store_request, .on_gone = on_store_gone};
+	static const struct st_events events = {.on_snapshot = on_snapshot,
+	    .on_changes = on_changes,
+	    .on_reach = on_reach};
+	struct h1_server_params server = {
+	    .loop = &setting->loop,
+	    .limits = {65536, 65536},
+	    .head_timeout_ms = 60000,
+	    .idle_timeout_ms = 60000,
+	    .connections_max = 64,
+	    .bodies_bytes_max = 1 << 20,
+	    .events = &server_events,
+	    .user = setting,
+	};
+	struct st_params params = {
+	    .loop = &setting->loop,
+	    .codec = &pl_codec,
+	    .events = &events,
+	    .user = setting,
+	    .kind_count = 1,
+	    .kinds = {"servers"},
+	    .own_kind = "own",
+	    .own_name = "vm",
+	    .seed = 1,
+	};
+
+	*setting = (struct setting){.replies = replies, .reply_count = count};
+	uv_loop_init(&setting->loop);
+	uv_timer_init(&setting->loop, &setting->tick);
+	uv_timer_start(&setting->tick, on_tick, 5, 5);
+	uv_ip4_addr("127.0.0.1", 0, &server.address);
+	assert_int_equal(h1_server_create(&server, &setting->server), CS_OK);
+	uv_ip4_addr(
+	    "127.0.0.1", h1_server_port(setting->server), &params.address);
+	assert_int_equal(st_client_create(&params, &setting->client), CS_OK);
+	st_client_follow(setting->client, true);
+}
+
+struct follow_case {
+	const char *name;
+	struct reply replies[6];
+	uint32_t count;
+	const char *told;
+	const char *last_path; /* of the call after the replies */
+};
+
+static const struct follow_case follow_cases[] = {
+    {"lists, then watches from there", {{200, LIST(ITEM("a", "4"), "9")}}, 1,
+	"all@9 +a; ", "/objects/servers?watch=9&wait_ms=25000"},
+    {"pages are one snapshot, watched from the first page on",
+	{{200, "{\"items\":[" ITEM("a", "4") "],\"more\":true,"
+					     "\"store_revision\":9}"},
+	    {200, LIST(ITEM("b", "8"), "11")}},
+	2, "all@9 +a +b; ", "/objects/servers?watch=9&wait_ms=25000"},
+    {"events, then watches from their revision",
+	{{200, LIST("", "9")},
+	    {200, EVENTS(CHANGED("a", "10") "," DELETED("b", "3"), "12")}},
+	2, "all@9; new@12 +a -b; ", "/objects/servers?watch=12&wait_ms=25000"},
+    {"history gone: lists anew",
+	{{200, LIST("", "9")}, {410, "{}"}, {200, LIST(ITEM("a", "10"), "11")}},
+	3, "all@9; all@11 +a; ", "/objects/servers?watch=11&wait_ms=25000"},
+    {"a watch that was cut is not resumed", {{200, LIST("", "9")}, {0, NULL}},
+	2, "all@9; ", "/objects/servers"},
+    {"refused with 429, then 503: tries again",
+	{{429, "{}"}, {503, "{}"}, {200, LIST("", "9")}}, 3, "all@9; ",
+	"/objects/servers?watch=9&wait_ms=25000"},
+    {"not JSON: lists anew", {{200, LIST("", "9")}, {200, "<html>"}}, 2,
+	"all@9; ", "/objects/servers"},
+    {"an object without a name is left out",
+	{{200, LIST("{\"metadata\":{}}," ITEM("a", "4"), "9")}}, 1,
+	"all@9 +a; ", "/objects/servers?watch=9&wait_ms=25000"},
+};
+
+static void
+test_follow(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(follow_cases) / sizeof(follow_cases[0]); i++) {
+		const struct follow_case *row = &follow_cases[i];
+		static struct setting setting;
+
+		set_up(&setting, row->replies, row->count);
+		run_until_calls(&setting, row->count + 1);
+		if (strcmp(setting.told, row->told) != 0 ||
+		    strcmp(setting.paths[row->count], row->last_path) != 0)
+			fail_msg("%s: told \"%s\", then asked \"%s\"",
+			    row->name, setting.told, setting.paths[row->count]);
+		st_client_close(setting.client);
+	}
+}
+
+static struct st_change
+object(const char *name, uint64_t revision, bool gone)
+{
+	struct st_change change = {
+	    .revision = revision, .gone = gone, .text = "{}", .text_length = 2};
+
+	cs_copy_text(change.name, sizeof(change.name), name);
+	return change;
+}
+
+static uint32_t
+take(struct st_cache *cache, bool whole, uint64_t revision,
+    struct st_change *changes, uint32_t count)
+{
+	struct st_batch batch = {
+	    .changes = changes, .count = count, .revision = revision};
+	struct st_batch out;
+	int error = whole ? st_cache_snapshot(cache, 0, &batch, &out)
+			  : st_cache_changes(cache, 0, &batch, &out);
+	uint32_t news = error == CS_OK ? out.count : 99;
+
+	free(out.changes);
+	return news;
+}
+
+static void
+test_cache(void **state)
+{
+	struct st_cache *cache = st_cache_create();
+	struct st_change two[] = {object("a", 3, false), object("b", 4, false)};
+	struct st_change old[] = {object("a", 2, false)};
+	struct st_change newer[] = {object("a", 7, false)};
+	struct st_change gone[] = {object("b", 8, true)};
+	struct st_batch since;
+	bool whole;
+
+	(void)state;
+	assert_int_equal(take(cache, true, 5, two, 2), 2);
+	assert_int_equal(take(cache, true, 5, two, 2), 0);
+	assert_int_equal(take(cache, false, 6, old, 1), 0);
+	assert_int_equal(take(cache, false, 7, newer, 1), 1);
+	assert_int_equal(take(cache, false, 8, gone, 1), 1);
+	assert_int_equal(take(cache, false, 8, gone, 1), 0);
+	/* An older snapshot never takes anything back. */
+	assert_int_equal(take(cache, true, 5, two, 2), 99);
+	assert_int_equal(st_cache_revision(cache, 0), 8);
+
+	assert_int_equal(st_cache_since(cache, 0, 6, &since, &whole), CS_OK);
+	assert_false(whole);
+	assert_int_equal(since.count, 2); /* a changed, b went */
+	free(since.changes);
+	/* What went before the first snapshot is not known. */
+	assert_int_equal(st_cache_since(cache, 0, 4, &since, &whole), CS_OK);
+	assert_true(whole);
+	assert_int_equal(since.count, 1);
+	free(since.changes);
+
+	/* A snapshot tells removals by what it lacks. */
+	assert_int_equal(take(cache, true, 9, newer, 0), 1);
+	st_cache_free(cache);
+}
+
+/* An object that came back is not taken for the one that went. */
+static void
+test_cache_recreated(void **state)
+{
+	struct st_cache *cache = st_cache_create();
+	struct st_change first[] = {object("a", 3, false)};
+	struct st_change again[] = {
+	    object("a", 9, true), object("a", 8, false)};
+	struct st_batch since;
+	bool whole;
+
+	(void)state;
+	take(cache, true, 5, first, 1);
+	assert_int_equal(take(cache, false, 9, again, 2), 2);
+	assert_int_equal(st_cache_since(cache, 0, 6, &since, &whole), CS_OK);
+	assert_int_equal(since.count, 1);
+	assert_false(since.changes[0].gone);
+	free(since.changes);
+	st_cache_free(cache);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_follow),
+	    cmocka_unit_test(test_cache),
+	    cmocka_unit_test(test_cache_recreated),
+	};
+
+	cs_log_open("error");
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
