Placement by value: chance to be in time, less what transfer takes

Change: each target has a value, the chance to answer within the objective less failures and transfer between data centres (0.1) and regions (0.3); one choice over all regions in place of near and far lists.

--- a/lib/balance/place.c
+++ b/lib/balance/place.c
@@ -4,7 +4,7 @@
  * is fast now matters more than what is idle. Targets in this VM's region come
  * first; others serve when all of these would be late.
  */
-#include <string.h>
+#include <math.h>
 
 #include "balance_internal.h"
 
@@ -17,10 +17,25 @@
 #define KNEE_X 1.6
 /* Requests queued at a target beyond its slots, which hide from choice. */
 #define QUEUED_MAX 1.0
-/* Targets whose expected times differ by less are alike. */
-#define ALIKE 0.05
-/* Requests in another region cost transfer; they must save this much. */
-#define FAR_GAIN_US 20000
+/* Targets whose values differ by less are alike. */
+#define ALIKE 0.01
+
+/*
+ * How likely an answer is in time when it is expected after this share of the
+ * objective: times scatter by about a third, and neighbours change meanwhile.
+ */
+#define EVEN_CHANCE_AT 0.9
+#define CHANCE_WIDTH 0.15
+/* What an answer after the objective is still worth. */
+#define LATE_VALUE 0.1
+/* Prefers the faster of two that would both be in time. */
+#define HASTE 0.1
+/*
+ * What transfer takes from the value of a call: between data centres of a
+ * region, and between regions, where it is billed by volume.
+ */
+#define NEARBY_COST 0.1
+#define FAR_COST 0.3
 
 #define RETRY_AFTER_LEAST_US 50000
 #define RETRY_AFTER_MOST_US 2000000
@@ -28,14 +43,15 @@
 struct candidate {
 	struct bl_target *target;
 	int64_t expected_us;
-	double cost_us;
+	double value; /* of sending there, 1 at best */
 	bool full;
 	bool fresh;
 };
 
 struct choice {
-	struct candidate near, far;
-	struct candidate stale[BL_PROBES_MAX]; /* cheapest first */
+	struct candidate best;	  /* of those with room */
+	struct candidate nearest; /* best of the region, room or not */
+	struct candidate stale[BL_PROBES_MAX]; /* best first */
 	uint32_t stale_count;
 	uint32_t known; /* targets that may be used at all */
 	int64_t free_in_us;
@@ -70,18 +86,43 @@
 	return false;
 }
 
+static double
+transfer_cost(const struct bl_topology *topology, uint32_t place)
+{
+	if (place == topology->own)
+		return 0.0;
+	return topology->places[place].near ? NEARBY_COST : FAR_COST;
+}
+
+/* What an answer after expected_us is worth to the caller, 0 to 1. */
+static double
+value_of(const struct bl_request *request, int64_t expected_us, double failing)
+{
+	double aim_us = (double)(request->objective_us - request->now_us);
+	double share, in_time;
+
+	if (request->now_us + expected_us > request->deadline_us)
+		return 0.0;
+	if (aim_us < 1.0)
+		aim_us = 1.0;
+	share = (double)expected_us / aim_us;
+	in_time = 1.0 / (1.0 + exp((share - EVEN_CHANCE_AT) / CHANCE_WIDTH));
+	return (1.0 - failing) * (in_time + LATE_VALUE * (1.0 - in_time)) -
+	       HASTE * (share < 1.0 ? share : 1.0);
+}
+
 static struct candidate
 look_at(const struct bl_topology *topology, struct bl_target *target,
     const struct bl_request *request)
 {
 	int64_t expected_us = bl_expect(topology, target, request->now_us);
-	double left_us = (double)(request->deadline_us - request->now_us);
 
 	return (struct candidate){
 	    .target = target,
 	    .expected_us = expected_us,
-	    .cost_us = (double)expected_us +
-		       bl_failing(target, request->now_us) * left_us,
+	    .value = value_of(request, expected_us,
+			 bl_failing(target, request->now_us)) -
+		     transfer_cost(topology, target->place),
 	    .full = bl_busy(target, request->now_us) + 1 >
 		    target->slots + QUEUED_MAX,
 	    .fresh = target->load_us != 0 &&
@@ -99,12 +140,11 @@
 		return true;
 	if (a->full != b->full)
 		return b->full;
-	gap = (a->cost_us - b->cost_us) / (b->cost_us + 1.0);
-		if (gap > ALIKE || gap < -ALIKE)
-		return gap < 0;
+	gap = a->value - b->value;
+	if (gap > ALIKE || gap < -ALIKE)
+		return gap > 0;
 	if (a->fresh != b->fresh)
 		return a->fresh;
-
 	return cs_hash_pair(tie, (uint64_t)(uintptr_t)a->target) <
 	       cs_hash_pair(tie, (uint64_t)(uintptr_t)b->target);
 }
@@ -151,21 +191,25 @@
 		candidate = look_at(topology, target, request);
 		if (candidate.expected_us < choice->free_in_us)
 			choice->free_in_us = candidate.expected_us;
-		if (near && is_better(&candidate, &choice->near, request->tie))
-			choice->near = candidate;
-		if (!near && is_better(&candidate, &choice->far, request->tie))
-			choice->far = candidate;
+		if (near &&
+		    is_better(&candidate, &choice->nearest, request->tie))
+			choice->nearest = candidate;
+		if (!candidate.full &&
+		    is_better(&candidate, &choice->best, request->tie))
+			choice->best = candidate;
 		if (near)
 			add_stale(choice, &candidate, request);
 	}
 }
 
 static bool
-is_fast(const struct candidate *candidate, int64_t now_us)
+is_fast(const struct bl_topology *topology, const struct candidate *candidate,
+    int64_t now_us)
 {
 	const struct bl_target *target = candidate->target;
 
-	return target != NULL && candidate->fresh && !candidate->full &&
+	return target != NULL && candidate->fresh &&
+	       target->place == topology->own &&
 	       bl_slowness(target, now_us) <= FAST_ENOUGH &&
 	       (bl_busy(target, now_us) + 1) / target->slots <= KNEE_SHARE;
 }
@@ -206,30 +250,25 @@
 	out->reason = reason;
 }
 
-/* Picks among near and far once nothing is left to ask. */
+/* Picks once nothing is left to ask. */
 static void
 decide(const struct choice *choice, const struct bl_request *request,
     struct bl_placement *out)
 {
-	const struct candidate *near = &choice->near, *far = &choice->far;
-	int64_t aim_us = request->objective_us - request->now_us;
+	const struct candidate *best = &choice->best;
+	const struct candidate *nearest = &choice->nearest;
 	int64_t left_us = request->deadline_us - request->now_us;
-	bool near_open = near->target != NULL && !near->full;
-	bool far_open = far->target != NULL && !far->full;
-
-	if (near_open && near->expected_us <= aim_us) {
-		pick(near, "near", out);
-	} else if (far_open && far->expected_us <= aim_us &&
-		   (!near_open || far->cost_us + FAR_GAIN_US < near->cost_us)) {
-		pick(far, "far_in_time", out);
-	} else if (near_open && near->expected_us <= left_us) {
-		pick(near, "near_late", out);
-	} else if (near->target != NULL && request->may_wait &&
-		   near->expected_us <= left_us) {
+
+	if (best->target != NULL && best->expected_us <= left_us) {
+		pick(best,
+		    best->expected_us <= request->objective_us - request->now_us
+			? "in_time"
+			: "late",
+		    out);
+	} else if (nearest->target != NULL && nearest->full &&
+		   request->may_wait && nearest->expected_us <= left_us) {
 		out->verdict = BL_WAIT;
 		out->reason = "full";
-	} else if (far_open && far->expected_us <= left_us) {
-		pick(far, "far_late", out);
 	} else {
 		refuse(choice, request, "no_room", out);
 	}
@@ -249,7 +288,7 @@
 		refuse(&choice, request, "no_target", out);
 		return;
 	}
-	if (!is_fast(&choice.near, request->now_us)) {
+	if (!is_fast(topology, &choice.best, request->now_us)) {
 		if (request->asking) {
 			out->verdict = BL_ASK;
 			return;
