Heartbeats in 20 bytes between VMs that know each other; probes nearest first

Change: a pulse with boot, state and known revisions, every 800 ms, from the VM that follows the store every 400 ms; introductions only where it is not known. Targets of the own data centre are asked first, others when none is good.

--- a/lib/balance/balance.h
+++ b/lib/balance/balance.h
@@ -157,6 +157,7 @@
 	int64_t objective_us; /* answer by then is of full use */
 	int64_t deadline_us;  /* answer by then is of any use */
 	bool may_probe;
+
 	bool asking; /* answers to probes for it are still due */
 	bool may_wait;
 	const struct bl_target *tried[BL_TRIED_MAX];
--- a/lib/balance/place.c
+++ b/lib/balance/place.c
@@ -17,6 +17,8 @@
 #define KNEE_X 1.6
 /* Requests queued at a target beyond its slots, which hide from choice. */
 #define QUEUED_MAX 1.0
+/* Below it targets of the region's other data centres are asked as well. */
+#define GOOD_VALUE 0.75
 /* Targets whose values differ by less are alike. */
 #define ALIKE 0.01
 
@@ -48,11 +50,17 @@
 	bool fresh;
 };
 
+struct stale_list {
+	struct candidate entries[BL_PROBES_MAX];
+	uint32_t count;
+};
+
 struct choice {
 	struct candidate best;	  /* of those with room */
 	struct candidate nearest; /* best of the region, room or not */
-	struct candidate stale[BL_PROBES_MAX]; /* best first */
-	uint32_t stale_count;
+	/* Not heard of lately, best first: own data centre, others nearby. */
+	struct stale_list own, nearby;
+
 	uint32_t known; /* targets that may be used at all */
 	int64_t free_in_us;
 };
@@ -150,25 +158,25 @@
 }
 
 static void
-add_stale(struct choice *choice, const struct candidate *candidate,
+add_stale(struct stale_list *list, const struct candidate *candidate,
     const struct bl_request *request)
 {
-	uint32_t at = choice->stale_count;
+	uint32_t at = list->count;
 
 	if (candidate->fresh ||
 	    (!candidate->target->probing &&
 		request->now_us - candidate->target->probed_us < FRESH_US))
 		return;
 	while (at > 0 &&
-	       is_better(candidate, &choice->stale[at - 1], request->tie)) {
+	       is_better(candidate, &list->entries[at - 1], request->tie)) {
 		if (at < BL_PROBES_MAX)
-			choice->stale[at] = choice->stale[at - 1];
+			list->entries[at] = list->entries[at - 1];
 		at--;
 	}
 	if (at < BL_PROBES_MAX)
-		choice->stale[at] = *candidate;
-	if (choice->stale_count < BL_PROBES_MAX)
-		choice->stale_count++;
+		list->entries[at] = *candidate;
+	if (list->count < BL_PROBES_MAX)
+		list->count++;
 }
 
 static void
@@ -197,8 +205,10 @@
 		if (!candidate.full &&
 		    is_better(&candidate, &choice->best, request->tie))
 			choice->best = candidate;
-		if (near)
-			add_stale(choice, &candidate, request);
+		if (target->place == topology->own)
+			add_stale(&choice->own, &candidate, request);
+		else if (near)
+			add_stale(&choice->nearby, &candidate, request);
 	}
 }
 
@@ -215,14 +225,27 @@
 }
 
 static void
-ask(const struct choice *choice, struct bl_placement *out)
+ask(const struct stale_list *list, struct bl_placement *out)
 {
 	uint32_t i;
 
 	out->verdict = BL_ASK;
 	out->reason = "probing";
-	for (i = 0; i < choice->stale_count; i++)
-		out->probes[out->probe_count++] = choice->stale[i].target;
+	for (i = 0; i < list->count; i++)
+		out->probes[out->probe_count++] = list->entries[i].target;
+}
+
+/* Which targets to ask before deciding; NULL: none. */
+static const struct stale_list *
+worth_asking(const struct choice *choice, const struct bl_request *request)
+{
+	if (!request->may_probe)
+		return NULL;
+	if (choice->own.count > 0)
+		return &choice->own;
+	if (choice->nearby.count > 0 && choice->best.value < GOOD_VALUE)
+		return &choice->nearby;
+	return NULL;
 }
 
 static void
@@ -278,6 +301,7 @@
 bl_place(const struct bl_topology *topology, struct bl_pool *pool,
     const struct bl_request *request, struct bl_placement *out)
 {
+	const struct stale_list *list;
 	struct choice choice;
 
 	*out = (struct bl_placement){.verdict = BL_REFUSE};
@@ -293,10 +317,12 @@
 			out->verdict = BL_ASK;
 			return;
 		}
-		if (request->may_probe && choice.stale_count > 0) {
-			ask(&choice, out);
+		list = worth_asking(&choice, request);
+		if (list != NULL) {
+			ask(list, out);
 			return;
 		}
 	}
+
 	decide(&choice, request, out);
 }
--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -4,9 +4,10 @@
 
 #include "link.h"
 
-#define HEARTBEAT_MS 400
+#define HEARTBEAT_MS 400 /* of a VM that follows the store */
+#define CALM_EVERY 2	 /* the others send every second time */
 /* VMs that fell silent are called less often, so that they can return. */
-#define SILENT_EVERY 5
+#define SILENT_EVERY 6
 #define BACKLOG_MAX 512
 #define BEHIND_MAX 2 /* ticks, each a heartbeat apart */
 
@@ -51,7 +52,7 @@
 }
 
 static void
-fill_heartbeat(struct fleet *fleet, struct fl_frame *frame, bool introduce)
+fill_heartbeat(struct fleet *fleet, struct fl_frame *frame, bool asks)
 {
 	uint32_t i, count = 0;
 
@@ -60,9 +61,8 @@
 	frame->as.heartbeat.member = fleet->members.self;
 	memcpy(frame->as.heartbeat.region, fleet->params.region,
 	    sizeof(frame->as.heartbeat.region));
-	for (i = 0;
-	     introduce && i < fleet->members.count && count < FL_PEERS_MAX;
-	     i++) {
+	frame->as.heartbeat.asks = asks;
+	for (i = 0; i < fleet->members.count && count < FL_PEERS_MAX; i++) {
 		if (fleet->members.list[i].heard_us != 0)
 			frame->as.heartbeat.peers[count++] =
 			    fleet->members.list[i].fleet;
@@ -70,34 +70,50 @@
 	frame->as.heartbeat.peer_count = count;
 }
 
+static struct fl_frame
+pulse_of(struct fleet *fleet)
+{
+	const struct fl_member *self = &fleet->members.self;
+
+	return (struct fl_frame){
+	    .type = FL_FRAME_PULSE,
+	    .as.pulse = {.boot = self->boot,
+		.ready = self->ready,
+		.stopping = self->stopping,
+		.current = self->current,
+		.news = known_news(fleet)},
+	};
+}
+
 static void
-send_heartbeats(struct fleet *fleet)
+greet(struct fleet *fleet, const struct sockaddr_in *to, bool asks)
 {
 	struct fl_frame frame;
+
+	fill_heartbeat(fleet, &frame, asks);
+	send_datagram(fleet, &frame, to);
+}
+
+/* Short ones to those that live, introductions to those that may return. */
+static void
+send_heartbeats(struct fleet *fleet)
+{
+	struct fl_frame pulse = pulse_of(fleet);
 	int64_t now_us = cs_now_us();
 	uint32_t i;
 
-	fill_heartbeat(fleet, &frame, false);
 	for (i = 0; i < fleet->members.count; i++) {
 		const struct fl_member *member = &fleet->members.list[i];
 
 		if (!member->near)
 			continue;
-		if (fl_is_alive(member, now_us) ||
-		    (fleet->ticks + i) % SILENT_EVERY == 0)
-			send_datagram(fleet, &frame, &member->fleet);
+		if (fl_is_alive(member, now_us))
+			send_datagram(fleet, &pulse, &member->fleet);
+		else if ((fleet->ticks + i) % SILENT_EVERY == 0)
+			greet(fleet, &member->fleet, true);
 	}
 }
 
-static void
-greet(struct fleet *fleet, const struct sockaddr_in *to)
-{
-	struct fl_frame frame;
-
-	fill_heartbeat(fleet, &frame, true);
-	send_datagram(fleet, &frame, to);
-}
-
 /* Addresses of VMs that another one knows; whoever answers is a member. */
 static void
 greet_peers(struct fleet *fleet, const struct fl_frame *frame)
@@ -115,7 +131,7 @@
 		if (k == fleet->members.count &&
 		    memcmp(peer, &fleet->members.self.fleet, sizeof(*peer)) !=
 			0)
-			greet(fleet, peer);
+			greet(fleet, peer, true);
 	}
 }
 
@@ -130,16 +146,26 @@
 	member->near =
 	    strcmp(frame->as.heartbeat.region, fleet->params.region) == 0;
 	is_new = fl_members_heard(&fleet->members, member, cs_now_us());
-	if (is_new) {
+	if (is_new)
 		fleet->params.events->on_member(
 		    fleet->params.user, member, "joined");
-		greet(fleet, &member->fleet);
-	}
+	if (frame->as.heartbeat.asks)
+		greet(fleet, &member->fleet, false);
 	greet_peers(fleet, frame);
 	if (member->stopping || member->current)
 		judge(fleet);
 }
 
+static void
+on_pulse(struct fleet *fleet, const struct fl_frame *frame,
+    const struct sockaddr_in *from)
+{
+	if (!fl_members_pulse(&fleet->members, from, frame, cs_now_us()))
+		greet(fleet, from, true);
+	else if (frame->as.pulse.stopping || frame->as.pulse.current)
+		judge(fleet);
+}
+
 static void
 on_datagram(uv_udp_t *udp, ssize_t length, const uv_buf_t *buffer,
     const struct sockaddr *from, unsigned flags)
@@ -155,6 +181,9 @@
 	case FL_FRAME_HEARTBEAT:
 		on_heartbeat(fleet, &frame);
 		break;
+	case FL_FRAME_PULSE:
+		on_pulse(fleet, &frame, (const struct sockaddr_in *)from);
+		break;
 	case FL_FRAME_SUSPECT:
 		fleet->params.events->on_suspect(
 		    fleet->params.user, frame.as.suspect.fingerprint);
@@ -380,7 +409,8 @@
 	const struct fl_member *leader;
 
 	fleet->ticks++;
-	send_heartbeats(fleet);
+	if (fleet->members.self.current || fleet->ticks % CALM_EVERY == 0)
+		send_heartbeats(fleet);
 	fl_members_tick(&fleet->members, cs_now_us(), &leader);
 	check_source(fleet, leader);
 	judge(fleet);
@@ -392,7 +422,7 @@
 	struct fl_member *known = fl_members_learn(&fleet->members, member);
 
 	if (known != NULL && known->heard_us == 0 && known->near)
-		greet(fleet, &known->fleet);
+		greet(fleet, &known->fleet, true);
 }
 
 void
@@ -473,7 +503,7 @@
 		return CS_E_SYSTEM;
 	}
 	for (i = 0; i < params->seed_count; i++)
-		greet(fleet, &params->seeds[i]);
+		greet(fleet, &params->seeds[i], true);
 	uv_timer_start(&fleet->timer, on_tick, HEARTBEAT_MS / 4, HEARTBEAT_MS);
 	*out = fleet;
 	return CS_OK;
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -19,6 +19,8 @@
 #define FL_NAME_BYTES_MAX 64
 #define FL_MEMBERS_MAX 1024
 
+struct fl_frame;
+
 struct fl_member {
 	char name[FL_NAME_BYTES_MAX];
 	char data_centre[FL_NAME_BYTES_MAX];
@@ -28,10 +30,9 @@
 	bool near;		  /* in this VM's region */
 	bool ready;		  /* has a configuration, takes calls */
 	bool stopping;
-	bool current;	    /* follows the store and is up to date */
-	uint64_t news;	    /* sum of the revisions that it knows */
-	int64_t heard_us;   /* 0: never */
-	int64_t current_us; /* last heard to be current */
+	bool current;	  /* follows the store and is up to date */
+	uint64_t news;	  /* sum of the revisions that it knows */
+	int64_t heard_us; /* 0: never */
 };
 
 /* What this VM is to do about the store. */
@@ -68,6 +69,13 @@
 /* fl_members_heard(members, news, now): a heartbeat; true: a new process. */
 bool fl_members_heard(
     struct fl_members *members, const struct fl_member *news, int64_t now_us);
+/*
+ * fl_members_pulse(members, from, pulse, now): a short heartbeat. False when
+ * its sender is not known with this boot and has to introduce itself.
+ */
+bool fl_members_pulse(struct fl_members *members,
+    const struct sockaddr_in *from, const struct fl_frame *pulse,
+    int64_t now_us);
 bool fl_is_alive(const struct fl_member *member, int64_t now_us);
 /*
  * fl_members_tick(members, now): judges the role; *leader is the VM to listen
@@ -90,6 +98,7 @@
 	FL_FRAME_SUSPECT = 2, /* a request that crashed a target */
 	FL_FRAME_HELLO = 3,   /* what the listener knows of each kind */
 	FL_FRAME_NEWS = 4,
+	FL_FRAME_PULSE = 5, /* a heartbeat between VMs that know each other */
 };
 
 struct fl_news {
@@ -108,7 +117,13 @@
 			uint32_t peer_count;
 			struct sockaddr_in peers[FL_PEERS_MAX];
 			char region[FL_NAME_BYTES_MAX];
+			bool asks; /* to be answered with one */
 		} heartbeat;
+		struct {
+			uint64_t boot;
+			bool ready, stopping, current;
+			uint64_t news;
+		} pulse;
 		struct {
 			uint64_t fingerprint;
 		} suspect;
--- a/lib/fleet/frames.c
+++ b/lib/fleet/frames.c
@@ -35,14 +35,27 @@
 	pack_address(packer, &member->fleet);
 	pack_address(packer, &member->front);
 	msgpack_pack_uint64(packer, member->boot);
-	msgpack_pack_int(packer,
-	    member->ready | member->stopping << 1 | member->current << 2);
+	msgpack_pack_int(packer, member->ready | member->stopping << 1 |
+				     member->current << 2 |
+				     frame->as.heartbeat.asks << 3);
 	msgpack_pack_uint64(packer, member->news);
 	msgpack_pack_uint32(packer, frame->as.heartbeat.peer_count);
 	for (i = 0; i < frame->as.heartbeat.peer_count; i++)
 		pack_address(packer, &frame->as.heartbeat.peers[i]);
 }
 
+static void
+pack_pulse(msgpack_packer *packer, const struct fl_frame *frame)
+{
+	msgpack_pack_array(packer, 4);
+	msgpack_pack_int(packer, FL_FRAME_PULSE);
+	msgpack_pack_uint64(packer, frame->as.pulse.boot);
+	msgpack_pack_int(packer, frame->as.pulse.ready |
+				     frame->as.pulse.stopping << 1 |
+				     frame->as.pulse.current << 2);
+	msgpack_pack_uint64(packer, frame->as.pulse.news);
+}
+
 static void
 pack_news(msgpack_packer *packer, const struct fl_news *news)
 {
@@ -78,6 +91,9 @@
 	case FL_FRAME_HEARTBEAT:
 		pack_heartbeat(&packer, frame);
 		break;
+	case FL_FRAME_PULSE:
+		pack_pulse(&packer, frame);
+		break;
 	case FL_FRAME_SUSPECT:
 		msgpack_pack_array(&packer, 2);
 		msgpack_pack_int(&packer, frame->type);
@@ -166,6 +182,19 @@
 	};
 }
 
+static void
+read_pulse(struct cursor *cursor, struct fl_frame *out)
+{
+	uint64_t flags;
+
+	out->as.pulse.boot = read_number(cursor);
+	flags = read_number(cursor);
+	out->as.pulse.ready = (flags & 1) != 0;
+	out->as.pulse.stopping = (flags & 2) != 0;
+	out->as.pulse.current = (flags & 4) != 0;
+	out->as.pulse.news = read_number(cursor);
+}
+
 static void
 read_heartbeat(struct cursor *cursor, struct fl_frame *out)
 {
@@ -184,6 +213,8 @@
 	member->ready = (flags & 1) != 0;
 	member->stopping = (flags & 2) != 0;
 	member->current = (flags & 4) != 0;
+	out->as.heartbeat.asks = (flags & 8) != 0;
+
 	member->news = read_number(cursor);
 	out->as.heartbeat.peer_count = (uint32_t)read_number(cursor);
 	if (out->as.heartbeat.peer_count > FL_PEERS_MAX) {
@@ -248,6 +279,9 @@
 	case FL_FRAME_HEARTBEAT:
 		read_heartbeat(cursor, out);
 		break;
+	case FL_FRAME_PULSE:
+		read_pulse(cursor, out);
+		break;
 	case FL_FRAME_SUSPECT:
 		out->as.suspect.fingerprint = read_number(cursor);
 		break;
--- a/lib/fleet/members.c
+++ b/lib/fleet/members.c
@@ -9,9 +9,11 @@
 
 #include "fleet.h"
 
-#define SILENT_US 1300000    /* three heartbeats of 400 ms were missed */
-#define LATE_TICK_US 1000000 /* far over a tick: this VM did not run */
-#define KNOWN_US 30000000    /* how long one that fell silent is remembered */
+/* Heartbeats that were missed before a VM counts as silent: two and more. */
+#define SILENT_US 2000000	  /* of 800 ms */
+#define SILENT_CURRENT_US 1300000 /* of 400 ms, from one that follows */
+#define LATE_TICK_US 1000000	  /* far over a tick: this VM did not run */
+#define KNOWN_US 30000000 /* how long one that fell silent is remembered */
 /* At the start VMs learn of one another before one begins to follow. */
 #define SETTLE_US 250000
 /* Between the tries of VMs of consecutive ranks. */
@@ -76,7 +78,7 @@
 	}
 	member = &members->list[members->count++];
 	*member = *news;
-	member->heard_us = member->current_us = 0;
+	member->heard_us = 0;
 	return member;
 }
 
@@ -92,14 +94,32 @@
 	is_new = member->boot != news->boot || member->heard_us == 0;
 	*member = *news;
 	member->heard_us = now_us;
-	member->current_us = news->current ? now_us : 0;
 	return is_new;
 }
 
+bool
+fl_members_pulse(struct fl_members *members, const struct sockaddr_in *from,
+    const struct fl_frame *pulse, int64_t now_us)
+{
+	struct fl_member *member = find(members, from);
+
+	if (member == NULL || member->boot != pulse->as.pulse.boot ||
+	    member->heard_us == 0)
+		return false;
+	member->ready = pulse->as.pulse.ready;
+	member->stopping = pulse->as.pulse.stopping;
+	member->current = pulse->as.pulse.current;
+	member->news = pulse->as.pulse.news;
+	member->heard_us = now_us;
+	return true;
+}
+
 bool
 fl_is_alive(const struct fl_member *member, int64_t now_us)
 {
-	return member->heard_us != 0 && now_us - member->heard_us < SILENT_US;
+	int64_t silent_us = member->current ? SILENT_CURRENT_US : SILENT_US;
+
+	return member->heard_us != 0 && now_us - member->heard_us < silent_us;
 }
 
 static uint64_t
--- a/lib/gateway/call.c
+++ b/lib/gateway/call.c
@@ -9,6 +9,8 @@
 
 /* Probes are answered within a few ms; later ones are not waited for. */
 #define ASK_WAIT_MS 12
+/* First in the own data centre, then in the others of the region. */
+#define ASK_ROUNDS_MAX 2
 /* Far over a round trip between regions. */
 #define CONNECT_WAIT_MS 150
 /* A target tells its own time-out; its answer may still be on its way. */
@@ -252,7 +254,7 @@
 {
 	uint32_t i;
 
-	call->has_asked = true;
+	call->rounds++;
 	call->asked = 0;
 	for (i = 0; i < placement->probe_count; i++) {
 		if (!placement->probes[i]->probing &&
@@ -308,8 +310,7 @@
 	    .now_us = cs_now_us(),
 	    .objective_us = call->received_us + call->objective_us,
 	    .deadline_us = call->due_us,
-	    .may_probe = !call->has_asked,
-	    .asking = call->asked > 0,
+	    .may_probe = call->rounds<ASK_ROUNDS_MAX, .asking = call->asked> 0,
 	    .may_wait = call->pool->waiting_count < WAITING_MAX,
 	    .tie = cs_hash_pair(call->number, call->attempts),
 	};
@@ -615,7 +616,7 @@
 	call->received_us = cs_now_us();
 	call->waited_us = 0;
 	call->attempts = call->asked = call->tried_count = 0;
-	call->has_asked = false;
+	call->rounds = 0;
 	call->target = NULL;
 	call->channel = NULL;
 	call->id[0] = '\0';
--- a/lib/gateway/gateway_internal.h
+++ b/lib/gateway/gateway_internal.h
@@ -72,8 +72,8 @@
 	uint64_t number;
 	uint64_t fingerprint;
 	uint32_t attempts;
-	uint32_t asked; /* probes whose answers are due */
-	bool has_asked;
+	uint32_t asked;	 /* probes whose answers are due */
+	uint32_t rounds; /* of probes */
 	struct bl_target *asked_targets[BL_PROBES_MAX];
 	struct bl_target *tried[BL_TRIED_MAX];
 	uint32_t tried_count;
