Targets get no more than they finish most with; a VM reads once when it starts

Recovery: a VM had no configuration until roles were settled, about 0.5 s. Change: ceiling of requests at a target from the assumed knee; at its start each VM lists both kinds once.

--- a/lib/balance/place.c
+++ b/lib/balance/place.c
@@ -15,8 +15,9 @@
 /* From this share of the slots on, many targets slow down, by about so much. */
 #define KNEE_SHARE 0.8
 #define KNEE_X 1.6
-/* Requests queued at a target beyond its slots, which hide from choice. */
-#define QUEUED_MAX 1.0
+/* What is known of others' requests fades; a part of one does not count. */
+#define BUSY_SLACK 0.3
+
 /* Below it targets of the region's other data centres are asked as well. */
 #define GOOD_VALUE 0.75
 /* Targets whose values differ by less are alike. */
@@ -82,6 +83,18 @@
 	return topology->places[target->place].rtt_us + (int64_t)time_us;
 }
 
+/*
+ * How many requests a target gets at one time: as many as it finishes most
+ * work with, given that it slows down when it is nearly full.
+ */
+static double
+ceiling(uint32_t slots)
+{
+	double below = floor(KNEE_SHARE * slots);
+
+	return slots / KNEE_X > below ? slots : below;
+}
+
 static bool
 was_tried(const struct bl_request *request, const struct bl_target *target)
 {
@@ -132,7 +145,7 @@
 			 bl_failing(target, request->now_us)) -
 		     transfer_cost(topology, target->place),
 	    .full = bl_busy(target, request->now_us) + 1 >
-		    target->slots + QUEUED_MAX,
+		    ceiling(target->slots) + BUSY_SLACK,
 	    .fresh = target->load_us != 0 &&
 		     request->now_us - target->load_us <= FRESH_US,
 	};
--- a/lib/gateway/call.c
+++ b/lib/gateway/call.c
@@ -19,7 +19,7 @@
 #define PUMP_MS 10
 #define WAITING_MAX 512 /* of one pool at one VM */
 /* Callers that come back soon find a VM that has its configuration. */
-#define RETRY_AFTER_START_US 300000
+#define RETRY_AFTER_START_US 100000
 #define RETRY_AFTER_STOPPING_US 20000
 #define RETRY_AFTER_SUSPECT_US 30000000
 #define DEADLINE_DEFAULT_MS 60000
--- a/lib/store/client.c
+++ b/lib/store/client.c
@@ -182,6 +182,13 @@
 	return CS_OK;
 }
 
+void
+st_client_read(struct st_client *client)
+{
+	client->reading = true;
+	start_follows(client);
+}
+
 void
 st_client_follow(struct st_client *client, bool on)
 {
@@ -190,6 +197,8 @@
 	if (client->following == on)
 		return;
 	client->following = on;
+	client->reading = false;
+
 	if (on) {
 		start_follows(client);
 		uv_timer_start(&client->check_timer, on_check_due,
--- a/lib/store/follow.c
+++ b/lib/store/follow.c
@@ -83,6 +83,8 @@
 {
 	struct st_client *client = follow->call.client;
 
+	if (client->reading)
+		return; /* once is enough: others bring the news too */
 	follow->failures++;
 	/*
 	 * A watch that was cut is not resumed: the store may be about to drop
@@ -152,6 +154,8 @@
 	client->params.events->on_snapshot(
 	    client->params.user, follow->kind, &follow->list);
 	st_batch_free(&follow->list);
+	if (client->reading)
+		return;
 	watch(follow);
 	st_reach(client, true, "listed");
 }
@@ -185,8 +189,9 @@
 {
 	struct st_follow *follow = (struct st_follow *)call;
 
-	if (!call->client->following)
+	if (!call->client->following && !call->client->reading)
 		return;
+
 	cs_log(CS_LOG_STORE_NEWS,
 	    "kind=%s call=%s status=%d known_revision=%llu bytes=%zu",
 	    call->client->params.kinds[follow->kind],
--- a/lib/store/store.h
+++ b/lib/store/store.h
@@ -80,6 +80,8 @@
 struct st_client;
 
 int st_client_create(const struct st_params *params, struct st_client **out);
+/* st_client_read(client): lists every kind once, without following. */
+void st_client_read(struct st_client *client);
 /* st_client_follow(client, on): starts or stops to list and watch. */
 void st_client_follow(struct st_client *client, bool on);
 /*
--- a/lib/store/store_internal.h
+++ b/lib/store/store_internal.h
@@ -40,6 +40,7 @@
 	void (*on_announced)(void *user, const struct st_batch *batch);
 	struct cs_random random;
 	bool following;
+	bool reading; /* lists once, does not watch */
 	bool reached;
 	uint64_t calls;
 };
--- a/programs/gateway.c
+++ b/programs/gateway.c
@@ -289,7 +289,10 @@
 	    create_fleet(app, seed) != CS_OK || ga_serve(app) != CS_OK)
 		return CS_E_SYSTEM;
 	start_timers(app);
+		/* Every VM reads once: it serves sooner than by waiting for a role. */
+	st_client_read(app->store);
 	ga_announce(app);
+
 	cs_log(CS_LOG_GATEWAY_STARTED,
 	    "vm=%s data_centre=%s version=%s memory_mb=%u", app->settings.name,
 	    app->settings.data_centre, CHERVILSHELF_VERSION,
