Probe allowance per pool

Cause: one allowance was shared by all pools of a VM, though the bound is per target; at the crest figures of 200 ms age were used though probes were allowed. Kept: the bound is meant per target, and a busy pool no longer starves the others.

--- a/lib/gateway/call.c
+++ b/lib/gateway/call.c
@@ -220,22 +220,24 @@
 		    &call->step, on_connect_late, CONNECT_WAIT_MS, 0);
 }
 
-/* Takes a probe from what this VM may send; spread over time. */
+/* Takes a probe from this VM's share of what the pool's targets bear. */
 static bool
-may_probe(struct gw *gw, const struct gw_pool *pool)
+may_probe(struct gw_pool *pool)
 {
+	const struct gw_params *params = &pool->gw->params;
+	uint32_t members = params->budget.members;
 	int64_t now_us = cs_now_us();
-	uint32_t members = gw->params.budget.members;
-	double rate = gw->params.probes_per_s * pool->decide->count /
+	double rate = params->probes_per_s * pool->decide->count /
 		      (members > 0 ? members : 1);
 
-	gw->probe_tokens += rate * (double)(now_us - gw->probe_tokens_us) / 1e6;
-	gw->probe_tokens_us = now_us;
-	if (gw->probe_tokens > rate)
-		gw->probe_tokens = rate;
-	if (gw->probe_tokens < 1.0)
+	pool->probe_tokens +=
+	    rate * (double)(now_us - pool->probe_tokens_us) / 1e6;
+	pool->probe_tokens_us = now_us;
+	if (pool->probe_tokens > rate)
+		pool->probe_tokens = rate;
+	if (pool->probe_tokens < 1.0)
 		return false;
-	gw->probe_tokens -= 1.0;
+	pool->probe_tokens -= 1.0;
 	return true;
 }
 
@@ -258,7 +260,7 @@
 	call->asked = 0;
 	for (i = 0; i < placement->probe_count; i++) {
 		if (!placement->probes[i]->probing &&
-		    (!may_probe(call->gw, call->pool) ||
+		    (!may_probe(call->pool) ||
 			gw_probe(call->gw, placement->probes[i]) != CS_OK))
 			continue;
 		call->asked_targets[call->asked++] = placement->probes[i];
@@ -379,7 +381,7 @@
 			uint32_t i;
 
 			for (i = 0; i < placement.probe_count; i++) {
-				if (may_probe(pool->gw, pool))
+				if (may_probe(pool))
 					gw_probe(pool->gw, placement.probes[i]);
 			}
 			break;
--- a/lib/gateway/gateway.c
+++ b/lib/gateway/gateway.c
@@ -121,7 +121,7 @@
 	gw->targets = g_hash_table_new(g_str_hash, g_str_equal);
 	cs_random_seed(&gw->random, params->seed);
 	gw->numbers = cs_random_next(&gw->random) >> 32;
-	gw->probe_tokens_us = cs_now_us();
+
 	uv_timer_init(params->loop, &gw->sweep);
 	gw->sweep.data = gw;
 	uv_timer_start(&gw->sweep, on_sweep, SWEEP_MS, SWEEP_MS);
--- a/lib/gateway/gateway_internal.h
+++ b/lib/gateway/gateway_internal.h
@@ -17,6 +17,8 @@
 	uint32_t waiting_count;
 	struct gw_call *asking; /* answers to probes are due */
 	uv_timer_t timer;	/* places the waiting again */
+	double probe_tokens;	/* probes that may be sent at once */
+	int64_t probe_tokens_us;
 };
 
 /* Open connections to one target. */
@@ -96,8 +98,6 @@
 	struct gw_counters counters;
 	struct h1_bytes head; /* scratch for a request or an answer */
 	uint64_t numbers;
-	double probe_tokens;
-	int64_t probe_tokens_us;
 	bool stopping;
 	int64_t stop_us;
 };
