What is not known of others' requests fades to the pool's mean

Cause: at the crest VMs overfilled targets together (loads of 4 running and 6 waiting): news of others' requests faded to none within 150 ms, although the load stayed. Change: the mean of others' requests for each slot, over about 30 reports, is what old news fades to and what an unheard-of target is thought to hold.

--- a/lib/balance/balance.h
+++ b/lib/balance/balance.h
@@ -96,8 +96,9 @@
 	char name[RT_NAME_BYTES_MAX];
 	struct bl_target **targets;
 	uint32_t count, capacity;
-	double work_us;	   /* time that one request takes when calm */
-	double usual_slow; /* mean of what targets say, 1: as usual */
+	double work_us;	     /* time that one request takes when calm */
+	double usual_others; /* requests of other VMs for each slot, mean */
+	double usual_slow;   /* mean of what targets say, 1: as usual */
 	struct bl_budget budget;
 	void *waiting; /* of the owner */
 };
--- a/lib/balance/balance_internal.h
+++ b/lib/balance/balance_internal.h
@@ -7,6 +7,7 @@
 #define BL_FIRST_WORK_US 50000.0
 #define BL_WORK_GAIN 0.02     /* mean of about 50 answers */
 #define BL_SLOWNESS_GAIN 0.15 /* mean of about 6 answers of one target */
+#define BL_OTHERS_GAIN 0.03   /* mean of about 30 reports of a pool */
 #define BL_USUAL_GAIN 0.01    /* mean of about 100 reports of a pool */
 #define BL_FAILING_GAIN 0.2   /* mean of about 5 outcomes of one target */
 /* Stragglers count as this many times the usual work at most. */
--- a/lib/balance/pool.c
+++ b/lib/balance/pool.c
@@ -154,6 +154,10 @@
 	    busy > target->in_flight ? busy - target->in_flight : 0;
 	if (load->slots > 0)
 		target->slots = load->slots;
+	if (target->pool != NULL)
+		target->pool->usual_others +=
+		    BL_OTHERS_GAIN * ((double)target->others / target->slots -
+					 target->pool->usual_others);
 	if (target->pool != NULL)
 		target->pool->usual_slow +=
 		    BL_USUAL_GAIN *
@@ -267,10 +271,14 @@
 double
 bl_busy(const struct bl_target *target, int64_t now_us)
 {
-	double others = target->load_us == 0
-			    ? 0.0
-			    : target->others * fade(now_us - target->load_us,
-						   BL_BUSY_FADE_US);
+	double usual = target->pool == NULL
+			   ? 0.0
+			   : target->pool->usual_others * target->slots;
+	double others =
+	    target->load_us == 0
+		? usual
+		: usual + (target->others - usual) *
+			      fade(now_us - target->load_us, BL_BUSY_FADE_US);
 
 	return others + target->in_flight;
 }
