Requests that would be late and make others late are refused at once

Cause: at the crest about half of all answers came after their objective; each held a slot that could have served another in time. Change: such a request is placed only where its target is nearly idle. Test: test_late.

--- a/lib/balance/place.c
+++ b/lib/balance/place.c
@@ -31,6 +31,12 @@
 #define CHANCE_WIDTH 0.15
 /* What an answer after the objective is still worth. */
 #define LATE_VALUE 0.1
+/*
+ * Below this value a request would be late, and would make others late where
+ * its target is not nearly idle: it is refused while it can still come back.
+ */
+#define LATE_MOST 0.2
+#define IDLE_SHARE 0.5
 /* Prefers the faster of two that would both be in time. */
 #define HASTE 0.1
 /*
@@ -48,6 +54,7 @@
 	int64_t expected_us;
 	double value; /* of sending there, 1 at best */
 	bool full;
+	bool idle; /* holds so little that one more harms nobody */
 	bool fresh;
 };
 
@@ -146,6 +153,8 @@
 		     transfer_cost(topology, target->place),
 	    .full = bl_busy(target, request->now_us) + 1 >
 		    ceiling(target->slots) + BUSY_SLACK,
+	    .idle = bl_busy(target, request->now_us) + 1 <=
+		    IDLE_SHARE * ceiling(target->slots) + BUSY_SLACK,
 	    .fresh = target->load_us != 0 &&
 		     request->now_us - target->load_us <= FRESH_US,
 	};
@@ -295,7 +304,8 @@
 	const struct candidate *nearest = &choice->nearest;
 	int64_t left_us = request->deadline_us - request->now_us;
 
-	if (best->target != NULL && best->expected_us <= left_us) {
+	if (best->target != NULL && best->expected_us <= left_us &&
+	    (best->value > LATE_MOST || best->idle)) {
 		pick(best,
 		    best->expected_us <= request->objective_us - request->now_us
 			? "in_time"
--- a/tests/unit/test_balance.c
+++ b/tests/unit/test_balance.c
@@ -347,6 +347,28 @@
 	bl_pool_free(pool);
 }
 
+/* Late for certain: served where that harms nobody, else refused at once. */
+static void
+test_late(void **state)
+{
+	struct bl_pool *pool = bl_pool_create("p");
+	struct bl_target *a = add(pool, "a", 0, 4);
+	struct bl_request request = request_at(START_US);
+	struct bl_load said = load(0, 800);
+	struct bl_placement out;
+
+	(void)state;
+	bl_heard(a, &said, START_US);
+	bl_place(&topology, pool, &request, &out);
+	assert_int_equal(out.verdict, BL_SEND);
+	assert_string_equal(out.reason, "late");
+	bl_started(a, START_US);
+	bl_started(a, START_US);
+	bl_place(&topology, pool, &request, &out);
+	assert_int_equal(out.verdict, BL_REFUSE);
+	bl_pool_free(pool);
+}
+
 int
 main(void)
 {
@@ -362,6 +384,7 @@
 	    cmocka_unit_test(test_poison),
 	    cmocka_unit_test(test_weights),
 	    cmocka_unit_test(test_failing_target),
+	    cmocka_unit_test(test_late),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
