--- a/lib/balance/balance_internal.h
+++ b/lib/balance/balance_internal.h
@@ -28,6 +28,9 @@
 #define BL_SHED_WEIGHT 0.3
 #define BL_CANCEL_WEIGHT 0.5
 
+/* A load told this long ago came with the answer itself. */
+#define BL_SHED_NEWS_US 1000
+
 /* Pause after a refused connection, doubled with each further one. */
 #define BL_SHUT_FIRST_US 250000
 #define BL_SHUT_MAX_US 4000000
