Fleet: gossip within a region; a follower that loses the store is replaced sooner

Change: checks every 0.4 s with 0.4 s to answer, turns 0.12 s apart, roles judged every 25 ms while nobody follows; only a VM that follows, or that hears nobody, registers and lists members; heartbeats name peers of the receiver's region; restarted VMs (not those of the first start) read the store once.

--- a/lib/balance/pool.c
+++ b/lib/balance/pool.c
@@ -229,10 +229,9 @@
 		note_failure(target, 1.0, now_us);
 		break;
 	case BL_SHED:
-				if (now_us - target->load_us > BL_SHED_NEWS_US) {
+		if (now_us - target->load_us > BL_SHED_NEWS_US) {
 			/* It did not tell its load: it is taken to be full. */
-			target->others =
-			    target->slots + target->load.waiting;
+			target->others = target->slots + target->load.waiting;
 			target->load_us = now_us;
 		}
 		note_failure(target, BL_SHED_WEIGHT, now_us);
--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -8,8 +8,12 @@
 #define CALM_EVERY 2	 /* the others send every second time */
 /* VMs that fell silent are called less often, so that they can return. */
 #define SILENT_EVERY 6
+#define EARLY_MS 25
+#define EARLY_TICKS 40
+#define EARLY_GREET_EVERY 2
 #define BACKLOG_MAX 512
-#define BEHIND_MAX 2 /* ticks, each a heartbeat apart */
+#define REGION_UNKNOWN 0 /* no peers can be named to it */
+#define BEHIND_MAX 2	 /* ticks, each a heartbeat apart */
 
 struct fleet {
 	struct fl_params params;
@@ -21,7 +25,11 @@
 	struct fl_link *source;	   /* the VM that gives news */
 	struct sockaddr_in source_address;
 	enum fl_role role;
+	uv_timer_t early;
+	uint32_t early_ticks;
+	uint64_t greetings;
 	uint64_t ticks;
+
 	uint32_t behind; /* ticks for which the leader knew more */
 };
 
@@ -51,23 +59,23 @@
 	return sum;
 }
 
-static void
-fill_heartbeat(struct fleet *fleet, struct fl_frame *frame, bool asks)
+/* Names other VMs of that region, not always the same ones. */
+static uint32_t
+pick_peers(struct fleet *fleet, uint64_t region,
+    struct sockaddr_in peers[FL_PEERS_MAX])
 {
-	uint32_t i, count = 0;
+	uint32_t count = 0, total = fleet->members.count, i;
+	uint32_t first =
+	    total == 0 ? 0 : (uint32_t)(fleet->greetings++ % total);
 
-	*frame = (struct fl_frame){.type = FL_FRAME_HEARTBEAT};
-	fleet->members.self.news = known_news(fleet);
-	frame->as.heartbeat.member = fleet->members.self;
-	memcpy(frame->as.heartbeat.region, fleet->params.region,
-	    sizeof(frame->as.heartbeat.region));
-	frame->as.heartbeat.asks = asks;
-	for (i = 0; i < fleet->members.count && count < FL_PEERS_MAX; i++) {
-		if (fleet->members.list[i].heard_us != 0)
-			frame->as.heartbeat.peers[count++] =
-			    fleet->members.list[i].fleet;
+	for (i = 0; i < total && count < FL_PEERS_MAX; i++) {
+		const struct fl_member *member =
+		    &fleet->members.list[(first + i) % total];
+
+		if (member->heard_us != 0 && member->region == region)
+			peers[count++] = member->fleet;
 	}
-	frame->as.heartbeat.peer_count = count;
+	return count;
 }
 
 static struct fl_frame
@@ -85,15 +93,32 @@
 	};
 }
 
+/* Introduces this VM, and others of the receiver's region. */
 static void
-greet(struct fleet *fleet, const struct sockaddr_in *to, bool asks)
+greet(struct fleet *fleet, const struct sockaddr_in *to, uint64_t region,
+    bool asks)
 {
-	struct fl_frame frame;
+	struct fl_frame frame = {.type = FL_FRAME_HEARTBEAT};
 
-	fill_heartbeat(fleet, &frame, asks);
+	fleet->members.self.news = known_news(fleet);
+	frame.as.heartbeat.member = fleet->members.self;
+	memcpy(frame.as.heartbeat.region, fleet->params.region,
+	    sizeof(frame.as.heartbeat.region));
+	frame.as.heartbeat.asks = asks;
+	frame.as.heartbeat.peer_count =
+	    pick_peers(fleet, region, frame.as.heartbeat.peers);
 	send_datagram(fleet, &frame, to);
 }
 
+static void
+greet_seeds(struct fleet *fleet)
+{
+	uint32_t i;
+
+	for (i = 0; i < fleet->params.seed_count; i++)
+		greet(fleet, &fleet->params.seeds[i], REGION_UNKNOWN, true);
+}
+
 /* Short ones to those that live, introductions to those that may return. */
 static void
 send_heartbeats(struct fleet *fleet)
@@ -110,7 +135,7 @@
 		if (fl_is_alive(member, now_us))
 			send_datagram(fleet, &pulse, &member->fleet);
 		else if ((fleet->ticks + i) % SILENT_EVERY == 0)
-			greet(fleet, &member->fleet, true);
+			greet(fleet, &member->fleet, member->region, true);
 	}
 }
 
@@ -131,7 +156,7 @@
 		if (k == fleet->members.count &&
 		    memcmp(peer, &fleet->members.self.fleet, sizeof(*peer)) !=
 			0)
-			greet(fleet, peer, true);
+			greet(fleet, peer, fleet->members.self.region, true);
 	}
 }
 
@@ -143,14 +168,16 @@
 	struct fl_member *member = &frame->as.heartbeat.member;
 	bool is_new;
 
-	member->near =
-	    strcmp(frame->as.heartbeat.region, fleet->params.region) == 0;
+	member->region = cs_hash(
+	    frame->as.heartbeat.region, strlen(frame->as.heartbeat.region));
+	member->near = member->region == fleet->members.self.region;
 	is_new = fl_members_heard(&fleet->members, member, cs_now_us());
+
 	if (is_new)
 		fleet->params.events->on_member(
 		    fleet->params.user, member, "joined");
 	if (frame->as.heartbeat.asks)
-		greet(fleet, &member->fleet, false);
+		greet(fleet, &member->fleet, member->region, false);
 	greet_peers(fleet, frame);
 	if (member->stopping || member->current)
 		judge(fleet);
@@ -161,8 +188,8 @@
     const struct sockaddr_in *from)
 {
 	if (!fl_members_pulse(&fleet->members, from, frame, cs_now_us()))
-		greet(fleet, from, true);
-	else if (frame->as.pulse.stopping || frame->as.pulse.current)
+		greet(fleet, from, REGION_UNKNOWN, true);
+	else if (fleet->members.changed)
 		judge(fleet);
 }
 
@@ -288,6 +315,17 @@
 	fleet->source = NULL;
 }
 
+static void on_early(uv_timer_t *timer);
+
+/* While nobody is known to follow the store, turns come quickly. */
+static void
+judge_often(struct fleet *fleet)
+{
+	fleet->early_ticks = 0;
+	if (!uv_is_active((uv_handle_t *)&fleet->early))
+		uv_timer_start(&fleet->early, on_early, EARLY_MS, EARLY_MS);
+}
+
 static void
 judge(struct fleet *fleet)
 {
@@ -302,6 +340,9 @@
 		fl_link_close(fleet->source);
 		fleet->source = NULL;
 	}
+	if (leader == NULL && role == FL_IDLE)
+		judge_often(fleet);
+
 	if (role == fleet->role)
 		return;
 	fleet->role = role;
@@ -401,6 +442,19 @@
 	}
 }
 
+static void
+on_early(uv_timer_t *timer)
+{
+	struct fleet *fleet = timer->data;
+
+	judge(fleet);
+	if (fleet->members.met_us == 0 &&
+	    fleet->early_ticks % EARLY_GREET_EVERY == 0)
+		greet_seeds(fleet); /* they may have started later */
+	if (++fleet->early_ticks == EARLY_TICKS)
+		uv_timer_stop(timer);
+}
+
 static void
 on_tick(uv_timer_t *timer)
 {
@@ -422,7 +476,7 @@
 	struct fl_member *known = fl_members_learn(&fleet->members, member);
 
 	if (known != NULL && known->heard_us == 0 && known->near)
-		greet(fleet, &known->fleet, true);
+		greet(fleet, &known->fleet, fleet->members.self.region, true);
 }
 
 void
@@ -488,23 +542,28 @@
 fl_create(const struct fl_params *params, struct fleet **out)
 {
 	struct fleet *fleet = calloc(1, sizeof(*fleet));
-	uint32_t i;
 
 	if (fleet == NULL)
 		return CS_E_SYSTEM;
 	fleet->params = *params;
 	fl_members_init(&fleet->members, &params->self, cs_now_us());
+	fleet->members.self.region =
+	    cs_hash(params->region, strlen(params->region));
 	uv_udp_init(params->loop, &fleet->udp);
 	uv_tcp_init(params->loop, &fleet->listener);
 	uv_timer_init(params->loop, &fleet->timer);
+	uv_timer_init(params->loop, &fleet->early);
+	fleet->early.data = fleet;
+
 	fleet->udp.data = fleet->listener.data = fleet->timer.data = fleet;
 	if (open_sockets(fleet) != CS_OK) {
 		fl_close(fleet);
 		return CS_E_SYSTEM;
 	}
-	for (i = 0; i < params->seed_count; i++)
-		greet(fleet, &params->seeds[i], true);
+	greet_seeds(fleet);
 	uv_timer_start(&fleet->timer, on_tick, HEARTBEAT_MS / 4, HEARTBEAT_MS);
+	uv_timer_start(&fleet->early, on_early, EARLY_MS, EARLY_MS);
+
 	*out = fleet;
 	return CS_OK;
 }
@@ -517,6 +576,8 @@
 	uv_close((uv_handle_t *)&fleet->udp, NULL);
 	uv_close((uv_handle_t *)&fleet->listener, NULL);
 	uv_close((uv_handle_t *)&fleet->timer, NULL);
+	uv_close((uv_handle_t *)&fleet->early, NULL);
+
 	for (link = fleet->listeners; link != NULL; link = next) {
 		next = link->next;
 		fl_link_close(link);
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -27,6 +27,7 @@
 	struct sockaddr_in fleet; /* heartbeats (UDP) and news (TCP) */
 	struct sockaddr_in front; /* where callers connect */
 	uint64_t boot;		  /* random number of its process */
+	uint64_t region;	  /* hash of the region's name */
 	bool near;		  /* in this VM's region */
 	bool ready;		  /* has a configuration, takes calls */
 	bool stopping;
@@ -51,9 +52,12 @@
 	struct fl_member *list;
 	uint32_t count, capacity;
 	int64_t began_us;
+	int64_t met_us; /* first VM of the region was heard, 0: none yet */
+
 	int64_t lacking_us; /* since when no VM is known to be current */
 	int64_t ticked_us;
 	bool watching;
+	bool changed;	     /* by the last heartbeat: roles are to be judged */
 	int64_t shadowed_us; /* a better placed VM is current since */
 };
 
@@ -83,8 +87,8 @@
  */
 enum fl_role fl_members_tick(struct fl_members *members, int64_t now_us,
     const struct fl_member **leader);
-/* fl_members_total(members, now): VMs in the whole fleet, this one too. */
-uint32_t fl_members_total(const struct fl_members *members);
+/* fl_members_near(members, now): live VMs of the region, this one too. */
+uint32_t fl_members_near(const struct fl_members *members, int64_t now_us);
 /*
  * fl_members_listed(members, now, out, max): front addresses for callers:
  * live, ready VMs of this region; one that hears nobody names all it knew.
@@ -107,7 +111,7 @@
 	struct st_batch batch;
 };
 
-#define FL_PEERS_MAX 16 /* addresses of others in one heartbeat */
+#define FL_PEERS_MAX 32 /* addresses of others in one heartbeat */
 
 struct fl_frame {
 	enum fl_frame_type type;
--- a/lib/fleet/members.c
+++ b/lib/fleet/members.c
@@ -14,10 +14,15 @@
 #define SILENT_CURRENT_US 1300000 /* of 400 ms, from one that follows */
 #define LATE_TICK_US 1000000	  /* far over a tick: this VM did not run */
 #define KNOWN_US 30000000 /* how long one that fell silent is remembered */
-/* At the start VMs learn of one another before one begins to follow. */
+/*
+ * At the start VMs learn of one another before one begins to follow: this long
+ * after the first contact, or after the start when there is none.
+ */
 #define SETTLE_US 250000
-/* Between the tries of VMs of consecutive ranks. */
-#define TURN_US 400000
+#define ALONE_US 500000
+
+/* Between the tries of VMs of consecutive ranks: a list takes half of it. */
+#define TURN_US 120000
 /* Two may follow for this long before the one of higher rank stops. */
 #define OVERLAP_US 2000000
 
@@ -92,6 +97,9 @@
 	if (member == NULL)
 		return false;
 	is_new = member->boot != news->boot || member->heard_us == 0;
+	if (members->met_us == 0 && news->near)
+		members->met_us = now_us;
+
 	*member = *news;
 	member->heard_us = now_us;
 	return is_new;
@@ -106,7 +114,10 @@
 	if (member == NULL || member->boot != pulse->as.pulse.boot ||
 	    member->heard_us == 0)
 		return false;
+	members->changed = member->current != pulse->as.pulse.current ||
+			   member->stopping != pulse->as.pulse.stopping;
 	member->ready = pulse->as.pulse.ready;
+
 	member->stopping = pulse->as.pulse.stopping;
 	member->current = pulse->as.pulse.current;
 	member->news = pulse->as.pulse.news;
@@ -194,6 +205,14 @@
 	return FL_LISTEN;
 }
 
+static bool
+has_settled(const struct fl_members *members, int64_t now_us)
+{
+	if (members->met_us != 0 && now_us - members->met_us >= SETTLE_US)
+		return true;
+	return now_us - members->began_us >= ALONE_US;
+}
+
 enum fl_role
 fl_members_tick(
     struct fl_members *members, int64_t now_us, const struct fl_member **leader)
@@ -213,7 +232,7 @@
 		return FL_WATCH;
 	}
 	lacking_us = now_us - members->lacking_us;
-	if (now_us - members->began_us < SETTLE_US ||
+	if (!has_settled(members, now_us) ||
 	    lacking_us < (int64_t)turn(members, now_us) * TURN_US)
 		return FL_IDLE;
 	members->watching = true;
@@ -221,9 +240,14 @@
 }
 
 uint32_t
-fl_members_total(const struct fl_members *members)
+fl_members_near(const struct fl_members *members, int64_t now_us)
 {
-	return members->count + 1;
+	uint32_t i, count = 1;
+
+	for (i = 0; i < members->count; i++)
+		count += members->list[i].near &&
+			 fl_is_alive(&members->list[i], now_us);
+	return count;
 }
 
 uint32_t
--- a/lib/gateway/call.c
+++ b/lib/gateway/call.c
@@ -167,12 +167,15 @@
 	int64_t now_us = cs_now_us();
 
 	cs_log(CS_LOG_CALL_SENT,
-	    "request=%s attempt=%u target=%s why=%s expected_us=%lld "
+	    "request=%s attempt=%u target=%s data_centre=%s why=%s "
+	    "expected_us=%lld "
 	    "load=%u/%u/%u slow_pct=%u load_age_us=%lld in_flight=%u "
 	    "failing=%.2f",
-	    call->id, call->attempts, target->id, placement->reason,
-	    (long long)placement->expected_us, target->load.running,
-	    target->load.waiting, target->slots, target->load.slowness_pct,
+	    call->id, call->attempts, target->id,
+	    call->gw->params.topology->places[target->place].name,
+	    placement->reason, (long long)placement->expected_us,
+	    target->load.running, target->load.waiting, target->slots,
+	    target->load.slowness_pct,
 	    target->load_us == 0 ? -1LL : (long long)(now_us - target->load_us),
 	    target->in_flight, target->failing);
 }
--- a/lib/store/client.c
+++ b/lib/store/client.c
@@ -11,8 +11,8 @@
  * A watch that waits does not show a store that turned silent; a stale read
  * does, at a tenth of the price of a call.
  */
-#define CHECK_EVERY_MS 600
-#define CHECK_TIMEOUT_MS 700
+#define CHECK_EVERY_MS 400
+#define CHECK_TIMEOUT_MS 400 /* a slow store takes about 270 ms */
 #define ANNOUNCE_TIMEOUT_MS 2000
 
 uint32_t
@@ -185,6 +185,8 @@
 void
 st_client_read(struct st_client *client)
 {
+	if (client->following)
+		return;
 	client->reading = true;
 	start_follows(client);
 }
--- a/programs/gateway.c
+++ b/programs/gateway.c
@@ -12,6 +12,8 @@
 #include "settings.h"
 
 #define TICK_MS 250
+/* VMs that restart together spread their first reads over this time. */
+#define READ_SPREAD_MS 120
 #define RELOAD_TICKS 20	  /* settings may change without a signal */
 #define PAUSED_US 1000000 /* far over a tick: the process did not run */
 /* Round trips until they were measured. */
@@ -38,6 +40,22 @@
 	return (int64_t)now.tv_sec * 1000000 + now.tv_nsec / 1000;
 }
 
+static uint32_t
+count_regions(const struct bl_topology *topology)
+{
+	uint32_t i, k, count = 0;
+
+	for (i = 0; i < topology->count; i++) {
+		for (k = 0; k < i; k++) {
+			if (strcmp(topology->places[k].region,
+				topology->places[i].region) == 0)
+				break;
+		}
+		count += k == i;
+	}
+	return count;
+}
+
 static void
 fill_topology(struct ga_app *app)
 {
@@ -62,6 +80,7 @@
 			topology->own = i;
 	}
 	topology->count = settings->place_count;
+	app->region_count = count_regions(topology);
 }
 
 static void
@@ -201,6 +220,9 @@
 	check_pause(app);
 	ga_sweep(app);
 	ga_update_standing(app);
+	ga_meet(app);
+	ga_share_budget(app);
+
 	if (++app->ticks % RELOAD_TICKS == 0)
 		reload(app, false);
 	dropped = cs_log_flush();
@@ -262,7 +284,10 @@
 {
 	uv_timer_init(&app->loop, &app->tick);
 	uv_timer_init(&app->loop, &app->stop);
-	uv_timer_init(&app->loop, &app->relist);
+		uv_timer_init(&app->loop, &app->relist);
+	uv_timer_init(&app->loop, &app->first_read);
+	app->first_read.data = app;
+
 	uv_signal_init(&app->loop, &app->terminate);
 	uv_signal_init(&app->loop, &app->interrupt);
 	uv_signal_init(&app->loop, &app->reload);
@@ -274,6 +299,16 @@
 	uv_signal_start(&app->reload, on_reload, SIGHUP);
 }
 
+/* No other VM has brought the news meanwhile: the store is read once. */
+static void
+on_read_due(uv_timer_t *timer)
+{
+	struct ga_app *app = timer->data;
+
+	if (gw_table(app->gw) == NULL || !app->targets_known)
+		st_client_read(app->store);
+}
+
 static int
 start(struct ga_app *app)
 {
@@ -289,9 +324,8 @@
 	    create_fleet(app, seed) != CS_OK || ga_serve(app) != CS_OK)
 		return CS_E_SYSTEM;
 	start_timers(app);
-		/* Every VM reads once: it serves sooner than by waiting for a role. */
-	st_client_read(app->store);
-	ga_announce(app);
+	if (!app->settings.first_start)
+		uv_timer_start(&app->first_read, on_read_due, seed % READ_SPREAD_MS, 0);
 
 	cs_log(CS_LOG_GATEWAY_STARTED,
 	    "vm=%s data_centre=%s version=%s memory_mb=%u", app->settings.name,
--- a/programs/gateway.h
+++ b/programs/gateway.h
@@ -24,14 +24,20 @@
 	uv_signal_t terminate, interrupt, reload;
 	uv_timer_t tick; /* logs, limits of connections, pauses */
 	uv_timer_t stop;
-	uv_timer_t relist;
+		uv_timer_t relist;
+	uv_timer_t first_read;
+
 	uint64_t ticks;
 	int64_t ticked_boot_us;
 	int64_t started_us;
 	int64_t lost_us;	    /* since when the store is not reached */
 	int64_t forgiving_until_us; /* removals are not believed */
 	int64_t stopping_us;
-	uint32_t files_max;
+	uint32_t region_count;
+
+	bool announced;	     /* while it follows the store */
+	int64_t meet_due_us; /* next look for others, when alone */
+	int64_t meet_pause_us;
 	bool targets_known;
 	enum fl_role role;
 };
@@ -39,9 +45,16 @@
 /* gateway_news.c: what the store says, from wherever it came */
 void ga_news(struct ga_app *app, uint32_t kind, const struct st_batch *batch,
     bool whole);
+/* ga_share_budget(app): this VM's part of the fleet's repeats and probes. */
+void ga_share_budget(struct ga_app *app);
 extern const struct st_events ga_store_events;
 extern const struct fl_events ga_fleet_events;
-void ga_announce(struct ga_app *app);
+/*
+ * ga_meet(app): registers this VM in the store and looks there for others,
+ * when it follows the store or knows nobody. Call often.
+ */
+void ga_meet(struct ga_app *app);
+
 bool ga_is_ready(const struct ga_app *app);
 /* ga_update_standing(app): tells the fleet whether this VM is ready, current.
  */
--- a/programs/gateway_news.c
+++ b/programs/gateway_news.c
@@ -14,6 +14,9 @@
 #define FORGIVE_US 2300000
 /* A store that was away for less cannot have let registrations lapse. */
 #define OUTAGE_US 1000000
+/* A VM that hears nobody looks in the store, less and less often. */
+#define MEET_FIRST_US 500000
+#define MEET_MAX_US 60000000
 
 static void
 apply_config(struct ga_app *app, const struct st_change *change)
@@ -252,6 +255,16 @@
 	gw_suspect(app->gw, fingerprint);
 }
 
+/* Regions share the fleet's budget evenly, and so do the VMs of a region. */
+void
+ga_share_budget(struct ga_app *app)
+{
+	uint32_t near =
+	    fl_members_near(fl_get_members(app->fleet), cs_now_us());
+
+	gw_set_members(app->gw, near * app->region_count);
+}
+
 static void
 on_member(void *user, const struct fl_member *member, const char *what)
 {
@@ -259,7 +272,7 @@
 
 	cs_log(CS_LOG_MEMBER_CHANGED, "member=%s what=%s boot=%llx",
 	    member->name, what, (unsigned long long)member->boot);
-	gw_set_members(app->gw, fl_members_total(fl_get_members(app->fleet)));
+	ga_share_budget(app);
 }
 
 const struct fl_events ga_fleet_events = {
@@ -275,13 +288,15 @@
 	struct fl_member member = {.ready = false};
 	struct pl_member found;
 
-	if (pl_read_member(change->name, change->text, &found) != CS_OK)
+	if (pl_read_member(change->name, change->text, &found) != CS_OK ||
+	    strcmp(found.region, app->settings.region) != 0)
 		return;
 	cs_copy_text(member.name, sizeof(member.name), found.name);
 	cs_copy_text(
 	    member.data_centre, sizeof(member.data_centre), found.data_centre);
 	member.fleet = found.fleet;
-	member.near = strcmp(found.region, app->settings.region) == 0;
+	member.near = true;
+	member.region = fl_get_members(app->fleet)->self.region;
 	fl_know(app->fleet, &member);
 }
 
@@ -293,23 +308,45 @@
 
 	for (i = 0; batch != NULL && i < batch->count; i++)
 		learn_member(app, &batch->changes[i]);
-	gw_set_members(app->gw, fl_members_total(fl_get_members(app->fleet)));
 }
 
-void
-ga_announce(struct ga_app *app)
+static void
+announce(struct ga_app *app)
 {
 	struct pl_member member = {.fleet = app->settings.fleet};
 	char *text;
 
-	strcpy(member.data_centre, app->settings.data_centre);
-	strcpy(member.region, app->settings.region);
+	cs_copy_text(member.data_centre, sizeof(member.data_centre),
+	    app->settings.data_centre);
+	cs_copy_text(
+	    member.region, sizeof(member.region), app->settings.region);
 	text = pl_write_member(&member);
 	if (text != NULL)
 		st_client_announce(app->store, text, on_announced);
 	free(text);
 }
 
+void
+ga_meet(struct ga_app *app)
+{
+	bool current = fl_get_members(app->fleet)->self.current;
+	int64_t now_us = cs_now_us();
+
+	if (current && !app->announced) {
+		app->announced = true;
+		announce(app);
+	}
+	if (fl_members_near(fl_get_members(app->fleet), now_us) > 1) {
+		app->meet_pause_us = MEET_FIRST_US;
+		app->meet_due_us = now_us + app->meet_pause_us;
+	} else if (now_us >= app->meet_due_us) {
+		app->meet_due_us = now_us + app->meet_pause_us;
+		if (app->meet_pause_us < MEET_MAX_US)
+			app->meet_pause_us *= 2;
+		announce(app);
+	}
+}
+
 bool
 ga_is_ready(const struct ga_app *app)
 {
--- a/programs/gateway_serve.c
+++ b/programs/gateway_serve.c
@@ -151,7 +151,7 @@
 	    ga_is_ready(app), app->role == FL_WATCH,
 	    table == NULL ? 0ULL : (unsigned long long)table->version,
 	    (unsigned long long)st_cache_revision(app->cache, GA_TARGETS),
-	    fl_members_total(fl_get_members(app->fleet)),
+	    fl_members_near(fl_get_members(app->fleet), cs_now_us()),
 	    (unsigned long long)st_client_calls(app->store),
 	    gw_connections(app->gw));
 }
