Turns to follow the store are counted from when VMs know each other

Cause: 13 of 15 VMs followed the store at the first start: the turns of all had passed by the time roles were judged.

--- a/lib/fleet/members.c
+++ b/lib/fleet/members.c
@@ -231,9 +231,12 @@
 			members->lacking_us = now_us;
 		return FL_WATCH;
 	}
+	if (!has_settled(members, now_us)) {
+		members->lacking_us = now_us; /* turns are counted from here */
+		return FL_IDLE;
+	}
 	lacking_us = now_us - members->lacking_us;
-	if (!has_settled(members, now_us) ||
-	    lacking_us < (int64_t)turn(members, now_us) * TURN_US)
+	if (lacking_us < (int64_t)turn(members, now_us) * TURN_US)
 		return FL_IDLE;
 	members->watching = true;
 	return FL_WATCH;
