--- a/programs/gateway.c
+++ b/programs/gateway.c
@@ -284,7 +284,7 @@
 {
 	uv_timer_init(&app->loop, &app->tick);
 	uv_timer_init(&app->loop, &app->stop);
-		uv_timer_init(&app->loop, &app->relist);
+	uv_timer_init(&app->loop, &app->relist);
 	uv_timer_init(&app->loop, &app->first_read);
 	app->first_read.data = app;
 
@@ -325,7 +325,8 @@
 		return CS_E_SYSTEM;
 	start_timers(app);
 	if (!app->settings.first_start)
-		uv_timer_start(&app->first_read, on_read_due, seed % READ_SPREAD_MS, 0);
+		uv_timer_start(
+		    &app->first_read, on_read_due, seed % READ_SPREAD_MS, 0);
 
 	cs_log(CS_LOG_GATEWAY_STARTED,
 	    "vm=%s data_centre=%s version=%s memory_mb=%u", app->settings.name,
--- a/programs/gateway.h
+++ b/programs/gateway.h
@@ -24,7 +24,7 @@
 	uv_signal_t terminate, interrupt, reload;
 	uv_timer_t tick; /* logs, limits of connections, pauses */
 	uv_timer_t stop;
-		uv_timer_t relist;
+	uv_timer_t relist;
 	uv_timer_t first_read;
 
 	uint64_t ticks;
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -9,7 +9,13 @@
 cppcheck --quiet --error-exitcode=1 --inline-suppr --std=c11 \
     --enable=warning,portability --suppress=missingIncludeSystem \
     --suppress=unusedFunction --suppress=unknownMacro --suppress=normalCheckLevelMaxBranches \
-    $(git ls-files 'lib/*.c' 'programs/*.c')
+    $(git ls-files 'lib/*.c' 'programs/*.c' 'platform/*.c')
 echo "lint: clean"
 # shellcheck disable=SC2046 # the list is meant to be split
-python3 scripts/check_catalogue.py $(git ls-files 'lib/*.c' 'programs/*.c')
+python3 scripts/check_catalogue.py $(git ls-files 'lib/*.c' 'programs/*.c' 'platform/*.c')
+# Names of the wire stand in platform/ alone.
+if git grep -liE 'Chervilshelf-(Attempt-Id|Response-Seal|Not-Executed|Expected-Instance|Server-Load|Instance-Id|Request-Deadline)' \
+    -- 'lib/*.c' 'lib/*.h' 'programs/*.c' 'programs/*.h'; then
+	echo "lint: names of the wire outside platform/" >&2
+	exit 1
+fi
