Large frames travel compressed; the VM that follows is one of the larger

Change: frames over 600 bytes are deflated, encoded once for all listeners; VMs rank by link and processor first, then by name.

--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -433,13 +433,18 @@
 void
 fl_pass_on(struct fleet *fleet, const struct fl_news *news)
 {
+	struct fl_frame frame = {.type = FL_FRAME_NEWS, .as.news = *news};
 	struct fl_link *link, *next;
+	struct fl_buffer buffer;
 
+	if (fleet->listeners == NULL || fl_encode(&frame, &buffer) != CS_OK)
+		return;
 	for (link = fleet->listeners; link != NULL; link = next) {
 		next = link->next;
 		if (link->said_hello)
-			send_news(link, news);
+			fl_link_send(link, &buffer);
 	}
+	free(buffer.data);
 }
 
 static void
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -31,9 +31,10 @@
 	bool near;		  /* in this VM's region */
 	bool ready;		  /* has a configuration, takes calls */
 	bool stopping;
-	bool current;	  /* follows the store and is up to date */
-	uint64_t news;	  /* sum of the revisions that it knows */
-	int64_t heard_us; /* 0: never */
+	bool current;	   /* follows the store and is up to date */
+	uint32_t capacity; /* of its link and processor, in powers of two */
+	uint64_t news;	   /* sum of the revisions that it knows */
+	int64_t heard_us;  /* 0: never */
 };
 
 /* What this VM is to do about the store. */
--- a/lib/fleet/frames.c
+++ b/lib/fleet/frames.c
@@ -1,7 +1,11 @@
-/* Frames between VMs as msgpack arrays, the type first. */
+/*
+ * Frames between VMs as msgpack arrays, the type first. Large ones travel
+ * compressed, since the links of some VMs are narrow.
+ */
 #include <msgpack.h>
 #include <stdlib.h>
 #include <string.h>
+#include <zlib.h>
 
 #include "fleet.h"
 
@@ -26,7 +30,7 @@
 	const struct fl_member *member = &frame->as.heartbeat.member;
 	uint32_t i;
 
-	msgpack_pack_array(packer, 10 + frame->as.heartbeat.peer_count);
+	msgpack_pack_array(packer, 11 + frame->as.heartbeat.peer_count);
 	msgpack_pack_int(packer, frame->type);
 	pack_text(packer, member->name, strlen(member->name));
 	pack_text(packer, member->data_centre, strlen(member->data_centre));
@@ -39,6 +43,7 @@
 				     member->current << 2 |
 				     frame->as.heartbeat.asks << 3);
 	msgpack_pack_uint64(packer, member->news);
+	msgpack_pack_uint32(packer, member->capacity);
 	msgpack_pack_uint32(packer, frame->as.heartbeat.peer_count);
 	for (i = 0; i < frame->as.heartbeat.peer_count; i++)
 		pack_address(packer, &frame->as.heartbeat.peers[i]);
@@ -78,8 +83,13 @@
 	}
 }
 
-int
-fl_encode(const struct fl_frame *frame, struct fl_buffer *out)
+/* A frame that holds another one, compressed. */
+#define PACKED_TYPE 6
+#define PACKED_FROM_BYTES 600 /* below it hardly anything is saved */
+#define UNPACKED_BYTES_MAX (8 * 1024 * 1024)
+
+static int
+encode(const struct fl_frame *frame, struct fl_buffer *out)
 {
 	msgpack_sbuffer buffer;
 	msgpack_packer packer;
@@ -115,6 +125,46 @@
 	return buffer.data == NULL ? CS_E_SYSTEM : CS_OK;
 }
 
+/* Replaces a large frame by a compressed one; kept as it is on a failure. */
+static void
+compress_frame(struct fl_buffer *frame)
+{
+	uLongf length = compressBound(frame->length);
+	Bytef *packed = malloc(length);
+	msgpack_sbuffer buffer;
+	msgpack_packer packer;
+
+	if (packed == NULL ||
+	    compress2(packed, &length, (const Bytef *)frame->data,
+		frame->length, Z_BEST_SPEED) != Z_OK) {
+		free(packed);
+		return;
+	}
+	msgpack_sbuffer_init(&buffer);
+	msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
+	msgpack_pack_array(&packer, 3);
+	msgpack_pack_int(&packer, PACKED_TYPE);
+	msgpack_pack_uint64(&packer, frame->length);
+	msgpack_pack_bin(&packer, length);
+	msgpack_pack_bin_body(&packer, packed, length);
+	free(packed);
+	if (buffer.data == NULL)
+		return;
+	free(frame->data);
+	frame->data = buffer.data;
+	frame->length = buffer.size;
+}
+
+int
+fl_encode(const struct fl_frame *frame, struct fl_buffer *out)
+{
+	int error = encode(frame, out);
+
+	if (error == CS_OK && out->length >= PACKED_FROM_BYTES)
+		compress_frame(out);
+	return error;
+}
+
 /* Reads the items of an array one after the other. */
 struct cursor {
 	const msgpack_object_array *array;
@@ -216,6 +266,7 @@
 	out->as.heartbeat.asks = (flags & 8) != 0;
 
 	member->news = read_number(cursor);
+	member->capacity = (uint32_t)read_number(cursor);
 	out->as.heartbeat.peer_count = (uint32_t)read_number(cursor);
 	if (out->as.heartbeat.peer_count > FL_PEERS_MAX) {
 		cursor->bad = true;
@@ -300,8 +351,43 @@
 	return cursor->bad ? CS_E_INVALID : error;
 }
 
-int
-fl_decode(const char *data, size_t length, struct fl_frame *out)
+static int decode(
+    const char *data, size_t length, bool may_be_packed, struct fl_frame *out);
+
+static int
+decompress_frame(const msgpack_object_array *array, struct fl_frame *out)
+{
+	uLongf length;
+	Bytef *plain;
+	int error = CS_E_INVALID;
+
+	if (array->size != 3 ||
+	    array->ptr[1].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+	    array->ptr[1].via.u64 > UNPACKED_BYTES_MAX ||
+	    array->ptr[2].type != MSGPACK_OBJECT_BIN)
+		return CS_E_INVALID;
+	length = array->ptr[1].via.u64;
+	plain = malloc(length + 1);
+	if (plain == NULL)
+		return CS_E_SYSTEM;
+	if (uncompress(plain, &length, (const Bytef *)array->ptr[2].via.bin.ptr,
+		array->ptr[2].via.bin.size) == Z_OK)
+		error = decode((const char *)plain, length, false, out);
+	free(plain);
+	return error;
+}
+
+static bool
+is_packed(const msgpack_object_array *array)
+{
+	return array->size > 0 &&
+	       array->ptr[0].type == MSGPACK_OBJECT_POSITIVE_INTEGER &&
+	       array->ptr[0].via.u64 == PACKED_TYPE;
+}
+
+static int
+decode(
+    const char *data, size_t length, bool may_be_packed, struct fl_frame *out)
 {
 	struct cursor cursor = {.at = 0};
 	msgpack_unpacked unpacked;
@@ -312,8 +398,17 @@
 		MSGPACK_UNPACK_SUCCESS &&
 	    unpacked.data.type == MSGPACK_OBJECT_ARRAY) {
 		cursor.array = &unpacked.data.via.array;
-		error = read_frame(&cursor, out);
+		if (!is_packed(cursor.array))
+			error = read_frame(&cursor, out);
+		else if (may_be_packed)
+			error = decompress_frame(cursor.array, out);
 	}
 	msgpack_unpacked_destroy(&unpacked);
 	return error;
 }
+
+int
+fl_decode(const char *data, size_t length, struct fl_frame *out)
+{
+	return decode(data, length, true, out);
+}
--- a/lib/fleet/members.c
+++ b/lib/fleet/members.c
@@ -133,10 +133,14 @@
 	return member->heard_us != 0 && now_us - member->heard_us < silent_us;
 }
 
-static uint64_t
-rank(const struct fl_member *member)
+/* Larger VMs come first, then the order of their names' hashes. */
+static bool
+ranks_before(const struct fl_member *a, const struct fl_member *b)
 {
-	return cs_hash(member->name, strlen(member->name));
+	if (a->capacity != b->capacity)
+		return a->capacity > b->capacity;
+	return cs_hash(a->name, strlen(a->name)) <
+	       cs_hash(b->name, strlen(b->name));
 }
 
 /* The live VM of the region with the lowest rank that is current. */
@@ -151,7 +155,7 @@
 
 		if (member->near && member->current && !member->stopping &&
 		    fl_is_alive(member, now_us) &&
-		    (best == NULL || rank(member) < rank(best)))
+		    (best == NULL || ranks_before(member, best)))
 			best = member;
 	}
 	return best;
@@ -168,7 +172,7 @@
 
 		before += member->near && !member->stopping &&
 			  fl_is_alive(member, now_us) &&
-			  rank(member) < rank(&members->self);
+			  ranks_before(member, &members->self);
 	}
 	return before;
 }
@@ -192,7 +196,7 @@
 	members->lacking_us = now_us;
 	if (!members->watching)
 		return FL_LISTEN;
-	if (members->self.current && rank(&members->self) < rank(leader)) {
+	if (members->self.current && ranks_before(&members->self, leader)) {
 		members->shadowed_us = 0;
 		return FL_WATCH;
 	}
--- a/programs/gateway.c
+++ b/programs/gateway.c
@@ -14,6 +14,7 @@
 #define TICK_MS 250
 /* VMs that restart together spread their first reads over this time. */
 #define READ_SPREAD_MS 120
+#define CAPACITY_MAX 10	  /* larger links make no difference */
 #define RELOAD_TICKS 20	  /* settings may change without a signal */
 #define PAUSED_US 1000000 /* far over a tick: the process did not run */
 /* Round trips until they were measured. */
@@ -148,6 +149,18 @@
 	return st_client_create(&params, &app->store);
 }
 
+/* The VM that follows the store sends its news to all others of the region. */
+static uint32_t
+capacity_of(const struct pl_settings *settings)
+{
+	double mbps = settings->link_mbps * settings->cpu_share;
+	uint32_t capacity = 0;
+
+	for (; mbps >= 2.0 && capacity < CAPACITY_MAX; mbps /= 2)
+		capacity++;
+	return capacity;
+}
+
 static int
 create_fleet(struct ga_app *app, uint64_t seed)
 {
@@ -156,6 +169,7 @@
 	    .loop = &app->loop,
 	    .self = {.fleet = settings->fleet,
 		.front = settings->front,
+		.capacity = capacity_of(settings),
 		.boot = seed},
 	    .seed_count = settings->seed_count,
 	    .cache = app->cache,
