In an outage VMs try the store in turns

Change: a VM that is not current after 0.9 s lets others try; turns go round all live VMs, 0.12 s apart at first, 0.3 s later. Test: test_store_down.

--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -57,6 +57,8 @@
 
 	int64_t lacking_us; /* since when no VM is known to be current */
 	int64_t ticked_us;
+	int64_t tried_us; /* began to follow, or was last current */
+	uint64_t tried_turn;
 	bool watching;
 	bool changed;	     /* by the last heartbeat: roles are to be judged */
 	int64_t shadowed_us; /* a better placed VM is current since */
--- a/lib/fleet/members.c
+++ b/lib/fleet/members.c
@@ -21,8 +21,16 @@
 #define SETTLE_US 250000
 #define ALONE_US 500000
 
-/* Between the tries of VMs of consecutive ranks: a list takes half of it. */
+/*
+ * Between the tries of VMs of consecutive ranks: a list takes half of it. When
+ * several have tried in vain the store is probably down for all, and turns
+ * come less often, so that a long outage costs few calls.
+ */
 #define TURN_US 120000
+#define QUICK_TURNS 8
+#define LATER_TURN_US 300000
+/* A VM that is not current after this lets others try: three slow answers. */
+#define TRY_US 900000
 /* Two may follow for this long before the one of higher rank stops. */
 #define OVERLAP_US 2000000
 
@@ -161,22 +169,54 @@
 	return best;
 }
 
-/* How many live VMs of the region come before this one. */
+/* This VM's place among the live ones of the region, and how many they are. */
 static uint32_t
-turn(const struct fl_members *members, int64_t now_us)
+place(const struct fl_members *members, int64_t now_us, uint32_t *live)
 {
 	uint32_t i, before = 0;
 
+	*live = 1;
 	for (i = 0; i < members->count; i++) {
 		const struct fl_member *member = &members->list[i];
 
-		before += member->near && !member->stopping &&
-			  fl_is_alive(member, now_us) &&
-			  ranks_before(member, &members->self);
+		if (!member->near || member->stopping ||
+		    !fl_is_alive(member, now_us))
+			continue;
+		(*live)++;
+		before += ranks_before(member, &members->self);
 	}
 	return before;
 }
 
+/* Turns that have begun since nobody is current. */
+static uint64_t
+turn_at(int64_t lacking_us)
+{
+	if (lacking_us < QUICK_TURNS * TURN_US)
+		return (uint64_t)(lacking_us / TURN_US);
+	return QUICK_TURNS +
+	       (uint64_t)((lacking_us - QUICK_TURNS * TURN_US) / LATER_TURN_US);
+}
+
+/* Nobody follows the store: VMs try one after the other, again and again. */
+static enum fl_role
+take_turns(struct fl_members *members, int64_t now_us)
+{
+	uint32_t live, own = place(members, now_us, &live);
+	uint64_t turn = turn_at(now_us - members->lacking_us);
+
+	if (members->watching && live > 1 &&
+	    now_us - members->tried_us > TRY_US)
+		members->watching = false;
+	if (!members->watching && turn % live == own &&
+	    (turn != members->tried_turn || members->tried_us == 0)) {
+		members->watching = true;
+		members->tried_us = now_us;
+		members->tried_turn = turn;
+	}
+	return members->watching ? FL_WATCH : FL_IDLE;
+}
+
 static void
 forgive_silence(struct fl_members *members, int64_t now_us)
 {
@@ -193,7 +233,8 @@
 yield_to(
     struct fl_members *members, const struct fl_member *leader, int64_t now_us)
 {
-	members->lacking_us = now_us;
+	members->lacking_us = members->tried_us = now_us;
+	members->tried_turn = UINT64_MAX;
 	if (!members->watching)
 		return FL_LISTEN;
 	if (members->self.current && ranks_before(&members->self, leader)) {
@@ -221,8 +262,6 @@
 fl_members_tick(
     struct fl_members *members, int64_t now_us, const struct fl_member **leader)
 {
-	int64_t lacking_us;
-
 	if (now_us - members->ticked_us > LATE_TICK_US)
 		forgive_silence(members, now_us);
 	members->ticked_us = now_us;
@@ -230,20 +269,15 @@
 	if (*leader != NULL)
 		return yield_to(members, *leader, now_us);
 	members->shadowed_us = 0;
-	if (members->watching) {
-		if (members->self.current)
-			members->lacking_us = now_us;
-		return FL_WATCH;
-	}
 	if (!has_settled(members, now_us)) {
 		members->lacking_us = now_us; /* turns are counted from here */
 		return FL_IDLE;
 	}
-	lacking_us = now_us - members->lacking_us;
-	if (lacking_us < (int64_t)turn(members, now_us) * TURN_US)
-		return FL_IDLE;
-	members->watching = true;
-	return FL_WATCH;
+	if (members->watching && members->self.current) {
+		members->lacking_us = members->tried_us = now_us;
+		return FL_WATCH;
+	}
+	return take_turns(members, now_us);
 }
 
 uint32_t
--- a/lib/store/client.c
+++ b/lib/store/client.c
@@ -5,7 +5,7 @@
 
 #include "store_internal.h"
 
-#define BACKOFF_FIRST_MS 80
+#define BACKOFF_FIRST_MS 160
 #define BACKOFF_MAX_MS 1500 /* back within the bound of a configuration */
 /*
  * A watch that waits does not show a store that turned silent; a stale read
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -186,6 +186,37 @@
 	}
 }
 
+/* The store is down for all: few try at a time, and its return is seen. */
+static void
+test_store_down(void **state)
+{
+	struct region region;
+	uint32_t tries = 0, i;
+	int64_t end_us;
+
+	(void)state;
+	set_up(&region);
+	run(&region, 6000000);
+	for (i = 0; i < VMS; i++)
+		region.away[i] = true;
+	end_us = region.now_us + 20000000;
+	while (region.now_us < end_us) {
+		enum fl_role before[VMS];
+
+		memcpy(before, region.roles, sizeof(before));
+		tick(&region);
+		for (i = 0; i < VMS; i++)
+			tries += region.roles[i] == FL_WATCH &&
+				 before[i] != FL_WATCH;
+	}
+	assert_in_range(tries, 10, 80);
+	for (i = 0; i < VMS; i++)
+		region.away[i] = false;
+	run(&region, 1000000);
+	assert_true(current(&region) >= 0);
+	tear_down(&region);
+}
+
 /* Who is named to callers: not the silent, not those that stop. */
 static void
 test_listed(void **state)
@@ -300,6 +331,7 @@
 	    cmocka_unit_test(test_one_watcher),
 	    cmocka_unit_test(test_takeover),
 	    cmocka_unit_test(test_store_refuses_most),
+	    cmocka_unit_test(test_store_down),
 	    cmocka_unit_test(test_listed),
 	    cmocka_unit_test(test_paused),
 	    cmocka_unit_test(test_frames),
