--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,248 @@
+"""Randomized soak of real gateways: faults from outside, promises checked.
+
+    soak.py --seed N [--seconds S] [--vms V]    one run
+    soak.py --seeds A-B [--seconds S]           several, one after the other
+
+The seed draws what happens and when; how processes interleave is up to the
+machine, so a seed that failed once is kept in SEEDS and run again and again.
+"""
+import argparse
+import asyncio
+import os
+import random
+import shutil
+import signal
+import sys
+import time
+
+sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "standins"))
+import cluster as standin  # noqa: E402
+
+BINARY = os.path.join(os.environ.get("BUILD_DIR", "build"), "chervilshelf")
+RECOVERY_S = 15  # the users' bound for the way back
+
+
+class Soak:
+    def __init__(self, seed, seconds, vms):
+        self.random = random.Random(seed)
+        self.seed, self.seconds = seed, seconds
+        self.cluster = standin.Cluster(BINARY, vm_count=vms)
+        self.stop = asyncio.Event()
+        self.events = []
+        self.seen_versions = {}  # (vm, boot): newest version it showed
+        self.callers = 0
+
+    def note(self, what):
+        self.events.append("%.2f %s" % (time.time() - self.began, what))
+
+    # Faults. Each undoes itself, so that several may overlap.
+
+    async def store_mode(self):
+        mode = self.random.choice(["busy", "silent", "slow"])
+        self.note("store " + mode)
+        self.cluster.store.set_mode(mode)
+        await asyncio.sleep(self.random.uniform(0.5, 4))
+        self.cluster.store.set_mode("up")
+        self.note("store up")
+
+    async def store_forgets(self):
+        self.note("store forgets its history")
+        self.cluster.store.forget()
+
+    async def store_path(self):
+        vm = self.random.choice(self.cluster.vms)
+        mode = self.random.choice(["delay", "silent", "one_way", "reset"])
+        self.note("path of %s to the store: %s" % (vm.name, mode))
+        if mode == "reset":
+            vm.disturb(3.5)
+            vm.store.reset()
+            return
+        vm.disturb(60)
+        vm.store.mode = mode
+        await asyncio.sleep(self.random.uniform(0.5, 4))
+        vm.store.mode = "pass"
+        vm.disturbed = time.time() + 3.5
+
+    async def pause(self):
+        vm = self.random.choice(self.cluster.vms)
+        if vm.process.returncode is not None or vm.paused:
+            return
+        seconds = self.random.uniform(0.2, 4)
+        self.note("%s paused for %.1f s" % (vm.name, seconds))
+        vm.paused = True
+        vm.send(signal.SIGSTOP, seconds + 3.5)
+        await asyncio.sleep(seconds)
+        vm.send(signal.SIGCONT, 3.5)
+        vm.paused = False
+
+    async def restart(self):
+        vm = self.random.choice(self.cluster.vms)
+        if vm.process.returncode is not None or vm.paused:
+            return
+        number = self.random.choice([signal.SIGKILL, signal.SIGTERM])
+        self.note("%s gets %s" % (vm.name, number.name))
+        await vm.end(number)
+        await asyncio.sleep(self.random.uniform(0, 1))
+        await vm.start()
+        vm.disturb(4)
+
+    async def reload(self):
+        vm = self.random.choice(self.cluster.vms)
+        self.note("%s gets SIGHUP" % vm.name)
+        vm.send(signal.SIGHUP, 0)
+
+    async def crash_target(self):
+        target = self.random.choice(self.cluster.targets)
+        if target.server is None or target.left_at is not None:
+            return
+        self.note("%s crashes" % target.id)
+        await target.stop()
+        await asyncio.sleep(self.random.uniform(0.2, 3))
+        await target.start()
+
+    async def replace_target(self):
+        target = self.random.choice(self.cluster.targets)
+        if target.server is None or target.left_at is not None:
+            return
+        self.note("%s leaves" % target.id)
+        target.leave()
+        await asyncio.sleep(self.random.uniform(3, 5))
+        await target.stop()
+        self.cluster.store.write("servers", target.id, None, gone=True)
+        await asyncio.sleep(0.5)
+        await target.start()
+        self.note("%s is back" % target.id)
+
+    async def change_config(self):
+        version = self.cluster.version + 1
+        routes = [r for r in self.cluster.routes
+                  if not r[0].startswith("/v")][:2]
+        routes += [("/v%d/" % v, "safe", "a")
+                   for v in range(max(2, version - 5), version + 1)]
+        self.note("configuration %d" % version)
+        self.cluster.put_config(routes)
+
+    # Callers and checks.
+
+    async def caller(self, number):
+        rng = random.Random(self.seed * 1000 + number)
+        calls = 0
+        while not self.stop.is_set():
+            addresses = await self.cluster.directory(
+                rng.choice(self.cluster.vms))
+            if not addresses:
+                await asyncio.sleep(0.1)
+                continue
+            kind, path = rng.choice(
+                [("safe", "/read/x"), ("once", "/write/x")])
+            calls += 1
+            attempt = "%s-%d-%d" % (kind, number, calls)
+            await self.cluster.call(rng.choice(addresses).split(":")[0],
+                                    path, kind, attempt, 3.0)
+            await asyncio.sleep(rng.uniform(0, 0.05))
+
+    async def watch_versions(self):
+        """Within one boot a VM never goes back behind what it showed."""
+        number = 0
+        while not self.stop.is_set():
+            for vm in self.cluster.vms:
+                newest = self.cluster.version
+                key, number = (vm.name, vm.boot), number + 1
+                seen = self.seen_versions.get(key, 0)
+                status = await self.cluster.call(
+                    vm.host, "/v%d/x" % max(2, newest), "safe",
+                    "safe-version-%d" % number, 1.0)
+                if vm.boot != key[1]:
+                    continue
+                if status == 200:
+                    self.seen_versions[key] = max(seen, newest)
+                if status == 404 and 0 < seen >= newest:
+                    self.cluster.faults.append(
+                        "%s went back behind version %d" % (vm.name, seen))
+            await asyncio.sleep(0.2)
+
+    async def faults(self):
+        kinds = [self.store_mode, self.store_forgets, self.store_path,
+                 self.pause, self.restart, self.reload, self.crash_target,
+                 self.replace_target, self.change_config, self.change_config]
+        tasks = []
+        end = time.time() + self.seconds
+        while time.time() < end:
+            await asyncio.sleep(self.random.uniform(0.1, 1.2))
+            tasks.append(asyncio.ensure_future(self.random.choice(kinds)()))
+        await asyncio.gather(*tasks)
+
+    async def recovered(self):
+        if not await self.cluster.all_ready():
+            return False
+        for vm in self.cluster.vms:
+            for path, kind in (("/read/x", "safe"), ("/write/x", "once")):
+                self.callers += 1
+                if await self.cluster.call(
+                        vm.host, path, kind,
+                        "%s-end-%d" % (kind, self.callers)) != 200:
+                    return False
+        return True
+
+    async def run(self):
+        self.began = time.time()
+        self.cluster.put_config(
+            [("/read/", "safe", "a"), ("/write/", "unsafe", "b")])
+        try:
+            await self.cluster.start()
+            await self.cluster.until(
+                self.cluster.all_ready, 20, "every VM is ready")
+            work = [asyncio.ensure_future(self.caller(n)) for n in range(6)]
+            work.append(asyncio.ensure_future(self.watch_versions()))
+            await self.faults()
+            self.note("faults are over")
+            await self.cluster.until(
+                self.recovered, RECOVERY_S, "all is served again")
+            self.stop.set()
+            await asyncio.gather(*work)
+        except AssertionError as fault:
+            self.cluster.faults.append(str(fault))
+        finally:
+            self.stop.set()
+            await self.cluster.stop()
+        return self.cluster.check()
+
+
+def report(soak, faults):
+    statuses = list(soak.cluster.answers.values())
+    print("seed %d: %d calls, %d served, %d faults" % (
+        soak.seed, len(statuses), statuses.count(200), len(faults)),
+        flush=True)
+    if not faults:
+        return
+    kept = "/tmp/chervilshelf-soak-%d" % soak.seed
+    shutil.rmtree(kept, ignore_errors=True)
+    shutil.copytree(soak.cluster.folder, kept)
+    print("\n".join(faults[:20] + soak.events + ["logs: " + kept]),
+          flush=True)
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seed", type=int)
+    parser.add_argument("--seeds")
+    parser.add_argument("--seconds", type=float, default=20)
+    parser.add_argument("--vms", type=int, default=4)
+    options = parser.parse_args()
+    if options.seeds:
+        first, last = options.seeds.split("-")
+        seeds = range(int(first), int(last) + 1)
+    else:
+        seeds = [1 if options.seed is None else options.seed]
+    failed = 0
+    for seed in seeds:
+        soak = Soak(seed, options.seconds, options.vms)
+        faults = asyncio.run(soak.run())
+        report(soak, faults)
+        failed += bool(faults)
+    print("%d passed, %d failed" % (len(seeds) - failed, failed))
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/standins/cluster.py
@@ -0,0 +1,463 @@
+"""A store, targets and callers on loopback, with gateways as real processes.
+
+One asyncio loop plays everything outside the system; each gateway is the real
+binary. Addresses are taken from 127.0.0.0/8 by the process's id, so that runs
+beside each other do not meet.
+"""
+import asyncio
+import itertools
+import json
+import os
+import signal
+import tempfile
+import time
+
+ID = "chervilshelf-attempt-id"
+FRONT, READY, DIRECTORY, FLEET = 8548, 8542, 8546, 7540
+HISTORY_MAX = 1000
+RUNS = itertools.count()  # of this process, each with addresses of its own
+
+
+async def read_head(reader):
+    """The first line, the headers by lower-case name, and the body."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    first, *lines = head[:-4].split("\r\n")
+    headers = {}
+    for line in lines:
+        name, _, value = line.partition(":")
+        headers[name.strip().lower()] = value.strip()
+    length = headers.get("content-length")
+    if length is not None:
+        return first, headers, await reader.readexactly(int(length))
+    if first.startswith("HTTP/") and headers.get("connection") == "close":
+        return first, headers, await reader.read()
+    return first, headers, b""
+
+
+def message(first, headers, body=b""):
+    lines = [first] + ["%s: %s" % item for item in headers.items()]
+    lines += ["Content-Length: %d" % len(body), "", ""]
+    return "\r\n".join(lines).encode("latin-1") + body
+
+
+class Store:
+    """Objects by kind and name, with watches; `mode` makes it misbehave."""
+
+    def __init__(self):
+        self.revision = 1
+        self.kinds = {}
+        self.history = []
+        self.forgotten = 0
+        self.mode = "up"  # up, busy, silent, slow
+        self.changed = asyncio.Event()
+        self.disturbed = 0.0  # until when its acks bind nobody
+
+    def write(self, kind, name, spec, gone=False):
+        self.revision += 1
+        objects = self.kinds.setdefault(kind, {})
+        entry = {"metadata": {"name": name, "revision": self.revision},
+                 "spec": spec}
+        if gone:
+            entry = objects.pop(name, entry)
+        else:
+            objects[name] = entry
+        self.history.append((self.revision, kind, gone, entry))
+        del self.history[:-HISTORY_MAX]
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def forget(self):
+        self.history.clear()
+        self.forgotten = self.revision
+
+    def set_mode(self, mode):
+        self.mode = mode
+        self.disturbed = float("inf") if mode != "up" else time.time() + 3.5
+
+    async def watch(self, kind, since, wait_s):
+        end = time.time() + wait_s
+        while True:
+            if since < self.forgotten:
+                return 410, {}
+            events = [{"deleted": gone, "object": entry}
+                      for revision, of, gone, entry in self.history
+                      if of == kind and revision > since]
+            left = end - time.time()
+            if events or left <= 0:
+                return 200, {"events": events,
+                             "store_revision": self.revision}
+            try:
+                await asyncio.wait_for(self.changed.wait(), left)
+            except asyncio.TimeoutError:
+                pass
+
+    async def answer(self, first, body):
+        method, target, _ = first.split(" ")
+        path, _, query = target.partition("?")
+        asked = dict(p.split("=") for p in query.split("&") if p)
+        kind, _, name = path[len("/objects/"):].partition("/")
+        objects = self.kinds.setdefault(kind, {})
+        if method == "POST":
+            entry = json.loads(body)
+            name = entry["metadata"]["name"]
+            if name in objects:
+                return 409, objects[name]
+            self.write(kind, name, entry.get("spec"))
+            return 200, objects[name]
+        if name:
+            return (200, objects[name]) if name in objects else (404, {})
+        if "watch" in asked:
+            return await self.watch(kind, int(asked["watch"]),
+                                    int(asked["wait_ms"]) / 1000)
+        return 200, {"items": list(objects.values()), "more": False,
+                     "store_revision": self.revision}
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                first, _, body = await read_head(reader)
+                if self.mode == "silent":
+                    await asyncio.sleep(3600)
+                if self.mode == "slow":
+                    await asyncio.sleep(0.25)
+                status, reply = (503, {}) if self.mode == "busy" else \
+                    await self.answer(first, body)
+                writer.write(message("HTTP/1.1 %d X" % status, {},
+                                     json.dumps(reply).encode()))
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError,
+                asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
+
+class Target:
+    """Runs requests and remembers each; registers itself in the store."""
+
+    def __init__(self, cluster, number, pool, work_s=0.02, slots=4):
+        self.cluster, self.pool = cluster, pool
+        self.work_s, self.slots = work_s, slots
+        self.id = "t-%s-%d" % (pool, number)
+        self.host = cluster.address(100 + number)
+        self.running = 0
+        self.left_at = None  # store's ack of its leaving
+        self.server = None
+
+    async def start(self):
+        self.born = int(time.time() * 1000)
+        self.left_at = None
+        self.server = await asyncio.start_server(self.serve, self.host, 8080)
+        self.register("ready")
+
+    def register(self, state):
+        self.cluster.store.write("servers", self.id, {
+            "address": "%s:8080" % self.host, "born": self.born,
+            "info": {"service": self.pool, "version": "v1",
+                     "zone": self.cluster.zone, "slots": self.slots},
+            "status": {"state": state, "sequence": 1, "warmup_left": "0ms"}})
+
+    def leave(self):
+        self.register("draining")
+        self.left_at = time.time()
+
+    async def stop(self):
+        """Crashes: connections end, nothing listens."""
+        if self.server is not None:
+            self.server.close()
+            self.server = None
+        for writer in list(self.cluster.connections.get(self.id, ())):
+            writer.transport.abort()
+
+    def load(self):
+        return {"Chervilshelf-Server-Load": "%d,0,%d,100" %
+                (self.running, self.slots)}
+
+    async def run(self, first, headers, body):
+        attempt = headers.get(ID, "")
+        if headers.get("chervilshelf-expected-instance") != self.id:
+            return message("HTTP/1.1 421 X", {ID: attempt})
+        if self.running >= self.slots * 2:
+            return message("HTTP/1.1 503 X", {
+                ID: attempt, "Chervilshelf-Not-Executed": "1", **self.load()})
+        self.cluster.saw_run(self, first, attempt, body)
+        self.running += 1
+        try:
+            await asyncio.sleep(self.work_s)
+        finally:
+            self.running -= 1
+        return message("HTTP/1.1 200 OK", {
+            ID: attempt, "Chervilshelf-Response-Seal": "seal-" + attempt,
+            **self.load()}, answer_body(attempt))
+
+    async def serve(self, reader, writer):
+        mine = self.cluster.connections.setdefault(self.id, set())
+        mine.add(writer)
+        try:
+            while True:
+                first, headers, body = await read_head(reader)
+                if first.startswith("GET /health "):
+                    reply = message("HTTP/1.1 200 OK", self.load())
+                else:
+                    reply = await self.run(first, headers, body)
+                writer.write(reply)
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError,
+                asyncio.CancelledError):
+            pass
+        finally:
+            mine.discard(writer)
+            writer.close()
+
+
+def answer_body(attempt):
+    return (attempt * 40).encode()
+
+
+class Proxy:
+    """Between gateways and the store: passes, delays, resets or swallows."""
+
+    def __init__(self, host, port, upstream):
+        self.host, self.port, self.upstream = host, port, upstream
+        self.mode = "pass"  # pass, delay, silent, one_way
+        self.writers = set()
+
+    async def start(self):
+        self.server = await asyncio.start_server(
+            self.serve, self.host, self.port)
+
+    def reset(self):
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def pump(self, reader, writer, back):
+        try:
+            while True:
+                data = await reader.read(65536)
+                if not data:
+                    break
+                if self.mode == "delay":
+                    await asyncio.sleep(0.05)
+                while self.mode == "silent" or \
+                        (self.mode == "one_way" and back):
+                    await asyncio.sleep(0.05)
+                writer.write(data)
+                await writer.drain()
+        except (ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
+    async def serve(self, reader, writer):
+        try:
+            up_reader, up_writer = await asyncio.open_connection(
+                *self.upstream)
+        except (ConnectionError, asyncio.CancelledError):
+            writer.close()
+            return
+        pair = {writer, up_writer}
+        self.writers |= pair
+        await asyncio.gather(self.pump(reader, up_writer, False),
+                             self.pump(up_reader, writer, True))
+        self.writers -= pair
+
+
+class Gateway:
+    """One entry VM: the real binary with a settings file of its own."""
+
+    def __init__(self, cluster, number):
+        self.cluster, self.number = cluster, number
+        self.name = "vm-%d" % number
+        self.host = cluster.address(number + 1)
+        self.process = None
+        self.boot = 0
+        self.paused = False
+        self.disturbed = 0.0  # until when it is out of touch
+        self.store = Proxy(self.host, 8541, (cluster.address(250), 8541))
+        self.path = os.path.join(cluster.folder, self.name + ".json")
+        self.log = os.path.join(cluster.folder, self.name + ".log")
+
+    def write_settings(self, first_start):
+        hosts = [self.cluster.address(n + 1)
+                 for n in range(min(3, self.cluster.vm_count))]
+        with open(self.path, "w") as out:
+            json.dump({
+                "node_name": self.name, "zone": self.cluster.zone,
+                "region": "r1",
+                "zones": {self.cluster.zone: "r1", "z2": "r2"},
+                "listen": {"front": "%s:%d" % (self.host, FRONT),
+                           "ready": "%s:%d" % (self.host, READY),
+                           "directory": "%s:%d" % (self.host, DIRECTORY)},
+                "internal_ports": [FLEET, FLEET + 9],
+                "seeds": ["%s:8544" % host for host in hosts],
+                "bootstrap": first_start,
+                "limits": {"memory_mb": 260, "max_fds": 1024,
+                           "link_mbps": 1000.0, "cpu_share": 1.0},
+                "bounds": ["grace=6s", "retry_budget_ratio=0.2",
+                           "retry_budget_slack=60", "budget_window=10s",
+                           "ttl_max=5s", "probes_per_s=60"],
+                "platform": {"address": "%s:8541" % self.host}}, out)
+
+    async def start(self, first_start=False):
+        self.write_settings(first_start)
+        self.boot += 1
+        self.process = await asyncio.create_subprocess_exec(
+            self.cluster.binary, "gateway", "--settings", self.path,
+            stdout=open(self.log, "ab"), stderr=asyncio.subprocess.STDOUT)
+
+    def send(self, number, out_of_touch_s):
+        self.disturb(out_of_touch_s)
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    def disturb(self, seconds):
+        self.disturbed = max(self.disturbed, time.time() + seconds)
+
+    async def end(self, number=signal.SIGTERM):
+        self.send(number, 8)
+        if self.process is not None:
+            await self.process.wait()
+
+
+class Cluster:
+    """Everything together; what targets and callers saw is kept for checks."""
+
+    def __init__(self, binary, vm_count=3, pools=("a", "b"), targets=3):
+        self.binary, self.vm_count = binary, vm_count
+        self.zone = "z1"
+        self.prefix = "127.%d.%d." % (
+            16 + (os.getpid() // 250 + next(RUNS)) % 200,
+            1 + os.getpid() % 250)
+        self.temporary = tempfile.TemporaryDirectory()
+        self.folder = self.temporary.name
+        self.store = Store()
+        self.connections = {}
+        self.runs = {}  # attempt: times it ran
+        self.answers = {}  # attempt: status that its caller got
+        self.faults = []
+        self.version = 0
+        self.routes = []
+        self.vms = [Gateway(self, n) for n in range(vm_count)]
+        self.targets = [Target(self, i * 10 + n, pool)
+                        for i, pool in enumerate(pools)
+                        for n in range(targets)]
+        self.pools = pools
+
+    def address(self, number):
+        return self.prefix + str(number)
+
+    def put_config(self, routes=None):
+        """Routes: (prefix, kind, pool)."""
+        if routes is not None:
+            self.routes = routes
+        self.version += 1
+        rules = [{"name": prefix, "kind": kind, "priority": 1,
+                  "target_latency": "500ms",
+                  "match": {"path_prefix": prefix},
+                  "action": {"service": pool, "timeout": "2000ms",
+                             "max_attempts": 2}}
+                 for prefix, kind, pool in self.routes]
+        self.store.write("config", "main", {
+            "version": self.version,
+            "limits": {"header_bytes": 16384, "body_bytes": 1048576,
+                       "header_timeout": "3s", "idle_timeout": "15s"},
+            "listeners": [{"host": "svc.example", "rules": rules}],
+            "clusters": [{"name": pool, "health_path": "/health",
+                          "max_conns": 200} for pool in self.pools]})
+
+    def saw_run(self, target, first, attempt, body):
+        self.runs[attempt] = self.runs.get(attempt, 0) + 1
+        if attempt.startswith("once") and self.runs[attempt] > 1:
+            self.faults.append("%s ran twice" % attempt)
+        late = target.left_at is not None and time.time() - target.left_at
+        if late and late > 2.5 and time.time() > self.store.disturbed and \
+                not any(time.time() < vm.disturbed for vm in self.vms):
+            self.faults.append("%s reached %s %.1f s after it began to leave"
+                               % (attempt, target.id, late))
+
+    async def start(self):
+        self.server = await asyncio.start_server(
+            self.store.serve, self.address(250), 8541)
+        for target in self.targets:
+            await target.start()
+        for vm in self.vms:
+            await vm.store.start()
+            await vm.start(first_start=True)
+
+    async def call(self, host, path, kind="safe", attempt=None, timeout=4.0):
+        """One attempt at one VM; the status, or 0 when there was none."""
+        attempt = attempt or "%s-%d" % (kind, len(self.answers))
+        self.answers[attempt] = 0
+        method, body = ("GET", b"") if kind == "safe" else ("POST", b"work")
+        try:
+            reader, writer = await asyncio.wait_for(
+                asyncio.open_connection(host, FRONT), 1.0)
+        except (OSError, asyncio.TimeoutError):
+            return 0
+        try:
+            writer.write(message("%s %s HTTP/1.1" % (method, path), {
+                "Host": "svc.example", "Chervilshelf-Attempt-Id": attempt,
+                "Chervilshelf-Request-Deadline": int(timeout * 1000)}, body))
+            first, headers, body = await asyncio.wait_for(
+                read_head(reader), timeout + 1)
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            return 0
+        finally:
+            writer.close()
+        status = int(first.split(" ")[1])
+        self.answers[attempt] = status
+        if status == 200 and (
+                body != answer_body(attempt) or
+                headers.get("chervilshelf-response-seal") !=
+                "seal-" + attempt):
+            self.faults.append("%s got another answer" % attempt)
+        return status
+
+    async def ask(self, host, port, path):
+        """A plain GET; the status and the body, or 0 and nothing."""
+        try:
+            reader, writer = await asyncio.wait_for(
+                asyncio.open_connection(host, port), 1.0)
+            writer.write(message("GET %s HTTP/1.1" % path, {"Host": "x"}))
+            first, _, body = await asyncio.wait_for(read_head(reader), 2.0)
+            writer.close()
+            return int(first.split(" ")[1]), body
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            return 0, b""
+
+    async def directory(self, vm):
+        status, body = await self.ask(
+            vm.host, DIRECTORY, "/resolve?name=svc.example&region=r1")
+        return json.loads(body)["addresses"] if status == 200 else []
+
+    async def until(self, check, seconds, what):
+        """Waits for a state; a generous bound, nothing is timed."""
+        end = time.time() + seconds
+        while not await check():
+            if time.time() > end:
+                raise AssertionError("never came about: " + what)
+            await asyncio.sleep(0.05)
+
+    async def all_ready(self):
+        for vm in self.vms:
+            status, _ = await self.ask(vm.host, READY, "/readiness")
+            if status != 200 or \
+                    len(await self.directory(vm)) != len(self.vms):
+                return False
+        return True
+
+    def check(self):
+        """What must hold at the end, from what both sides saw."""
+        for attempt, status in self.answers.items():
+            if status in (408, 421, 429, 503) and self.runs.get(attempt) and \
+                    attempt.startswith("once"):
+                self.faults.append("%s was told not-run, but ran" % attempt)
+        return self.faults
+
+    async def stop(self):
+        for vm in self.vms:
+            if vm.process is not None and vm.process.returncode is None:
+                if vm.paused:
+                    vm.process.send_signal(signal.SIGCONT)
+                vm.process.kill()
+                await vm.process.wait()
