--- a/lib/gateway/channels.c
+++ b/lib/gateway/channels.c
@@ -8,7 +8,6 @@
 
 #include "gateway_internal.h"
 
-#define ANSWER_BYTES_MAX (64 * 1024 * 1024)
 /* Unacknowledged bytes: three retransmissions between regions. */
 #define SILENCE_MS 700
 #define PROBES_LOST_MAX 2
@@ -305,7 +304,7 @@
 	struct h1_channel_params params = {
 	    .loop = gw->params.loop,
 	    .address = channels->target->address,
-	    .limits = {H1_HEAD_BYTES_MAX, ANSWER_BYTES_MAX},
+	    .limits = {H1_HEAD_BYTES_MAX, gw->params.answer_bytes_max},
 	    .silence_ms = SILENCE_MS,
 	    .probes_lost = PROBES_LOST_MAX,
 	    .events = &events,
--- a/lib/gateway/gateway.h
+++ b/lib/gateway/gateway.h
@@ -61,6 +61,7 @@
 	struct sockaddr_in front;
 	uint32_t connections_max;
 	uint64_t memory_bytes_max; /* bodies held at one time */
+	uint64_t answer_bytes_max; /* one target's answer */
 	double probes_per_s;	   /* of one target, from the whole fleet */
 	uint64_t seed;
 	const struct gw_events *events;
--- a/programs/gateway.c
+++ b/programs/gateway.c
@@ -23,6 +23,7 @@
 #define RTT_FAR_US 26000
 /* Files kept for everything that is no caller's connection. */
 #define FILES_KEPT 600
+#define ANSWER_SHARE 8 /* one answer may take an eighth */
 #define BODIES_SHARE 4 /* a quarter of the memory may hold bodies */
 /*
  * A VM that stops is in no directory answer that callers still hold after
@@ -120,6 +121,7 @@
 				   ? settings->files_max - FILES_KEPT
 				   : settings->files_max / 2,
 	    .memory_bytes_max = memory / BODIES_SHARE,
+	    .answer_bytes_max = memory / ANSWER_SHARE,
 	    .probes_per_s = settings->probes_per_s,
 	    .seed = seed,
 	    .events = &gateway_events,
--- a/tests/unit/gateway_rig.c
+++ b/tests/unit/gateway_rig.c
@@ -491,6 +491,7 @@
 		.members = 1},
 	    .connections_max = 100,
 	    .memory_bytes_max = 64 * 1024 * 1024,
+	    .answer_bytes_max = 1024 * 1024,
 	    .probes_per_s = 0,
 	    .seed = 1,
 	    .events = &events,
