A request that was served before is not to blame when targets go down

Ruled out: clearing by later successes; a refused request cannot succeed. Change: fingerprints that were served are remembered (4,096 of them) and are not suspects. Test: test_not_poison.

--- a/lib/balance/balance.h
+++ b/lib/balance/balance.h
@@ -216,7 +216,9 @@
  * request by caller, method, path and body.
  */
 #define BL_SUSPECTS_MAX 256
+#define BL_SERVED_MAX 4096
 struct bl_poison {
+	uint64_t served[BL_SERVED_MAX]; /* fingerprints that ran well */
 	struct {
 		uint64_t fingerprint;
 		uint32_t crashes;
@@ -224,7 +226,12 @@
 	} suspects[BL_SUSPECTS_MAX];
 };
 
-/* bl_crashed(poison, ...): a target went down on it; returns the count. */
+/* bl_ran_well(poison, fingerprint): a target served it. */
+void bl_ran_well(struct bl_poison *poison, uint64_t fingerprint);
+/*
+ * bl_crashed(poison, ...): a target went down on it; returns the count, 0 for
+ * one that ran well before: it was there by chance.
+ */
 uint32_t bl_crashed(
     struct bl_poison *poison, uint64_t fingerprint, int64_t now_us);
 /* bl_is_poison(poison, ...): it must not reach another target. */
--- a/lib/gateway/call.c
+++ b/lib/gateway/call.c
@@ -508,7 +508,9 @@
 	uv_timer_stop(&call->step);
 	cs_histogram_add(
 	    &call->gw->counters.at_target, cs_now_us() - call->started_us);
-	if (outcome != BL_SERVED)
+	if (outcome == BL_SERVED)
+		bl_ran_well(&call->gw->poison, call->fingerprint);
+	else
 		cs_log(CS_LOG_ATTEMPT_FAILED,
 		    "request=%s attempt=%u target=%s outcome=%s status=%d "
 		    "took_us=%lld expected_us=%lld",
--- a/lib/gateway/channels.c
+++ b/lib/gateway/channels.c
@@ -216,13 +216,16 @@
 	struct gw *gw = channels->gw;
 	uint64_t fingerprint = channels->probe_fingerprint;
 
+	uint32_t crashes;
+
 	channels->probe_fingerprint = 0;
 	if (fingerprint == 0 || end != H1_END_UNREACHED)
 		return;
+	crashes = bl_crashed(&gw->poison, fingerprint, cs_now_us());
 	cs_log(CS_LOG_TARGET_CRASHED, "target=%s fingerprint=%llx crashes=%u",
-	    channels->target->id, (unsigned long long)fingerprint,
-	    bl_crashed(&gw->poison, fingerprint, cs_now_us()));
-	gw->params.events->on_crash(gw->params.user, fingerprint);
+	    channels->target->id, (unsigned long long)fingerprint, crashes);
+	if (crashes > 0)
+		gw->params.events->on_crash(gw->params.user, fingerprint);
 }
 
 static enum bl_outcome
--- a/tests/unit/test_balance.c
+++ b/tests/unit/test_balance.c
@@ -289,6 +289,20 @@
 	assert_false(bl_is_poison(&poison, 7, now_us + 61000 * MS));
 }
 
+/* Targets that go down under a request that was served are not its doing. */
+static void
+test_not_poison(void **state)
+{
+	static struct bl_poison poison;
+	int i;
+
+	(void)state;
+	bl_ran_well(&poison, 7);
+	for (i = 0; i < 5; i++)
+		assert_int_equal(bl_crashed(&poison, 7, START_US), 0);
+	assert_false(bl_is_poison(&poison, 7, START_US));
+}
+
 /* Shares follow the weights, also over short stretches. */
 static void
 test_weights(void **state)
@@ -382,6 +396,7 @@
 	    cmocka_unit_test(test_full),
 	    cmocka_unit_test(test_budget),
 	    cmocka_unit_test(test_poison),
+	    cmocka_unit_test(test_not_poison),
 	    cmocka_unit_test(test_weights),
 	    cmocka_unit_test(test_failing_target),
 	    cmocka_unit_test(test_late),
