--- a/lib/balance/balance.h
+++ b/lib/balance/balance.h
@@ -168,7 +168,7 @@
 
 struct bl_placement {
 	enum bl_verdict verdict;
-	struct bl_target *target;
+	struct bl_target *target; /* with BL_REFUSE the best one, or NULL */
 	int64_t expected_us;
 	uint32_t probe_count;
 	struct bl_target *probes[BL_PROBES_MAX];
--- a/lib/balance/place.c
+++ b/lib/balance/place.c
@@ -291,6 +291,11 @@
 	/* Spread, so that those who return do not come all at once. */
 	wait_us += (int64_t)(request->tie % 1000) * wait_us / 2000;
 	out->verdict = BL_REFUSE;
+	out->target = choice->best.target != NULL ? choice->best.target
+						  : choice->nearest.target;
+	out->expected_us = choice->best.target != NULL
+			       ? choice->best.expected_us
+			       : choice->nearest.expected_us;
 	out->retry_after_us = wait_us;
 	out->reason = reason;
 }
--- a/lib/gateway/call.c
+++ b/lib/gateway/call.c
@@ -180,6 +180,30 @@
 	    target->in_flight, target->failing);
 }
 
+static void
+log_refusal(const struct gw_call *call, const struct bl_placement *placement)
+{
+	const struct bl_target *best = placement->target;
+	int64_t now_us = cs_now_us();
+
+	cs_log(CS_LOG_PLACE_REFUSED,
+	    "request=%s why=%s best=%s expected_us=%lld objective_left_us=%lld "
+	    "left_us=%lld load=%u/%u/%u slow_pct=%u load_age_us=%lld "
+	    "waiting=%u retry_after_us=%lld",
+	    call->id, placement->reason, best == NULL ? "-" : best->id,
+	    (long long)placement->expected_us,
+	    (long long)(call->received_us + call->objective_us - now_us),
+	    (long long)(call->due_us - now_us),
+	    best == NULL ? 0 : best->load.running,
+	    best == NULL ? 0 : best->load.waiting,
+	    best == NULL ? 0 : best->slots,
+	    best == NULL ? 0 : best->load.slowness_pct,
+	    best == NULL || best->load_us == 0
+		? -1LL
+		: (long long)(now_us - best->load_us),
+	    call->pool->waiting_count, (long long)placement->retry_after_us);
+}
+
 static void
 on_connect_late(uv_timer_t *timer)
 {
@@ -341,6 +365,7 @@
 		wait_for_room(call);
 		break;
 	case BL_REFUSE:
+		log_refusal(call, placement);
 		gw_answer_own(call, 503,
 		    strcmp(placement->reason, "no_target") == 0 ? GW_NO_TARGET
 								: GW_NO_ROOM,
