--- a/lib/balance/balance_internal.h
+++ b/lib/balance/balance_internal.h
@@ -24,6 +24,10 @@
 #define BL_SLOWNESS_FADE_US 2000000.0
 #define BL_FAILING_FADE_US 3000000.0
 
+/* Probes are answered within a few ms; one this late is a bad sign. */
+#define BL_PROBE_LATE_US 40000
+#define BL_PROBE_LATE_FAILING 0.7
+
 /* How much of a failure these are. */
 #define BL_SHED_WEIGHT 0.3
 #define BL_CANCEL_WEIGHT 0.5
--- a/lib/balance/pool.c
+++ b/lib/balance/pool.c
@@ -288,6 +288,12 @@
 double
 bl_failing(const struct bl_target *target, int64_t now_us)
 {
-	return target->failing *
-	       fade(now_us - target->failing_us, BL_FAILING_FADE_US);
+	double failing = target->failing *
+			 fade(now_us - target->failing_us, BL_FAILING_FADE_US);
+
+	/* A probe that is not answered says more than old news. */
+	if (target->probing && now_us - target->probed_us > BL_PROBE_LATE_US &&
+	    failing < BL_PROBE_LATE_FAILING)
+		return BL_PROBE_LATE_FAILING;
+	return failing;
 }
--- a/tests/unit/test_balance.c
+++ b/tests/unit/test_balance.c
@@ -205,6 +205,28 @@
 	bl_pool_free(pool);
 }
 
+/* A probe that is not answered: rather one that answered. */
+static void
+test_unanswered_probe(void **state)
+{
+	struct bl_pool *pool = bl_pool_create("p");
+	struct bl_target *dark = add(pool, "dark", 0, 4);
+	struct bl_target *good = add(pool, "good", 0, 4);
+	struct bl_request request = request_at(START_US);
+	struct bl_load said = load(0, 100);
+	struct bl_placement out;
+
+	(void)state;
+	bl_heard(dark, &said, START_US - 2000 * MS);
+	said = load(1, 150);
+	bl_heard(good, &said, START_US - 2000 * MS);
+	dark->probing = true;
+	dark->probed_us = START_US - 60 * MS;
+	bl_place(&topology, pool, &request, &out);
+	assert_ptr_equal(out.target, good);
+	bl_pool_free(pool);
+}
+
 /* A full pool: wait while it pays, then refuse, never hold to the end. */
 static void
 test_full(void **state)
@@ -393,6 +415,7 @@
 	    cmocka_unit_test(test_region_first),
 	    cmocka_unit_test(test_leaving_and_tried_are_left_out),
 	    cmocka_unit_test(test_unreached),
+	    cmocka_unit_test(test_unanswered_probe),
 	    cmocka_unit_test(test_full),
 	    cmocka_unit_test(test_budget),
 	    cmocka_unit_test(test_poison),
