--- /dev/null
+++ b/lib/fleet/fleet_internal.h
@@ -0,0 +1,47 @@
+#ifndef FL_FLEET_INTERNAL_H
+#define FL_FLEET_INTERNAL_H
+
+#include "link.h"
+
+struct fleet {
+	struct fl_params params;
+	struct fl_members members;
+	uv_udp_t udp;
+	uv_tcp_t listener;
+	uv_timer_t timer;
+	struct fl_link *listeners; /* VMs that get news here */
+	struct fl_link *source;	   /* the VM that gives news */
+	struct sockaddr_in source_address;
+	enum fl_role role;
+	uv_timer_t early;
+	uint32_t early_ticks;
+	uint64_t greetings;
+	uint64_t ticks;
+
+	uint32_t behind; /* ticks for which the leader knew more */
+};
+
+/* heartbeat.c */
+void fl_send_datagram(struct fleet *fleet, const struct fl_frame *frame,
+    const struct sockaddr_in *to);
+/* fl_known_news(fleet): the sum of the revisions known here. */
+uint64_t fl_known_news(const struct fleet *fleet);
+/* fl_greet(fleet, to, region, asks): introduces this VM, and VMs of region. */
+void fl_greet(struct fleet *fleet, const struct sockaddr_in *to,
+    uint64_t region, bool asks);
+void fl_greet_seeds(struct fleet *fleet);
+void fl_send_heartbeats(struct fleet *fleet);
+void fl_on_datagram(uv_udp_t *udp, ssize_t length, const uv_buf_t *buffer,
+    const struct sockaddr *from, unsigned flags);
+void fl_on_udp_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer);
+
+/* news.c */
+void fl_listen_to(struct fleet *fleet, const struct fl_member *leader);
+/* fl_check_source(fleet, leader): a link that no longer brings its news. */
+void fl_check_source(struct fleet *fleet, const struct fl_member *leader);
+void fl_on_accept(uv_stream_t *listener, int status);
+
+/* fleet.c: decides the role and whom to listen to */
+void fl_judge(struct fleet *fleet);
+
+#endif
--- /dev/null
+++ b/lib/gateway/attempt.c
@@ -0,0 +1,192 @@
+/* One attempt of a call at a target, and what follows its end. */
+#include <string.h>
+
+#include "gateway_internal.h"
+
+/* Far over a round trip between regions. */
+#define CONNECT_WAIT_MS 150
+/* Every target refused: there may be room once some answers are out. */
+#define RETRY_AFTER_REFUSED_US 50000
+
+void
+gw_attempt_drop(struct gw_call *call, enum bl_outcome outcome)
+{
+	int64_t now_us = cs_now_us();
+
+	if (call->target == NULL)
+		return;
+	bl_ended(call->target, outcome, now_us - call->started_us, now_us);
+	bl_target_drop(call->target);
+	call->target = NULL;
+}
+
+static void
+log_attempt(const struct gw_call *call, const struct bl_placement *placement)
+{
+	const struct bl_target *target = placement->target;
+	int64_t now_us = cs_now_us();
+
+	cs_log(CS_LOG_CALL_SENT,
+	    "request=%s attempt=%u target=%s data_centre=%s why=%s "
+	    "expected_us=%lld "
+	    "load=%u/%u/%u slow_pct=%u load_age_us=%lld in_flight=%u "
+	    "failing=%.2f",
+	    call->id, call->attempts, target->id,
+	    call->gw->params.topology->places[target->place].name,
+	    placement->reason, (long long)placement->expected_us,
+	    target->load.running, target->load.waiting, target->slots,
+	    target->load.slowness_pct,
+	    target->load_us == 0 ? -1LL : (long long)(now_us - target->load_us),
+	    target->in_flight, target->failing);
+}
+
+static void
+on_connect_late(uv_timer_t *timer)
+{
+	struct gw_call *call = timer->data;
+
+	if (call->channel == NULL || h1_channel_connected(call->channel->line))
+		return;
+	gw_cancel(call);
+	gw_call_attempt_ended(call, BL_UNREACHED, NULL);
+}
+
+void
+gw_attempt_start(struct gw_call *call, const struct bl_placement *placement)
+{
+	struct bl_target *target = placement->target;
+	int64_t now_us = cs_now_us();
+
+	if (call->attempts == 0) {
+		call->waited_us = now_us - call->received_us;
+		cs_histogram_add(&call->gw->counters.waited, call->waited_us);
+	}
+	call->attempts++;
+	call->gw->counters.attempts++;
+	call->started_us = now_us;
+	call->expected_us = placement->expected_us;
+	call->target = target;
+	cs_ref_take(&target->ref);
+	if (call->tried_count < BL_TRIED_MAX) {
+		cs_ref_take(&target->ref);
+		call->tried[call->tried_count++] = target;
+	}
+	log_attempt(call, placement);
+	bl_started(target, now_us);
+	call->state = GW_CALL_SENT;
+	if (gw_send(call, target) != CS_OK) {
+		gw_call_attempt_ended(call, BL_UNREACHED, NULL);
+		return;
+	}
+	if (!h1_channel_connected(call->channel->line))
+		uv_timer_start(
+		    &call->step, on_connect_late, CONNECT_WAIT_MS, 0);
+}
+
+static bool
+attempts_left(const struct gw_call *call)
+{
+	return call->attempts < call->route->attempts_max &&
+	       call->tried_count < BL_TRIED_MAX &&
+	       cs_now_us() < call->due_us - GW_TIMEOUT_MARGIN_US;
+}
+
+static enum bl_step
+next_step(struct gw_call *call, enum bl_outcome outcome)
+{
+	enum bl_step step =
+	    bl_next_step(outcome, call->route->kind, attempts_left(call));
+
+	if (step != BL_AGAIN || !bl_arrived(outcome))
+		return step;
+	if (bl_is_poison(&call->gw->poison, call->fingerprint, cs_now_us()) ||
+	    !bl_may_retry(
+		call->pool->decide, &call->gw->params.budget, cs_now_us()))
+		return bl_without_retry(outcome);
+	call->gw->counters.retries++;
+	return step;
+}
+
+/* An answer of these would promise callers what its target did not. */
+static bool
+would_promise(int status)
+{
+	return status == 503 || status == 429 || status == 408 || status == 421;
+}
+
+static enum gw_reason
+reason_of(enum bl_outcome outcome)
+{
+	switch (outcome) {
+	case BL_SERVED:
+		return GW_ANSWERED;
+	case BL_FAILED:
+		return GW_TARGET_FAILED;
+	case BL_SHED:
+		return GW_SHED;
+	case BL_MISPLACED:
+	case BL_UNREACHED:
+		return GW_NOT_REACHED;
+	case BL_LOST:
+		return GW_LOST_AT_TARGET;
+	case BL_GARBLED:
+		return GW_BAD_ANSWER;
+	case BL_CANCELLED:
+		return GW_TIMED_OUT;
+	}
+	return GW_BAD_ANSWER;
+}
+
+static void
+relay(struct gw_call *call, enum bl_outcome outcome,
+    const struct h1_message *answer)
+{
+	if (outcome == BL_FAILED && would_promise(answer->status))
+		gw_answer_own(call, 502, GW_TARGET_FAILED, 0);
+	else
+		gw_answer_relay(call, answer);
+}
+
+void
+gw_call_attempt_ended(struct gw_call *call, enum bl_outcome outcome,
+    const struct h1_message *answer)
+{
+	struct gw_pool *pool = call->pool;
+	const struct bl_target *target = call->target;
+	enum bl_step step;
+
+	uv_timer_stop(&call->step);
+	cs_histogram_add(
+	    &call->gw->counters.at_target, cs_now_us() - call->started_us);
+	if (outcome == BL_SERVED)
+		bl_ran_well(&call->gw->poison, call->fingerprint);
+	else
+		cs_log(CS_LOG_ATTEMPT_FAILED,
+		    "request=%s attempt=%u target=%s outcome=%s status=%d "
+		    "took_us=%lld expected_us=%lld",
+		    call->id, call->attempts, target == NULL ? "-" : target->id,
+		    bl_outcome_text(outcome),
+		    answer == NULL ? 0 : answer->status,
+		    (long long)(cs_now_us() - call->started_us),
+		    (long long)call->expected_us);
+	gw_attempt_drop(call, outcome);
+	call->state = GW_CALL_PLACING;
+	call->outcome = outcome;
+	step = next_step(call, outcome);
+	switch (step) {
+	case BL_RELAY:
+		relay(call, outcome, answer);
+		break;
+	case BL_AGAIN:
+		gw_call_place(call);
+		break;
+	case BL_FAIL_NOT_RUN:
+		gw_answer_own(
+		    call, 503, reason_of(outcome), RETRY_AFTER_REFUSED_US);
+		break;
+	case BL_FAIL_UNKNOWN:
+		gw_answer_own(call, 502, reason_of(outcome), 0);
+		break;
+	}
+	gw_pool_pump(pool);
+}
--- a/lib/gateway/channels.c
+++ b/lib/gateway/channels.c
@@ -18,8 +18,6 @@
  * be repeated goes on one used just now only.
  */
 #define IDLE_ONCE_US 1000000
-#define IDLE_DEFAULT_US 4000000 /* when the target does not say */
-#define IDLE_MARGIN_US 1500000	/* closed this long before the target does */
 
 static void drop_channel(struct gw_channel *channel);
 
@@ -63,21 +61,6 @@
 	return channels;
 }
 
-static int64_t
-idle_limit_us(const struct h1_message *answer)
-{
-	const char *keep = h1_find(answer, "keep-alive");
-	const char *timeout =
-	    keep == NULL ? NULL : strcasestr(keep, "timeout=");
-	int64_t limit_us;
-
-	if (timeout == NULL)
-		return IDLE_DEFAULT_US;
-	limit_us = strtol(timeout + strlen("timeout="), NULL, 10) * 1000000L;
-	return limit_us > 2 * IDLE_MARGIN_US ? limit_us - IDLE_MARGIN_US
-					     : limit_us / 2;
-}
-
 static enum h1_keep
 keep_or_close(struct gw_channel *channel, const struct h1_message *answer)
 {
@@ -91,7 +74,7 @@
 		return H1_CLOSE;
 	}
 	channel->used_us = cs_now_us();
-	channel->idle_limit_us = idle_limit_us(answer);
+	channel->idle_limit_us = gw_idle_limit_us(answer);
 	memcpy(channel->last_id, channel->id, sizeof(channel->last_id));
 	channel->reused = true;
 	channel->next_idle = owner->idle;
@@ -112,45 +95,6 @@
 		bl_heard(channel->owner->target, NULL, cs_now_us());
 }
 
-static enum bl_outcome
-judge_answer(const struct gw_dialect *dialect, const struct h1_message *answer)
-{
-	if (answer->status == 421)
-		return BL_MISPLACED;
-	if (h1_find(answer, dialect->not_run) != NULL)
-		return BL_SHED;
-	if (h1_find(answer, "content-encoding") != NULL)
-		return BL_GARBLED; /* nobody asked for one */
-	if (answer->status / 100 == 2 &&
-	    h1_find(answer, dialect->signature) == NULL)
-		return BL_GARBLED;
-	if (answer->status >= 500 || answer->status == 429 ||
-	    answer->status == 408)
-		return BL_FAILED;
-	return BL_SERVED;
-}
-
-enum echo { ECHO_OWN, ECHO_PREVIOUS, ECHO_STRANGE };
-
-static enum echo
-judge_echo(const struct gw_channel *channel, const struct h1_message *answer)
-{
-	const struct gw_dialect *dialect = channel->owner->gw->params.dialect;
-	const char *echo = h1_find(answer, dialect->request_id);
-
-	if (channel->id[0] == '\0')
-		return ECHO_OWN; /* the caller gave no id */
-	if (echo == NULL)
-		return !channel->reused &&
-			       h1_find(answer, dialect->not_run) != NULL
-			   ? ECHO_OWN
-			   : ECHO_STRANGE;
-	if (strcmp(echo, channel->id) == 0)
-		return ECHO_OWN;
-	return strcmp(echo, channel->last_id) == 0 ? ECHO_PREVIOUS
-						   : ECHO_STRANGE;
-}
-
 static enum h1_keep
 on_probe_answer(struct gw_channel *channel, const struct h1_message *answer)
 {
@@ -180,19 +124,19 @@
 	enum bl_outcome outcome;
 	enum h1_keep keep;
 
-	switch (judge_echo(channel, answer)) {
-	case ECHO_PREVIOUS:
+	switch (gw_judge_echo(channel, answer)) {
+	case GW_ECHO_PREVIOUS:
 		return H1_READ_NEXT;
-	case ECHO_STRANGE:
+	case GW_ECHO_STRANGE:
 		call->channel = NULL;
 		channel->line = NULL;
 		drop_channel(channel);
 		gw_call_attempt_ended(call, BL_GARBLED, NULL);
 		return H1_CLOSE;
-	case ECHO_OWN:
+	case GW_ECHO_OWN:
 		break;
 	}
-	outcome = judge_answer(dialect, answer);
+	outcome = gw_judge_answer(dialect, answer);
 	hear_load(channel, answer);
 	call->channel = NULL;
 	keep = keep_or_close(channel, answer);
@@ -342,52 +286,6 @@
 	return open_channel(channels);
 }
 
-static bool
-is_replaced(const struct gw_dialect *dialect, const char *name)
-{
-	return strcasecmp(name, dialect->deadline) == 0 ||
-	       strcasecmp(name, dialect->expected_target) == 0;
-}
-
-static int
-write_head(struct gw_call *call, const struct bl_target *target)
-{
-	const struct gw_dialect *dialect = call->gw->params.dialect;
-	const struct h1_message *request = call->request;
-	struct h1_bytes *head = &call->gw->head;
-	int64_t left_ms = (call->due_us - cs_now_us()) / 1000;
-	int error = CS_OK;
-	uint32_t i;
-
-	head->length = 0;
-	error |= h1_bytes_add(head, request->method, strlen(request->method));
-	error |= h1_bytes_add(head, " ", 1);
-	error |=
-	    h1_bytes_add(head, h1_target(request), strlen(h1_target(request)));
-	error |= h1_bytes_add(head, " HTTP/1.1\r\n", 11);
-	for (i = 0; i < request->header_count; i++) {
-		const char *name = h1_name(request, i);
-
-		if (h1_concerns_channel(request, i) ||
-		    is_replaced(dialect, name))
-			continue;
-		error |= h1_bytes_add(head, name, strlen(name));
-		error |= h1_bytes_add(head, ": ", 2);
-		error |= h1_bytes_add(
-		    head, h1_value(request, i), strlen(h1_value(request, i)));
-		error |= h1_bytes_add(head, "\r\n", 2);
-	}
-	if (request->body.length > 0 ||
-	    h1_find(request, "content-length") != NULL ||
-	    h1_find(request, "transfer-encoding") != NULL)
-		error |= h1_bytes_print(
-		    head, "Content-Length: %zu\r\n", request->body.length);
-	error |= h1_bytes_print(head, "%s: %lld\r\n%s: %s\r\n\r\n",
-	    dialect->deadline, (long long)(left_ms < 1 ? 1 : left_ms),
-	    dialect->expected_target, target->id);
-	return error;
-}
-
 int
 gw_send(struct gw_call *call, struct bl_target *target)
 {
@@ -402,7 +300,7 @@
 	channel->call = call;
 	call->channel = channel;
 	memcpy(channel->id, call->id, sizeof(channel->id));
-	if (write_head(call, target) != CS_OK ||
+	if (gw_write_head(call, target) != CS_OK ||
 	    h1_channel_send(channel->line, &call->gw->head,
 		&call->request->body,
 		strcmp(call->request->method, "HEAD") == 0) != CS_OK) {
--- /dev/null
+++ b/lib/gateway/exchange.c
@@ -0,0 +1,111 @@
+/*
+ * What is sent to a target, and what its answer is worth: whose it is, whether
+ * the request ran, how long the connection is good.
+ */
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "gateway_internal.h"
+
+#define IDLE_DEFAULT_US 4000000 /* when the target does not say */
+#define IDLE_MARGIN_US 1500000	/* closed this long before the target does */
+
+int64_t
+gw_idle_limit_us(const struct h1_message *answer)
+{
+	const char *keep = h1_find(answer, "keep-alive");
+	const char *timeout =
+	    keep == NULL ? NULL : strcasestr(keep, "timeout=");
+	int64_t limit_us;
+
+	if (timeout == NULL)
+		return IDLE_DEFAULT_US;
+	limit_us = strtol(timeout + strlen("timeout="), NULL, 10) * 1000000L;
+	return limit_us > 2 * IDLE_MARGIN_US ? limit_us - IDLE_MARGIN_US
+					     : limit_us / 2;
+}
+
+enum bl_outcome
+gw_judge_answer(
+    const struct gw_dialect *dialect, const struct h1_message *answer)
+{
+	if (answer->status == 421)
+		return BL_MISPLACED;
+	if (h1_find(answer, dialect->not_run) != NULL)
+		return BL_SHED;
+	if (h1_find(answer, "content-encoding") != NULL)
+		return BL_GARBLED; /* nobody asked for one */
+	if (answer->status / 100 == 2 &&
+	    h1_find(answer, dialect->signature) == NULL)
+		return BL_GARBLED;
+	if (answer->status >= 500 || answer->status == 429 ||
+	    answer->status == 408)
+		return BL_FAILED;
+	return BL_SERVED;
+}
+
+enum gw_echo
+gw_judge_echo(const struct gw_channel *channel, const struct h1_message *answer)
+{
+	const struct gw_dialect *dialect = channel->owner->gw->params.dialect;
+	const char *echo = h1_find(answer, dialect->request_id);
+
+	if (channel->id[0] == '\0')
+		return GW_ECHO_OWN; /* the caller gave no id */
+	if (echo == NULL)
+		return !channel->reused &&
+			       h1_find(answer, dialect->not_run) != NULL
+			   ? GW_ECHO_OWN
+			   : GW_ECHO_STRANGE;
+	if (strcmp(echo, channel->id) == 0)
+		return GW_ECHO_OWN;
+	return strcmp(echo, channel->last_id) == 0 ? GW_ECHO_PREVIOUS
+						   : GW_ECHO_STRANGE;
+}
+
+static bool
+is_replaced(const struct gw_dialect *dialect, const char *name)
+{
+	return strcasecmp(name, dialect->deadline) == 0 ||
+	       strcasecmp(name, dialect->expected_target) == 0;
+}
+
+int
+gw_write_head(struct gw_call *call, const struct bl_target *target)
+{
+	const struct gw_dialect *dialect = call->gw->params.dialect;
+	const struct h1_message *request = call->request;
+	struct h1_bytes *head = &call->gw->head;
+	int64_t left_ms = (call->due_us - cs_now_us()) / 1000;
+	int error = CS_OK;
+	uint32_t i;
+
+	head->length = 0;
+	error |= h1_bytes_add(head, request->method, strlen(request->method));
+	error |= h1_bytes_add(head, " ", 1);
+	error |=
+	    h1_bytes_add(head, h1_target(request), strlen(h1_target(request)));
+	error |= h1_bytes_add(head, " HTTP/1.1\r\n", 11);
+	for (i = 0; i < request->header_count; i++) {
+		const char *name = h1_name(request, i);
+
+		if (h1_concerns_channel(request, i) ||
+		    is_replaced(dialect, name))
+			continue;
+		error |= h1_bytes_add(head, name, strlen(name));
+		error |= h1_bytes_add(head, ": ", 2);
+		error |= h1_bytes_add(
+		    head, h1_value(request, i), strlen(h1_value(request, i)));
+		error |= h1_bytes_add(head, "\r\n", 2);
+	}
+	if (request->body.length > 0 ||
+	    h1_find(request, "content-length") != NULL ||
+	    h1_find(request, "transfer-encoding") != NULL)
+		error |= h1_bytes_print(
+		    head, "Content-Length: %zu\r\n", request->body.length);
+	error |= h1_bytes_print(head, "%s: %lld\r\n%s: %s\r\n\r\n",
+	    dialect->deadline, (long long)(left_ms < 1 ? 1 : left_ms),
+	    dialect->expected_target, target->id);
+	return error;
+}
--- a/lib/gateway/gateway_internal.h
+++ b/lib/gateway/gateway_internal.h
@@ -102,18 +102,31 @@
 	int64_t stop_us;
 };
 
+/* A target tells its own time-out; its answer may still be on its way. */
+#define GW_TIMEOUT_MARGIN_US 60000
+
 /* call.c: one request from a caller */
 void gw_call_begin(
     struct gw *gw, struct h1_conn *conn, const struct h1_message *request);
 void gw_call_gone(struct gw_call *call);
+
+/* placing.c: where it goes, and waiting */
 /* gw_call_place(call): asks for a target and does what is decided. */
 void gw_call_place(struct gw_call *call);
-/* gw_call_attempt_ended(call, ...): answer is NULL without one. */
-void gw_call_attempt_ended(struct gw_call *call, enum bl_outcome outcome,
-    const struct h1_message *answer);
 void gw_call_probe_ended(struct gw_pool *pool, struct bl_target *target);
 /* gw_pool_pump(pool): places those that wait, most urgent first. */
 void gw_pool_pump(struct gw_pool *pool);
+/* gw_unqueue(call): takes it out of whatever it waits in. */
+void gw_unqueue(struct gw_call *call);
+
+/* attempt.c: one attempt at a target */
+void gw_attempt_start(
+    struct gw_call *call, const struct bl_placement *placement);
+/* gw_attempt_drop(call, outcome): ends the attempt without a next step. */
+void gw_attempt_drop(struct gw_call *call, enum bl_outcome outcome);
+/* gw_call_attempt_ended(call, ...): answer is NULL without one. */
+void gw_call_attempt_ended(struct gw_call *call, enum bl_outcome outcome,
+    const struct h1_message *answer);
 
 /* answer.c: what callers get */
 void gw_answer_relay(struct gw_call *call, const struct h1_message *answer);
@@ -131,6 +144,21 @@
 void gw_channels_sweep(struct gw_channels *channels, int64_t now_us);
 void gw_channels_close(struct gw_channels *channels);
 
+/* exchange.c: requests to targets, and what their answers mean */
+enum gw_echo {
+	GW_ECHO_OWN,
+	GW_ECHO_PREVIOUS, /* a second answer to the request before */
+	GW_ECHO_STRANGE,
+};
+enum gw_echo gw_judge_echo(
+    const struct gw_channel *channel, const struct h1_message *answer);
+enum bl_outcome gw_judge_answer(
+    const struct gw_dialect *dialect, const struct h1_message *answer);
+/* gw_idle_limit_us(answer): how long its connection may be idle. */
+int64_t gw_idle_limit_us(const struct h1_message *answer);
+/* gw_write_head(call, target): into the gateway's scratch buffer. */
+int gw_write_head(struct gw_call *call, const struct bl_target *target);
+
 struct gw_pool *gw_pool_of(struct gw *gw, const char *name);
 struct gw_pool *gw_pool_of_target(const struct bl_target *target);
 
--- /dev/null
+++ b/lib/gateway/placing.c
@@ -0,0 +1,280 @@
+/*
+ * Where a call goes: targets are asked, calls wait for room, most urgent first,
+ * and what lib/balance decides is carried out.
+ */
+#include <string.h>
+
+#include "gateway_internal.h"
+
+/* Probes are answered within a few ms; later ones are not waited for. */
+#define ASK_WAIT_MS 12
+/* First in the own data centre, then in the others of the region. */
+#define ASK_ROUNDS_MAX 2
+/* Those that wait are placed again at least so often. */
+#define PUMP_MS 10
+#define WAITING_MAX 512 /* of one pool at one VM */
+
+static void
+leave_list(struct gw_call **at, const struct gw_call *call)
+{
+	while (*at != NULL && *at != call)
+		at = &(*at)->next;
+	if (*at == call)
+		*at = call->next;
+}
+
+/* Takes the call out of whatever it waits in. */
+void
+gw_unqueue(struct gw_call *call)
+{
+	uv_timer_stop(&call->step);
+	switch (call->state) {
+	case GW_CALL_WAITING:
+		leave_list(&call->pool->waiting, call);
+		call->pool->waiting_count--;
+		break;
+	case GW_CALL_ASKING:
+		leave_list(&call->pool->asking, call);
+		break;
+	case GW_CALL_FREE:
+	case GW_CALL_PLACING:
+	case GW_CALL_SENT:
+		break;
+	}
+	call->state = GW_CALL_PLACING;
+}
+
+/* Takes a probe from this VM's share of what the pool's targets bear. */
+static bool
+may_probe(struct gw_pool *pool)
+{
+	const struct gw_params *params = &pool->gw->params;
+	uint32_t members = params->budget.members;
+	int64_t now_us = cs_now_us();
+	double rate = params->probes_per_s * pool->decide->count /
+		      (members > 0 ? members : 1);
+
+	pool->probe_tokens +=
+	    rate * (double)(now_us - pool->probe_tokens_us) / 1e6;
+	pool->probe_tokens_us = now_us;
+	if (pool->probe_tokens > rate)
+		pool->probe_tokens = rate;
+	if (pool->probe_tokens < 1.0)
+		return false;
+	pool->probe_tokens -= 1.0;
+	return true;
+}
+
+static void
+on_ask_over(uv_timer_t *timer)
+{
+	struct gw_call *call = timer->data;
+
+	gw_unqueue(call);
+	call->asked = 0;
+	gw_call_place(call);
+}
+
+static void
+ask(struct gw_call *call, const struct bl_placement *placement)
+{
+	uint32_t i;
+
+	call->rounds++;
+	call->asked = 0;
+	for (i = 0; i < placement->probe_count; i++) {
+		if (!placement->probes[i]->probing &&
+		    (!may_probe(call->pool) ||
+			gw_probe(call->gw, placement->probes[i]) != CS_OK))
+			continue;
+		call->asked_targets[call->asked++] = placement->probes[i];
+	}
+	if (call->asked == 0) {
+		gw_call_place(call);
+		return;
+	}
+	call->state = GW_CALL_ASKING;
+	call->next = call->pool->asking;
+	call->pool->asking = call;
+	uv_timer_start(&call->step, on_ask_over, ASK_WAIT_MS, 0);
+}
+
+static void
+on_pump_due(uv_timer_t *timer)
+{
+	gw_pool_pump(timer->data);
+}
+
+static bool
+is_before(const struct gw_call *a, const struct gw_call *b)
+{
+	if (a->route->priority != b->route->priority)
+		return a->route->priority < b->route->priority;
+	return a->received_us < b->received_us;
+}
+
+static void
+wait_for_room(struct gw_call *call)
+{
+	struct gw_pool *pool = call->pool;
+	struct gw_call **at = &pool->waiting;
+
+	while (*at != NULL && !is_before(call, *at))
+		at = &(*at)->next;
+	call->next = *at;
+	*at = call;
+	pool->waiting_count++;
+	call->state = GW_CALL_WAITING;
+	if (!uv_is_active((uv_handle_t *)&pool->timer))
+		uv_timer_start(&pool->timer, on_pump_due, PUMP_MS, 0);
+}
+
+static void
+log_refusal(const struct gw_call *call, const struct bl_placement *placement)
+{
+	const struct bl_target *best = placement->target;
+	int64_t now_us = cs_now_us();
+
+	cs_log(CS_LOG_PLACE_REFUSED,
+	    "request=%s why=%s best=%s expected_us=%lld objective_left_us=%lld "
+	    "left_us=%lld load=%u/%u/%u slow_pct=%u load_age_us=%lld "
+	    "waiting=%u retry_after_us=%lld",
+	    call->id, placement->reason, best == NULL ? "-" : best->id,
+	    (long long)placement->expected_us,
+	    (long long)(call->received_us + call->objective_us - now_us),
+	    (long long)(call->due_us - now_us),
+	    best == NULL ? 0 : best->load.running,
+	    best == NULL ? 0 : best->load.waiting,
+	    best == NULL ? 0 : best->slots,
+	    best == NULL ? 0 : best->load.slowness_pct,
+	    best == NULL || best->load_us == 0
+		? -1LL
+		: (long long)(now_us - best->load_us),
+	    call->pool->waiting_count, (long long)placement->retry_after_us);
+}
+
+static void
+place(struct gw_call *call, struct bl_placement *out)
+{
+	struct bl_request request = {
+	    .now_us = cs_now_us(),
+	    .objective_us = call->received_us + call->objective_us,
+	    .deadline_us = call->due_us,
+	    .may_probe = call->rounds<ASK_ROUNDS_MAX, .asking = call->asked> 0,
+	    .may_wait = call->pool->waiting_count < WAITING_MAX,
+	    .tie = cs_hash_pair(call->number, call->attempts),
+	};
+	uint32_t i;
+
+	for (i = 0; i < call->tried_count; i++)
+		request.tried[i] = call->tried[i];
+	request.tried_count = call->tried_count;
+	bl_place(call->gw->params.topology, call->pool->decide, &request, out);
+}
+
+static void
+carry_out(struct gw_call *call, const struct bl_placement *placement)
+{
+	switch (placement->verdict) {
+	case BL_SEND:
+		gw_attempt_start(call, placement);
+		break;
+	case BL_ASK:
+		ask(call, placement);
+		break;
+	case BL_WAIT:
+		wait_for_room(call);
+		break;
+	case BL_REFUSE:
+		log_refusal(call, placement);
+		gw_answer_own(call, 503,
+		    strcmp(placement->reason, "no_target") == 0 ? GW_NO_TARGET
+								: GW_NO_ROOM,
+		    placement->retry_after_us);
+		break;
+	}
+}
+
+/* Others that are at least as urgent wait already. */
+static bool
+must_queue(const struct gw_call *call)
+{
+	const struct gw_call *first = call->pool->waiting;
+
+	return first != NULL && call->attempts == 0 && is_before(first, call);
+}
+
+void
+gw_call_place(struct gw_call *call)
+{
+	struct bl_placement placement;
+
+	place(call, &placement);
+	if (placement.verdict == BL_SEND && must_queue(call))
+		placement.verdict = BL_WAIT;
+	carry_out(call, &placement);
+}
+
+void
+gw_pool_pump(struct gw_pool *pool)
+{
+	struct gw_call *call;
+
+	while ((call = pool->waiting) != NULL) {
+		struct bl_placement placement;
+
+		place(call, &placement);
+		if (placement.verdict == BL_WAIT)
+			break;
+		if (placement.verdict == BL_ASK) { /* it stays in its place */
+			uint32_t i;
+
+			for (i = 0; i < placement.probe_count; i++) {
+				if (may_probe(pool))
+					gw_probe(pool->gw, placement.probes[i]);
+			}
+			break;
+		}
+		gw_unqueue(call);
+		carry_out(call, &placement);
+	}
+	if (pool->waiting != NULL && !uv_is_active((uv_handle_t *)&pool->timer))
+		uv_timer_start(&pool->timer, on_pump_due, PUMP_MS, 0);
+}
+
+/* True when the call is to be placed now. */
+static bool
+settle(struct gw_call *call, const struct bl_target *target,
+    struct bl_placement *placement)
+{
+	uint32_t i;
+
+	for (i = 0; i < call->asked; i++) {
+		if (call->asked_targets[i] == target) {
+			call->asked_targets[i] =
+			    call->asked_targets[--call->asked];
+			place(call, placement);
+			return placement->verdict != BL_ASK;
+		}
+	}
+	return false;
+}
+
+void
+gw_call_probe_ended(struct gw_pool *pool, struct bl_target *target)
+{
+	struct gw_call *call = pool->asking, *next;
+
+	for (; call != NULL; call = next) {
+		struct bl_placement placement;
+
+		next = call->next;
+		if (!settle(call, target, &placement))
+			continue;
+		gw_unqueue(call);
+		call->asked = 0;
+		carry_out(call, &placement);
+		next = pool->asking; /* the list may have changed */
+	}
+	gw_pool_pump(pool);
+}
