--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,7 @@
 
 demo: build
 	BUILD_DIR=$(BUILD) python3 scripts/demo.py
+	BUILD_DIR=$(BUILD) python3 scripts/demo_platform.py
 
 bench: build
 	BUILD_DIR=$(BUILD) python3 tests/bench/bench.py
--- /dev/null
+++ b/scripts/demo_platform.py
@@ -0,0 +1,53 @@
+"""Gateways on a small platform on loopback: a store, targets, callers.
+
+Shows what was served, the log lines of one call and some metrics, then stops
+everything it started.
+"""
+import asyncio
+import os
+import sys
+
+HERE = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(HERE, "..", "tests", "standins"))
+import cluster as standin  # noqa: E402
+
+BINARY = os.path.join(os.environ.get("BUILD_DIR", "build"), "chervilshelf")
+CALLS = 200
+
+
+async def play(cluster):
+    cluster.put_config([("/read/", "safe", "a"), ("/write/", "unsafe", "b")])
+    await cluster.start()
+    await cluster.until(cluster.all_ready, 20, "every VM is ready")
+    addresses = await cluster.directory(cluster.vms[0])
+    print("\non the platform: directory names " + ", ".join(addresses))
+    served = 0
+    for number in range(CALLS):
+        kind, path = (("safe", "/read/x"), ("once", "/write/x"))[number % 2]
+        host = addresses[number % len(addresses)].split(":")[0]
+        served += await cluster.call(host, path, kind) == 200
+    print("%d calls, %d served, faults: %s" % (
+        CALLS, served, cluster.check() or "none"))
+    await asyncio.sleep(0.5)  # the log is written four times a second
+    for vm in cluster.vms:
+        with open(vm.log) as lines:
+            for line in lines:
+                if "request=once-%d " % (CALLS - 1) in line:
+                    print("%s: %s" % (vm.name, line.strip()))
+    _, metrics = await cluster.ask(cluster.vms[0].host, 9464, "/metrics")
+    for line in metrics.decode().splitlines():
+        if "answered" in line or "version" in line or "targets{" in line:
+            print("  " + line)
+    return served == CALLS and not cluster.check()
+
+
+async def main():
+    cluster = standin.Cluster(BINARY)
+    try:
+        return await play(cluster)
+    finally:
+        await cluster.stop()
+
+
+if __name__ == "__main__":
+    sys.exit(0 if asyncio.run(main()) else 1)
