--- a/lib/balance/place.c
+++ b/lib/balance/place.c
@@ -1,8 +1,11 @@
 /*
- * Which target a request goes to. Answers loads in which mean use is far below
- * the slots, yet single targets take several times as long for a moment: what
- * is fast now matters more than what is idle. Targets in this VM's region come
- * first; others serve when all of these would be late.
+ * Which target a request goes to, or that it waits, or is refused. Answers
+ * loads in which mean use is far below the slots, yet single targets take
+ * several times as long for a moment: what is fast now matters more than what
+ * is idle. Each target has a value: the chance of an answer within the
+ * objective, less its failures, less transfer to other data centres and
+ * regions. At the crest what would be late, and would make others late, is
+ * refused at once.
  */
 #include <math.h>
 
@@ -68,7 +71,6 @@
 	struct candidate nearest; /* best of the region, room or not */
 	/* Not heard of lately, best first: own data centre, others nearby. */
 	struct stale_list own, nearby;
-
 	uint32_t known; /* targets that may be used at all */
 	int64_t free_in_us;
 };
@@ -351,6 +353,5 @@
 			return;
 		}
 	}
-
 	decide(&choice, request, out);
 }
--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -6,9 +6,10 @@
 
 #define HEARTBEAT_MS 400 /* of a VM that follows the store */
 #define CALM_EVERY 2	 /* the others send every second time */
+/* At the start, and while nobody follows the store, roles are judged often. */
 #define EARLY_MS 25
-#define EARLY_TICKS 40
-#define EARLY_GREET_EVERY 2
+#define EARLY_TICKS 40	    /* one second */
+#define EARLY_GREET_EVERY 2 /* ticks, until a VM of the region is heard */
 #define BACKLOG_MAX 512
 
 static void on_early(uv_timer_t *timer);
@@ -38,7 +39,6 @@
 	}
 	if (leader == NULL && role == FL_IDLE)
 		judge_often(fleet);
-
 	if (role == fleet->role)
 		return;
 	fleet->role = role;
@@ -62,7 +62,6 @@
 on_tick(uv_timer_t *timer)
 {
 	struct fleet *fleet = timer->data;
-
 	const struct fl_member *leader;
 
 	fleet->ticks++;
