Fleet: a frame is checked before it is unpacked

Cause: AddressSanitizer in test_frames_random: a datagram of a few bytes whose array claims 2^32 items made msgpack allocate 64 GB. Change: only one flat array of numbers and strings, as long as it says, is unpacked. Test: test_frames_random under the sanitizers, failed before, passes.

--- a/lib/fleet/frames.c
+++ b/lib/fleet/frames.c
@@ -385,6 +385,69 @@
 	       array->ptr[0].via.u64 == PACKED_TYPE;
 }
 
+/* Bytes of one number or string that starts here, 0 for anything else. */
+static size_t
+item_length(const unsigned char *at, size_t left)
+{
+	static const uint8_t number_bytes[] = {1, 2, 4, 8};
+	uint64_t length = 0;
+	size_t head, i;
+
+	if (at[0] <= 0x7f) /* small number */
+		return 1;
+	if (at[0] >= 0xa0 && at[0] <= 0xbf) /* short string */
+		return 1 + (at[0] & 0x1fU);
+	if (at[0] >= 0xcc && at[0] <= 0xcf) /* number of 1 to 8 bytes */
+		return 1 + (size_t)number_bytes[at[0] - 0xcc];
+	if (at[0] >= 0xd9 && at[0] <= 0xdb) /* string */
+		head = (size_t)1 << (at[0] - 0xd9);
+	else if (at[0] >= 0xc4 && at[0] <= 0xc6) /* bytes */
+		head = (size_t)1 << (at[0] - 0xc4);
+	else
+		return 0;
+	if (left < 1 + head)
+		return 0;
+	for (i = 0; i < head; i++)
+		length = length << 8 | at[1 + i];
+	return 1 + head + length;
+}
+
+/*
+ * One array of numbers and strings, as long as it says. Anything else is
+ * dropped before it is unpacked: an array's stated size is allocated at once.
+ */
+static bool
+is_flat_array(const unsigned char *data, size_t length)
+{
+	uint64_t count;
+	size_t at, item;
+
+	if (length < 1)
+		return false;
+	if (data[0] >= 0x90 && data[0] <= 0x9f) {
+		count = data[0] & 0x0fU;
+		at = 1;
+	} else if (data[0] == 0xdc && length >= 3) {
+		count = (uint64_t)data[1] << 8 | data[2];
+		at = 3;
+	} else if (data[0] == 0xdd && length >= 5) {
+		count = (uint64_t)data[1] << 24 | (uint64_t)data[2] << 16 |
+			(uint64_t)data[3] << 8 | data[4];
+		at = 5;
+	} else {
+		return false;
+	}
+	for (; count > 0; count--) {
+		if (at >= length)
+			return false;
+		item = item_length(data + at, length - at);
+		if (item == 0 || item > length - at)
+			return false;
+		at += item;
+	}
+	return at == length;
+}
+
 static int
 decode(
     const char *data, size_t length, bool may_be_packed, struct fl_frame *out)
@@ -393,6 +456,8 @@
 	msgpack_unpacked unpacked;
 	int error = CS_E_INVALID;
 
+	if (!is_flat_array((const unsigned char *)data, length))
+		return CS_E_INVALID;
 	msgpack_unpacked_init(&unpacked);
 	if (msgpack_unpack_next(&unpacked, data, length, NULL) ==
 		MSGPACK_UNPACK_SUCCESS &&
