A follower that lists anew is not replaced; one that has listed is current

A VM counted as current only at the next tick of 250 ms after its lists, since it watched after it told them; and the VM with the lowest rank began at once when the follower was listing anew. Change: the watch begins before the list is told; turns begin 0.12 s after the last VM was current. Test: test_short_gap, failed on the old code.

--- a/lib/fleet/members.c
+++ b/lib/fleet/members.c
@@ -188,7 +188,10 @@
 	return before;
 }
 
-/* Turns that have begun since nobody is current. */
+/*
+ * Turns that have begun since nobody is current. None has at first: the one
+ * that followed may only be listing anew.
+ */
 static uint64_t
 turn_at(int64_t lacking_us)
 {
@@ -208,7 +211,7 @@
 	if (members->watching && live > 1 &&
 	    now_us - members->tried_us > TRY_US)
 		members->watching = false;
-	if (!members->watching && turn % live == own &&
+	if (!members->watching && turn > 0 && (turn - 1) % live == own &&
 	    (turn != members->tried_turn || members->tried_us == 0)) {
 		members->watching = true;
 		members->tried_us = now_us;
--- a/lib/store/follow.c
+++ b/lib/store/follow.c
@@ -151,13 +151,14 @@
 	follow->revision = follow->list_revision;
 	follow->list.revision = follow->list_revision;
 	follow->failures = 0;
+	/* Watched before it is told, so that the VM counts as current then. */
+	if (!client->reading)
+		watch(follow);
 	client->params.events->on_snapshot(
 	    client->params.user, follow->kind, &follow->list);
 	st_batch_free(&follow->list);
-	if (client->reading)
-		return;
-	watch(follow);
-	st_reach(client, true, "listed");
+	if (!client->reading)
+		st_reach(client, true, "listed");
 }
 
 static void
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -167,6 +167,44 @@
 	}
 }
 
+/* The follower lists anew for a moment: nobody else begins to follow. */
+static void
+test_short_gap(void **state)
+{
+	struct region region;
+	struct fl_member self;
+	int first, second;
+
+	uint32_t i;
+
+	(void)state;
+	set_up(&region);
+	run(&region, 6000000);
+	first = current(&region);
+	region.dead[first] = true;
+	run(&region, 4000000);
+	second = current(&region);
+	/* Restarted, it ranks before the one that follows now. */
+	self = member((uint32_t)first);
+	fl_members_free(&region.vms[first]);
+	fl_members_init(&region.vms[first], &self, region.now_us);
+	region.dead[first] = false;
+
+	run(&region, 4000000);
+	assert_int_equal(current(&region), second);
+	region.away[second] = true;
+	tick(&region);
+	send_heartbeats(&region, (uint32_t)second);
+	region.away[second] = false;
+	tick(&region);
+	send_heartbeats(&region, (uint32_t)second);
+	for (i = 0; i < 20; i++) {
+		tick(&region);
+		assert_int_equal(watchers(&region), 1);
+	}
+	tear_down(&region);
+}
+
 /* The store refuses all but one: that one is found. */
 static void
 test_store_refuses_most(void **state)
@@ -330,6 +368,7 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_one_watcher),
 	    cmocka_unit_test(test_takeover),
+	    cmocka_unit_test(test_short_gap),
 	    cmocka_unit_test(test_store_refuses_most),
 	    cmocka_unit_test(test_store_down),
 	    cmocka_unit_test(test_listed),
