--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -77,13 +77,15 @@
 
     async def restart(self):
         vm = self.random.choice(self.cluster.vms)
-        if vm.process.returncode is not None or vm.paused:
-            return
+        if vm.process.returncode is not None or vm.paused or vm.restarting:
+            return  # one at a time for each VM: no process is lost sight of
+        vm.restarting = True
         number = self.random.choice([signal.SIGKILL, signal.SIGTERM])
         self.note("%s gets %s" % (vm.name, number.name))
         await vm.end(number)
         await asyncio.sleep(self.random.uniform(0, 1))
         await vm.start()
+        vm.restarting = False
         vm.disturb(4)
 
     async def reload(self):
--- a/tests/standins/cluster.py
+++ b/tests/standins/cluster.py
@@ -272,6 +272,7 @@
         self.process = None
         self.boot = 0
         self.paused = False
+        self.restarting = False
         self.disturbed = 0.0  # until when it is out of touch
         self.store = Proxy(self.host, 8541, (cluster.address(250), 8541))
         self.path = os.path.join(cluster.folder, self.name + ".json")
