--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -111,7 +111,7 @@
 struct fl_news {
 	uint32_t kind;
 	bool whole;
-	struct st_batch batch;
+	struct os_batch batch;
 };
 
 #define FL_PEERS_MAX 32 /* addresses of others in one heartbeat */
@@ -135,7 +135,7 @@
 			uint64_t fingerprint;
 		} suspect;
 		struct {
-			uint64_t revisions[ST_KINDS_MAX];
+			uint64_t revisions[OS_KINDS_MAX];
 		} hello;
 		struct fl_news news;
 	} as;
@@ -150,7 +150,7 @@
 int fl_encode(const struct fl_frame *frame, struct fl_buffer *out);
 /*
  * fl_decode(data, length, out): the batch of news is freed by the caller with
- * st_batch_free(). Returns CS_E_INVALID for anything else than a frame.
+ * os_batch_free(). Returns CS_E_INVALID for anything else than a frame.
  */
 int fl_decode(const char *data, size_t length, struct fl_frame *out);
 
@@ -170,7 +170,7 @@
 	char region[FL_NAME_BYTES_MAX];
 	uint32_t seed_count;
 	struct sockaddr_in seeds[8];
-	const struct st_cache *cache; /* what listeners are brought up to */
+	const struct os_cache *cache; /* what listeners are brought up to */
 	uint32_t kind_count;
 	const struct fl_events *events;
 	void *user;
--- a/lib/fleet/frames.c
+++ b/lib/fleet/frames.c
@@ -73,7 +73,7 @@
 	msgpack_pack_uint64(packer, news->batch.revision);
 	msgpack_pack_uint32(packer, news->batch.count);
 	for (i = 0; i < news->batch.count; i++) {
-		const struct st_change *change = &news->batch.changes[i];
+		const struct os_change *change = &news->batch.changes[i];
 
 		pack_text(packer, change->name, strlen(change->name));
 		msgpack_pack_uint64(packer, change->revision);
@@ -110,9 +110,9 @@
 		msgpack_pack_uint64(&packer, frame->as.suspect.fingerprint);
 		break;
 	case FL_FRAME_HELLO:
-		msgpack_pack_array(&packer, 1 + ST_KINDS_MAX);
+		msgpack_pack_array(&packer, 1 + OS_KINDS_MAX);
 		msgpack_pack_int(&packer, frame->type);
-		for (i = 0; i < ST_KINDS_MAX; i++)
+		for (i = 0; i < OS_KINDS_MAX; i++)
 			msgpack_pack_uint64(
 			    &packer, frame->as.hello.revisions[i]);
 		break;
@@ -277,7 +277,7 @@
 }
 
 static int
-read_change(struct cursor *cursor, struct st_change *change)
+read_change(struct cursor *cursor, struct os_change *change)
 {
 	const msgpack_object_str *text;
 
@@ -302,12 +302,12 @@
 
 	news->kind = (uint32_t)read_number(cursor);
 	news->whole = read_number(cursor) != 0;
-	news->batch = (struct st_batch){.revision = read_number(cursor)};
+	news->batch = (struct os_batch){.revision = read_number(cursor)};
 	count = read_number(cursor);
-	if (cursor->bad || news->kind >= ST_KINDS_MAX ||
+	if (cursor->bad || news->kind >= OS_KINDS_MAX ||
 	    count > cursor->array->size)
 		return CS_E_INVALID;
-	news->batch.changes = calloc(count + 1, sizeof(struct st_change));
+	news->batch.changes = calloc(count + 1, sizeof(struct os_change));
 	if (news->batch.changes == NULL)
 		return CS_E_SYSTEM;
 	for (i = 0; i < count && !cursor->bad; i++) {
@@ -337,13 +337,13 @@
 		out->as.suspect.fingerprint = read_number(cursor);
 		break;
 	case FL_FRAME_HELLO:
-		for (i = 0; i < ST_KINDS_MAX; i++)
+		for (i = 0; i < OS_KINDS_MAX; i++)
 			out->as.hello.revisions[i] = read_number(cursor);
 		break;
 	case FL_FRAME_NEWS:
 		error = read_news(cursor, &out->as.news);
 		if (error != CS_OK || cursor->bad)
-			st_batch_free(&out->as.news.batch);
+			os_batch_free(&out->as.news.batch);
 		break;
 	default:
 		return CS_E_INVALID;
--- a/lib/fleet/heartbeat.c
+++ b/lib/fleet/heartbeat.c
@@ -33,7 +33,7 @@
 	uint32_t i;
 
 	for (i = 0; i < fleet->params.kind_count; i++)
-		sum += st_cache_revision(fleet->params.cache, i);
+		sum += os_cache_revision(fleet->params.cache, i);
 	return sum;
 }
 
@@ -192,7 +192,7 @@
 		    fleet->params.user, frame.as.suspect.fingerprint);
 		break;
 	case FL_FRAME_NEWS: /* comes over links alone */
-		st_batch_free(&frame.as.news.batch);
+		os_batch_free(&frame.as.news.batch);
 		break;
 	case FL_FRAME_HELLO:
 		break;
--- a/lib/fleet/link.c
+++ b/lib/fleet/link.c
@@ -76,7 +76,7 @@
 		at += LENGTH_BYTES + length;
 		link->events->on_frame(link, &frame);
 		if (frame.type == FL_FRAME_NEWS)
-			st_batch_free(&frame.as.news.batch);
+			os_batch_free(&frame.as.news.batch);
 	}
 	memmove(link->in, link->in + at, link->in_length - at);
 	link->in_length -= at;
--- a/lib/fleet/news.c
+++ b/lib/fleet/news.c
@@ -16,7 +16,7 @@
 
 	for (i = 0; i < fleet->params.kind_count; i++)
 		hello.as.hello.revisions[i] =
-		    st_cache_revision(fleet->params.cache, i);
+		    os_cache_revision(fleet->params.cache, i);
 	if (fl_encode(&hello, &buffer) != CS_OK)
 		return;
 	fl_link_send(link, &buffer);
@@ -107,8 +107,8 @@
 	for (i = 0; i < fleet->params.kind_count && !link->closing; i++) {
 		struct fl_news news = {.kind = i};
 
-		if (st_cache_revision(fleet->params.cache, i) == 0 ||
-		    st_cache_since(fleet->params.cache, i,
+		if (os_cache_revision(fleet->params.cache, i) == 0 ||
+		    os_cache_since(fleet->params.cache, i,
 			hello->as.hello.revisions[i], &news.batch,
 			&news.whole) != CS_OK)
 			continue;
--- a/lib/store/cache.c
+++ b/lib/store/cache.c
@@ -8,7 +8,7 @@
 #define GONE_MAX 256 /* deletions remembered; beyond it a snapshot is sent */
 
 struct object {
-	char name[ST_NAME_BYTES_MAX];
+	char name[OS_NAME_BYTES_MAX];
 	uint64_t revision;
 	char *text;
 	size_t text_length;
@@ -16,7 +16,7 @@
 };
 
 struct gone {
-	char name[ST_NAME_BYTES_MAX];
+	char name[OS_NAME_BYTES_MAX];
 	uint64_t revision;
 };
 
@@ -28,8 +28,8 @@
 	uint32_t gone_count; /* in all; the ring holds the last ones */
 };
 
-struct st_cache {
-	struct kind kinds[ST_KINDS_MAX];
+struct os_cache {
+	struct kind kinds[OS_KINDS_MAX];
 };
 
 static void
@@ -41,30 +41,30 @@
 	free(object);
 }
 
-struct st_cache *
-st_cache_create(void)
+struct os_cache *
+os_cache_create(void)
 {
-	struct st_cache *cache = calloc(1, sizeof(*cache));
+	struct os_cache *cache = calloc(1, sizeof(*cache));
 	uint32_t i;
 
-	for (i = 0; cache != NULL && i < ST_KINDS_MAX; i++)
+	for (i = 0; cache != NULL && i < OS_KINDS_MAX; i++)
 		cache->kinds[i].objects = g_hash_table_new_full(
 		    g_str_hash, g_str_equal, NULL, free_object);
 	return cache;
 }
 
 void
-st_cache_free(struct st_cache *cache)
+os_cache_free(struct os_cache *cache)
 {
 	uint32_t i;
 
-	for (i = 0; i < ST_KINDS_MAX; i++)
+	for (i = 0; i < OS_KINDS_MAX; i++)
 		g_hash_table_destroy(cache->kinds[i].objects);
 	free(cache);
 }
 
 uint64_t
-st_cache_revision(const struct st_cache *cache, uint32_t kind)
+os_cache_revision(const struct os_cache *cache, uint32_t kind)
 {
 	return cache->kinds[kind].revision;
 }
@@ -82,11 +82,11 @@
 }
 
 static void
-add_change(struct st_batch *out, const struct object *object)
+add_change(struct os_batch *out, const struct object *object)
 {
-	struct st_change *change = &out->changes[out->count++];
+	struct os_change *change = &out->changes[out->count++];
 
-	*change = (struct st_change){
+	*change = (struct os_change){
 	    .revision = object->revision,
 	    .text = object->text,
 	    .text_length = object->text_length,
@@ -95,17 +95,17 @@
 }
 
 static void
-add_gone(struct st_batch *out, const char *name, uint64_t revision)
+add_gone(struct os_batch *out, const char *name, uint64_t revision)
 {
-	struct st_change *change = &out->changes[out->count++];
+	struct os_change *change = &out->changes[out->count++];
 
-	*change = (struct st_change){.revision = revision, .gone = true};
+	*change = (struct os_change){.revision = revision, .gone = true};
 	cs_copy_text(change->name, sizeof(change->name), name);
 }
 
 /* Takes one object; true when it is news. */
 static bool
-take_object(struct kind *kind, const struct st_change *change)
+take_object(struct kind *kind, const struct os_change *change)
 {
 	struct object *object =
 	    g_hash_table_lookup(kind->objects, change->name);
@@ -139,7 +139,7 @@
 }
 
 static bool
-take_gone(struct kind *kind, const struct st_change *change)
+take_gone(struct kind *kind, const struct os_change *change)
 {
 	struct object *object =
 	    g_hash_table_lookup(kind->objects, change->name);
@@ -152,18 +152,18 @@
 }
 
 int
-st_cache_changes(struct st_cache *cache, uint32_t number,
-    const struct st_batch *batch, struct st_batch *out)
+os_cache_changes(struct os_cache *cache, uint32_t number,
+    const struct os_batch *batch, struct os_batch *out)
 {
 	struct kind *kind = &cache->kinds[number];
 	uint32_t i;
 
-	*out = (struct st_batch){.revision = batch->revision};
+	*out = (struct os_batch){.revision = batch->revision};
 	out->changes = calloc(batch->count + 1, sizeof(*out->changes));
 	if (out->changes == NULL)
 		return CS_E_SYSTEM;
 	for (i = 0; i < batch->count; i++) {
-		const struct st_change *change = &batch->changes[i];
+		const struct os_change *change = &batch->changes[i];
 
 		if (change->gone && take_gone(kind, change))
 			add_gone(out, change->name, change->revision);
@@ -177,15 +177,15 @@
 }
 
 int
-st_cache_snapshot(struct st_cache *cache, uint32_t number,
-    const struct st_batch *batch, struct st_batch *out)
+os_cache_snapshot(struct os_cache *cache, uint32_t number,
+    const struct os_batch *batch, struct os_batch *out)
 {
 	struct kind *kind = &cache->kinds[number];
 	uint32_t before = g_hash_table_size(kind->objects), i;
 	GHashTableIter iter;
 	gpointer value;
 
-	*out = (struct st_batch){.revision = batch->revision};
+	*out = (struct os_batch){.revision = batch->revision};
 	if (batch->revision < kind->revision)
 		return CS_E_STALE;
 	out->changes = calloc(batch->count + before + 1, sizeof(*out->changes));
@@ -216,8 +216,8 @@
 }
 
 int
-st_cache_since(const struct st_cache *cache, uint32_t number, uint64_t revision,
-    struct st_batch *out, bool *whole)
+os_cache_since(const struct os_cache *cache, uint32_t number, uint64_t revision,
+    struct os_batch *out, bool *whole)
 {
 	const struct kind *kind = &cache->kinds[number];
 	uint32_t kept =
@@ -227,7 +227,7 @@
 	gpointer value;
 
 	*whole = revision < kind->gone_since || revision == 0;
-	*out = (struct st_batch){.revision = kind->revision};
+	*out = (struct os_batch){.revision = kind->revision};
 	out->changes = calloc(size + kept + 1, sizeof(*out->changes));
 	if (out->changes == NULL)
 		return CS_E_SYSTEM;
--- a/lib/store/call.c
+++ b/lib/store/call.c
@@ -8,7 +8,7 @@
 #define SILENCE_MS 1500 /* unacknowledged bytes: the path is cut */
 
 static void
-finish(struct st_call *call, int status, const char *body)
+finish(struct os_call *call, int status, const char *body)
 {
 	uv_timer_stop(&call->timer);
 	call->busy = false;
@@ -18,7 +18,7 @@
 static enum h1_keep
 on_answer(struct h1_channel *channel, const struct h1_message *answer)
 {
-	struct st_call *call = h1_channel_owner(channel);
+	struct os_call *call = h1_channel_owner(channel);
 	bool keep = answer->keep_alive;
 	struct h1_bytes body = {.data = NULL};
 
@@ -35,12 +35,12 @@
 static void
 on_end(struct h1_channel *channel, enum h1_end end)
 {
-	struct st_call *call = h1_channel_owner(channel);
+	struct os_call *call = h1_channel_owner(channel);
 
 	(void)end;
 	call->channel = NULL;
 	if (call->busy)
-		finish(call, ST_NO_REPLY, "");
+		finish(call, OS_NO_REPLY, "");
 }
 
 static const struct h1_channel_events events = {
@@ -51,15 +51,15 @@
 static void
 on_timeout(uv_timer_t *timer)
 {
-	struct st_call *call = timer->data;
+	struct os_call *call = timer->data;
 
-	st_call_cancel(call);
-	call->done(call, ST_NO_REPLY, "");
+	os_call_cancel(call);
+	call->done(call, OS_NO_REPLY, "");
 }
 
 void
-st_call_init(struct st_call *call, struct st_client *client,
-    void (*done)(struct st_call *, int, const char *))
+os_call_init(struct os_call *call, struct os_client *client,
+    void (*done)(struct os_call *, int, const char *))
 {
 	call->client = client;
 	call->done = done;
@@ -68,7 +68,7 @@
 }
 
 void
-st_call_cancel(struct st_call *call)
+os_call_cancel(struct os_call *call)
 {
 	uv_timer_stop(&call->timer);
 	call->busy = false;
@@ -78,9 +78,9 @@
 }
 
 static int
-open_channel(struct st_call *call)
+open_channel(struct os_call *call)
 {
-	const struct st_params *params = &call->client->params;
+	const struct os_params *params = &call->client->params;
 	struct h1_channel_params channel = {
 	    .loop = params->loop,
 	    .address = params->address,
@@ -95,7 +95,7 @@
 }
 
 void
-st_call_send(struct st_call *call, const char *method, const char *path,
+os_call_send(struct os_call *call, const char *method, const char *path,
     const char *body, uint32_t timeout_ms)
 {
 	struct h1_bytes head = {.data = NULL};
@@ -125,8 +125,8 @@
 }
 
 void
-st_call_close(struct st_call *call)
+os_call_close(struct os_call *call)
 {
-	st_call_cancel(call);
+	os_call_cancel(call);
 	uv_close((uv_handle_t *)&call->timer, NULL);
 }
--- a/lib/store/client.c
+++ b/lib/store/client.c
@@ -16,7 +16,7 @@
 #define ANNOUNCE_TIMEOUT_MS 2000
 
 uint32_t
-st_backoff_ms(struct st_client *client, uint32_t failures)
+os_backoff_ms(struct os_client *client, uint32_t failures)
 {
 	uint32_t pause_ms = BACKOFF_FIRST_MS;
 
@@ -28,7 +28,7 @@
 }
 
 void
-st_reach(struct st_client *client, bool reached, const char *reason)
+os_reach(struct os_client *client, bool reached, const char *reason)
 {
 	if (client->reached == reached)
 		return;
@@ -37,18 +37,18 @@
 }
 
 static void
-start_follows(struct st_client *client)
+start_follows(struct os_client *client)
 {
 	uint32_t i;
 
 	for (i = 0; i < client->params.kind_count; i++)
-		st_follow_start(&client->follows[i]);
+		os_follow_start(&client->follows[i]);
 }
 
 static void
-on_checked(struct st_call *call, int status, const char *body)
+on_checked(struct os_call *call, int status, const char *body)
 {
-	struct st_client *client = call->client;
+	struct os_client *client = call->client;
 	uint32_t i;
 
 	(void)body;
@@ -56,33 +56,33 @@
 		return;
 	if (status == 200 || status == 404) {
 		start_follows(client);
-		st_reach(client, true, "checked");
+		os_reach(client, true, "checked");
 		return;
 	}
 	/* The watches wait on the same path: they start anew when it is back.
 	 */
 	for (i = 0; i < client->params.kind_count; i++)
-		st_follow_stop(&client->follows[i]);
-	st_reach(client, false,
-	    status == ST_NO_REPLY ? "check_unanswered" : "check_refused");
+		os_follow_stop(&client->follows[i]);
+	os_reach(client, false,
+	    status == OS_NO_REPLY ? "check_unanswered" : "check_refused");
 }
 
 static void
 on_check_due(uv_timer_t *timer)
 {
-	struct st_client *client = timer->data;
-	const struct st_params *params = &client->params;
-	char path[ST_PATH_BYTES_MAX];
+	struct os_client *client = timer->data;
+	const struct os_params *params = &client->params;
+	char path[OS_PATH_BYTES_MAX];
 
 	if (client->check.busy)
 		return;
 	if (params->codec->check_path(
 		path, params->own_kind, params->own_name) == CS_OK)
-		st_call_send(
+		os_call_send(
 		    &client->check, "GET", path, NULL, CHECK_TIMEOUT_MS);
 }
 
-static void announce(struct st_client *client);
+static void announce(struct os_client *client);
 
 static void
 on_announce_due(uv_timer_t *timer)
@@ -91,30 +91,30 @@
 }
 
 static void
-announce_failed(struct st_client *client)
+announce_failed(struct os_client *client)
 {
 	uv_timer_start(&client->announce_timer, on_announce_due,
-	    st_backoff_ms(client, ++client->announce_failures), 0);
+	    os_backoff_ms(client, ++client->announce_failures), 0);
 	client->on_announced(client->params.user, NULL);
 }
 
 static void
-list_own_kind(struct st_client *client, const char *after)
+list_own_kind(struct os_client *client, const char *after)
 {
-	char path[ST_PATH_BYTES_MAX];
+	char path[OS_PATH_BYTES_MAX];
 
 	client->announce_listing = true;
 	if (client->params.codec->list_path(
 		path, client->params.own_kind, after) == CS_OK)
-		st_call_send(
+		os_call_send(
 		    &client->announce, "GET", path, NULL, ANNOUNCE_TIMEOUT_MS);
 }
 
 static void
-on_announced(struct st_call *call, int status, const char *body)
+on_announced(struct os_call *call, int status, const char *body)
 {
-	struct st_client *client = call->client;
-	struct st_batch batch = {.count = 0};
+	struct os_client *client = call->client;
+	struct os_batch batch = {.count = 0};
 
 	if (!client->announce_listing) {
 		if (status / 100 == 2 || status == 409)
@@ -132,27 +132,27 @@
 	client->on_announced(client->params.user, &batch);
 	if (batch.more && batch.count > 0)
 		list_own_kind(client, batch.changes[batch.count - 1].name);
-	st_batch_free(&batch);
+	os_batch_free(&batch);
 }
 
 static void
-announce(struct st_client *client)
+announce(struct os_client *client)
 {
-	char path[ST_PATH_BYTES_MAX], *object;
+	char path[OS_PATH_BYTES_MAX], *object;
 
 	client->announce_listing = false;
 	object = client->params.codec->write_object(
 	    client->params.own_name, client->announced);
 	if (object != NULL && client->params.codec->kind_path(
 				  path, client->params.own_kind) == CS_OK)
-		st_call_send(&client->announce, "POST", path, object,
+		os_call_send(&client->announce, "POST", path, object,
 		    ANNOUNCE_TIMEOUT_MS);
 	free(object);
 }
 
 void
-st_client_announce(struct st_client *client, const char *value_json,
-    void (*done)(void *user, const struct st_batch *batch))
+os_client_announce(struct os_client *client, const char *value_json,
+    void (*done)(void *user, const struct os_batch *batch))
 {
 	free(client->announced);
 	client->announced = strdup(value_json);
@@ -161,9 +161,9 @@
 }
 
 int
-st_client_create(const struct st_params *params, struct st_client **out)
+os_client_create(const struct os_params *params, struct os_client **out)
 {
-	struct st_client *client = calloc(1, sizeof(*client));
+	struct os_client *client = calloc(1, sizeof(*client));
 	uint32_t i;
 
 	if (client == NULL)
@@ -171,9 +171,9 @@
 	client->params = *params;
 	cs_random_seed(&client->random, params->seed);
 	for (i = 0; i < params->kind_count; i++)
-		st_follow_init(&client->follows[i], client, i);
-	st_call_init(&client->check, client, on_checked);
-	st_call_init(&client->announce, client, on_announced);
+		os_follow_init(&client->follows[i], client, i);
+	os_call_init(&client->check, client, on_checked);
+	os_call_init(&client->announce, client, on_announced);
 	uv_timer_init(params->loop, &client->check_timer);
 	client->check_timer.data = client;
 	uv_timer_init(params->loop, &client->announce_timer);
@@ -183,7 +183,7 @@
 }
 
 void
-st_client_read(struct st_client *client)
+os_client_read(struct os_client *client)
 {
 	if (client->following)
 		return;
@@ -192,7 +192,7 @@
 }
 
 void
-st_client_follow(struct st_client *client, bool on)
+os_client_follow(struct os_client *client, bool on)
 {
 	uint32_t i;
 
@@ -208,23 +208,23 @@
 		return;
 	}
 	for (i = 0; i < client->params.kind_count; i++)
-		st_follow_stop(&client->follows[i]);
+		os_follow_stop(&client->follows[i]);
 	uv_timer_stop(&client->check_timer);
-	st_call_cancel(&client->check);
+	os_call_cancel(&client->check);
 	client->reached = false;
 }
 
 void
-st_client_list_anew(struct st_client *client, uint32_t kind)
+os_client_list_anew(struct os_client *client, uint32_t kind)
 {
-	st_follow_stop(&client->follows[kind]);
+	os_follow_stop(&client->follows[kind]);
 	client->follows[kind].revision = 0;
 	if (client->following)
-		st_follow_start(&client->follows[kind]);
+		os_follow_start(&client->follows[kind]);
 }
 
 bool
-st_client_current(const struct st_client *client)
+os_client_current(const struct os_client *client)
 {
 	uint32_t i;
 
@@ -237,26 +237,26 @@
 }
 
 uint64_t
-st_client_revision(const struct st_client *client, uint32_t kind)
+os_client_revision(const struct os_client *client, uint32_t kind)
 {
 	return client->follows[kind].revision;
 }
 
 uint64_t
-st_client_calls(const struct st_client *client)
+os_client_calls(const struct os_client *client)
 {
 	return client->calls;
 }
 
 void
-st_client_close(struct st_client *client)
+os_client_close(struct os_client *client)
 {
 	uint32_t i;
 
 	for (i = 0; i < client->params.kind_count; i++)
-		st_follow_close(&client->follows[i]);
-	st_call_close(&client->check);
-	st_call_close(&client->announce);
+		os_follow_close(&client->follows[i]);
+	os_call_close(&client->check);
+	os_call_close(&client->announce);
 	uv_close((uv_handle_t *)&client->check_timer, NULL);
 	uv_close((uv_handle_t *)&client->announce_timer, NULL);
 	free(client->announced);
--- a/lib/store/follow.c
+++ b/lib/store/follow.c
@@ -12,49 +12,49 @@
 #define STATUS_HISTORY_GONE 410
 
 void
-st_batch_free(struct st_batch *batch)
+os_batch_free(struct os_batch *batch)
 {
 	uint32_t i;
 
 	for (i = 0; i < batch->count; i++)
 		free(batch->changes[i].text);
 	free(batch->changes);
-	*batch = (struct st_batch){.count = 0};
+	*batch = (struct os_batch){.count = 0};
 }
 
 static void
-list_from(struct st_follow *follow, const char *after)
+list_from(struct os_follow *follow, const char *after)
 {
-	const struct st_params *params = &follow->call.client->params;
-	char path[ST_PATH_BYTES_MAX];
+	const struct os_params *params = &follow->call.client->params;
+	char path[OS_PATH_BYTES_MAX];
 
 	follow->listing = true;
 	follow->watching = false;
 	if (params->codec->list_path(
 		path, params->kinds[follow->kind], after) == CS_OK)
-		st_call_send(&follow->call, "GET", path, NULL, LIST_TIMEOUT_MS);
+		os_call_send(&follow->call, "GET", path, NULL, LIST_TIMEOUT_MS);
 }
 
 static void
-watch(struct st_follow *follow)
+watch(struct os_follow *follow)
 {
-	const struct st_params *params = &follow->call.client->params;
-	char path[ST_PATH_BYTES_MAX];
+	const struct os_params *params = &follow->call.client->params;
+	char path[OS_PATH_BYTES_MAX];
 
 	follow->listing = false;
 	follow->watching = true;
 	if (params->codec->watch_path(path, params->kinds[follow->kind],
 		follow->revision, WATCH_WAIT_MS) == CS_OK)
-		st_call_send(&follow->call, "GET", path, NULL,
+		os_call_send(&follow->call, "GET", path, NULL,
 		    WATCH_WAIT_MS + WATCH_MARGIN_MS);
 }
 
 void
-st_follow_start(struct st_follow *follow)
+os_follow_start(struct os_follow *follow)
 {
 	if (follow->call.busy || uv_is_active((uv_handle_t *)&follow->pause))
 		return;
-	st_batch_free(&follow->list);
+	os_batch_free(&follow->list);
 	if (follow->revision == 0)
 		list_from(follow, NULL);
 	else
@@ -62,26 +62,26 @@
 }
 
 void
-st_follow_stop(struct st_follow *follow)
+os_follow_stop(struct os_follow *follow)
 {
 	uv_timer_stop(&follow->pause);
 	if (follow->call.busy)
 		follow->revision = 0; /* as after a cut */
-	st_call_cancel(&follow->call);
-	st_batch_free(&follow->list);
+	os_call_cancel(&follow->call);
+	os_batch_free(&follow->list);
 	follow->listing = follow->watching = false;
 }
 
 static void
 on_pause_over(uv_timer_t *timer)
 {
-	st_follow_start(timer->data);
+	os_follow_start(timer->data);
 }
 
 static void
-fail(struct st_follow *follow, int status)
+fail(struct os_follow *follow, int status)
 {
-	struct st_client *client = follow->call.client;
+	struct os_client *client = follow->call.client;
 
 	if (client->reading)
 		return; /* once is enough: others bring the news too */
@@ -93,16 +93,16 @@
 	follow->revision = 0;
 	follow->watching = false;
 	uv_timer_start(&follow->pause, on_pause_over,
-	    st_backoff_ms(client, follow->failures), 0);
-	st_reach(client, false, status == ST_NO_REPLY ? "no_reply" : "refused");
+	    os_backoff_ms(client, follow->failures), 0);
+	os_reach(client, false, status == OS_NO_REPLY ? "no_reply" : "refused");
 }
 
 /* Appends a page to the list; takes over its changes. */
 static int
-add_page(struct st_follow *follow, struct st_batch *page)
+add_page(struct os_follow *follow, struct os_batch *page)
 {
-	struct st_batch *list = &follow->list;
-	struct st_change *grown;
+	struct os_batch *list = &follow->list;
+	struct os_change *grown;
 
 	if (list->count == 0) {
 		*list = *page;
@@ -124,23 +124,23 @@
 }
 
 static void
-on_list(struct st_follow *follow, const char *body)
+on_list(struct os_follow *follow, const char *body)
 {
-	struct st_client *client = follow->call.client;
-	struct st_batch page = {.count = 0};
-	char last[ST_NAME_BYTES_MAX];
+	struct os_client *client = follow->call.client;
+	struct os_batch page = {.count = 0};
+	char last[OS_NAME_BYTES_MAX];
 	bool more;
 
 	if (client->params.codec->parse_list(body, &page) != CS_OK) {
-		fail(follow, ST_NO_REPLY);
+		fail(follow, OS_NO_REPLY);
 		return;
 	}
 	more = page.more && page.count > 0;
 	if (more)
 		memcpy(last, page.changes[page.count - 1].name, sizeof(last));
 	if (add_page(follow, &page) != CS_OK) {
-		st_batch_free(&page);
-		fail(follow, ST_NO_REPLY);
+		os_batch_free(&page);
+		fail(follow, OS_NO_REPLY);
 		return;
 	}
 	if (more) {
@@ -156,19 +156,19 @@
 		watch(follow);
 	client->params.events->on_snapshot(
 	    client->params.user, follow->kind, &follow->list);
-	st_batch_free(&follow->list);
+	os_batch_free(&follow->list);
 	if (!client->reading)
-		st_reach(client, true, "listed");
+		os_reach(client, true, "listed");
 }
 
 static void
-on_events(struct st_follow *follow, const char *body)
+on_events(struct os_follow *follow, const char *body)
 {
-	struct st_client *client = follow->call.client;
-	struct st_batch batch = {.count = 0};
+	struct os_client *client = follow->call.client;
+	struct os_batch batch = {.count = 0};
 
 	if (client->params.codec->parse_events(body, &batch) != CS_OK) {
-		fail(follow, ST_NO_REPLY);
+		fail(follow, OS_NO_REPLY);
 		return;
 	}
 	if (batch.revision > follow->revision)
@@ -181,14 +181,14 @@
 		uv_timer_start(&follow->pause, on_pause_over, GATHER_MS, 0);
 	else
 		watch(follow);
-	st_batch_free(&batch);
-	st_reach(client, true, "watched");
+	os_batch_free(&batch);
+	os_reach(client, true, "watched");
 }
 
 static void
-on_done(struct st_call *call, int status, const char *body)
+on_done(struct os_call *call, int status, const char *body)
 {
-	struct st_follow *follow = (struct st_follow *)call;
+	struct os_follow *follow = (struct os_follow *)call;
 
 	if (!call->client->following && !call->client->reading)
 		return;
@@ -200,7 +200,7 @@
 	    (unsigned long long)follow->revision, strlen(body));
 	if (status == STATUS_HISTORY_GONE) {
 		follow->revision = 0;
-		st_follow_start(follow);
+		os_follow_start(follow);
 	} else if (status != 200) {
 		fail(follow, status);
 	} else if (follow->listing) {
@@ -211,19 +211,19 @@
 }
 
 void
-st_follow_init(
-    struct st_follow *follow, struct st_client *client, uint32_t kind)
+os_follow_init(
+    struct os_follow *follow, struct os_client *client, uint32_t kind)
 {
-	st_call_init(&follow->call, client, on_done);
+	os_call_init(&follow->call, client, on_done);
 	uv_timer_init(client->params.loop, &follow->pause);
 	follow->pause.data = follow;
 	follow->kind = kind;
 }
 
 void
-st_follow_close(struct st_follow *follow)
+os_follow_close(struct os_follow *follow)
 {
-	st_call_close(&follow->call);
-	st_batch_free(&follow->list);
+	os_call_close(&follow->call);
+	os_batch_free(&follow->list);
 	uv_close((uv_handle_t *)&follow->pause, NULL);
 }
--- a/programs/gateway.c
+++ b/programs/gateway.c
@@ -134,7 +134,7 @@
 static int
 create_store(struct ga_app *app, uint64_t seed)
 {
-	struct st_params params = {
+	struct os_params params = {
 	    .loop = &app->loop,
 	    .address = app->settings.store,
 	    .codec = &pl_codec,
@@ -148,7 +148,7 @@
 	    .seed = seed,
 	};
 
-	return st_client_create(&params, &app->store);
+	return os_client_create(&params, &app->store);
 }
 
 /* The VM that follows the store sends its news to all others of the region. */
@@ -223,8 +223,8 @@
 	if (app->role != FL_WATCH)
 		return;
 	/* Watches may have missed their end: they start anew. */
-	st_client_follow(app->store, false);
-	st_client_follow(app->store, true);
+	os_client_follow(app->store, false);
+	os_client_follow(app->store, true);
 }
 
 static void
@@ -322,7 +322,7 @@
 	struct ga_app *app = timer->data;
 
 	if (gw_table(app->gw) == NULL || !app->targets_known)
-		st_client_read(app->store);
+		os_client_read(app->store);
 }
 
 static int
@@ -334,7 +334,7 @@
 	    (uint64_t)time(NULL) << 16;
 
 	fill_topology(app);
-	app->cache = st_cache_create();
+	app->cache = os_cache_create();
 	if (app->cache == NULL || create_gateway(app, seed) != CS_OK ||
 	    create_store(app, seed) != CS_OK ||
 	    create_fleet(app, seed) != CS_OK || ga_serve(app) != CS_OK)
--- a/programs/gateway.h
+++ b/programs/gateway.h
@@ -15,8 +15,8 @@
 	struct pl_settings settings;
 	struct bl_topology topology;
 	struct gw *gw;
-	struct st_client *store;
-	struct st_cache *cache;
+	struct os_client *store;
+	struct os_cache *cache;
 	struct fleet *fleet;
 	struct h1_server *directory;
 	struct h1_server *readiness;
@@ -43,11 +43,11 @@
 };
 
 /* gateway_news.c: what the store says, from wherever it came */
-void ga_news(struct ga_app *app, uint32_t kind, const struct st_batch *batch,
+void ga_news(struct ga_app *app, uint32_t kind, const struct os_batch *batch,
     bool whole);
 /* ga_share_budget(app): this VM's part of the fleet's repeats and probes. */
 void ga_share_budget(struct ga_app *app);
-extern const struct st_events ga_store_events;
+extern const struct os_events ga_store_events;
 extern const struct fl_events ga_fleet_events;
 /*
  * ga_meet(app): registers this VM in the store and looks there for others,
--- a/programs/gateway_news.c
+++ b/programs/gateway_news.c
@@ -19,7 +19,7 @@
 #define MEET_MAX_US 60000000
 
 static void
-apply_config(struct ga_app *app, const struct st_change *change)
+apply_config(struct ga_app *app, const struct os_change *change)
 {
 	const struct rt_table *old = gw_table(app->gw);
 	char fault[PL_TEXT_BYTES_MAX];
@@ -50,7 +50,7 @@
 }
 
 static void
-apply_target(struct ga_app *app, const struct st_change *change)
+apply_target(struct ga_app *app, const struct os_change *change)
 {
 	char fault[PL_TEXT_BYTES_MAX] = "data centre";
 	struct pl_target target;
@@ -81,7 +81,7 @@
 }
 
 static void
-apply(struct ga_app *app, uint32_t kind, const struct st_batch *news)
+apply(struct ga_app *app, uint32_t kind, const struct os_batch *news)
 {
 	uint32_t i;
 
@@ -103,12 +103,12 @@
 
 void
 ga_news(
-    struct ga_app *app, uint32_t kind, const struct st_batch *batch, bool whole)
+    struct ga_app *app, uint32_t kind, const struct os_batch *batch, bool whole)
 {
 	struct fl_news news = {.kind = kind, .whole = whole, .batch = *batch};
-	struct st_batch changed;
-	int error = whole ? st_cache_snapshot(app->cache, kind, batch, &changed)
-			  : st_cache_changes(app->cache, kind, batch, &changed);
+	struct os_batch changed;
+	int error = whole ? os_cache_snapshot(app->cache, kind, batch, &changed)
+			  : os_cache_changes(app->cache, kind, batch, &changed);
 
 	if (error != CS_OK)
 		return; /* older than what is known here */
@@ -120,10 +120,10 @@
 }
 
 /* The batch without removals; its array is freed with free(). */
-static struct st_batch
-without_removals(const struct st_batch *batch)
+static struct os_batch
+without_removals(const struct os_batch *batch)
 {
-	struct st_batch kept = {.revision = batch->revision};
+	struct os_batch kept = {.revision = batch->revision};
 	uint32_t i;
 
 	kept.changes = calloc(batch->count + 1, sizeof(*kept.changes));
@@ -144,9 +144,9 @@
 }
 
 static void
-take_forgiving(struct ga_app *app, uint32_t kind, const struct st_batch *batch)
+take_forgiving(struct ga_app *app, uint32_t kind, const struct os_batch *batch)
 {
-	struct st_batch kept = without_removals(batch);
+	struct os_batch kept = without_removals(batch);
 
 	if (kept.changes != NULL)
 		ga_news(app, kind, &kept, false);
@@ -159,11 +159,11 @@
 	struct ga_app *app = timer->data;
 
 	app->forgiving_until_us = 0;
-	st_client_list_anew(app->store, GA_TARGETS);
+	os_client_list_anew(app->store, GA_TARGETS);
 }
 
 static void
-on_snapshot(void *user, uint32_t kind, const struct st_batch *batch)
+on_snapshot(void *user, uint32_t kind, const struct os_batch *batch)
 {
 	struct ga_app *app = user;
 
@@ -174,7 +174,7 @@
 }
 
 static void
-on_changes(void *user, uint32_t kind, const struct st_batch *batch)
+on_changes(void *user, uint32_t kind, const struct os_batch *batch)
 {
 	struct ga_app *app = user;
 
@@ -207,7 +207,7 @@
 	ga_update_standing(app);
 }
 
-const struct st_events ga_store_events = {
+const struct os_events ga_store_events = {
     .on_snapshot = on_snapshot,
     .on_changes = on_changes,
     .on_reach = on_reach,
@@ -235,7 +235,7 @@
 	app->role = role;
 	cs_log(CS_LOG_ROLE_CHANGED, "role=%s leader=%s", role_text(role),
 	    leader == NULL ? "-" : leader->name);
-	st_client_follow(app->store, role == FL_WATCH);
+	os_client_follow(app->store, role == FL_WATCH);
 	ga_update_standing(app);
 }
 
@@ -283,7 +283,7 @@
 };
 
 static void
-learn_member(struct ga_app *app, const struct st_change *change)
+learn_member(struct ga_app *app, const struct os_change *change)
 {
 	struct fl_member member = {.ready = false};
 	struct pl_member found;
@@ -301,7 +301,7 @@
 }
 
 static void
-on_announced(void *user, const struct st_batch *batch)
+on_announced(void *user, const struct os_batch *batch)
 {
 	struct ga_app *app = user;
 	uint32_t i;
@@ -322,7 +322,7 @@
 	    member.region, sizeof(member.region), app->settings.region);
 	text = pl_write_member(&member);
 	if (text != NULL)
-		st_client_announce(app->store, text, on_announced);
+		os_client_announce(app->store, text, on_announced);
 	free(text);
 }
 
@@ -362,5 +362,5 @@
 	fl_set_ready(app->fleet, ga_is_ready(app));
 	fl_set_current(app->fleet, app->role == FL_WATCH &&
 				       app->stopping_us == 0 &&
-				       st_client_current(app->store));
+				       os_client_current(app->store));
 }
--- a/programs/gateway_serve.c
+++ b/programs/gateway_serve.c
@@ -150,9 +150,9 @@
 	    "chervilshelf_caller_connections %u\n",
 	    ga_is_ready(app), app->role == FL_WATCH,
 	    table == NULL ? 0ULL : (unsigned long long)table->version,
-	    (unsigned long long)st_cache_revision(app->cache, GA_TARGETS),
+	    (unsigned long long)os_cache_revision(app->cache, GA_TARGETS),
 	    fl_members_near(fl_get_members(app->fleet), cs_now_us()),
-	    (unsigned long long)st_client_calls(app->store),
+	    (unsigned long long)os_client_calls(app->store),
 	    gw_connections(app->gw));
 }
 
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -303,7 +303,7 @@
 static void
 test_frames(void **state)
 {
-	struct st_change changes[] = {
+	struct os_change changes[] = {
 	    {.name = "a", .revision = 5, .text = "{\"x\":1}", .text_length = 7},
 	    {.name = "b", .revision = 6, .gone = true}};
 	struct fl_frame news = {.type = FL_FRAME_NEWS,
@@ -328,7 +328,7 @@
 	assert_int_equal(out.as.news.batch.count, 2);
 	assert_string_equal(out.as.news.batch.changes[0].text, "{\"x\":1}");
 	assert_true(out.as.news.batch.changes[1].gone);
-	st_batch_free(&out.as.news.batch);
+	os_batch_free(&out.as.news.batch);
 	free(buffer.data);
 
 	assert_int_equal(fl_encode(&beat, &buffer), CS_OK);
@@ -358,7 +358,7 @@
 		bytes[0] = (char)0x95; /* an array, so that items are read */
 		if (fl_decode(bytes, length, &out) == CS_OK &&
 		    out.type == FL_FRAME_NEWS)
-			st_batch_free(&out.as.news.batch);
+			os_batch_free(&out.as.news.batch);
 	}
 }
 
--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -40,12 +40,12 @@
 struct setting {
 	uv_loop_t loop;
 	struct h1_server *server;
-	struct st_client *client;
+	struct os_client *client;
 	uv_timer_t tick;
 	const struct reply *replies;
 	uint32_t reply_count;
 	uint32_t calls;
-	char paths[CALLS_MAX][ST_PATH_BYTES_MAX];
+	char paths[CALLS_MAX][OS_PATH_BYTES_MAX];
 	struct h1_conn *waiting;
 	char told[512]; /* what the client reported, in order */
 };
@@ -83,7 +83,7 @@
 }
 
 static void
-tell(struct setting *setting, const char *what, const struct st_batch *batch)
+tell(struct setting *setting, const char *what, const struct os_batch *batch)
 {
 	size_t used = strlen(setting->told);
 	uint32_t i;
@@ -99,14 +99,14 @@
 }
 
 static void
-on_snapshot(void *user, uint32_t kind, const struct st_batch *batch)
+on_snapshot(void *user, uint32_t kind, const struct os_batch *batch)
 {
 	(void)kind;
 	tell(user, "all", batch);
 }
 
 static void
-on_changes(void *user, uint32_t kind, const struct st_batch *batch)
+on_changes(void *user, uint32_t kind, const struct os_batch *batch)
 {
 	(void)kind;
 	tell(user, "new", batch);
@@ -143,7 +143,7 @@
 {
 	static const struct h1_server_events server_events = {
 	    .on_request = on_store_request, .on_gone = on_store_gone};
-	static const struct st_events events = {.on_snapshot = on_snapshot,
+	static const struct os_events events = {.on_snapshot = on_snapshot,
 	    .on_changes = on_changes,
 	    .on_reach = on_reach};
 	struct h1_server_params server = {
@@ -156,7 +156,7 @@
 	    .events = &server_events,
 	    .user = setting,
 	};
-	struct st_params params = {
+	struct os_params params = {
 	    .loop = &setting->loop,
 	    .codec = &pl_codec,
 	    .events = &events,
@@ -176,8 +176,8 @@
 	assert_int_equal(h1_server_create(&server, &setting->server), CS_OK);
 	uv_ip4_addr(
 	    "127.0.0.1", h1_server_port(setting->server), &params.address);
-	assert_int_equal(st_client_create(&params, &setting->client), CS_OK);
-	st_client_follow(setting->client, true);
+	assert_int_equal(os_client_create(&params, &setting->client), CS_OK);
+	os_client_follow(setting->client, true);
 }
 
 struct follow_case {
@@ -231,14 +231,14 @@
 		    strcmp(setting.paths[row->count], row->last_path) != 0)
 			fail_msg("%s: told \"%s\", then asked \"%s\"",
 			    row->name, setting.told, setting.paths[row->count]);
-		st_client_close(setting.client);
+		os_client_close(setting.client);
 	}
 }
 
-static struct st_change
+static struct os_change
 object(const char *name, uint64_t revision, bool gone)
 {
-	struct st_change change = {
+	struct os_change change = {
 	    .revision = revision, .gone = gone, .text = "{}", .text_length = 2};
 
 	cs_copy_text(change.name, sizeof(change.name), name);
@@ -246,14 +246,14 @@
 }
 
 static uint32_t
-take(struct st_cache *cache, bool whole, uint64_t revision,
-    struct st_change *changes, uint32_t count)
+take(struct os_cache *cache, bool whole, uint64_t revision,
+    struct os_change *changes, uint32_t count)
 {
-	struct st_batch batch = {
+	struct os_batch batch = {
 	    .changes = changes, .count = count, .revision = revision};
-	struct st_batch out;
-	int error = whole ? st_cache_snapshot(cache, 0, &batch, &out)
-			  : st_cache_changes(cache, 0, &batch, &out);
+	struct os_batch out;
+	int error = whole ? os_cache_snapshot(cache, 0, &batch, &out)
+			  : os_cache_changes(cache, 0, &batch, &out);
 	uint32_t news = error == CS_OK ? out.count : 99;
 
 	free(out.changes);
@@ -263,12 +263,12 @@
 static void
 test_cache(void **state)
 {
-	struct st_cache *cache = st_cache_create();
-	struct st_change two[] = {object("a", 3, false), object("b", 4, false)};
-	struct st_change old[] = {object("a", 2, false)};
-	struct st_change newer[] = {object("a", 7, false)};
-	struct st_change gone[] = {object("b", 8, true)};
-	struct st_batch since;
+	struct os_cache *cache = os_cache_create();
+	struct os_change two[] = {object("a", 3, false), object("b", 4, false)};
+	struct os_change old[] = {object("a", 2, false)};
+	struct os_change newer[] = {object("a", 7, false)};
+	struct os_change gone[] = {object("b", 8, true)};
+	struct os_batch since;
 	bool whole;
 
 	(void)state;
@@ -280,42 +280,42 @@
 	assert_int_equal(take(cache, false, 8, gone, 1), 0);
 	/* An older snapshot never takes anything back. */
 	assert_int_equal(take(cache, true, 5, two, 2), 99);
-	assert_int_equal(st_cache_revision(cache, 0), 8);
+	assert_int_equal(os_cache_revision(cache, 0), 8);
 
-	assert_int_equal(st_cache_since(cache, 0, 6, &since, &whole), CS_OK);
+	assert_int_equal(os_cache_since(cache, 0, 6, &since, &whole), CS_OK);
 	assert_false(whole);
 	assert_int_equal(since.count, 2); /* a changed, b went */
 	free(since.changes);
 	/* What went before the first snapshot is not known. */
-	assert_int_equal(st_cache_since(cache, 0, 4, &since, &whole), CS_OK);
+	assert_int_equal(os_cache_since(cache, 0, 4, &since, &whole), CS_OK);
 	assert_true(whole);
 	assert_int_equal(since.count, 1);
 	free(since.changes);
 
 	/* A snapshot tells removals by what it lacks. */
 	assert_int_equal(take(cache, true, 9, newer, 0), 1);
-	st_cache_free(cache);
+	os_cache_free(cache);
 }
 
 /* An object that came back is not taken for the one that went. */
 static void
 test_cache_recreated(void **state)
 {
-	struct st_cache *cache = st_cache_create();
-	struct st_change first[] = {object("a", 3, false)};
-	struct st_change again[] = {
+	struct os_cache *cache = os_cache_create();
+	struct os_change first[] = {object("a", 3, false)};
+	struct os_change again[] = {
 	    object("a", 9, true), object("a", 8, false)};
-	struct st_batch since;
+	struct os_batch since;
 	bool whole;
 
 	(void)state;
 	take(cache, true, 5, first, 1);
 	assert_int_equal(take(cache, false, 9, again, 2), 2);
-	assert_int_equal(st_cache_since(cache, 0, 6, &since, &whole), CS_OK);
+	assert_int_equal(os_cache_since(cache, 0, 6, &since, &whole), CS_OK);
 	assert_int_equal(since.count, 1);
 	assert_false(since.changes[0].gone);
 	free(since.changes);
-	st_cache_free(cache);
+	os_cache_free(cache);
 }
 
 int
