No promise after an attempt that may have run; refused connections are no attempts

Tests: test_lost_then_shed, test_unreached_is_no_attempt, test_extra_answer_without_id; all three failed on the code before.

--- a/lib/balance/balance.h
+++ b/lib/balance/balance.h
@@ -210,6 +210,8 @@
 enum bl_step bl_without_retry(enum bl_outcome outcome);
 /* bl_arrived(outcome): the target saw the request. */
 bool bl_arrived(enum bl_outcome outcome);
+/* bl_may_have_run(outcome): nobody vouches that it did not run. */
+bool bl_may_have_run(enum bl_outcome outcome);
 
 /*
  * Requests that crash the targets that run them. A fingerprint names a
--- a/lib/balance/outcome.c
+++ b/lib/balance/outcome.c
@@ -37,6 +37,24 @@
 	return outcome != BL_UNREACHED;
 }
 
+bool
+bl_may_have_run(enum bl_outcome outcome)
+{
+	switch (outcome) {
+	case BL_SERVED:
+	case BL_FAILED:
+	case BL_LOST:
+	case BL_GARBLED:
+	case BL_CANCELLED:
+		return true;
+	case BL_SHED:
+	case BL_MISPLACED:
+	case BL_UNREACHED:
+		return false;
+	}
+	return true;
+}
+
 enum bl_step
 bl_next_step(enum bl_outcome outcome, enum rt_kind kind, bool attempts_left)
 {
--- a/lib/gateway/answer.c
+++ b/lib/gateway/answer.c
@@ -51,6 +51,11 @@
 	struct h1_conn *conn = call->conn;
 	char body[128];
 
+	/* An earlier attempt may have run: 503 would promise that none did. */
+	if (status == 503 && call->may_have_run) {
+		status = 502;
+		retry_after_us = 0;
+	}
 	head->length = 0;
 	if (call->id[0] != '\0')
 		h1_bytes_print(head, "%s: %s\r\n",
--- a/lib/gateway/attempt.c
+++ b/lib/gateway/attempt.c
@@ -86,7 +86,7 @@
 static bool
 attempts_left(const struct gw_call *call)
 {
-	return call->attempts < call->route->attempts_max &&
+	return call->arrivals < call->route->attempts_max &&
 	       call->tried_count < BL_TRIED_MAX &&
 	       cs_now_us() < call->due_us - GW_TIMEOUT_MARGIN_US;
 }
@@ -172,6 +172,8 @@
 	gw_attempt_drop(call, outcome);
 	call->state = GW_CALL_PLACING;
 	call->outcome = outcome;
+	call->arrivals += bl_arrived(outcome);
+	call->may_have_run |= bl_may_have_run(outcome);
 	step = next_step(call, outcome);
 	switch (step) {
 	case BL_RELAY:
--- a/lib/gateway/call.c
+++ b/lib/gateway/call.c
@@ -189,7 +189,9 @@
 	call->state = GW_CALL_PLACING;
 	call->received_us = cs_now_us();
 	call->waited_us = 0;
-	call->attempts = call->asked = call->tried_count = 0;
+	call->attempts = call->arrivals = 0;
+	call->asked = call->tried_count = 0;
+	call->may_have_run = false;
 	call->rounds = 0;
 	call->target = NULL;
 	call->channel = NULL;
--- a/lib/gateway/channels.c
+++ b/lib/gateway/channels.c
@@ -98,17 +98,22 @@
 static enum h1_keep
 on_probe_answer(struct gw_channel *channel, const struct h1_message *answer)
 {
+	const struct gw_dialect *dialect = channel->owner->gw->params.dialect;
 	struct bl_target *target = channel->owner->target;
 	struct gw_pool *pool = gw_pool_of_target(target);
 	enum h1_keep keep;
 
+	if (h1_find(answer, dialect->request_id) != NULL)
+		return H1_READ_NEXT; /* a late one to the request before */
 	hear_load(channel, answer);
 	channel->owner->probe = NULL;
 	target->probing = false;
-	if (answer->status != 200)
+	if (answer->status != 200) /* unwell: its speed is not relied on */
 		target->load.slowness_pct = 0;
 	cs_ref_take(&target->ref);
-	channel->id[0] = '\0';
+	/* What ran here before the probe may still be answered twice. */
+	memcpy(channel->id, channel->last_id, sizeof(channel->id));
+
 	keep = keep_or_close(channel, answer);
 	if (pool != NULL)
 		gw_call_probe_ended(pool, target);
@@ -159,7 +164,6 @@
 {
 	struct gw *gw = channels->gw;
 	uint64_t fingerprint = channels->probe_fingerprint;
-
 	uint32_t crashes;
 
 	channels->probe_fingerprint = 0;
--- a/lib/gateway/exchange.c
+++ b/lib/gateway/exchange.c
@@ -51,7 +51,7 @@
 	const struct gw_dialect *dialect = channel->owner->gw->params.dialect;
 	const char *echo = h1_find(answer, dialect->request_id);
 
-	if (channel->id[0] == '\0')
+	if (channel->id[0] == '\0' && echo == NULL)
 		return GW_ECHO_OWN; /* the caller gave no id */
 	if (echo == NULL)
 		return !channel->reused &&
--- a/lib/gateway/gateway_internal.h
+++ b/lib/gateway/gateway_internal.h
@@ -74,8 +74,10 @@
 	uint64_t number;
 	uint64_t fingerprint;
 	uint32_t attempts;
-	uint32_t asked;	 /* probes whose answers are due */
-	uint32_t rounds; /* of probes */
+	uint32_t arrivals; /* attempts that a target saw */
+	bool may_have_run; /* no answer may say that it did not */
+	uint32_t asked;	   /* probes whose answers are due */
+	uint32_t rounds;   /* of probes */
 	struct bl_target *asked_targets[BL_PROBES_MAX];
 	struct bl_target *tried[BL_TRIED_MAX];
 	uint32_t tried_count;
--- a/tests/unit/test_gateway.c
+++ b/tests/unit/test_gateway.c
@@ -287,6 +287,65 @@
 	rig_free(rig);
 }
 
+/* One may have run it, the others did not: no promise can be made. */
+static void
+test_lost_then_shed(void **state)
+{
+	const struct rig_script scripts[] = {
+	    {NULL, RIG_RESET, NULL, false}, {NOT_RUN, RIG_KEEP, NULL, false}};
+	struct rig *rig = make_rig(scripts, 2, 3);
+
+	(void)state;
+	assert_int_equal(status_of(rig_ask(rig, SAFE, strlen(SAFE))), 502);
+	assert_int_equal(rig_requests(rig), 3);
+	rig_free(rig);
+}
+
+/* A connection that was refused uses up no attempt. */
+static void
+test_unreached_is_no_attempt(void **state)
+{
+	const struct rig_script script = {WHOLE, RIG_KEEP, NULL, false};
+	struct rig *rig = rig_create(&(struct rig_params){
+	    .scripts = &script,
+	    .script_count = 1,
+	    .target_count = 2,
+	    .with_table = true,
+	    .dead_target = true,
+	    .timeout_ms = 30000,
+	    .attempts_max = 1,
+	});
+	int i;
+
+	(void)state;
+	for (i = 0; i < 10; i++)
+		assert_int_equal(
+		    status_of(rig_ask(rig, ONCE, strlen(ONCE))), 200);
+	rig_free(rig);
+}
+
+/* A late answer to the first is not taken for that of one without an id. */
+static void
+test_extra_answer_without_id(void **state)
+{
+	static const char nameless[] =
+	    "GET /safe/y HTTP/1.1\r\nHost: h\r\n\r\n";
+	const struct rig_script scripts[] = {{WHOLE, RIG_KEEP, NULL, false},
+	    {"HTTP/1.1 200 OK\r\nChervilshelf-Attempt-Id: first\r\n" SEAL
+	     "Content-Length: 5\r\n\r\nfirst"
+	     "HTTP/1.1 200 OK\r\n" SEAL "Content-Length: 6\r\n\r\nsecond",
+		RIG_KEEP, NULL, false}};
+	struct rig *rig = make_rig(scripts, 2, 1);
+	const char *answer;
+
+	(void)state;
+	rig_ask(rig, SAFE, strlen(SAFE));
+	answer = rig_ask(rig, nameless, strlen(nameless));
+	assert_int_equal(status_of(answer), 200);
+	assert_non_null(strstr(answer, "\r\n\r\nsecond"));
+	rig_free(rig);
+}
+
 /* A target that never answers: the route's time-out, and no promise. */
 static void
 test_silent_target(void **state)
@@ -465,6 +524,9 @@
 	    cmocka_unit_test(test_early_answer),
 	    cmocka_unit_test(test_refused_connection),
 	    cmocka_unit_test(test_not_run_everywhere),
+	    cmocka_unit_test(test_lost_then_shed),
+	    cmocka_unit_test(test_unreached_is_no_attempt),
+	    cmocka_unit_test(test_extra_answer_without_id),
 	    cmocka_unit_test(test_silent_target),
 	    cmocka_unit_test(test_caller_leaves),
 	    cmocka_unit_test(test_callers),
