--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -63,6 +63,19 @@
         vm.store.mode = "pass"
         vm.disturbed = time.time() + 3.5
 
+    async def target_path(self):
+        target = self.random.choice(self.cluster.targets)
+        mode = self.random.choice(["delay", "silent", "one_way", "reset"])
+        self.note("path to %s: %s" % (target.id, mode))
+        if mode == "reset":
+            target.path.reset()
+            return
+        for vm in self.cluster.vms:  # what is held back arrives later
+            vm.disturb(10)
+        target.path.mode = mode
+        await asyncio.sleep(self.random.uniform(0.5, 4))
+        target.path.mode = "pass"
+
     async def pause(self):
         vm = self.random.choice(self.cluster.vms)
         if vm.process.returncode is not None or vm.paused:
@@ -165,7 +178,8 @@
 
     async def faults(self):
         kinds = [self.store_mode, self.store_forgets, self.store_path,
-                 self.pause, self.restart, self.reload, self.crash_target,
+                 self.target_path, self.pause, self.restart, self.reload,
+                 self.crash_target,
                  self.replace_target, self.change_config, self.change_config]
         tasks = []
         end = time.time() + self.seconds
--- a/tests/standins/cluster.py
+++ b/tests/standins/cluster.py
@@ -143,16 +143,18 @@
         self.running = 0
         self.left_at = None  # store's ack of its leaving
         self.server = None
+        self.path = Proxy(self.host, 8081, (self.host, 8080))
 
     async def start(self):
         self.born = int(time.time() * 1000)
         self.left_at = None
         self.server = await asyncio.start_server(self.serve, self.host, 8080)
+        await self.path.start()
         self.register("ready")
 
     def register(self, state):
         self.cluster.store.write("servers", self.id, {
-            "address": "%s:8080" % self.host, "born": self.born,
+            "address": "%s:8081" % self.host, "born": self.born,
             "info": {"service": self.pool, "version": "v1",
                      "zone": self.cluster.zone, "slots": self.slots},
             "status": {"state": state, "sequence": 1, "warmup_left": "0ms"}})
@@ -164,6 +166,7 @@
     async def stop(self):
         """Crashes: connections end, nothing listens."""
         if self.server is not None:
+            self.path.server.close()
             self.server.close()
             self.server = None
         for writer in list(self.cluster.connections.get(self.id, ())):
@@ -215,7 +218,7 @@
 
 
 class Proxy:
-    """Between gateways and the store: passes, delays, resets or swallows."""
+    """Before the store or a target: passes, delays, resets or holds back."""
 
     def __init__(self, host, port, upstream):
         self.host, self.port, self.upstream = host, port, upstream
