Comments that named what is not there; a getter nobody used

h1_channel_connect_us() and its fields are gone; round trips are assumed, as the comment now says. No behaviour changed.

--- a/lib/balance/balance.h
+++ b/lib/balance/balance.h
@@ -34,7 +34,7 @@
 		char name[RT_NAME_BYTES_MAX];
 		char region[RT_NAME_BYTES_MAX];
 		bool near;	/* in this VM's region */
-		int64_t rtt_us; /* round trip, measured when connecting */
+		int64_t rtt_us; /* round trip, assumed by distance */
 	} places[BL_ZONES_MAX];
 };
 
--- a/lib/gateway/gateway.h
+++ b/lib/gateway/gateway.h
@@ -56,7 +56,7 @@
 struct gw_params {
 	uv_loop_t *loop;
 	const struct gw_dialect *dialect;
-	struct bl_topology *topology; /* shared, times are measured here */
+	const struct bl_topology *topology; /* the caller's, for its life */
 	struct bl_budget_terms budget;
 	struct sockaddr_in front;
 	uint32_t connections_max;
--- a/lib/h1/channel.c
+++ b/lib/h1/channel.c
@@ -20,8 +20,7 @@
 	struct h1_bytes out;
 	const struct h1_channel_events *events;
 	void *owner;
-	int64_t opened_us;
-	int64_t connect_us;
+
 	uint32_t silence_ms;
 	uint32_t probes_lost;
 	bool connected;
@@ -268,7 +267,7 @@
 		return;
 	}
 	channel->connected = true;
-	channel->connect_us = cs_now_us() - channel->opened_us;
+
 	uv_read_start((uv_stream_t *)&channel->tcp, on_alloc, on_read);
 	flush(channel);
 }
@@ -284,7 +283,7 @@
 	channel->owner = params->owner;
 	channel->silence_ms = params->silence_ms;
 	channel->probes_lost = params->probes_lost;
-	channel->opened_us = cs_now_us();
+
 	h1_reader_init(&channel->reader, HTTP_RESPONSE, params->limits);
 	if (uv_tcp_init_ex(params->loop, &channel->tcp, AF_INET) != 0) {
 		free(channel);
@@ -333,12 +332,6 @@
 	return channel->connected;
 }
 
-int64_t
-h1_channel_connect_us(const struct h1_channel *channel)
-{
-	return channel->connect_us;
-}
-
 void *
 h1_channel_owner(const struct h1_channel *channel)
 {
--- a/lib/h1/h1.h
+++ b/lib/h1/h1.h
@@ -61,7 +61,7 @@
  * only (hop-by-hop) and must not be forwarded.
  */
 bool h1_concerns_channel(const struct h1_message *message, uint32_t index);
-/* h1_media_status(status): the reason phrase, never NULL. */
+/* h1_status_text(status): the reason phrase, never NULL. */
 const char *h1_status_text(int status);
 
 enum h1_read {
@@ -157,8 +157,7 @@
 /* h1_channel_sent(channel): any byte of the request may have left. */
 bool h1_channel_sent(const struct h1_channel *channel);
 bool h1_channel_connected(const struct h1_channel *channel);
-/* h1_channel_connect_us(channel): how long connecting took, 0 while it does. */
-int64_t h1_channel_connect_us(const struct h1_channel *channel);
+
 /* h1_channel_close(channel): closes without a callback. */
 void h1_channel_close(struct h1_channel *channel);
 void *h1_channel_owner(const struct h1_channel *channel);
--- a/tests/unit/gateway_rig.h
+++ b/tests/unit/gateway_rig.h
@@ -47,7 +47,7 @@
 const char *rig_ask(struct rig *rig, const char *bytes, size_t length);
 /* rig_leave(rig, bytes): sends, waits for a target to have it, closes. */
 void rig_leave(struct rig *rig, const char *bytes, size_t length);
-/* rig_settle(rig): runs until the targets saw this many closes. */
+/* rig_await_closes(rig, closes): runs until targets saw so many closes. */
 void rig_await_closes(struct rig *rig, uint32_t closes);
 uint32_t rig_requests(const struct rig *rig);
 uint32_t rig_connections(const struct rig *rig);
