Mesh: a VM that thawed always hears of its death; silent links are replaced

Cause: KNOWN-RED's scenario_test_members (a thawed VM not back in 15 s, seen once) was read through link by link. Three ways to stay dead were found. A hello queued before the VM heard of its death goes out with the old incarnation; the answer tells of the old death, and was ignored as old. A second hello on a link that stayed open was refused without a word. A link that is silent for good, or a connect that hangs, was kept until its member counted as dead.

Ruled out: the directory (it lists what the mesh holds), the registration in the store (no part in it once the VMs know each other), the judgement of silence after a pause.

Change: news of its own death, however old, makes a VM pass its present record on; a hello from a VM that is not held to live is answered with what is held; links with a member that falls silent are closed, so that the next ping goes over a new one. When the scenario fails it prints what each VM holds.

--- a/lib/peer/members.c
+++ b/lib/peer/members.c
@@ -94,9 +94,12 @@
 	if (news->epoch != self->epoch || news->state == PR_ALIVE ||
 	    self->state == PR_LEFT)
 		return false;
-	if (news->incarnation < self->incarnation)
-		return false;
-	self->incarnation = news->incarnation + 1;
+	/*
+	 * Whoever tells old news has not heard of the present incarnation, and
+	 * is to hear of it; a repetition of that must not raise it further.
+	 */
+	if (news->incarnation >= self->incarnation)
+		self->incarnation = news->incarnation + 1;
 	return true;
 }
 
--- a/lib/peer/mesh.c
+++ b/lib/peer/mesh.c
@@ -128,6 +128,22 @@
 	members_changed(mesh);
 }
 
+/* Tells a VM what is held of it, unless that is that it lives. */
+static void
+tell_standing(struct pr_link *link)
+{
+	const struct pr_members *members = mesh_of(link)->members;
+	int number = pr_members_find(members, link->id);
+	const struct pr_member *known;
+
+	if (number <= 0)
+		return;
+	known = pr_members_at(members, (uint32_t)number);
+	if (known->state != PR_ALIVE)
+		pr_link_send(link,
+		    &(struct pr_frame){.type = PR_FRAME_NEWS, .news = *known});
+}
+
 static void
 on_hello(struct pr_link *link, const struct pr_member *hello)
 {
@@ -144,6 +160,8 @@
 	pr_members_heard(mesh->members, hello->id, cs_now_us());
 	if (!link->dialed && first)
 		send_hello(link);
+	else
+		tell_standing(link);
 	if (first)
 		mesh->params.callbacks.on_link(
 		    hello->id, mesh->params.callbacks.user);
@@ -355,19 +373,37 @@
 	}
 }
 
-/* Links to members that are dead lead nowhere: a frozen process keeps them
- * open. */
+static bool
+is_among(uint32_t number, const uint32_t *numbers, uint32_t count)
+{
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		if (numbers[i] == number)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Closes links with members that are dead, since a frozen process keeps them
+ * open, and with those that fell silent just now: the link itself may be at
+ * fault, and the next ping goes over a new one.
+ */
 static void
-close_dead_links(struct pr_mesh *mesh)
+close_silent_links(
+    struct pr_mesh *mesh, const uint32_t *changed, uint32_t changed_count)
 {
 	struct pr_link *link;
 
 	for (link = mesh->links; link != NULL; link = link->next) {
 		int number = pr_members_find(mesh->members, link->id);
 
-		if (number > 0 &&
-		    pr_members_at(mesh->members, (uint32_t)number)->state ==
-			PR_DEAD)
+		if (number <= 0)
+			continue;
+		if (pr_members_at(mesh->members, (uint32_t)number)->state ==
+			PR_DEAD ||
+		    is_among((uint32_t)number, changed, changed_count))
 			pr_link_close(link);
 	}
 }
@@ -385,7 +421,7 @@
 		forward_news(
 		    mesh, pr_members_at(mesh->members, changed[i]), NULL);
 	if (count > 0) {
-		close_dead_links(mesh);
+		close_silent_links(mesh, changed, count);
 		members_changed(mesh);
 	}
 	if (mesh->ticks % PING_TICKS == 0) {
--- a/lib/peer/peer.h
+++ b/lib/peer/peer.h
@@ -59,8 +59,8 @@
 /*
  * pr_members_news(members, news, now): takes news of one VM. True when it
  * changed what is known, so that it has to be passed on. News of this VM's
- * own death raises its incarnation; pr_members_self() then has to be passed
- * on in its place.
+ * own death, however old, is answered by passing on pr_members_self() in its
+ * place, with a higher incarnation than the news has.
  */
 bool pr_members_news(
     struct pr_members *members, const struct pr_member *news, int64_t now_us);
--- a/tests/scenario/rig.py
+++ b/tests/scenario/rig.py
@@ -33,8 +33,9 @@
     return json.loads(request(address, "GET", path)[2])
 
 
-def wait_until(condition, what, seconds=15):
-    """Polls until the condition is true; fails with `what` otherwise."""
+def wait_until(condition, what, seconds=15, explain=None):
+    """Polls until the condition is true; fails with `what` otherwise, and
+    with what explain() returns."""
     until = time.monotonic() + seconds
     while time.monotonic() < until:
         try:
@@ -43,7 +44,8 @@
         except (OSError, http.client.HTTPException, ValueError):
             pass
         time.sleep(0.02)
-    raise AssertionError("timed out: " + what)
+    raise AssertionError("timed out: " + what +
+                         (": %s" % explain() if explain else ""))
 
 
 class Entry:
@@ -180,6 +182,12 @@
                 len(self.entries) for e in self.entries)
         wait_until(agree, "every entry VM sees all others")
 
+    def views(self):
+        """What each running entry VM holds of the others."""
+        return {e.name: {m["name"]: m["state"]
+                         for m in get_json(e.admin, "/members")}
+                for e in self.entries if e.process.poll() is None}
+
     def wait_alive(self, entry):
         """Waits until every other running entry VM sees this one alive."""
         def seen(observer):
--- a/tests/scenario/test_members.py
+++ b/tests/scenario/test_members.py
@@ -46,7 +46,8 @@
     print("frozen VM out after %.2f s" % (time.monotonic() - began))
     wait_until(lambda: state(watcher, frozen) == "dead", "it counts as dead")
     frozen.process.send_signal(signal.SIGCONT)
-    wait_until(lambda: frozen.listen in listed(watcher), "thawed is back")
+    wait_until(lambda: frozen.listen in listed(watcher), "thawed is back",
+               explain=rig.views)
     rig.entries.remove(killed)
     rig.wait_members()
 
--- a/tests/unit/test_members.c
+++ b/tests/unit/test_members.c
@@ -219,6 +219,28 @@
 	stop(&f);
 }
 
+/*
+ * A hello that was queued before it knew of its death went out afterwards;
+ * the answer tells it of the old death once more.
+ */
+static void
+test_old_news_of_its_death_is_answered_again(void **unused)
+{
+	struct pr_member self = record_of(0, 1), news = record_of(0, 1);
+	struct pr_members *members = pr_members_create(&self, 0);
+
+	(void)unused;
+	news.state = PR_SUSPECT;
+	assert_true(pr_members_news(members, &news, 1));
+	assert_int_equal(pr_members_self(members)->incarnation, 1);
+	news.state = PR_DEAD;
+	assert_true(pr_members_news(members, &news, 2));
+	assert_int_equal(pr_members_self(members)->incarnation, 1);
+	news.state = PR_ALIVE;
+	assert_false(pr_members_news(members, &news, 3));
+	pr_members_free(members);
+}
+
 /* Old news must not win, in whatever order it comes. */
 struct news_case {
 	uint64_t epoch, incarnation;
@@ -288,6 +310,7 @@
 	    cmocka_unit_test(test_silent_vm_is_suspected_then_dead_in_time),
 	    cmocka_unit_test(test_a_rack_of_four_neighbours_is_dead_in_time),
 	    cmocka_unit_test(test_thawed_vm_contradicts_its_death),
+	    cmocka_unit_test(test_old_news_of_its_death_is_answered_again),
 	    cmocka_unit_test(test_old_news_never_wins),
 	    cmocka_unit_test(test_fan_out_grows_with_the_logarithm),
 	};
