--- a/lib/http/address.c
+++ b/lib/base/address.c
@@ -1,17 +1,15 @@
 /* Numeric addresses, "IPV4:PORT". */
+#include <arpa/inet.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "../base/base.h"
-#include "http.h"
-
-#define PORT_MAX 65535
+#include "base.h"
 
 int
-ht_parse_address(const char *text, struct sockaddr_in *out)
+cs_parse_address(const char *text, struct sockaddr_in *out)
 {
-	char host[HT_ADDRESS_BYTES_MAX];
+	char host[INET_ADDRSTRLEN];
 	const char *colon = strrchr(text, ':');
 	char *end;
 	long port;
@@ -23,20 +21,21 @@
 	memcpy(host, text, (size_t)(colon - text));
 	host[colon - text] = '\0';
 	port = strtol(colon + 1, &end, 10);
-	if (*end != '\0' || port > PORT_MAX)
+	if (*end != '\0' || port > UINT16_MAX)
 		return CS_E_INVALID;
-	if (uv_ip4_addr(host, (int)port, out) != 0)
-		return CS_E_INVALID;
-	return CS_OK;
+	*out = (struct sockaddr_in){
+	    .sin_family = AF_INET, .sin_port = htons((uint16_t)port)};
+	return inet_pton(AF_INET, host, &out->sin_addr) == 1 ? CS_OK
+							     : CS_E_INVALID;
 }
 
 void
-ht_format_address(
-    const struct sockaddr_in *address, char text[HT_ADDRESS_BYTES_MAX])
+cs_format_address(
+    const struct sockaddr_in *address, char text[CS_ADDRESS_BYTES_MAX])
 {
-	char host[INET_ADDRSTRLEN];
+	char host[INET_ADDRSTRLEN] = "";
 
-	uv_ip4_name(address, host, sizeof(host));
-	snprintf(text, HT_ADDRESS_BYTES_MAX, "%s:%u", host,
+	inet_ntop(AF_INET, &address->sin_addr, host, sizeof(host));
+	snprintf(text, CS_ADDRESS_BYTES_MAX, "%s:%u", host,
 	    (unsigned)ntohs(address->sin_port));
 }
--- a/lib/base/base.h
+++ b/lib/base/base.h
@@ -5,6 +5,7 @@
 #ifndef CS_BASE_H
 #define CS_BASE_H
 
+#include <netinet/in.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -34,6 +35,17 @@
  */
 int cs_copy_text(char *out, size_t size, const char *text);
 
+#define CS_ADDRESS_BYTES_MAX 24 /* of "IPV4:PORT" */
+
+/*
+ * cs_parse_address(text, out): parses "IPV4:PORT". Port 0 is allowed.
+ * Returns CS_E_INVALID when the text is anything else.
+ */
+int cs_parse_address(const char *text, struct sockaddr_in *out);
+/* cs_format_address(address, text): writes "IPV4:PORT". */
+void cs_format_address(
+    const struct sockaddr_in *address, char text[CS_ADDRESS_BYTES_MAX]);
+
 /* cs_now_us(): monotonic time in microseconds. */
 int64_t cs_now_us(void);
 
--- a/lib/http/client.c
+++ b/lib/http/client.c
@@ -287,13 +287,13 @@
 int
 ht_client_send(struct ht_client *client, const struct ht_request *request)
 {
-	char authority[HT_ADDRESS_BYTES_MAX];
+	char authority[CS_ADDRESS_BYTES_MAX];
 	struct exchange *x = calloc(1, sizeof(*x));
 
 	if (x == NULL)
 		return CS_E_SYSTEM;
 	x->request = *request;
-	ht_format_address(&request->address, authority);
+	cs_format_address(&request->address, authority);
 	if (format_head(x, authority) != CS_OK || copy_body(x) != CS_OK) {
 		free(x);
 		return CS_E_INVALID;
--- a/lib/http/http.h
+++ b/lib/http/http.h
@@ -14,16 +14,7 @@
 #include <stdint.h>
 #include <uv.h>
 
-#define HT_ADDRESS_BYTES_MAX 64
-
-/*
- * ht_parse_address(text, out): parses "IPV4:PORT". Port 0 is allowed.
- * Returns CS_E_INVALID when the text is anything else.
- */
-int ht_parse_address(const char *text, struct sockaddr_in *out);
-/* ht_format_address(address, text): writes "IPV4:PORT". */
-void ht_format_address(
-    const struct sockaddr_in *address, char text[HT_ADDRESS_BYTES_MAX]);
+#include "../base/base.h"
 
 struct ht_server;
 
@@ -53,7 +44,7 @@
     const struct ht_server_params *params, struct ht_server **out);
 /* ht_server_address(server, text): the bound address. */
 void ht_server_address(
-    const struct ht_server *server, char text[HT_ADDRESS_BYTES_MAX]);
+    const struct ht_server *server, char text[CS_ADDRESS_BYTES_MAX]);
 /*
  * ht_server_drain(server): every further answer closes its connection, so
  * that callers move on. The listener keeps accepting.
--- a/lib/http/server.c
+++ b/lib/http/server.c
@@ -196,14 +196,14 @@
 
 void
 ht_server_address(
-    const struct ht_server *server, char text[HT_ADDRESS_BYTES_MAX])
+    const struct ht_server *server, char text[CS_ADDRESS_BYTES_MAX])
 {
 	struct sockaddr_in address = {.sin_family = AF_INET};
 	int length = sizeof(address);
 
 	uv_tcp_getsockname(
 	    &server->listener, (struct sockaddr *)&address, &length);
-	ht_format_address(&address, text);
+	cs_format_address(&address, text);
 }
 
 void
--- a/lib/peer/mesh.c
+++ b/lib/peer/mesh.c
@@ -305,7 +305,7 @@
 	struct sockaddr_in parsed;
 	struct pr_link *link;
 
-	if (ht_parse_address(address, &parsed) != CS_OK)
+	if (cs_parse_address(address, &parsed) != CS_OK)
 		return NULL;
 	link = new_link(mesh);
 	if (link == NULL)
@@ -444,7 +444,7 @@
 	    uv_listen((uv_stream_t *)&mesh->listener, BACKLOG, on_accept) != 0)
 		return CS_E_SYSTEM;
 	uv_tcp_getsockname(&mesh->listener, (struct sockaddr *)&bound, &length);
-	ht_format_address(&bound, mesh->params.self.peer);
+	cs_format_address(&bound, mesh->params.self.peer);
 	return CS_OK;
 }
 
--- a/lib/platform/platform.c
+++ b/lib/platform/platform.c
@@ -30,7 +30,7 @@
 	struct pf_client *client;
 
 	if (strncmp(url, URL_PREFIX, strlen(URL_PREFIX)) != 0 ||
-	    ht_parse_address(url + strlen(URL_PREFIX), &address) != CS_OK)
+	    cs_parse_address(url + strlen(URL_PREFIX), &address) != CS_OK)
 		return CS_E_INVALID;
 	client = calloc(1, sizeof(*client));
 	if (client == NULL)
--- a/lib/serve/connections.c
+++ b/lib/serve/connections.c
@@ -70,7 +70,7 @@
 	target->server = server;
 	target->id = cs_hash(address, strlen(address));
 	g_strlcpy(target->address, address, sizeof(target->address));
-	ht_parse_address(address, &target->sockaddr);
+	cs_parse_address(address, &target->sockaddr);
 	if (pooled)
 		target->pool = pool_new(target);
 	return target;
--- a/programs/entry.c
+++ b/programs/entry.c
@@ -135,7 +135,7 @@
 static int
 parse_listen(const char *flag, const char *text, struct sockaddr_in *out)
 {
-	if (ht_parse_address(text, out) == CS_OK)
+	if (cs_parse_address(text, out) == CS_OK)
 		return CS_OK;
 	return st_refuse(flag, text, "IPV4:PORT, port 0 for any");
 }
@@ -235,7 +235,7 @@
 	int error = CS_OK;
 
 	for (address = addresses; *address != NULL; address++) {
-		if (ht_parse_address(*address, &parsed) != CS_OK)
+		if (cs_parse_address(*address, &parsed) != CS_OK)
 			error = CS_E_INVALID;
 	}
 	g_strfreev(addresses);
--- a/programs/session.c
+++ b/programs/session.c
@@ -131,7 +131,7 @@
 	};
 
 	begin(session, out);
-	if (ht_parse_address(address, &request.address) != CS_OK) {
+	if (cs_parse_address(address, &request.address) != CS_OK) {
 		*out = (struct se_answer){
 		    .error = CS_E_INVALID,
 		    .value = g_strdup(""),
--- a/tests/standins/caller.c
+++ b/tests/standins/caller.c
@@ -240,7 +240,7 @@
 	json_array_foreach(list, i, row)
 	{
 		if (caller->entry_count < ENTRIES_MAX &&
-		    ht_parse_address(
+		    cs_parse_address(
 			json_string_value(json_object_get(row, "address")),
 			&caller->entries[caller->entry_count]) == CS_OK)
 			caller->entry_count++;
@@ -347,7 +347,7 @@
 static void
 use_direct(struct caller *caller)
 {
-	ht_parse_address(g.direct_text, &caller->entries[0]);
+	cs_parse_address(g.direct_text, &caller->entries[0]);
 	caller->entry_count = 1;
 	caller->valid_until_us = INT64_MAX;
 	caller->renew_us = INT64_MAX;
@@ -425,7 +425,7 @@
 	g_option_context_add_main_entries(context, options, NULL);
 	if (!g_option_context_parse(context, &argc, &argv, NULL) ||
 	    (g.directory_text == NULL && g.direct_text == NULL) ||
-	    ht_parse_address(
+	    cs_parse_address(
 		g.directory_text != NULL ? g.directory_text : g.direct_text,
 		&g.directory) != CS_OK)
 		return 2;
--- a/tests/standins/platform.c
+++ b/tests/standins/platform.c
@@ -321,7 +321,7 @@
 	    .on_request = on_request,
 	    .user = &p,
 	};
-	char address[HT_ADDRESS_BYTES_MAX];
+	char address[CS_ADDRESS_BYTES_MAX];
 
 	(void)argc;
 	(void)argv;
@@ -329,7 +329,7 @@
 	p.objects = g_hash_table_new(g_str_hash, g_str_equal);
 	p.vms = g_hash_table_new(g_str_hash, g_str_equal);
 	p.held = g_ptr_array_new();
-	ht_parse_address("127.0.0.1:0", &params.listen);
+	cs_parse_address("127.0.0.1:0", &params.listen);
 	if (ht_server_create(&params, &p.server) != CS_OK)
 		return 1;
 	uv_timer_init(&p.loop, &p.timer);
--- a/tests/standins/targets.c
+++ b/tests/standins/targets.c
@@ -28,7 +28,7 @@
 struct target {
 	struct targets *all;
 	struct ht_server *server;
-	char address[HT_ADDRESS_BYTES_MAX];
+	char address[CS_ADDRESS_BYTES_MAX];
 	GQueue waiting; /* of struct work */
 	int64_t running;
 	int64_t slow;
@@ -342,14 +342,14 @@
 	    .user = user,
 	};
 
-	ht_parse_address("127.0.0.1:0", &params.listen);
+	cs_parse_address("127.0.0.1:0", &params.listen);
 	return ht_server_create(&params, out);
 }
 
 static int
 open_targets(struct targets *all)
 {
-	char address[HT_ADDRESS_BYTES_MAX];
+	char address[CS_ADDRESS_BYTES_MAX];
 	int i;
 
 	for (i = 0; i < all->count; i++) {
