--- a/lib/config/config.h
+++ b/lib/config/config.h
@@ -26,7 +26,6 @@
 #define CF_SLOTS_MAX 1024
 #define CF_WEIGHT_MAX 1000
 #define CF_DEADLINE_MS_MAX 600000
-#define CF_OBJECT_NAME "config"
 
 enum cf_kind {
 	CF_KIND_IDEMPOTENT,
--- a/lib/h1/channel.c
+++ b/lib/h1/channel.c
@@ -25,6 +25,8 @@
 	uint32_t probes_lost;
 	bool connected;
 	bool waiting; /* an answer is due */
+	bool head_told;
+	bool streaming; /* the body of this answer is handed on in pieces */
 	bool write_pending;
 	bool sent;
 	bool closing;
@@ -123,9 +125,30 @@
 	return true;
 }
 
+/* Tells the head and hands on the body so far; false: the channel is gone. */
+static bool
+hand_on(struct h1_channel *channel)
+{
+	struct h1_message *answer = &channel->reader.message;
+
+	if (channel->events->on_head == NULL || !channel->reader.head_done)
+		return true;
+	if (!channel->head_told) {
+		channel->head_told = true;
+		channel->streaming = channel->events->on_head(channel, answer);
+	}
+	if (!channel->closing && channel->streaming && answer->body.length > 0)
+		channel->events->on_body(
+		    channel, answer->body.data, answer->body.length);
+	if (channel->streaming)
+		answer->body.length = 0;
+	return !channel->closing;
+}
+
 static void
 take(struct h1_channel *channel, const char *data, size_t length)
 {
+	enum h1_read read;
 	size_t used;
 
 	while (length > 0) {
@@ -133,7 +156,10 @@
 			end(channel, H1_END_BAD);
 			return;
 		}
-		switch (h1_reader_feed(&channel->reader, data, length, &used)) {
+		read = h1_reader_feed(&channel->reader, data, length, &used);
+		if (read >= 0 && !hand_on(channel))
+			return;
+		switch (read) {
 		case H1_READ_MORE:
 			return;
 		case H1_READ_WHOLE:
@@ -267,7 +293,10 @@
 		return;
 	}
 	channel->connected = true;
-
+	if (channel->events->on_connect != NULL)
+		channel->events->on_connect(channel);
+	if (channel->closing)
+		return;
 	uv_read_start((uv_stream_t *)&channel->tcp, on_alloc, on_read);
 	flush(channel);
 }
@@ -313,13 +342,24 @@
 		return CS_E_SYSTEM;
 	h1_reader_next(&channel->reader);
 	channel->waiting = true;
-	channel->sent = false;
+	channel->sent = channel->head_told = channel->streaming = false;
 	channel->reader.skip_body = skip_body;
 	if (channel->connected)
 		flush(channel);
 	return CS_OK;
 }
 
+void
+h1_channel_pause(struct h1_channel *channel, bool on)
+{
+	if (channel->closing || !channel->connected)
+		return;
+	if (on)
+		uv_read_stop((uv_stream_t *)&channel->tcp);
+	else
+		uv_read_start((uv_stream_t *)&channel->tcp, on_alloc, on_read);
+}
+
 bool
 h1_channel_sent(const struct h1_channel *channel)
 {
--- a/lib/h1/h1.h
+++ b/lib/h1/h1.h
@@ -15,6 +15,8 @@
 #include <stdint.h>
 #include <uv.h>
 
+#include "../base/base.h"
+
 #define H1_HEADERS_MAX 64
 #define H1_HEAD_BYTES_MAX (64 * 1024) /* of one message, before its body */
 
@@ -124,6 +126,16 @@
 };
 
 struct h1_channel_events {
+	/* Connected, nothing is sent yet. May be NULL. */
+	void (*on_connect)(struct h1_channel *channel);
+	/*
+	 * The head of an answer; true: its body goes to on_body() piece by
+	 * piece and is not held. NULL: answers are held whole.
+	 */
+	bool (*on_head)(
+	    struct h1_channel *channel, const struct h1_message *answer);
+	void (*on_body)(
+	    struct h1_channel *channel, const char *data, size_t length);
 	/* A whole answer; says what becomes of the channel. */
 	enum h1_keep (*on_answer)(
 	    struct h1_channel *channel, const struct h1_message *answer);
@@ -158,11 +170,55 @@
 bool h1_channel_sent(const struct h1_channel *channel);
 bool h1_channel_connected(const struct h1_channel *channel);
 
+/* h1_channel_pause(channel, on): stops or goes on reading. */
+void h1_channel_pause(struct h1_channel *channel, bool on);
 /* h1_channel_close(channel): closes without a callback. */
 void h1_channel_close(struct h1_channel *channel);
 void *h1_channel_owner(const struct h1_channel *channel);
 void h1_channel_set_owner(struct h1_channel *channel, void *owner);
 
+/* A client for whole answers, with connections of its own. */
+struct h1_client;
+struct h1_exchange;
+
+struct h1_reply {
+	int error; /* CS_OK, CS_E_UNAVAILABLE (not sent) or CS_E_UNKNOWN */
+	int status;
+	const char *body; /* NUL terminated, valid during the callback */
+	size_t body_length;
+	/* For its headers, until the callback sends another request. */
+	const struct h1_message *answer; /* NULL with an error */
+};
+
+struct h1_request {
+	struct sockaddr_in address;
+	const char *method;
+	const char *path;
+	const char *headers; /* further lines, each ending in \r\n, or NULL */
+	const char *body;
+	size_t body_length;
+	uint64_t answer_bytes_max;
+	uint32_t timeout_ms;
+	bool reuse; /* may use, and leave, an open connection */
+	/* As in struct h1_channel_params; 0: the client's usual ones. */
+	uint32_t silence_ms;
+	uint32_t probes_lost;
+	void (*on_reply)(const struct h1_reply *reply, void *user);
+	void *user;
+};
+
+struct h1_client *h1_client_create(uv_loop_t *loop);
+/* h1_client_close(client): cancels what is under way, without callbacks. */
+void h1_client_close(struct h1_client *client);
+/*
+ * h1_client_send(client, request): starts one request; on_reply is called
+ * once, later. The exchange is valid until then; NULL when memory ran out.
+ */
+struct h1_exchange *h1_client_send(
+    struct h1_client *client, const struct h1_request *request);
+/* h1_client_cancel(exchange): gives it up, without a callback. */
+void h1_client_cancel(struct h1_exchange *exchange);
+
 struct h1_server;
 struct h1_conn;
 
@@ -170,8 +226,15 @@
 	/* A whole request; it is answered once, now or later. */
 	void (*on_request)(
 	    struct h1_conn *conn, const struct h1_message *request);
-	/* The caller left before its answer. */
+	/* The caller left before its answer was complete. */
 	void (*on_gone)(struct h1_conn *conn);
+	/* All pieces of an answer so far are out. May be NULL. */
+	void (*on_drained)(struct h1_conn *conn);
+	/*
+	 * What a request refused by the listener itself (400, 408, 413, 431,
+	 * 503) is answered. NULL, or returning NULL: the status alone.
+	 */
+	const struct h1_answer *(*refusal)(void *user, int status);
 };
 
 struct h1_server_params {
@@ -181,7 +244,11 @@
 	uint32_t head_timeout_ms; /* first byte to whole head, else 408 */
 	uint32_t idle_timeout_ms; /* between requests, else closed */
 	uint32_t connections_max;
-	uint64_t bodies_bytes_max; /* all requests together, else 503 */
+	/*
+	 * Bodies of all requests together, reserved as soon as a length is
+	 * known; what does not fit is refused with 503.
+	 */
+	uint64_t bodies_bytes_max;
 	const struct h1_server_events *events;
 	void *user;
 };
@@ -203,6 +270,13 @@
 void h1_server_sweep(struct h1_server *server, int64_t now_us);
 uint32_t h1_server_connections(const struct h1_server *server);
 uint32_t h1_server_busy(const struct h1_server *server);
+/* h1_server_unsent(server): connections whose answers are not out yet. */
+uint32_t h1_server_unsent(const struct h1_server *server);
+/* h1_server_cut(server): breaks every connection off. */
+void h1_server_cut(struct h1_server *server);
+/* h1_server_address(server, text): the bound address, "IPV4:PORT". */
+void h1_server_address(
+    const struct h1_server *server, char text[CS_ADDRESS_BYTES_MAX]);
 uint16_t h1_server_port(const struct h1_server *server);
 
 /* What is sent to a caller. The headers end in \r\n each. */
@@ -218,6 +292,26 @@
 
 /* h1_conn_answer(conn, answer): answers the request of this connection. */
 void h1_conn_answer(struct h1_conn *conn, const struct h1_answer *answer);
+/*
+ * An answer in pieces: h1_conn_begin(), h1_conn_piece() any number of times,
+ * then h1_conn_finish(), or h1_conn_abort() so that it cannot pass for whole.
+ * Without a length it is sent in chunks.
+ */
+struct h1_answer_head {
+	int status;
+	const char *headers; /* end in \r\n each */
+	size_t headers_length;
+	bool sized;
+	uint64_t length; /* of the body, when sized */
+};
+void h1_conn_begin(struct h1_conn *conn, const struct h1_answer_head *head);
+void h1_conn_piece(struct h1_conn *conn, const char *data, size_t length);
+void h1_conn_finish(struct h1_conn *conn);
+void h1_conn_abort(struct h1_conn *conn);
+/* h1_conn_unsent(conn): bytes of the answer that are not out yet. */
+size_t h1_conn_unsent(const struct h1_conn *conn);
+/* h1_conn_opened_us(conn): when the connection was accepted. */
+int64_t h1_conn_opened_us(const struct h1_conn *conn);
 /* h1_conn_reply(conn, status, type, text): a short answer. */
 void h1_conn_reply(
     struct h1_conn *conn, int status, const char *type, const char *text);
--- a/lib/h1/server.c
+++ b/lib/h1/server.c
@@ -30,9 +30,16 @@
 	struct h1_bytes out;
 	void *call;
 	enum conn_state state;
-	int64_t since_us; /* when the state, or the request, began */
+	int64_t opened_us;
+	int64_t since_us;	 /* when the state, or the request, began */
+	uint64_t reserved_bytes; /* for the body of its request */
 	bool continue_sent;
 	bool closing;
+	/* Of an answer in pieces. */
+	bool in_pieces;
+	bool chunked;
+	bool bodiless;
+	bool last; /* the connection ends with it */
 };
 
 struct h1_server {
@@ -76,13 +83,20 @@
 	free(conn);
 }
 
+static void
+release_body(struct h1_conn *conn)
+{
+	conn->server->bodies_bytes -= conn->reserved_bytes;
+	conn->reserved_bytes = 0;
+}
+
 static void
 close_conn(struct h1_conn *conn)
 {
 	if (conn->closing)
 		return;
 	conn->closing = true;
-	conn->server->bodies_bytes -= conn->reader.message.body.length;
+	release_body(conn);
 	unlink_conn(conn);
 	if (conn->state == CONN_ANSWERING) {
 		conn->server->busy--;
@@ -99,6 +113,10 @@
 	free(request);
 	if (status < 0 && status != UV_ECANCELED)
 		close_conn(conn);
+	else if (conn->in_pieces && !conn->closing &&
+		 conn->server->params.events->on_drained != NULL &&
+		 h1_conn_unsent(conn) == 0)
+		conn->server->params.events->on_drained(conn);
 }
 
 /* Writes what it can at once and queues a copy of the rest. */
@@ -147,6 +165,18 @@
 		close_conn(conn);
 }
 
+/* An end of the stream would look like the end of the answer. */
+static void
+reset_conn(struct h1_conn *conn)
+{
+	struct linger at_once = {.l_onoff = 1, .l_linger = 0};
+	uv_os_fd_t fd;
+
+	if (uv_fileno((uv_handle_t *)&conn->tcp, &fd) == 0)
+		setsockopt(
+		    fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+}
+
 static void process(struct h1_conn *conn, const char *data, size_t length);
 
 /* Makes the connection ready for its next request. */
@@ -155,7 +185,7 @@
 {
 	struct h1_bytes waiting = conn->pipelined;
 
-	conn->server->bodies_bytes -= conn->reader.message.body.length;
+	release_body(conn);
 	h1_reader_next(&conn->reader);
 	conn->reader.limits = conn->server->params.limits;
 	conn->state = CONN_READING;
@@ -167,41 +197,153 @@
 	h1_bytes_free(&waiting);
 }
 
-void
-h1_conn_answer(struct h1_conn *conn, const struct h1_answer *answer)
+/* The answer is out or on its way: what becomes of the connection. */
+static void
+end_answer(struct h1_conn *conn, bool close)
 {
-	struct h1_bytes *out = &conn->out;
-	bool close = answer->close || answer->unframed ||
-		     conn->server->draining || !conn->reader.message.keep_alive;
-	bool bodiless = conn->reader.message.method != NULL &&
-			strcmp(conn->reader.message.method, "HEAD") == 0;
-
-	conn->call = NULL;
 	if (conn->state == CONN_ANSWERING)
 		conn->server->busy--;
 	conn->state = CONN_READING;
+	conn->call = NULL;
+	if (conn->closing)
+		return;
+	if (close)
+		linger(conn);
+	else
+		read_next(conn);
+}
+
+static bool
+ends_with_answer(const struct h1_conn *conn)
+{
+	return conn->server->draining || !conn->reader.message.keep_alive;
+}
+
+static bool
+is_bodiless(const struct h1_conn *conn, int status)
+{
+	const char *method = conn->reader.message.method;
+
+	return status == 204 || status == 304 ||
+	       (method != NULL && strcmp(method, "HEAD") == 0);
+}
+
+static int
+write_head(struct h1_bytes *out, int status, const char *headers, size_t length)
+{
 	out->length = 0;
-	if (h1_bytes_print(out, "HTTP/1.1 %d %s\r\n", answer->status,
-		h1_status_text(answer->status)) != 0 ||
-	    h1_bytes_add(out, answer->headers, answer->headers_length) != 0 ||
+	if (h1_bytes_print(
+		out, "HTTP/1.1 %d %s\r\n", status, h1_status_text(status)) != 0)
+		return CS_E_SYSTEM;
+	return h1_bytes_add(out, headers, length);
+}
+
+void
+h1_conn_answer(struct h1_conn *conn, const struct h1_answer *answer)
+{
+	struct h1_bytes *out = &conn->out;
+	bool close =
+	    answer->close || answer->unframed || ends_with_answer(conn);
+
+	if (write_head(out, answer->status, answer->headers,
+		answer->headers_length) != 0 ||
 	    (!answer->unframed && answer->status != 204 &&
 		answer->status != 304 &&
 		h1_bytes_print(out, "Content-Length: %zu\r\n",
 		    answer->body_length) != 0) ||
 	    h1_bytes_print(
 		out, "%s\r\n", close ? "Connection: close\r\n" : "") != 0 ||
-	    (!bodiless &&
+	    (!is_bodiless(conn, answer->status) &&
 		h1_bytes_add(out, answer->body, answer->body_length) != 0)) {
-		close_conn(conn);
+		end_answer(conn, true);
 		return;
 	}
 	write_out(conn, out->data, out->length);
-	if (conn->closing)
+	end_answer(conn, close);
+}
+
+void
+h1_conn_begin(struct h1_conn *conn, const struct h1_answer_head *head)
+{
+	struct h1_bytes *out = &conn->out;
+	int error =
+	    write_head(out, head->status, head->headers, head->headers_length);
+
+	conn->in_pieces = true;
+	conn->bodiless = is_bodiless(conn, head->status);
+	conn->chunked = !head->sized && !conn->bodiless &&
+			conn->reader.parser.http_minor > 0;
+	/* A caller of HTTP/1.0 knows no chunks: the close ends its answer. */
+	conn->last = ends_with_answer(conn) ||
+		     (!head->sized && !conn->chunked && !conn->bodiless);
+	if (head->sized && head->status != 204 && head->status != 304)
+		error |= h1_bytes_print(out, "Content-Length: %llu\r\n",
+		    (unsigned long long)head->length);
+	error |= h1_bytes_print(out, "%s%s\r\n",
+	    conn->chunked ? "Transfer-Encoding: chunked\r\n" : "",
+	    conn->last ? "Connection: close\r\n" : "");
+	if (error == CS_OK)
+		write_out(conn, out->data, out->length);
+	else
+		close_conn(conn);
+}
+
+void
+h1_conn_piece(struct h1_conn *conn, const char *data, size_t length)
+{
+	struct h1_bytes *out = &conn->out;
+
+	if (conn->bodiless || conn->closing || length == 0)
 		return;
-	if (close)
-		linger(conn);
+	if (!conn->chunked) {
+		write_out(conn, data, length);
+		return;
+	}
+	out->length = 0;
+	if (h1_bytes_print(out, "%zx\r\n", length) != 0 ||
+	    h1_bytes_add(out, data, length) != 0 ||
+	    h1_bytes_add(out, "\r\n", 2) != 0)
+		close_conn(conn);
 	else
-		read_next(conn);
+		write_out(conn, out->data, out->length);
+}
+
+void
+h1_conn_finish(struct h1_conn *conn)
+{
+	static const char last_chunk[] = "0\r\n\r\n";
+
+	conn->in_pieces = false;
+	if (conn->chunked && !conn->closing)
+		write_out(conn, last_chunk, sizeof(last_chunk) - 1);
+	end_answer(conn, conn->last);
+}
+
+void
+h1_conn_abort(struct h1_conn *conn)
+{
+	bool by_close = conn->last && !conn->chunked;
+
+	conn->in_pieces = false;
+	if (conn->state == CONN_ANSWERING)
+		conn->server->busy--;
+	conn->state = CONN_READING; /* its owner needs no news of the end */
+	conn->call = NULL;
+	if (by_close)
+		reset_conn(conn);
+	close_conn(conn);
+}
+
+size_t
+h1_conn_unsent(const struct h1_conn *conn)
+{
+	return uv_stream_get_write_queue_size((const uv_stream_t *)&conn->tcp);
+}
+
+int64_t
+h1_conn_opened_us(const struct h1_conn *conn)
+{
+	return conn->opened_us;
 }
 
 void
@@ -224,8 +366,36 @@
 static void
 refuse(struct h1_conn *conn, int status)
 {
-	h1_conn_answer(
-	    conn, &(struct h1_answer){.status = status, .close = true});
+	const struct h1_server_params *params = &conn->server->params;
+	struct h1_answer answer = {.status = status};
+	const struct h1_answer *own = NULL;
+
+	if (params->events->refusal != NULL)
+		own = params->events->refusal(params->user, status);
+	if (own != NULL)
+		answer = *own;
+	answer.close = true;
+	h1_conn_answer(conn, &answer);
+}
+
+/* Reserves room for the body as far as its length is known. */
+static bool
+reserve_body(struct h1_conn *conn)
+{
+	struct h1_server *server = conn->server;
+	const struct http_parser *parser = &conn->reader.parser;
+	uint64_t wanted = conn->reader.message.body.length;
+
+	if (conn->reader.head_done && !conn->reader.whole &&
+	    (parser->flags & F_CHUNKED) == 0 &&
+	    parser->content_length != UINT64_MAX)
+		wanted += parser->content_length;
+	if (wanted > conn->reserved_bytes) {
+		server->bodies_bytes += wanted - conn->reserved_bytes;
+		conn->reserved_bytes = wanted;
+	}
+	return wanted == 0 ||
+	       server->bodies_bytes <= server->params.bodies_bytes_max;
 }
 
 static bool
@@ -268,16 +438,13 @@
 process(struct h1_conn *conn, const char *data, size_t length)
 {
 	struct h1_reader *reader = &conn->reader;
-	struct h1_server *server = conn->server;
-	size_t before = reader->message.body.length, used;
 	enum h1_read read;
+	size_t used;
 
 	if (!reader->started || reader->head_done)
 		conn->since_us = cs_now_us();
 	read = h1_reader_feed(reader, data, length, &used);
-	server->bodies_bytes += reader->message.body.length - before;
-	if (server->bodies_bytes > server->params.bodies_bytes_max &&
-	    reader->message.body.length > 0) {
+	if (read >= 0 && !reserve_body(conn)) {
 		refuse(conn, 503);
 		return;
 	}
@@ -353,7 +520,7 @@
 	uv_tcp_init(server->params.loop, &conn->tcp);
 	h1_reader_init(&conn->reader, HTTP_REQUEST, server->params.limits);
 	conn->reader.message.method = "";
-	conn->since_us = cs_now_us();
+	conn->opened_us = conn->since_us = cs_now_us();
 	conn->next = server->conns;
 	if (conn->next != NULL)
 		conn->next->previous = conn;
@@ -480,16 +647,52 @@
 	return server->busy;
 }
 
-uint16_t
-h1_server_port(const struct h1_server *server)
+uint32_t
+h1_server_unsent(const struct h1_server *server)
+{
+	const struct h1_conn *conn;
+	uint32_t count = 0;
+
+	for (conn = server->conns; conn != NULL; conn = conn->next)
+		count += h1_conn_unsent(conn) > 0;
+	return count;
+}
+
+void
+h1_server_cut(struct h1_server *server)
+{
+	struct h1_conn *conn, *next;
+
+	for (conn = server->conns; conn != NULL; conn = next) {
+		next = conn->next;
+		close_conn(conn);
+	}
+}
+
+static struct sockaddr_in
+bound_address(const struct h1_server *server)
 {
-	struct sockaddr_in address;
+	struct sockaddr_in address = {.sin_family = AF_INET};
 	int length = sizeof(address);
 
-	if (uv_tcp_getsockname(
-		&server->tcp, (struct sockaddr *)&address, &length) != 0)
-		return 0;
-	return ntohs(address.sin_port);
+	/* A listener that is closed has port 0. */
+	uv_tcp_getsockname(&server->tcp, (struct sockaddr *)&address, &length);
+	return address;
+}
+
+void
+h1_server_address(
+    const struct h1_server *server, char text[CS_ADDRESS_BYTES_MAX])
+{
+	struct sockaddr_in address = bound_address(server);
+
+	cs_format_address(&address, text);
+}
+
+uint16_t
+h1_server_port(const struct h1_server *server)
+{
+	return ntohs(bound_address(server).sin_port);
 }
 
 void *
--- a/lib/peer/mesh.c
+++ b/lib/peer/mesh.c
@@ -6,7 +6,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "../http/http.h"
 #include "peer_internal.h"
 
 #define BACKLOG 128
--- a/lib/store/client.c
+++ b/lib/store/client.c
@@ -74,7 +74,7 @@
 	const struct os_params *params = &client->params;
 	char path[OS_PATH_BYTES_MAX];
 
-	if (client->check.busy)
+	if (os_call_busy(&client->check))
 		return;
 	if (params->codec->check_path(
 		path, params->own_kind, params->own_name) == CS_OK)
@@ -142,7 +142,7 @@
 
 	client->announce_listing = false;
 	object = client->params.codec->write_object(
-	    client->params.own_name, client->announced);
+	    client->params.own_name, client->announced, 0);
 	if (object != NULL && client->params.codec->kind_path(
 				  path, client->params.own_kind) == CS_OK)
 		os_call_send(&client->announce, "POST", path, object,
@@ -169,6 +169,11 @@
 	if (client == NULL)
 		return CS_E_SYSTEM;
 	client->params = *params;
+	client->http = h1_client_create(params->loop);
+	if (client->http == NULL) {
+		free(client);
+		return CS_E_SYSTEM;
+	}
 	cs_random_seed(&client->random, params->seed);
 	for (i = 0; i < params->kind_count; i++)
 		os_follow_init(&client->follows[i], client, i);
@@ -255,8 +260,7 @@
 
 	for (i = 0; i < client->params.kind_count; i++)
 		os_follow_close(&client->follows[i]);
-	os_call_close(&client->check);
-	os_call_close(&client->announce);
+	h1_client_close(client->http);
 	uv_close((uv_handle_t *)&client->check_timer, NULL);
 	uv_close((uv_handle_t *)&client->announce_timer, NULL);
 	free(client->announced);
--- a/lib/store/follow.c
+++ b/lib/store/follow.c
@@ -52,7 +52,8 @@
 void
 os_follow_start(struct os_follow *follow)
 {
-	if (follow->call.busy || uv_is_active((uv_handle_t *)&follow->pause))
+	if (os_call_busy(&follow->call) ||
+	    uv_is_active((uv_handle_t *)&follow->pause))
 		return;
 	os_batch_free(&follow->list);
 	if (follow->revision == 0)
@@ -65,7 +66,7 @@
 os_follow_stop(struct os_follow *follow)
 {
 	uv_timer_stop(&follow->pause);
-	if (follow->call.busy)
+	if (os_call_busy(&follow->call))
 		follow->revision = 0; /* as after a cut */
 	os_call_cancel(&follow->call);
 	os_batch_free(&follow->list);
@@ -223,7 +224,7 @@
 void
 os_follow_close(struct os_follow *follow)
 {
-	os_call_close(&follow->call);
+	os_call_cancel(&follow->call);
 	os_batch_free(&follow->list);
 	uv_close((uv_handle_t *)&follow->pause, NULL);
 }
--- /dev/null
+++ b/lib/store/objects.c
@@ -0,0 +1,451 @@
+/*
+ * Calls on single objects: read, wait for a change, write under a condition,
+ * remove, and list a kind. Each call is one or a few requests in turn.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "store_internal.h"
+
+#define CALL_TIMEOUT_MS 2000
+#define REPLY_BYTES_MAX (4 * 1024 * 1024) /* lists end at about 1 MB */
+#define STATUS_HISTORY_GONE 410
+
+struct os_objects {
+	struct h1_client *http;
+	struct sockaddr_in address;
+	const struct os_codec *codec;
+	struct op *ops;
+	uint64_t calls;
+};
+
+enum op_type {
+	OP_READ,
+	OP_WATCH, /* a read follows when the history is gone */
+	OP_CREATE,
+	OP_REPLACE, /* of any revision: creates what is missing */
+	OP_UPDATE,  /* of one revision */
+	OP_REMOVE,
+	OP_LIST,
+};
+
+/* One call under way. */
+struct op {
+	struct os_objects *objects;
+	struct op *next;
+	enum op_type type;
+	char kind[OS_NAME_BYTES_MAX];
+	char name[OS_NAME_BYTES_MAX]; /* of a list: the last name so far */
+	char *value;
+	uint64_t revision; /* expected, or known already */
+	uint64_t cursor;   /* watched from here */
+	int64_t until_us;  /* of a watch */
+	os_object_cb on_object;
+	os_list_cb on_list;
+	void *user;
+	struct os_named *listed;
+	uint32_t listed_count;
+};
+
+static void send_op(struct op *op);
+
+static void
+free_op(struct op *op)
+{
+	struct op **at = &op->objects->ops;
+	uint32_t i;
+
+	while (*at != op)
+		at = &(*at)->next;
+	*at = op->next;
+	for (i = 0; i < op->listed_count; i++)
+		free(op->listed[i].value);
+	free(op->listed);
+	free(op->value);
+	free(op);
+}
+
+static void
+finish(struct op *op, const struct os_object *result)
+{
+	op->on_object(result, op->user);
+	free_op(op);
+}
+
+static void
+finish_failed(struct op *op, int error)
+{
+	if (op->type == OP_LIST) {
+		op->on_list(error, NULL, 0, op->user);
+		free_op(op);
+		return;
+	}
+	finish(op, &(struct os_object){.error = error, .value = ""});
+}
+
+static void
+finish_with(struct op *op, const struct os_change *object)
+{
+	char *value = op->objects->codec->read_value(object->text);
+
+	finish(op, &(struct os_object){.error = CS_OK,
+		       .revision = object->revision,
+		       .value = value == NULL ? "" : value});
+	free(value);
+}
+
+static int
+error_of(const struct h1_reply *reply)
+{
+	if (reply->error != CS_OK)
+		return reply->error;
+	switch (reply->status) {
+	case 404:
+		return CS_E_MISSING;
+	case 409:
+		return CS_E_CONFLICT;
+	case 429: /* over its rate, or away: it had no effect */
+	case 503:
+		return CS_E_UNAVAILABLE;
+	default:
+		return reply->status / 100 == 2 ? CS_OK : CS_E_UNKNOWN;
+	}
+}
+
+/* The newest news of the object that is awaited; NULL: none. */
+static const struct os_change *
+find_news(const struct op *op, const struct os_batch *events)
+{
+	const struct os_change *found = NULL;
+	uint32_t i;
+
+	for (i = 0; i < events->count; i++) {
+		if (strcmp(events->changes[i].name, op->name) == 0 &&
+		    events->changes[i].revision != op->revision)
+			found = &events->changes[i];
+	}
+	return found;
+}
+
+static void
+take_events(struct op *op, const char *body)
+{
+	struct os_batch events = {.count = 0};
+	const struct os_change *news;
+
+	if (op->objects->codec->parse_events(body, &events) != CS_OK) {
+		finish_failed(op, CS_E_UNKNOWN);
+		return;
+	}
+	news = find_news(op, &events);
+	op->cursor = events.revision;
+	if (news != NULL && news->gone)
+		finish_failed(op, CS_E_MISSING);
+	else if (news != NULL)
+		finish_with(op, news);
+	else if (events.count == 0 || cs_now_us() >= op->until_us)
+		finish_failed(op, CS_E_STALE);
+	else
+		send_op(op); /* news of other objects alone */
+	os_batch_free(&events);
+}
+
+static void
+take_object(struct op *op, const char *body)
+{
+	struct os_change object;
+
+	if (op->objects->codec->parse_object(body, &object) != CS_OK) {
+		finish_failed(op, CS_E_UNKNOWN);
+		return;
+	}
+	finish_with(op, &object);
+	free(object.text);
+}
+
+static int
+add_page(struct op *op, const struct os_batch *page)
+{
+	struct os_named *grown = realloc(
+	    op->listed, (op->listed_count + page->count + 1) * sizeof(*grown));
+	uint32_t i;
+
+	if (grown == NULL)
+		return CS_E_SYSTEM;
+	op->listed = grown;
+	for (i = 0; i < page->count; i++) {
+		struct os_named *named = &op->listed[op->listed_count];
+
+		memcpy(named->name, page->changes[i].name, sizeof(named->name));
+		named->value =
+		    op->objects->codec->read_value(page->changes[i].text);
+		op->listed_count += named->value != NULL;
+	}
+	return CS_OK;
+}
+
+static void
+take_page(struct op *op, const char *body)
+{
+	struct os_batch page = {.count = 0};
+	bool more;
+
+	if (op->objects->codec->parse_list(body, &page) != CS_OK) {
+		finish_failed(op, CS_E_UNKNOWN);
+		return;
+	}
+	more = page.more && page.count > 0;
+	if (more)
+		memcpy(op->name, page.changes[page.count - 1].name,
+		    sizeof(op->name));
+	if (add_page(op, &page) != CS_OK) {
+		finish_failed(op, CS_E_SYSTEM);
+	} else if (more) {
+		send_op(op);
+	} else {
+		op->on_list(CS_OK, op->listed, op->listed_count, op->user);
+		free_op(op);
+	}
+	os_batch_free(&page);
+}
+
+static void
+take_reply(struct op *op, const char *body)
+{
+	switch (op->type) {
+	case OP_READ:
+	case OP_CREATE:
+	case OP_REPLACE:
+	case OP_UPDATE:
+		take_object(op, body);
+		break;
+	case OP_WATCH:
+		take_events(op, body);
+		break;
+	case OP_REMOVE:
+		finish(op, &(struct os_object){.error = CS_OK, .value = ""});
+		break;
+	case OP_LIST:
+		take_page(op, body);
+		break;
+	}
+}
+
+static void
+on_reply(const struct h1_reply *reply, void *user)
+{
+	struct op *op = user;
+	int error = error_of(reply);
+
+	if (error == CS_OK) {
+		take_reply(op, reply->body);
+	} else if (op->type == OP_WATCH &&
+		   reply->status == STATUS_HISTORY_GONE) {
+		op->type = OP_READ;
+		send_op(op);
+	} else if (op->type == OP_REPLACE && error == CS_E_MISSING) {
+		op->type = OP_CREATE;
+		send_op(op);
+	} else {
+		finish_failed(op, error);
+	}
+}
+
+static int
+write_path(const struct op *op, char path[OS_PATH_BYTES_MAX], uint32_t wait_ms)
+{
+	const struct os_codec *codec = op->objects->codec;
+
+	switch (op->type) {
+	case OP_READ:
+	case OP_REPLACE:
+	case OP_UPDATE:
+	case OP_REMOVE:
+		return codec->object_path(path, op->kind, op->name);
+	case OP_WATCH:
+		return codec->watch_path(path, op->kind, op->cursor, wait_ms);
+	case OP_CREATE:
+		return codec->kind_path(path, op->kind);
+	case OP_LIST:
+		return codec->list_path(
+		    path, op->kind, op->name[0] == '\0' ? NULL : op->name);
+	}
+	return CS_E_INVALID;
+}
+
+static const char *
+method_of(enum op_type type)
+{
+	switch (type) {
+	case OP_CREATE:
+		return "POST";
+	case OP_REPLACE:
+	case OP_UPDATE:
+		return "PUT";
+	case OP_REMOVE:
+		return "DELETE";
+	case OP_READ:
+	case OP_WATCH:
+	case OP_LIST:
+		break;
+	}
+	return "GET";
+}
+
+static void
+send_op(struct op *op)
+{
+	struct os_objects *objects = op->objects;
+	int64_t left_ms = (op->until_us - cs_now_us()) / 1000;
+	uint32_t wait_ms =
+	    op->type == OP_WATCH && left_ms > 0 ? (uint32_t)left_ms : 0;
+	char path[OS_PATH_BYTES_MAX] = "", *body = NULL;
+	struct h1_request request = {
+	    .address = objects->address,
+	    .method = method_of(op->type),
+	    .path = path,
+	    .headers = "Content-Type: application/json\r\n",
+	    .answer_bytes_max = REPLY_BYTES_MAX,
+	    .timeout_ms = wait_ms + CALL_TIMEOUT_MS,
+	    .reuse = true,
+	    .on_reply = on_reply,
+	    .user = op,
+	};
+
+	if (op->value != NULL) {
+		body = objects->codec->write_object(op->name, op->value,
+		    op->type == OP_UPDATE ? op->revision : 0);
+		request.body = body;
+		request.body_length = body == NULL ? 0 : strlen(body);
+	}
+	/* A path that is too long is refused by the store. */
+	if (write_path(op, path, wait_ms) != CS_OK)
+		path[0] = '/';
+	objects->calls++;
+	h1_client_send(objects->http, &request);
+	free(body);
+}
+
+static void
+begin(struct os_objects *objects, const struct op *template)
+{
+	struct op *op = malloc(sizeof(*op));
+
+	if (op == NULL) {
+		if (template->type == OP_LIST)
+			template->on_list(
+			    CS_E_UNAVAILABLE, NULL, 0, template->user);
+		else
+			template->on_object(
+			    &(struct os_object){
+				.error = CS_E_UNAVAILABLE, .value = ""},
+			    template->user);
+		return;
+	}
+	*op = *template;
+	op->objects = objects;
+	op->next = objects->ops;
+	objects->ops = op;
+	send_op(op);
+}
+
+static struct op
+make_op(enum op_type type, const char *kind, const char *name, os_object_cb cb,
+    void *user)
+{
+	struct op op = {.type = type, .on_object = cb, .user = user};
+
+	cs_copy_text(op.kind, sizeof(op.kind), kind);
+	cs_copy_text(op.name, sizeof(op.name), name);
+	return op;
+}
+
+void
+os_read(struct os_objects *objects, const char *kind, const char *name,
+    os_object_cb cb, void *user)
+{
+	struct op op = make_op(OP_READ, kind, name, cb, user);
+
+	begin(objects, &op);
+}
+
+void
+os_await(struct os_objects *objects, const char *kind, const char *name,
+    uint64_t after, os_object_cb cb, void *user)
+{
+	struct op op =
+	    make_op(after == 0 ? OP_READ : OP_WATCH, kind, name, cb, user);
+
+	op.revision = op.cursor = after;
+	op.until_us = cs_now_us() + OS_AWAIT_MS * 1000LL;
+	begin(objects, &op);
+}
+
+void
+os_write(struct os_objects *objects, const char *kind, const char *name,
+    uint64_t expected, const char *value_json, os_object_cb cb, void *user)
+{
+	enum op_type type = OP_UPDATE;
+	struct op op;
+
+	if (expected == OS_MUST_NOT_EXIST)
+		type = OP_CREATE;
+	else if (expected == OS_ANY_REVISION)
+		type = OP_REPLACE;
+	op = make_op(type, kind, name, cb, user);
+	op.revision = expected;
+	op.value = strdup(value_json);
+	begin(objects, &op);
+}
+
+void
+os_remove(struct os_objects *objects, const char *kind, const char *name,
+    os_object_cb cb, void *user)
+{
+	struct op op = make_op(OP_REMOVE, kind, name, cb, user);
+
+	begin(objects, &op);
+}
+
+void
+os_list(struct os_objects *objects, const char *kind, os_list_cb cb, void *user)
+{
+	struct op op = make_op(OP_LIST, kind, "", NULL, user);
+
+	op.on_list = cb;
+	begin(objects, &op);
+}
+
+struct os_objects *
+os_objects_create(uv_loop_t *loop, const struct sockaddr_in *address,
+    const struct os_codec *codec)
+{
+	struct os_objects *objects = calloc(1, sizeof(*objects));
+
+	if (objects == NULL)
+		return NULL;
+	objects->http = h1_client_create(loop);
+	if (objects->http == NULL) {
+		free(objects);
+		return NULL;
+	}
+	objects->address = *address;
+	objects->codec = codec;
+	return objects;
+}
+
+void
+os_objects_close(struct os_objects *objects)
+{
+	h1_client_close(objects->http);
+	while (objects->ops != NULL)
+		free_op(objects->ops);
+	free(objects);
+}
+
+uint64_t
+os_objects_calls(const struct os_objects *objects)
+{
+	return objects->calls;
+}
--- a/lib/store/store.h
+++ b/lib/store/store.h
@@ -50,8 +50,15 @@
 	/* Both return CS_E_INVALID for what they cannot read. */
 	int (*parse_list)(const char *body, struct os_batch *out);
 	int (*parse_events)(const char *body, struct os_batch *out);
-	/* The object to create; freed by the caller with free(). */
-	char *(*write_object)(const char *name, const char *value_json);
+	int (*object_path)(
+	    char out[OS_PATH_BYTES_MAX], const char *kind, const char *name);
+	/* One object; its text is freed by the caller. */
+	int (*parse_object)(const char *body, struct os_change *out);
+	/* The value that an object holds; both are freed with free(). */
+	char *(*read_value)(const char *object_text);
+	/* An object to write; revision 0: whatever revision it has. */
+	char *(*write_object)(
+	    const char *name, const char *value_json, uint64_t revision);
 };
 
 struct os_events {
@@ -103,4 +110,62 @@
 uint64_t os_client_calls(const struct os_client *client);
 void os_client_close(struct os_client *client);
 
+/* Reading and writing single objects, many at a time. */
+struct os_objects;
+
+/*
+ * What came of a call on one object.
+ *	CS_OK             revision and value are set
+ *	CS_E_MISSING      there is no such object
+ *	CS_E_CONFLICT     it is not at the expected revision, or exists
+ *	CS_E_STALE        os_await() saw nothing newer in its time
+ *	CS_E_UNAVAILABLE  the call surely had no effect
+ *	CS_E_UNKNOWN      the call was sent, its answer did not come
+ */
+struct os_object {
+	int error;
+	uint64_t revision; /* of its last change */
+	const char *value; /* JSON, valid during the callback */
+};
+
+typedef void (*os_object_cb)(const struct os_object *object, void *user);
+
+#define OS_MUST_NOT_EXIST 0
+#define OS_ANY_REVISION UINT64_MAX
+#define OS_AWAIT_MS 20000 /* how long os_await() waits for news */
+
+/* os_objects_create(loop, address, codec): NULL when memory ran out. */
+struct os_objects *os_objects_create(uv_loop_t *loop,
+    const struct sockaddr_in *address, const struct os_codec *codec);
+/* os_objects_close(objects): cancels all calls, without callbacks. */
+void os_objects_close(struct os_objects *objects);
+uint64_t os_objects_calls(const struct os_objects *objects);
+
+void os_read(struct os_objects *objects, const char *kind, const char *name,
+    os_object_cb cb, void *user);
+/*
+ * os_await(objects, kind, name, after, ...): waits for a revision other than
+ * after; 0: reads at once.
+ */
+void os_await(struct os_objects *objects, const char *kind, const char *name,
+    uint64_t after, os_object_cb cb, void *user);
+/* os_write(...): expected is a revision or one of the two above. */
+void os_write(struct os_objects *objects, const char *kind, const char *name,
+    uint64_t expected, const char *value_json, os_object_cb cb, void *user);
+void os_remove(struct os_objects *objects, const char *kind, const char *name,
+    os_object_cb cb, void *user);
+
+/* One object of a kind that was listed. */
+struct os_named {
+	char name[OS_NAME_BYTES_MAX];
+	char *value; /* JSON */
+};
+
+typedef void (*os_list_cb)(
+    int error, const struct os_named *list, uint32_t count, void *user);
+
+/* os_list(objects, kind, ...): all objects of a kind, page by page. */
+void os_list(
+    struct os_objects *objects, const char *kind, os_list_cb cb, void *user);
+
 #endif
--- a/lib/store/store_internal.h
+++ b/lib/store/store_internal.h
@@ -8,9 +8,7 @@
 
 struct os_call {
 	struct os_client *client;
-	struct h1_channel *channel;
-	uv_timer_t timer;
-	bool busy;
+	struct h1_exchange *exchange; /* NULL: none under way */
 	/* Status OS_NO_REPLY: it may or may not have been carried out. */
 	void (*done)(struct os_call *call, int status, const char *body);
 };
@@ -29,6 +27,7 @@
 
 struct os_client {
 	struct os_params params;
+	struct h1_client *http;
 	struct os_follow follows[OS_KINDS_MAX];
 	struct os_call check;
 	uv_timer_t check_timer;
@@ -51,7 +50,7 @@
 void os_call_send(struct os_call *call, const char *method, const char *path,
     const char *body, uint32_t timeout_ms);
 void os_call_cancel(struct os_call *call);
-void os_call_close(struct os_call *call);
+bool os_call_busy(const struct os_call *call);
 
 /* os_backoff_ms(client, failures): pause before the next try, spread. */
 uint32_t os_backoff_ms(struct os_client *client, uint32_t failures);
--- a/programs/entry.c
+++ b/programs/entry.c
@@ -8,7 +8,9 @@
 #include <string.h>
 #include <time.h>
 
+#include "../platform/platform.h"
 #include "commands.h"
+#include "session.h"
 #include "settings.h"
 
 /* After the kept directory answers have lapsed, before the listener closes. */
@@ -129,7 +131,7 @@
 	add(page, "peer_messages_received_total", c.messages_received);
 	add(page, "peer_bytes_sent_total", c.bytes_sent);
 	add(page, "peer_bytes_received_total", c.bytes_received);
-	add(page, "platform_calls_total", pf_calls(entry->platform));
+	add(page, "platform_calls_total", os_objects_calls(entry->objects));
 }
 
 static int
@@ -294,14 +296,17 @@
 static int
 create_parts(struct en_entry *entry)
 {
+	struct sockaddr_in store;
 	int code;
 
-	if (pf_create(&entry->loop, entry->options.platform,
-		&entry->platform) != CS_OK) {
+	if (se_parse_url(entry->options.platform, &store) != CS_OK) {
 		st_refuse(
 		    "platform", entry->options.platform, "http://IPV4:PORT");
 		return ST_EXIT_USAGE;
 	}
+	entry->objects = os_objects_create(&entry->loop, &store, &pl_codec);
+	if (entry->objects == NULL)
+		return ST_EXIT_REFUSED;
 	code = create_server(entry);
 	if (code != ST_EXIT_DONE)
 		return code;
@@ -323,8 +328,6 @@
 	code = create_parts(entry);
 	if (code != ST_EXIT_DONE)
 		return code;
-	snprintf(entry->object_name, sizeof(entry->object_name), "entries/%s",
-	    entry->options.name);
 	watch_signals(entry);
 	en_members_start(entry);
 	en_config_start(entry);
--- a/programs/entry.h
+++ b/programs/entry.h
@@ -8,10 +8,10 @@
 
 #include "../lib/base/base.h"
 #include "../lib/config/config.h"
-#include "../lib/http/http.h"
 #include "../lib/peer/peer.h"
-#include "../lib/platform/platform.h"
 #include "../lib/serve/serve.h"
+#include "../lib/store/store.h"
+#include "objects.h"
 
 /* VMs that watch the platform for the others. */
 #define EN_WATCHERS 3
@@ -36,7 +36,7 @@
 	struct en_options options;
 	uv_loop_t loop;
 	struct sv_server *server;
-	struct pf_client *platform;
+	struct os_objects *objects;
 	struct pr_mesh *mesh;
 	struct cs_random random;
 	uint64_t epoch;
@@ -45,9 +45,8 @@
 	bool leaving;
 	bool saving; /* the accounts, for the last time */
 	int64_t stop_after_us;
-	char object_name[PF_NAME_BYTES_MAX];
 	/* Configuration. */
-	uint64_t object_version; /* seen last in the store */
+	uint64_t config_revision; /* seen last in the store */
 	bool watching;
 	bool repairing;
 	uint32_t config_failures;
--- a/programs/entry_accounts.c
+++ b/programs/entry_accounts.c
@@ -13,7 +13,7 @@
 #define SAVE_INTERVAL_MS 60000
 
 static void
-on_saved(const struct pf_result *result, void *user)
+on_saved(const struct os_object *result, void *user)
 {
 	en_note_platform(user, result->error);
 }
@@ -21,12 +21,12 @@
 void
 en_accounts_save(struct en_entry *entry)
 {
-	char name[PF_NAME_BYTES_MAX];
+	char name[OS_NAME_BYTES_MAX];
 	char *text = sv_accounts(entry->server);
 
-	snprintf(name, sizeof(name), "accounts/%s-%llx", entry->options.name,
+	snprintf(name, sizeof(name), "%s-%llx", entry->options.name,
 	    (unsigned long long)entry->epoch);
-	pf_put(entry->platform, name, PF_ANY_VERSION, text, strlen(text),
+	os_write(entry->objects, OB_ACCOUNTS, name, OS_ANY_REVISION, text,
 	    on_saved, entry);
 	free(text);
 }
--- a/programs/entry_claims.c
+++ b/programs/entry_claims.c
@@ -28,7 +28,7 @@
 }
 
 static void
-on_read_back(const struct pf_result *result, void *user)
+on_read_back(const struct os_object *result, void *user)
 {
 	struct claim *claim = user;
 	bool ours;
@@ -38,13 +38,12 @@
 		finish(claim, DC_STORE_UNAVAILABLE);
 		return;
 	}
-	ours = result->value_bytes == strlen(claim->value) &&
-	       memcmp(result->value, claim->value, result->value_bytes) == 0;
+	ours = strcmp(result->value, claim->value) == 0;
 	finish(claim, ours ? DC_STORE_CLAIMED : DC_STORE_TAKEN);
 }
 
 static void
-on_put(const struct pf_result *result, void *user)
+on_put(const struct os_object *result, void *user)
 {
 	struct claim *claim = user;
 
@@ -55,8 +54,8 @@
 		return;
 	case CS_E_CONFLICT:
 	case CS_E_UNKNOWN:
-		pf_get(
-		    claim->entry->platform, claim->name, on_read_back, claim);
+		os_read(claim->entry->objects, OB_CLAIMS, claim->name,
+		    on_read_back, claim);
 		return;
 	default:
 		finish(claim, DC_STORE_UNAVAILABLE);
@@ -72,12 +71,12 @@
 
 	claim->entry = entry;
 	claim->call = call;
-	snprintf(claim->name, sizeof(claim->name),
-	    "claims/%016" PRIx64 "%016" PRIx64, key_a, key_b);
+	snprintf(claim->name, sizeof(claim->name), "%016" PRIx64 "%016" PRIx64,
+	    key_a, key_b);
 	snprintf(claim->value, sizeof(claim->value),
 	    "{\"epoch\":%" PRIu64 ",\"entry\":%" PRIu64 ",\"call\":%" PRIu64
 	    "}",
 	    entry->epoch, entry->own_id >> 1, call);
-	pf_put(entry->platform, claim->name, 0, claim->value,
-	    strlen(claim->value), on_put, claim);
+	os_write(entry->objects, OB_CLAIMS, claim->name, OS_MUST_NOT_EXIST,
+	    claim->value, on_put, claim);
 }
--- a/programs/entry_config.c
+++ b/programs/entry_config.c
@@ -64,7 +64,7 @@
 }
 
 static void
-on_repaired(const struct pf_result *result, void *user)
+on_repaired(const struct os_object *result, void *user)
 {
 	struct en_entry *entry = user;
 
@@ -86,8 +86,8 @@
 	if (text == NULL || entry->repairing)
 		return;
 	entry->repairing = true;
-	pf_put(entry->platform, CF_OBJECT_NAME, entry->object_version, text,
-	    strlen(text), on_repaired, entry);
+	os_write(entry->objects, OB_CONFIG, OB_CONFIG_NAME,
+	    entry->config_revision, text, on_repaired, entry);
 	free(text);
 }
 
@@ -104,7 +104,7 @@
 }
 
 static void
-on_watched(const struct pf_result *result, void *user)
+on_watched(const struct os_object *result, void *user)
 {
 	struct en_entry *entry = user;
 
@@ -113,8 +113,8 @@
 	switch (result->error) {
 	case CS_OK:
 		entry->config_failures = 0;
-		entry->object_version = result->version;
-		if (take_text(entry, result->value, result->value_bytes) ==
+		entry->config_revision = result->revision;
+		if (take_text(entry, result->value, strlen(result->value)) ==
 		    CS_E_STALE)
 			repair(entry);
 		watch_later(entry, 0);
@@ -124,7 +124,7 @@
 		watch_later(entry, 0);
 		return;
 	case CS_E_MISSING:
-		entry->object_version = 0;
+		entry->config_revision = OS_MUST_NOT_EXIST;
 		if (version_in_force(entry) > 0)
 			repair(entry);
 		watch_later(entry, RECHECK_MS);
@@ -147,8 +147,8 @@
 		return;
 	}
 	entry->watching = true;
-	pf_watch(entry->platform, CF_OBJECT_NAME, entry->object_version,
-	    on_watched, entry);
+	os_await(entry->objects, OB_CONFIG, OB_CONFIG_NAME,
+	    entry->config_revision, on_watched, entry);
 }
 
 void
--- a/programs/entry_members.c
+++ b/programs/entry_members.c
@@ -11,7 +11,6 @@
 
 #include "entry.h"
 
-#define PREFIX "entries/"
 #define LIST_LONELY_MS 500 /* while no other VM is known */
 #define LIST_INTERVAL_MS 30000
 #define CHECK_MS 250
@@ -110,50 +109,49 @@
 
 /* Removes the registration of a VM that the mesh knows to be gone. */
 static void
-on_removed(const struct pf_result *result, void *user)
+on_removed(const struct os_object *result, void *user)
 {
 	en_note_platform(user, result->error);
 }
 
 static void
-tidy(struct en_entry *entry, const char *key, json_int_t epoch)
+tidy(struct en_entry *entry, const char *name, json_int_t epoch)
 {
 	const struct pr_members *members = pr_mesh_members(entry->mesh);
-	int number = pr_members_find(members, name_id(key + strlen(PREFIX)));
+	int number = pr_members_find(members, name_id(name));
 	const struct pr_member *member;
 
-	if (number <= 0 || members_before(entry, key) != 0)
+	if (number <= 0 || members_before(entry, name) != 0)
 		return;
 	member = pr_members_at(members, (uint32_t)number);
 	if (member->state >= PR_DEAD && member->epoch == (uint64_t)epoch)
-		pf_delete(entry->platform, key, on_removed, entry);
+		os_remove(entry->objects, OB_ENTRIES, name, on_removed, entry);
 }
 
 static void
-on_listed(const struct pf_result *result, void *user)
+on_listed(int error, const struct os_named *list, uint32_t count, void *user)
 {
 	struct en_entry *entry = user;
-	const char *key, *peer;
-	json_t *root, *row;
+	uint32_t i;
 
-	en_note_platform(entry, result->error);
-	if (result->error != CS_OK)
-		return;
-	root = json_loadb(result->value, result->value_bytes, 0, NULL);
-	json_object_foreach(root, key, row)
-	{
-		peer = json_string_value(json_object_get(row, "peer"));
-		if (peer == NULL || strcmp(key, entry->object_name) == 0)
-			continue;
-		pr_mesh_seed(entry->mesh, peer);
-		tidy(entry, key,
-		    json_integer_value(json_object_get(row, "epoch")));
+	en_note_platform(entry, error);
+	for (i = 0; i < count; i++) {
+		json_t *row = json_loads(list[i].value, 0, NULL);
+		const char *peer =
+		    json_string_value(json_object_get(row, "peer"));
+
+		if (peer != NULL &&
+		    strcmp(list[i].name, entry->options.name) != 0) {
+			pr_mesh_seed(entry->mesh, peer);
+			tidy(entry, list[i].name,
+			    json_integer_value(json_object_get(row, "epoch")));
+		}
+		json_decref(row);
 	}
-	json_decref(root);
 }
 
 static void
-on_registered(const struct pf_result *result, void *user)
+on_registered(const struct os_object *result, void *user)
 {
 	struct en_entry *entry = user;
 	uint32_t ms;
@@ -181,8 +179,8 @@
 	    (json_int_t)self->epoch);
 	text = json_dumps(root, JSON_COMPACT);
 	json_decref(root);
-	pf_put(entry->platform, entry->object_name, PF_ANY_VERSION, text,
-	    strlen(text), on_registered, entry);
+	os_write(entry->objects, OB_ENTRIES, entry->options.name,
+	    OS_ANY_REVISION, text, on_registered, entry);
 	free(text);
 }
 
@@ -203,7 +201,7 @@
 	if (since_us < interval_ms * 1000)
 		return;
 	entry->listed_us = cs_now_us();
-	pf_list(entry->platform, PREFIX, on_listed, entry);
+	os_list(entry->objects, OB_ENTRIES, on_listed, entry);
 }
 
 /* Whether a VM of the list is the one that runs a target. */
@@ -232,27 +230,22 @@
 }
 
 static void
-on_vms(const struct pf_result *result, void *user)
+on_vms(int error, const struct os_named *list, uint32_t count, void *user)
 {
 	struct en_entry *entry = user;
-	json_t *root, *row;
-	size_t i;
+	uint32_t i;
 
-	en_note_platform(entry, result->error);
-	if (result->error != CS_OK)
-		return;
-	root = json_loadb(result->value, result->value_bytes, 0, NULL);
-	json_array_foreach(root, i, row)
-	{
-		const char *vm =
-		    json_string_value(json_object_get(row, "address"));
+	en_note_platform(entry, error);
+	for (i = 0; i < count; i++) {
+		json_t *row = json_loads(list[i].value, 0, NULL);
 		const char *state =
 		    json_string_value(json_object_get(row, "state"));
 
-		if (vm != NULL && state != NULL)
-			apply_vm(entry, vm, strcmp(state, "leaving") == 0);
+		if (state != NULL)
+			apply_vm(
+			    entry, list[i].name, strcmp(state, "leaving") == 0);
+		json_decref(row);
 	}
-	json_decref(root);
 }
 
 static void
@@ -261,7 +254,7 @@
 	struct en_entry *entry = timer->data;
 
 	if (!entry->leaving && en_is_watcher(entry))
-		pf_vms(entry->platform, on_vms, entry);
+		os_list(entry->objects, OB_VMS, on_vms, entry);
 }
 
 /* Peers given as settings: a way into the mesh while the store is down. */
@@ -298,5 +291,6 @@
 {
 	pr_mesh_leave(entry->mesh);
 	en_members_changed(entry);
-	pf_delete(entry->platform, entry->object_name, on_removed, entry);
+	os_remove(
+	    entry->objects, OB_ENTRIES, entry->options.name, on_removed, entry);
 }
--- a/programs/operate.c
+++ b/programs/operate.c
@@ -82,10 +82,10 @@
 print_conflict(struct se_session *session, struct cf_config *before)
 {
 	struct cf_config *now;
-	uint64_t object_version;
+	uint64_t revision;
 	char *diff;
 
-	if (se_stored(session, &now, &object_version) != CS_OK)
+	if (se_stored(session, &now, &revision) != CS_OK)
 		return;
 	fprintf(stderr, "chervilshelf: conflict: version %llu is stored\n",
 	    (unsigned long long)cf_version(now));
@@ -160,13 +160,12 @@
 /* Writes a configuration over the one it was made from. */
 static int
 store_over(struct se_session *session, const struct options *o,
-    const struct cf_config *config, struct cf_config *before,
-    uint64_t object_version)
+    const struct cf_config *config, struct cf_config *before, uint64_t revision)
 {
 	uint64_t version = before == NULL ? 1 : cf_version(before) + 1;
 	int error;
 
-	error = se_store(session, config, version, object_version);
+	error = se_store(session, config, version, revision);
 	if (error == CS_E_CONFLICT)
 		print_conflict(session, before);
 	else if (error == CS_OK)
@@ -184,10 +183,10 @@
     struct cf_config *config)
 {
 	struct cf_config *before;
-	uint64_t object_version, found;
+	uint64_t revision, found;
 	int error;
 
-	error = se_stored(session, &before, &object_version);
+	error = se_stored(session, &before, &revision);
 	if (error != CS_OK && error != CS_E_MISSING)
 		return error;
 	found = before == NULL ? 0 : cf_version(before);
@@ -195,7 +194,7 @@
 		print_conflict(session, config);
 		error = CS_E_CONFLICT;
 	} else {
-		error = store_over(session, o, config, before, object_version);
+		error = store_over(session, o, config, before, revision);
 	}
 	cf_unref(before);
 	return error;
@@ -250,7 +249,7 @@
 	    settings, ST_COUNT(settings), 0};
 	struct se_session *session;
 	struct cf_config *config;
-	uint64_t object_version;
+	uint64_t revision;
 	char *text;
 	int error;
 
@@ -258,7 +257,7 @@
 		return ST_EXIT_USAGE;
 	if (se_open(o.platform, &session) != CS_OK)
 		return ST_EXIT_USAGE;
-	error = se_stored(session, &config, &object_version);
+	error = se_stored(session, &config, &revision);
 	se_close(session);
 	if (error == CS_E_MISSING)
 		fprintf(stderr, "chervilshelf: nothing is stored\n");
@@ -278,10 +277,10 @@
 drain(struct se_session *session, const struct options *o, const char *target)
 {
 	struct cf_config *before, *after;
-	uint64_t object_version;
+	uint64_t revision;
 	int error;
 
-	error = se_stored(session, &before, &object_version);
+	error = se_stored(session, &before, &revision);
 	if (error != CS_OK)
 		return error;
 	error = cf_with_drain(before, target, &after);
@@ -289,7 +288,7 @@
 		fprintf(stderr, "chervilshelf: no pool has the target %s\n",
 		    target);
 	} else {
-		error = store_over(session, o, after, before, object_version);
+		error = store_over(session, o, after, before, revision);
 		cf_unref(after);
 	}
 	cf_unref(before);
--- a/programs/report.c
+++ b/programs/report.c
@@ -8,6 +8,7 @@
 #include "../lib/base/base.h"
 #include "../lib/report/report.h"
 #include "commands.h"
+#include "objects.h"
 #include "session.h"
 #include "settings.h"
 
@@ -93,13 +94,9 @@
 static void
 add_stored(struct se_session *session, struct seen *seen, json_t *total)
 {
-	struct se_answer answer;
+	json_t *root = se_list(session, OB_ACCOUNTS), *process;
 	const char *key;
-	json_t *root, *process;
 
-	se_list(session, "accounts/", &answer);
-	root = json_loads(answer.value, 0, NULL);
-	g_free(answer.value);
 	json_object_foreach(root, key, process)
 	{
 		clear_windows(process);
--- a/programs/session.c
+++ b/programs/session.c
@@ -10,9 +10,11 @@
 #include <uv.h>
 
 #include "../lib/base/base.h"
-#include "../lib/http/http.h"
-#include "../lib/platform/platform.h"
+#include "../lib/h1/h1.h"
+#include "../platform/platform.h"
+#include "objects.h"
 
+#define URL_PREFIX "http://"
 #define ADMIN_TIMEOUT_MS 1000
 #define ADMIN_ANSWER_BYTES_MAX (16 * 1024 * 1024)
 #define READ_BACK_TRIES 10
@@ -20,19 +22,29 @@
 
 struct se_session {
 	uv_loop_t loop;
-	struct pf_client *platform;
-	struct ht_client *http;
+	struct os_objects *objects;
+	struct h1_client *http;
 	struct se_answer *answer;
+	json_t *list;
 	bool answered;
 };
 
+int
+se_parse_url(const char *text, struct sockaddr_in *out)
+{
+	if (strncmp(text, URL_PREFIX, strlen(URL_PREFIX)) != 0)
+		return CS_E_INVALID;
+	return cs_parse_address(text + strlen(URL_PREFIX), out);
+}
+
 int
 se_open(const char *platform, struct se_session **out)
 {
 	struct se_session *session = g_new0(struct se_session, 1);
+	struct sockaddr_in store;
 
 	uv_loop_init(&session->loop);
-	if (pf_create(&session->loop, platform, &session->platform) != CS_OK) {
+	if (se_parse_url(platform, &store) != CS_OK) {
 		fprintf(stderr,
 		    "chervilshelf: --platform: given \"%s\", allowed: "
 		    "http://IPV4:PORT\n",
@@ -40,7 +52,8 @@
 		g_free(session);
 		return CS_E_INVALID;
 	}
-	session->http = ht_client_create(&session->loop);
+	session->objects = os_objects_create(&session->loop, &store, &pl_codec);
+	session->http = h1_client_create(&session->loop);
 	*out = session;
 	return CS_OK;
 }
@@ -48,8 +61,8 @@
 void
 se_close(struct se_session *session)
 {
-	pf_close(session->platform);
-	ht_client_close(session->http);
+	os_objects_close(session->objects);
+	h1_client_close(session->http);
 	g_free(session);
 }
 
@@ -61,13 +74,15 @@
 }
 
 static void
-on_result(const struct pf_result *result, void *user)
+on_object(const struct os_object *object, void *user)
 {
 	struct se_session *session = user;
 
-	session->answer->error = result->error;
-	session->answer->version = result->version;
-	session->answer->value = g_strndup(result->value, result->value_bytes);
+	*session->answer = (struct se_answer){
+	    .error = object->error,
+	    .revision = object->revision,
+	    .value = g_strdup(object->value),
+	};
 	session->answered = true;
 }
 
@@ -78,42 +93,37 @@
 	session->answered = false;
 }
 
-void
-se_get(struct se_session *session, const char *name, struct se_answer *out)
+static void
+on_list(int error, const struct os_named *list, uint32_t count, void *user)
 {
-	begin(session, out);
-	pf_get(session->platform, name, on_result, session);
-	wait_for_answer(session);
-}
+	struct se_session *session = user;
+	uint32_t i;
 
-void
-se_put(struct se_session *session, const char *name, uint64_t expected,
-    const char *value, struct se_answer *out)
-{
-	begin(session, out);
-	pf_put(session->platform, name, expected, value, strlen(value),
-	    on_result, session);
-	wait_for_answer(session);
+	session->list = error == CS_OK ? json_object() : NULL;
+	for (i = 0; i < count; i++)
+		json_object_set_new(session->list, list[i].name,
+		    json_loads(list[i].value, JSON_DECODE_ANY, NULL));
+	session->answered = true;
 }
 
-void
-se_list(struct se_session *session, const char *prefix, struct se_answer *out)
+json_t *
+se_list(struct se_session *session, const char *kind)
 {
-	begin(session, out);
-	pf_list(session->platform, prefix, on_result, session);
+	session->answered = false;
+	os_list(session->objects, kind, on_list, session);
 	wait_for_answer(session);
+	return session->list;
 }
 
 static void
-on_admin_response(const struct ht_response *response, void *user)
+on_admin_reply(const struct h1_reply *reply, void *user)
 {
 	struct se_session *session = user;
 
-	session->answer->error = response->error;
-	if (response->error == CS_OK && response->status == 404)
+	session->answer->error = reply->error;
+	if (reply->error == CS_OK && reply->status == 404)
 		session->answer->error = CS_E_MISSING;
-	session->answer->value =
-	    g_strndup(response->body, response->body_bytes);
+	session->answer->value = g_strdup(reply->body);
 	session->answered = true;
 }
 
@@ -121,12 +131,12 @@
 se_admin(struct se_session *session, const char *address, const char *path,
     struct se_answer *out)
 {
-	struct ht_request request = {
+	struct h1_request request = {
 	    .method = "GET",
 	    .path = path,
 	    .answer_bytes_max = ADMIN_ANSWER_BYTES_MAX,
 	    .timeout_ms = ADMIN_TIMEOUT_MS,
-	    .on_response = on_admin_response,
+	    .on_reply = on_admin_reply,
 	    .user = session,
 	};
 
@@ -138,7 +148,7 @@
 		};
 		return;
 	}
-	ht_client_send(session->http, &request);
+	h1_client_send(session->http, &request);
 	wait_for_answer(session);
 }
 
@@ -189,15 +199,12 @@
 se_entries(struct se_session *session, struct se_entry entries[SE_ENTRIES_MAX],
     uint32_t *count)
 {
-	struct se_answer answer;
 	int error = CS_E_UNAVAILABLE;
 	const char *key;
 	json_t *root, *row;
 
 	*count = 0;
-	se_list(session, "entries/", &answer);
-	root = json_loads(answer.value, 0, NULL);
-	g_free(answer.value);
+	root = se_list(session, OB_ENTRIES);
 	json_object_foreach(root, key, row)
 	{
 		const char *admin =
@@ -248,21 +255,24 @@
 }
 
 int
-se_stored(struct se_session *session, struct cf_config **config,
-    uint64_t *object_version)
+se_stored(
+    struct se_session *session, struct cf_config **config, uint64_t *revision)
 {
 	char fault[CF_FAULT_BYTES_MAX];
 	struct se_answer answer;
 	int error;
 
 	*config = NULL;
-	*object_version = 0;
-	se_get(session, CF_OBJECT_NAME, &answer);
+	*revision = 0;
+	begin(session, &answer);
+	os_read(
+	    session->objects, OB_CONFIG, OB_CONFIG_NAME, on_object, session);
+	wait_for_answer(session);
 	error = answer.error;
 	if (error == CS_OK) {
 		error = cf_parse_stored(
 		    answer.value, strlen(answer.value), fault, config);
-		*object_version = answer.version;
+		*revision = answer.revision;
 		if (error != CS_OK)
 			fprintf(stderr, "chervilshelf: stored: %s\n", fault);
 	} else if (error != CS_E_MISSING) {
@@ -289,18 +299,18 @@
 read_back(struct se_session *session, const char *writer, uint64_t expected)
 {
 	struct cf_config *stored;
-	uint64_t object_version;
+	uint64_t revision;
 	uint32_t i;
 	int error;
 
 	for (i = 0; i < READ_BACK_TRIES; i++) {
-		error = se_stored(session, &stored, &object_version);
+		error = se_stored(session, &stored, &revision);
 		if (error == CS_OK && strcmp(cf_writer(stored), writer) == 0) {
 			cf_unref(stored);
 			return CS_OK;
 		}
 		cf_unref(stored);
-		if (error == CS_OK && object_version != expected)
+		if (error == CS_OK && revision != expected)
 			return CS_E_CONFLICT;
 		se_sleep(session, READ_BACK_PAUSE_MS);
 	}
@@ -319,7 +329,10 @@
 	text = cf_store(config, version, writer);
 	if (text == NULL)
 		return CS_E_SYSTEM;
-	se_put(session, CF_OBJECT_NAME, expected, text, &answer);
+	begin(session, &answer);
+	os_write(session->objects, OB_CONFIG, OB_CONFIG_NAME, expected, text,
+	    on_object, session);
+	wait_for_answer(session);
 	error = answer.error;
 	free(text);
 	g_free(answer.value);
--- a/programs/session.h
+++ b/programs/session.h
@@ -5,6 +5,8 @@
 #ifndef SE_SESSION_H
 #define SE_SESSION_H
 
+#include <jansson.h>
+#include <netinet/in.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -17,8 +19,8 @@
 
 /* An answer; value is NUL terminated and owned by the caller. */
 struct se_answer {
-	int error; /* as in struct pf_result, or of enum cs_error */
-	uint64_t version;
+	int error; /* as in struct os_object, or of enum cs_error */
+	uint64_t revision;
 	char *value;
 };
 
@@ -35,13 +37,10 @@
 int se_open(const char *platform, struct se_session **out);
 void se_close(struct se_session *session);
 
-void se_get(
-    struct se_session *session, const char *name, struct se_answer *out);
-void se_put(struct se_session *session, const char *name, uint64_t expected,
-    const char *value, struct se_answer *out);
-/* se_list(session, prefix, out): objects as JSON, {"NAME": VALUE, ...}. */
-void se_list(
-    struct se_session *session, const char *prefix, struct se_answer *out);
+/* se_parse_url(text, out): "http://IPV4:PORT". */
+int se_parse_url(const char *text, struct sockaddr_in *out);
+/* se_list(session, kind): {"NAME": VALUE, ...}; NULL without an answer. */
+json_t *se_list(struct se_session *session, const char *kind);
 /* se_admin(session, address, path, out): reads from an admin listener. */
 void se_admin(struct se_session *session, const char *address, const char *path,
     struct se_answer *out);
@@ -57,11 +56,11 @@
 /* se_read_file(path, out): a whole file; CS_E_MISSING after a message. */
 int se_read_file(const char *path, char **out);
 /*
- * se_stored(session, config, object_version): the stored configuration.
+ * se_stored(session, config, revision): the stored configuration.
  * CS_E_MISSING when there is none; other errors after a message.
  */
-int se_stored(struct se_session *session, struct cf_config **config,
-    uint64_t *object_version);
+int se_stored(
+    struct se_session *session, struct cf_config **config, uint64_t *revision);
 /*
  * se_store(session, config, version, expected): writes the configuration as
  * that version. When the answer is lost it is read back, so that the result is
--- a/tests/scenario/rig.py
+++ b/tests/scenario/rig.py
@@ -166,7 +166,7 @@
     def apply(self, config=None, *options):
         """Applies and waits until it is in force on every entry VM."""
         wait_until(lambda: len(get_json(
-            self.platform, "/v1/objects?prefix=entries/")) >=
+            self.platform, "/objects/entries")["items"]) >=
             len(self.entries), "entry VMs registered")
         result = self.command("apply", self.file(config or self.config()),
                               "--wait", *options)
--- a/tests/scenario/test_config.py
+++ b/tests/scenario/test_config.py
@@ -82,9 +82,10 @@
 
 def an_old_copy_in_the_store_does_not_come_back():
     version = versions()[0]
-    rig.platform_fault("restore=config")
-    wait_until(lambda: get_json(rig.platform, "/v1/objects/config")["version"]
-               == version, "the store has the accepted version again")
+    rig.platform_fault("restore=routing/current")
+    wait_until(lambda: get_json(rig.platform, "/objects/routing/current")
+               ["spec"]["version"] == version,
+               "the store has the accepted version again")
     assert set(versions()) == {version}
 
 
--- a/tests/standins/caller.c
+++ b/tests/standins/caller.c
@@ -12,7 +12,6 @@
 #include <string.h>
 
 #include "../../lib/base/base.h"
-#include "../../lib/http/http.h"
 #include "standin.h"
 
 #define ENTRIES_MAX 8
@@ -46,7 +45,7 @@
 
 static struct {
 	uv_loop_t loop;
-	struct ht_client *http;
+	struct h1_client *http;
 	uv_timer_t tick;
 	struct cs_random random;
 	struct caller *callers;
@@ -81,30 +80,30 @@
 
 /* The answer's reason, as the system itself gives it; "-" without one. */
 static void
-read_reason(const struct ht_response *response, char reason[32])
+read_reason(const struct h1_reply *reply, char reason[32])
 {
-	if (response->error != CS_OK ||
-	    sscanf(response->body, "{\"reason\":\"%31[a-z_]", reason) != 1)
+	if (reply->error != CS_OK ||
+	    sscanf(reply->body, "{\"reason\":\"%31[a-z_]", reason) != 1)
 		strcpy(reason, "-");
 }
 
 static void
 log_call(const struct call *call, const char *result,
-    const struct ht_response *response, int64_t took_us)
+    const struct h1_reply *reply, int64_t took_us)
 {
 	char reason[32];
 
 	if (g.log == NULL)
 		return;
-	read_reason(response, reason);
+	read_reason(reply, reason);
 	fprintf(g.log, "%s %s %s %d %lld %s %d %s\n", call->tag,
-	    call->posts ? "post" : "get", result, response->status,
+	    call->posts ? "post" : "get", result, reply->status,
 	    (long long)took_us, reason, call->tries, call->key);
 }
 
 /* The target echoes the tag, the length and the hash of what it received. */
 static bool
-is_right(const struct call *call, const struct ht_response *response)
+is_right(const struct call *call, const struct h1_reply *reply)
 {
 	size_t bytes = call->posts ? (size_t)g.body_bytes : 0;
 	char expected[160];
@@ -112,27 +111,29 @@
 	snprintf(expected, sizeof(expected),
 	    "\"tag\":\"%s\",\"bytes\":%zu,\"hash\":\"%016llx\"}", call->tag,
 	    bytes, (unsigned long long)cs_hash(g.body, bytes));
-	return strstr(response->body, expected) != NULL;
+	return strstr(reply->body, expected) != NULL;
 }
 
 static const char *
-judge(const struct call *call, const struct ht_response *response)
+judge(const struct call *call, const struct h1_reply *reply)
 {
 	struct totals *t = &g.totals;
+	const char *outcome;
 
-	if (response->error != CS_OK) {
+	if (reply->error != CS_OK) {
 		t->lost++;
 		return "lost";
 	}
-	if (strcmp(response->outcome, "not-run") == 0) {
+	outcome = h1_find(reply->answer, "chervilshelf-outcome");
+	if (outcome != NULL && strcmp(outcome, "not-run") == 0) {
 		t->not_run++;
 		return "not-run";
 	}
-	if (strcmp(response->outcome, "unknown") == 0) {
+	if (outcome != NULL && strcmp(outcome, "unknown") == 0) {
 		t->unknown++;
 		return "unknown";
 	}
-	if (response->status == 200 && is_right(call, response)) {
+	if (reply->status == 200 && is_right(call, reply)) {
 		t->right++;
 		return "right";
 	}
@@ -142,29 +143,29 @@
 
 /* A connect that failed tries the next address; a break resends the key. */
 static bool
-may_try_again(const struct call *call, const struct ht_response *response)
+may_try_again(const struct call *call, const struct h1_reply *reply)
 {
-	if (response->error == CS_E_UNAVAILABLE)
+	if (reply->error == CS_E_UNAVAILABLE)
 		return call->tries + 1 < call->caller->entry_count;
 	return call->tries < g.resends;
 }
 
 static void
-on_answer(const struct ht_response *response, void *user)
+on_answer(const struct h1_reply *reply, void *user)
 {
 	struct call *call = user;
 	int64_t took_us = cs_now_us() - call->intended_us;
 	const char *result;
 
-	if (response->error != CS_OK && may_try_again(call, response)) {
+	if (reply->error != CS_OK && may_try_again(call, reply)) {
 		call->tries++;
 		send_call(call);
 		return;
 	}
-	result = judge(call, response);
+	result = judge(call, reply);
 	if (strcmp(result, "right") == 0)
 		cs_histogram_add(&g.totals.latency, took_us);
-	log_call(call, result, response, took_us);
+	log_call(call, result, reply, took_us);
 	g.open--;
 	g_free(call);
 }
@@ -184,19 +185,19 @@
 		snprintf(headers + used, sizeof(headers) - (size_t)used,
 		    "Chervilshelf-Deadline-Ms: %lld\r\n",
 		    (long long)g.deadline_ms);
-	ht_client_send(g.http,
-	    &(struct ht_request){
+	h1_client_send(g.http,
+	    &(struct h1_request){
 		.address = call->caller->entries[call->tries %
 						 call->caller->entry_count],
 		.method = call->posts ? "POST" : "GET",
 		.path = call->posts ? g.post_path : g.get_path,
 		.headers = headers,
 		.body = g.body,
-		.body_bytes = call->posts ? (size_t)g.body_bytes : 0,
+		.body_length = call->posts ? (size_t)g.body_bytes : 0,
 		.answer_bytes_max = ANSWER_BYTES_MAX,
 		.timeout_ms = CALL_TIMEOUT_MS,
 		.reuse = true,
-		.on_response = on_answer,
+		.on_reply = on_answer,
 		.user = call,
 	    });
 }
@@ -215,7 +216,7 @@
 }
 
 static void
-on_directory(const struct ht_response *response, void *user)
+on_directory(const struct h1_reply *reply, void *user)
 {
 	struct caller *caller = user;
 	json_t *root, *list, *row;
@@ -224,7 +225,7 @@
 	size_t i;
 
 	caller->asking = false;
-	root = json_loads(response->body, 0, NULL);
+	root = json_loads(reply->body, 0, NULL);
 	if (root == NULL) {
 		if (!g_queue_is_empty(&caller->pending))
 			ask_directory(caller);
@@ -264,14 +265,14 @@
 		from = caller->entries[cs_random_below(
 		    &g.random, (uint32_t)caller->entry_count)];
 	caller->asking = true;
-	ht_client_send(g.http, &(struct ht_request){
+	h1_client_send(g.http, &(struct h1_request){
 				   .address = from,
 				   .method = "GET",
 				   .path = path,
 				   .answer_bytes_max = ANSWER_BYTES_MAX,
 				   .timeout_ms = 1000,
 				   .reuse = true,
-				   .on_response = on_directory,
+				   .on_reply = on_directory,
 				   .user = caller,
 			       });
 }
@@ -379,7 +380,7 @@
 	int i;
 
 	uv_loop_init(&g.loop);
-	g.http = ht_client_create(&g.loop);
+	g.http = h1_client_create(&g.loop);
 	cs_random_seed(&g.random, (uint64_t)g.seed);
 	g.callers = g_new0(struct caller, g.caller_count);
 	g.body = g_malloc((size_t)g.body_bytes + 1);
--- a/tests/standins/platform.c
+++ b/tests/standins/platform.c
@@ -1,9 +1,10 @@
 /*
- * The platform's stand-in: versioned objects with conditional writes and
- * watches, and the VM list. /control?outage=0|1&slow_ms=N&lose_answers=N
- * switches faults; lose_answers loses the answers of the next N writes, which
- * still take effect. /control/vm?address=A&state=S edits the VM list, and
- * /control/restore?name=N puts an object's first value back at its version.
+ * The platform's stand-in: a store of versioned objects by kind and name, with
+ * conditional writes, lists and watches.
+ * /control?outage=0|1&slow_ms=N&lose_answers=N switches faults; lose_answers
+ * loses the answers of the next N writes, which still take effect.
+ * /control?vm=A&state=S edits the VM list, and /control?restore=KIND/NAME puts
+ * an object's first value back.
  */
 #include <glib.h>
 #include <jansson.h>
@@ -12,279 +13,369 @@
 #include <string.h>
 
 #include "../../lib/base/base.h"
-#include "../../lib/http/http.h"
 #include "standin.h"
 
 #define BODY_BYTES_MAX (2 * 1024 * 1024)
 #define CHECK_MS 5
+#define PATH_PREFIX "/objects/"
+#define VM_KIND "vms"
+#define NAME_BYTES_MAX 128
 
+/* One object; gone ones stay, as their last change. */
 struct object {
-	uint64_t version;
-	char *value;
-	size_t bytes;
-	char *first;
-	uint64_t first_version;
+	char kind[NAME_BYTES_MAX];
+	char name[NAME_BYTES_MAX];
+	uint64_t revision;
+	bool gone;
+	json_t *spec;
+	json_t *first; /* its first value */
 };
 
 /* A request that is answered later: a watch, or any in a slow spell. */
 struct held {
-	h2o_req_t *req; /* NULL once its caller is gone */
+	struct h1_conn *conn; /* NULL once its caller is gone */
+	const struct h1_message *request;
 	bool is_watch;
 	int64_t due_us;
 	uint64_t after;
-	char name[128];
+	char kind[NAME_BYTES_MAX];
 };
 
 struct platform {
 	uv_loop_t loop;
-	struct ht_server *server;
-	GHashTable *objects;
-	GHashTable *vms;
+	struct h1_server *server;
+	GHashTable *objects; /* by KIND/NAME */
 	GPtrArray *held;
 	uv_timer_t timer;
 	bool outage;
 	int64_t slow_ms;
 	int64_t lose_answers;
 	uint64_t calls;
-	uint64_t last_version;
+	uint64_t revision;
 };
 
 static void
-reply(h2o_req_t *req, int status, const char *body)
+reply(struct h1_conn *conn, int status, json_t *root)
 {
-	ht_reply(req, status, "application/json", body, strlen(body));
-}
+	char *text = json_dumps(root, JSON_COMPACT);
 
-static void
-reply_object(h2o_req_t *req, int status, const struct object *object)
-{
-	char version[32];
-
-	snprintf(version, sizeof(version), "%llu",
-	    (unsigned long long)object->version);
-	ht_add_header(req, "object-version", version);
-	ht_reply(req, status, "application/json", object->value, object->bytes);
+	json_decref(root);
+	h1_conn_reply(conn, status, "application/json", text);
+	free(text);
 }
 
-static void
-on_held_gone(void *memory)
+static json_t *
+describe(const struct object *object)
 {
-	(*(struct held **)memory)->req = NULL;
+	return json_pack("{s:{s:s, s:I}, s:O}", "metadata", "name",
+	    object->name, "revision", (json_int_t)object->revision, "spec",
+	    object->spec);
 }
 
 static struct held *
-hold(struct platform *p, h2o_req_t *req, int64_t ms)
+hold(struct platform *p, struct h1_conn *conn, const struct h1_message *request,
+    int64_t ms)
 {
 	struct held *held = g_new0(struct held, 1);
-	struct held **anchor;
 
-	anchor = h2o_mem_alloc_shared(&req->pool, sizeof(held), on_held_gone);
-	*anchor = held;
-	held->req = req;
+	held->conn = conn;
+	held->request = request;
 	held->due_us = cs_now_us() + ms * 1000;
+	h1_conn_set_call(conn, held);
 	g_ptr_array_add(p->held, held);
 	return held;
 }
 
 static void
-get(struct platform *p, h2o_req_t *req, const char *name)
+on_gone(struct h1_conn *conn)
 {
-	struct object *object = g_hash_table_lookup(p->objects, name);
-	int64_t after = si_query_number(req, "after", -1);
-	struct held *held;
+	struct held *held = h1_conn_call(conn);
 
-	if (after >= 0 &&
-	    (object == NULL || object->version == (uint64_t)after)) {
-		held = hold(p, req, si_query_number(req, "wait_ms", 0));
-		held->is_watch = true;
-		held->after = (uint64_t)after;
-		g_strlcpy(held->name, name, sizeof(held->name));
-		return;
+	if (held != NULL)
+		held->conn = NULL;
+}
+
+/* What changed in a kind since a revision. */
+static json_t *
+events_since(const struct platform *p, const char *kind, uint64_t after)
+{
+	json_t *events = json_array();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, p->objects);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct object *object = value;
+
+		if (strcmp(object->kind, kind) == 0 && object->revision > after)
+			json_array_append_new(events,
+			    json_pack("{s:b, s:o}", "deleted",
+				(int)object->gone, "object", describe(object)));
 	}
-	if (object == NULL)
-		reply(req, 404, "{}");
-	else
-		reply_object(req, 200, object);
+	return events;
 }
 
 static void
-wake_watches(struct platform *p, const char *name, const struct object *object)
+reply_events(struct platform *p, struct h1_conn *conn, json_t *events)
+{
+	reply(conn, 200,
+	    json_pack("{s:o, s:I}", "events", events, "store_revision",
+		(json_int_t)p->revision));
+}
+
+static void
+wake_watches(struct platform *p, const char *kind)
 {
 	guint i;
 
 	for (i = 0; i < p->held->len; i++) {
 		struct held *held = g_ptr_array_index(p->held, i);
+		struct h1_conn *conn = held->conn;
 
-		if (held->req == NULL || !held->is_watch ||
-		    strcmp(held->name, name) != 0)
+		if (conn == NULL || !held->is_watch ||
+		    strcmp(held->kind, kind) != 0)
 			continue;
-		reply_object(held->req, 200, object);
-		held->req = NULL;
+		held->conn = NULL;
+		reply_events(p, conn, events_since(p, kind, held->after));
 	}
 }
 
-static void
-put(struct platform *p, h2o_req_t *req, const char *name)
+static struct object *
+find(struct platform *p, const char *kind, const char *name)
 {
-	struct object *object = g_hash_table_lookup(p->objects, name);
-	h2o_iovec_t expected = ht_header(req, "if-version");
-	uint64_t version = object == NULL ? 0 : object->version;
+	char *path = g_strdup_printf("%s/%s", kind, name);
+	struct object *object = g_hash_table_lookup(p->objects, path);
+
+	g_free(path);
+	return object == NULL || object->gone ? NULL : object;
+}
+
+static struct object *
+store(struct platform *p, const char *kind, const char *name, json_t *spec)
+{
+	char *path = g_strdup_printf("%s/%s", kind, name);
+	struct object *object = g_hash_table_lookup(p->objects, path);
 
-	if (expected.base != NULL &&
-	    h2o_strtosize(expected.base, expected.len) != version) {
-		reply(req, 409, "{}");
-		return;
-	}
 	if (object == NULL) {
 		object = g_new0(struct object, 1);
-		g_hash_table_insert(p->objects, g_strdup(name), object);
+		g_strlcpy(object->kind, kind, sizeof(object->kind));
+		g_strlcpy(object->name, name, sizeof(object->name));
+		object->first = json_incref(spec);
+		g_hash_table_insert(p->objects, g_strdup(path), object);
 	}
-	g_free(object->value);
-	object->version = ++p->last_version;
-	object->value = g_strndup(req->entity.base, req->entity.len);
-	object->bytes = req->entity.len;
-	if (object->first == NULL) {
-		object->first = g_strdup(object->value);
-		object->first_version = object->version;
-	}
-	wake_watches(p, name, object);
+	g_free(path);
+	json_decref(object->spec);
+	object->spec = json_incref(spec);
+	object->gone = false;
+	object->revision = ++p->revision;
+	wake_watches(p, kind);
+	return object;
+}
+
+/* A write whose answer may be lost. */
+static void
+answer_write(struct platform *p, struct h1_conn *conn,
+    const struct h1_message *request, const struct object *object)
+{
 	if (p->lose_answers > 0) {
 		p->lose_answers--;
-		req->http1_is_persistent = 0;
-		hold(p, req, 3600000);
+		hold(p, conn, request, 3600000);
 		return;
 	}
-	reply_object(req, 200, object);
+	reply(conn, 200, describe(object));
 }
 
 static void
-list(struct platform *p, h2o_req_t *req)
+write_object(struct platform *p, struct h1_conn *conn,
+    const struct h1_message *request, const char *kind, const char *name)
 {
-	char prefix[128] = "";
-	json_t *root = json_object();
+	json_t *root =
+	    json_loadb(request->body.data, request->body.length, 0, NULL);
+	json_t *meta = json_object_get(root, "metadata");
+	json_t *spec = json_object_get(root, "spec");
+	json_t *expected = json_object_get(meta, "revision");
+	bool creates = strcmp(request->method, "POST") == 0;
+	struct object *object;
+
+	if (creates)
+		name = json_string_value(json_object_get(meta, "name"));
+	object = name == NULL ? NULL : find(p, kind, name);
+	if (name == NULL || spec == NULL)
+		reply(conn, 400, json_object());
+	else if (object == NULL && !creates)
+		reply(conn, 404, json_object());
+	else if (object != NULL &&
+		 (creates ||
+		     (expected != NULL && json_integer_value(expected) !=
+					      (json_int_t)object->revision)))
+		reply(conn, 409, describe(object));
+	else
+		answer_write(p, conn, request, store(p, kind, name, spec));
+	json_decref(root);
+}
+
+static void
+list(struct platform *p, struct h1_conn *conn, const char *kind)
+{
+	json_t *items = json_array();
 	GHashTableIter iter;
-	gpointer name, value;
-	char *text;
+	gpointer value;
 
-	si_query(req, "prefix", prefix, sizeof(prefix));
 	g_hash_table_iter_init(&iter, p->objects);
-	while (g_hash_table_iter_next(&iter, &name, &value)) {
-		struct object *object = value;
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct object *object = value;
 
-		if (!g_str_has_prefix(name, prefix))
-			continue;
-		json_object_set_new(root, name,
-		    json_loadb(
-			object->value, object->bytes, JSON_DECODE_ANY, NULL));
+		if (strcmp(object->kind, kind) == 0 && !object->gone)
+			json_array_append_new(items, describe(object));
 	}
-	text = json_dumps(root, JSON_COMPACT);
-	json_decref(root);
-	reply(req, 200, text);
-	free(text);
+	reply(conn, 200,
+	    json_pack("{s:o, s:b, s:I}", "items", items, "more", 0,
+		"store_revision", (json_int_t)p->revision));
 }
 
 static void
-objects(struct platform *p, h2o_req_t *req)
+watch(struct platform *p, struct h1_conn *conn,
+    const struct h1_message *request, const char *kind, uint64_t after)
 {
-	static const char prefix[] = "/v1/objects/";
-	h2o_iovec_t path = req->path_normalized;
-	char name[128];
+	json_t *events = events_since(p, kind, after);
+	struct held *held;
 
-	if (path.len <= sizeof(prefix) - 1 ||
-	    path.len - sizeof(prefix) + 1 >= sizeof(name)) {
-		list(p, req);
+	if (json_array_size(events) > 0) {
+		reply_events(p, conn, events);
 		return;
 	}
-	snprintf(name, sizeof(name), "%.*s",
-	    (int)(path.len - sizeof(prefix) + 1),
-	    path.base + sizeof(prefix) - 1);
-	if (h2o_memis(req->method.base, req->method.len, H2O_STRLIT("PUT"))) {
-		put(p, req, name);
-	} else if (h2o_memis(req->method.base, req->method.len,
-		       H2O_STRLIT("DELETE"))) {
-		g_hash_table_remove(p->objects, name);
-		reply(req, 200, "{}");
-	} else {
-		get(p, req, name);
-	}
+	json_decref(events);
+	held = hold(p, conn, request, si_query_number(request, "wait_ms", 0));
+	held->is_watch = true;
+	held->after = after;
+	g_strlcpy(held->kind, kind, sizeof(held->kind));
 }
 
 static void
-vms(struct platform *p, h2o_req_t *req)
+read_object(struct h1_conn *conn, const struct object *object)
 {
-	json_t *root = json_array();
-	GHashTableIter iter;
-	gpointer address, state;
-	char *text;
-
-	g_hash_table_iter_init(&iter, p->vms);
-	while (g_hash_table_iter_next(&iter, &address, &state))
-		json_array_append_new(root, json_pack("{s:s, s:s}", "address",
-						address, "state", state));
-	text = json_dumps(root, JSON_COMPACT);
-	json_decref(root);
-	reply(req, 200, text);
-	free(text);
+	if (object == NULL)
+		reply(conn, 404, json_object());
+	else
+		reply(conn, 200, describe(object));
+}
+
+static void
+remove_object(struct platform *p, struct h1_conn *conn, struct object *object)
+{
+	if (object != NULL) {
+		object->gone = true;
+		object->revision = ++p->revision;
+		wake_watches(p, object->kind);
+	}
+	reply(conn, object == NULL ? 404 : 200, json_object());
+}
+
+/* Splits the path behind the prefix in a kind and, if given, a name. */
+static bool
+split_path(const struct h1_message *request, char kind[NAME_BYTES_MAX],
+    char name[NAME_BYTES_MAX])
+{
+	const char *path = h1_target(request);
+	size_t length = strcspn(path, "?"), skip = strlen(PATH_PREFIX);
+	const char *slash;
+
+	if (length <= skip || strncmp(path, PATH_PREFIX, skip) != 0 ||
+	    length - skip >= NAME_BYTES_MAX)
+		return false;
+	snprintf(
+	    kind, NAME_BYTES_MAX, "%.*s", (int)(length - skip), path + skip);
+	name[0] = '\0';
+	slash = strchr(kind, '/');
+	if (slash != NULL) {
+		g_strlcpy(name, slash + 1, NAME_BYTES_MAX);
+		kind[slash - kind] = '\0';
+	}
+	return true;
 }
 
 static void
-answer(struct platform *p, h2o_req_t *req)
+answer(
+    struct platform *p, struct h1_conn *conn, const struct h1_message *request)
 {
-	if (g_str_has_prefix(req->path_normalized.base, "/v1/vms"))
-		vms(p, req);
+	char kind[NAME_BYTES_MAX], name[NAME_BYTES_MAX];
+	int64_t after = si_query_number(request, "watch", -1);
+
+	if (!split_path(request, kind, name))
+		reply(conn, 404, json_object());
+	else if (strcmp(request->method, "PUT") == 0 ||
+		 strcmp(request->method, "POST") == 0)
+		write_object(p, conn, request, kind, name);
+	else if (strcmp(request->method, "DELETE") == 0)
+		remove_object(p, conn, find(p, kind, name));
+	else if (name[0] != '\0')
+		read_object(conn, find(p, kind, name));
+	else if (after >= 0)
+		watch(p, conn, request, kind, (uint64_t)after);
 	else
-		objects(p, req);
+		list(p, conn, kind);
 }
 
 static void
-restore(struct platform *p, const char *name)
+restore(struct platform *p, const char *path)
 {
-	struct object *object = g_hash_table_lookup(p->objects, name);
+	struct object *object = g_hash_table_lookup(p->objects, path);
 
-	if (object == NULL)
-		return;
-	g_free(object->value);
-	object->value = g_strdup(object->first);
-	object->bytes = strlen(object->value);
-	object->version = object->first_version;
-	wake_watches(p, name, object);
+	if (object != NULL)
+		store(p, object->kind, object->name, object->first);
 }
 
 static void
-control(struct platform *p, h2o_req_t *req)
+control(
+    struct platform *p, struct h1_conn *conn, const struct h1_message *request)
 {
-	char text[128], state[16] = "live", body[64];
-
-	p->outage = si_query_number(req, "outage", p->outage) != 0;
-	p->slow_ms = si_query_number(req, "slow_ms", p->slow_ms);
-	p->lose_answers = si_query_number(req, "lose_answers", p->lose_answers);
-	if (si_query(req, "restore", text, sizeof(text)))
+	char text[NAME_BYTES_MAX], state[16] = "live";
+	json_t *spec;
+
+	p->outage = si_query_number(request, "outage", p->outage) != 0;
+	p->slow_ms = si_query_number(request, "slow_ms", p->slow_ms);
+	p->lose_answers =
+	    si_query_number(request, "lose_answers", p->lose_answers);
+	if (si_query(request, "restore", text, sizeof(text)))
 		restore(p, text);
-	if (si_query(req, "vm", text, sizeof(text))) {
-		si_query(req, "state", state, sizeof(state));
-		g_hash_table_replace(p->vms, g_strdup(text), g_strdup(state));
+	if (si_query(request, "vm", text, sizeof(text))) {
+		si_query(request, "state", state, sizeof(state));
+		spec = json_pack("{s:s}", "state", state);
+		store(p, VM_KIND, text, spec);
+		json_decref(spec);
 	}
-	snprintf(body, sizeof(body), "{\"calls\":%llu}",
-	    (unsigned long long)p->calls);
-	reply(req, 200, body);
+	reply(conn, 200, json_pack("{s:I}", "calls", (json_int_t)p->calls));
 }
 
 static void
-on_request(h2o_req_t *req, void *user)
+on_request(struct h1_conn *conn, const struct h1_message *request)
 {
-	struct platform *p = user;
+	struct platform *p = h1_conn_user(conn);
 
-	if (si_path_is(req, "/control")) {
-		control(p, req);
+	if (si_path_is(request, "/control")) {
+		control(p, conn, request);
 		return;
 	}
 	p->calls++;
 	if (p->outage)
-		hold(p, req, 3600000);
+		hold(p, conn, request, 3600000);
 	else if (p->slow_ms > 0)
-		hold(p, req, p->slow_ms);
+		hold(p, conn, request, p->slow_ms);
+	else
+		answer(p, conn, request);
+}
+
+static void
+end_hold(struct platform *p, struct held *held)
+{
+	struct h1_conn *conn = held->conn;
+
+	if (conn == NULL)
+		return;
+	if (held->is_watch)
+		reply_events(p, conn, json_array());
 	else
-		answer(p, req);
+		answer(p, conn, held->request);
 }
 
 static void
@@ -294,48 +385,39 @@
 	int64_t now_us = cs_now_us();
 	guint i = 0;
 
+	h1_server_sweep(p->server, now_us);
 	while (i < p->held->len) {
 		struct held *held = g_ptr_array_index(p->held, i);
 
-		if (held->req != NULL && held->due_us > now_us) {
+		if (held->conn != NULL && held->due_us > now_us) {
 			i++;
 			continue;
 		}
-		if (held->req != NULL && held->is_watch)
-			reply(held->req, 304, "");
-		else if (held->req != NULL)
-			answer(p, held->req);
 		g_ptr_array_remove_index_fast(p->held, i);
+		end_hold(p, held);
+		g_free(held);
 	}
 }
 
 int
 si_platform(int argc, char **argv)
 {
+	static const struct h1_server_events events = {
+	    .on_request = on_request, .on_gone = on_gone};
 	static struct platform p;
-	struct ht_server_params params = {
-	    .loop = &p.loop,
-	    .body_bytes_max = BODY_BYTES_MAX,
-	    .head_timeout_ms = 10000,
-	    .connections_max = 4096,
-	    .on_request = on_request,
-	    .user = &p,
-	};
 	char address[CS_ADDRESS_BYTES_MAX];
 
 	(void)argc;
 	(void)argv;
 	uv_loop_init(&p.loop);
 	p.objects = g_hash_table_new(g_str_hash, g_str_equal);
-	p.vms = g_hash_table_new(g_str_hash, g_str_equal);
 	p.held = g_ptr_array_new();
-	cs_parse_address("127.0.0.1:0", &params.listen);
-	if (ht_server_create(&params, &p.server) != CS_OK)
+	if (si_listen(&p.loop, &events, &p, BODY_BYTES_MAX, &p.server) != CS_OK)
 		return 1;
 	uv_timer_init(&p.loop, &p.timer);
 	p.timer.data = &p;
 	uv_timer_start(&p.timer, on_timer, CHECK_MS, CHECK_MS);
-	ht_server_address(p.server, address);
+	h1_server_address(p.server, address);
 	printf("platform %s\n", address);
 	fflush(stdout);
 	uv_run(&p.loop, UV_RUN_DEFAULT);
--- a/tests/standins/standin.c
+++ b/tests/standins/standin.c
@@ -7,22 +7,19 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define TIMEOUT_MS 60000
+#define CONNECTIONS_MAX 4096
+
 bool
-si_query(const h2o_req_t *req, const char *key, char *out, size_t out_bytes)
+si_query(const struct h1_message *request, const char *key, char *out,
+    size_t out_bytes)
 {
 	size_t key_bytes = strlen(key), length;
-	const char *at, *end;
-
-	if (req->query_at == SIZE_MAX)
-		return false;
-	at = req->path.base + req->query_at + 1;
-	end = req->path.base + req->path.len;
-	while (at < end) {
-		const char *stop = memchr(at, '&', (size_t)(end - at));
+	const char *at = strchr(h1_target(request), '?');
 
-		if (stop == NULL)
-			stop = end;
-		length = (size_t)(stop - at);
+	while (at != NULL) {
+		at++;
+		length = strcspn(at, "&");
 		if (length > key_bytes && memcmp(at, key, key_bytes) == 0 &&
 		    at[key_bytes] == '=') {
 			length -= key_bytes + 1;
@@ -32,17 +29,18 @@
 			out[length] = '\0';
 			return true;
 		}
-		at = stop + 1;
+		at = strchr(at, '&');
 	}
 	return false;
 }
 
 int64_t
-si_query_number(const h2o_req_t *req, const char *key, int64_t fallback)
+si_query_number(
+    const struct h1_message *request, const char *key, int64_t fallback)
 {
 	char text[32];
 
-	if (!si_query(req, key, text, sizeof(text)))
+	if (!si_query(request, key, text, sizeof(text)))
 		return fallback;
 	return strtoll(text, NULL, 10);
 }
@@ -54,10 +52,31 @@
 }
 
 bool
-si_path_is(const h2o_req_t *req, const char *path)
+si_path_is(const struct h1_message *request, const char *path)
+{
+	const char *target = h1_target(request);
+
+	return strcspn(target, "?") == strlen(path) &&
+	       strncmp(target, path, strlen(path)) == 0;
+}
+
+int
+si_listen(uv_loop_t *loop, const struct h1_server_events *events, void *user,
+    uint64_t body_bytes_max, struct h1_server **out)
 {
-	return h2o_memis(req->path_normalized.base, req->path_normalized.len,
-	    path, strlen(path));
+	struct h1_server_params params = {
+	    .loop = loop,
+	    .limits = {H1_HEAD_BYTES_MAX, body_bytes_max},
+	    .head_timeout_ms = TIMEOUT_MS,
+	    .idle_timeout_ms = TIMEOUT_MS,
+	    .connections_max = CONNECTIONS_MAX,
+	    .bodies_bytes_max = UINT64_MAX,
+	    .events = events,
+	    .user = user,
+	};
+
+	cs_parse_address("127.0.0.1:0", &params.address);
+	return h1_server_create(&params, out);
 }
 
 int
--- a/tests/standins/targets.c
+++ b/tests/standins/targets.c
@@ -16,18 +16,18 @@
 #include <string.h>
 
 #include "../../lib/base/base.h"
-#include "../../lib/http/http.h"
 #include "standin.h"
 
 #define TARGETS_MAX 256
 #define BODY_BYTES_MAX (32 * 1024 * 1024)
 #define CRASH_MS 300
+#define SWEEP_MS 250
 
 struct targets;
 
 struct target {
 	struct targets *all;
-	struct ht_server *server;
+	struct h1_server *server;
 	char address[CS_ADDRESS_BYTES_MAX];
 	GQueue waiting; /* of struct work */
 	int64_t running;
@@ -41,9 +41,9 @@
 
 /* One request at a target. */
 struct work {
-	struct work **anchor; /* cleared when the work ends first */
 	struct target *target;
-	h2o_req_t *req; /* NULL once its caller is gone */
+	struct h1_conn *conn; /* NULL once its caller is gone */
+	const struct h1_message *request;
 	uv_timer_t timer;
 	double service_ms;
 	bool started;
@@ -51,8 +51,9 @@
 
 struct targets {
 	uv_loop_t loop;
+	uv_timer_t sweep;
 	struct target items[TARGETS_MAX];
-	struct ht_server *control;
+	struct h1_server *control;
 	struct cs_random random;
 	GHashTable *runs; /* tag to count */
 	int count;
@@ -72,17 +73,16 @@
 }
 
 static void
-count_run(struct targets *all, h2o_req_t *req)
+count_run(struct targets *all, const struct h1_message *request)
 {
-	h2o_iovec_t tag = ht_header(req, "x-tag");
-	char *name;
+	const char *tag = h1_find(request, "x-tag");
 	int runs;
 
-	if (tag.base == NULL)
+	if (tag == NULL)
 		return;
-	name = g_strndup(tag.base, tag.len);
-	runs = GPOINTER_TO_INT(g_hash_table_lookup(all->runs, name));
-	g_hash_table_replace(all->runs, name, GINT_TO_POINTER(runs + 1));
+	runs = GPOINTER_TO_INT(g_hash_table_lookup(all->runs, tag));
+	g_hash_table_replace(
+	    all->runs, g_strdup(tag), GINT_TO_POINTER(runs + 1));
 }
 
 /* Fills a body with bytes that depend on their position only. */
@@ -98,47 +98,56 @@
 }
 
 static void
-reply_truncated(h2o_req_t *req)
+reply_truncated(struct h1_conn *conn)
 {
-	static h2o_generator_t generator;
-	h2o_iovec_t half = h2o_strdup(&req->pool, "half", 4);
-
-	req->res.status = 200;
-	req->res.reason = "OK";
-	req->res.content_length = 8;
-	req->http1_is_persistent = 0;
-	h2o_start_response(req, &generator);
-	h2o_send(req, &half, 1, H2O_SEND_STATE_ERROR);
+	h1_conn_begin(conn, &(struct h1_answer_head){
+				.status = 200, .sized = true, .length = 8});
+	h1_conn_piece(conn, "half", 4);
+	h1_conn_abort(conn);
+}
+
+static void
+reply_body(struct h1_conn *conn, size_t bytes)
+{
+	static const char headers[] = "Content-Type: text/plain\r\n";
+	char *body = make_body(bytes);
+
+	h1_conn_answer(conn, &(struct h1_answer){
+				 .status = 200,
+				 .headers = headers,
+				 .headers_length = strlen(headers),
+				 .body = body,
+				 .body_length = bytes,
+			     });
+	g_free(body);
 }
 
 static void
 reply(struct work *work)
 {
-	h2o_req_t *req = work->req;
-	h2o_iovec_t tag = ht_header(req, "x-tag");
-	int64_t bytes = si_query_number(req, "size", 0);
-	char text[512], *body;
-	int length;
+	const struct h1_message *request = work->request;
+	const char *tag = h1_find(request, "x-tag");
+	int64_t bytes = si_query_number(request, "size", 0);
+	char text[512];
 
 	if (bytes > 0) {
-		body = make_body((size_t)bytes);
-		ht_reply(req, 200, "text/plain", body, (size_t)bytes);
-		g_free(body);
+		reply_body(work->conn, (size_t)bytes);
 		return;
 	}
-	length = snprintf(text, sizeof(text),
-	    "{\"target\":\"%s\",\"tag\":\"%.*s\",\"bytes\":%zu,"
+	snprintf(text, sizeof(text),
+	    "{\"target\":\"%s\",\"tag\":\"%s\",\"bytes\":%zu,"
 	    "\"hash\":\"%016llx\"}\n",
-	    work->target->address, (int)tag.len, tag.base, req->entity.len,
-	    (unsigned long long)cs_hash(req->entity.base, req->entity.len));
-	ht_reply(req, 200, "application/json", text, (size_t)length);
+	    work->target->address, tag == NULL ? "" : tag, request->body.length,
+	    (unsigned long long)cs_hash(
+		request->body.data, request->body.length));
+	h1_conn_reply(work->conn, 200, "application/json", text);
 }
 
 static void
 end_work(struct work *work)
 {
-	if (work->anchor != NULL)
-		*work->anchor = NULL;
+	if (work->conn != NULL)
+		h1_conn_set_call(work->conn, NULL);
 	if (work->started)
 		work->target->running--;
 	else
@@ -151,16 +160,16 @@
 on_work_done(uv_timer_t *timer)
 {
 	struct work *work = timer->data;
-	h2o_req_t *req = work->req;
+	struct h1_conn *conn = work->conn;
 
 	work->target->served++;
-	if (work->anchor != NULL)
-		*work->anchor = NULL;
-	work->anchor = NULL;
-	if (req != NULL && work->target->truncate)
-		reply_truncated(req);
-	else if (req != NULL)
+	if (conn != NULL)
+		h1_conn_set_call(conn, NULL);
+	if (conn != NULL && work->target->truncate)
+		reply_truncated(conn);
+	else if (conn != NULL)
 		reply(work);
+	work->conn = NULL;
 	end_work(work);
 }
 
@@ -176,15 +185,15 @@
 		return;
 	target->running++;
 	work->started = true;
-	count_run(target->all, work->req);
+	count_run(target->all, work->request);
 	uv_timer_start(&work->timer, on_work_done,
 	    (uint64_t)(work->service_ms * (double)target->slow), 0);
 }
 
 static double
-service_ms(struct targets *all, const h2o_req_t *req)
+service_ms(struct targets *all, const struct h1_message *request)
 {
-	int64_t fixed = si_query_number(req, "ms", -1);
+	int64_t fixed = si_query_number(request, "ms", -1);
 	double unit = cs_random_unit(&all->random);
 
 	if (fixed >= 0)
@@ -196,14 +205,13 @@
 
 /* A caller that is gone cancels its work: targets accept cancellation. */
 static void
-on_caller_gone(void *memory)
+on_gone(struct h1_conn *conn)
 {
-	struct work *work = *(struct work **)memory;
+	struct work *work = h1_conn_call(conn);
 
 	if (work == NULL)
 		return;
-	work->req = NULL;
-	work->anchor = NULL;
+	work->conn = NULL;
 	if (!work->started)
 		end_work(work);
 }
@@ -212,46 +220,36 @@
 crash(struct target *target)
 {
 	target->crashed_until_us = cs_now_us() + CRASH_MS * 1000;
-	ht_server_cut(target->server);
-}
-
-static bool
-is_mute(const struct target *target, const h2o_req_t *req)
-{
-	return (int64_t)req->conn->connected_at.tv_sec * 1000000 +
-		   req->conn->connected_at.tv_usec <
-	       target->mute_before_us;
+	h1_server_cut(target->server);
 }
 
 static void
-on_request(h2o_req_t *req, void *user)
+on_request(struct h1_conn *conn, const struct h1_message *request)
 {
-	struct target *target = user;
-	struct work *work, **anchor;
+	struct target *target = h1_conn_user(conn);
+	struct work *work;
 
 	if (cs_now_us() < target->crashed_until_us) {
-		ht_server_cut(target->server);
+		h1_server_cut(target->server);
 		return;
 	}
-	if (is_mute(target, req))
+	if (h1_conn_opened_us(conn) < target->mute_before_us)
 		return;
 	if (target->shed) {
-		ht_reply(req, 503, "text/plain", "shed\n", 5);
+		h1_conn_reply(conn, 503, "text/plain", "shed\n");
 		return;
 	}
-	/* Never queued: h2o sees no cut while it waits for an answer. */
-	if (memmem(req->path.base, req->path.len, "kill", 4) != NULL) {
-		count_run(target->all, req);
+	if (strstr(h1_target(request), "kill") != NULL) {
+		count_run(target->all, request);
 		crash(target);
 		return;
 	}
 	work = g_new0(struct work, 1);
-	anchor = h2o_mem_alloc_shared(&req->pool, sizeof(work), on_caller_gone);
-	*anchor = work;
-	work->anchor = anchor;
 	work->target = target;
-	work->req = req;
-	work->service_ms = service_ms(target->all, req);
+	work->conn = conn;
+	work->request = request;
+	work->service_ms = service_ms(target->all, request);
+	h1_conn_set_call(conn, work);
 	uv_timer_init(&target->all->loop, &work->timer);
 	work->timer.data = work;
 	g_queue_push_tail(&target->waiting, work);
@@ -259,96 +257,98 @@
 }
 
 static void
-set_faults(struct target *target, h2o_req_t *req)
+set_faults(struct target *target, const struct h1_message *request)
 {
-	struct timeval now;
-
-	target->slow = si_query_number(req, "slow", target->slow);
-	target->shed = si_query_number(req, "shed", target->shed) != 0;
+	target->slow = si_query_number(request, "slow", target->slow);
+	target->shed = si_query_number(request, "shed", target->shed) != 0;
 	target->truncate =
-	    si_query_number(req, "truncate", target->truncate) != 0;
-	if (si_query_number(req, "mute", 0) == 0)
-		return;
-	gettimeofday(&now, NULL);
-	target->mute_before_us = (int64_t)now.tv_sec * 1000000 + now.tv_usec;
+	    si_query_number(request, "truncate", target->truncate) != 0;
+	if (si_query_number(request, "mute", 0) != 0)
+		target->mute_before_us = cs_now_us();
 }
 
 static void
-reply_runs(struct targets *all, h2o_req_t *req)
+reply_json(struct h1_conn *conn, json_t *root)
+{
+	char *text = json_dumps(root, JSON_COMPACT);
+
+	json_decref(root);
+	h1_conn_reply(conn, 200, "application/json", text);
+	free(text);
+}
+
+static json_t *
+describe_runs(struct targets *all)
 {
 	json_t *root = json_object();
 	GHashTableIter iter;
 	gpointer tag, runs;
-	char *text;
 
 	g_hash_table_iter_init(&iter, all->runs);
 	while (g_hash_table_iter_next(&iter, &tag, &runs))
 		json_object_set_new(
 		    root, tag, json_integer(GPOINTER_TO_INT(runs)));
-	text = json_dumps(root, JSON_COMPACT);
-	json_decref(root);
-	ht_reply(req, 200, "application/json", text, strlen(text));
-	free(text);
+	return root;
 }
 
-static void
-reply_served(struct targets *all, h2o_req_t *req)
+static json_t *
+describe_served(struct targets *all)
 {
 	json_t *root = json_object();
-	char *text;
 	int i;
 
 	for (i = 0; i < all->count; i++)
 		json_object_set_new(root, all->items[i].address,
 		    json_integer((json_int_t)all->items[i].served));
-	text = json_dumps(root, JSON_COMPACT);
-	json_decref(root);
-	ht_reply(req, 200, "application/json", text, strlen(text));
-	free(text);
+	return root;
 }
 
 static void
-on_control(h2o_req_t *req, void *user)
+on_control(struct h1_conn *conn, const struct h1_message *request)
 {
-	struct targets *all = user;
-	int64_t wanted = si_query_number(req, "target", -1);
+	struct targets *all = h1_conn_user(conn);
+	int64_t wanted = si_query_number(request, "target", -1);
 	int i;
 
-	if (si_path_is(req, "/runs")) {
-		reply_runs(all, req);
+	if (si_path_is(request, "/runs")) {
+		reply_json(conn, describe_runs(all));
 		return;
 	}
-	if (si_path_is(req, "/served")) {
-		reply_served(all, req);
+	if (si_path_is(request, "/served")) {
+		reply_json(conn, describe_served(all));
 		return;
 	}
 	for (i = 0; i < all->count; i++) {
 		if (wanted < 0 || wanted == i)
-			set_faults(&all->items[i], req);
+			set_faults(&all->items[i], request);
 	}
-	ht_reply(req, 200, "text/plain", "ok\n", 3);
+	h1_conn_reply(conn, 200, "text/plain", "ok\n");
 }
 
-static int
-listen_on(
-    struct targets *all, ht_request_cb cb, void *user, struct ht_server **out)
+static void
+on_control_gone(struct h1_conn *conn)
 {
-	struct ht_server_params params = {
-	    .loop = &all->loop,
-	    .body_bytes_max = BODY_BYTES_MAX,
-	    .head_timeout_ms = 60000,
-	    .connections_max = 4096,
-	    .on_request = cb,
-	    .user = user,
-	};
+	(void)conn; /* answered at once */
+}
 
-	cs_parse_address("127.0.0.1:0", &params.listen);
-	return ht_server_create(&params, out);
+static void
+on_sweep(uv_timer_t *timer)
+{
+	struct targets *all = timer->data;
+	int i;
+
+	for (i = 0; i < all->count; i++)
+		h1_server_sweep(all->items[i].server, cs_now_us());
+	h1_server_sweep(all->control, cs_now_us());
 }
 
 static int
 open_targets(struct targets *all)
 {
+	static const struct h1_server_events events = {
+	    .on_request = on_request, .on_gone = on_gone};
+	static const struct h1_server_events control = {
+	    .on_request = on_control, .on_gone = on_control_gone};
 	char address[CS_ADDRESS_BYTES_MAX];
 	int i;
 
@@ -358,17 +358,21 @@
 		target->all = all;
 		target->slow = 1;
 		g_queue_init(&target->waiting);
-		if (listen_on(all, on_request, target, &target->server) !=
-		    CS_OK)
+		if (si_listen(&all->loop, &events, target, BODY_BYTES_MAX,
+			&target->server) != CS_OK)
 			return 1;
-		ht_server_address(target->server, target->address);
+		h1_server_address(target->server, target->address);
 		printf("target %s\n", target->address);
 	}
-	if (listen_on(all, on_control, all, &all->control) != CS_OK)
+	if (si_listen(&all->loop, &control, all, BODY_BYTES_MAX,
+		&all->control) != CS_OK)
 		return 1;
-	ht_server_address(all->control, address);
+	h1_server_address(all->control, address);
 	printf("control %s\n", address);
 	fflush(stdout);
+	uv_timer_init(&all->loop, &all->sweep);
+	all->sweep.data = all;
+	uv_timer_start(&all->sweep, on_sweep, SWEEP_MS, SWEEP_MS);
 	return 0;
 }
 
--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -61,7 +61,11 @@
 		return;
 	}
 	if (setting->calls < CALLS_MAX)
-		strcpy(setting->paths[setting->calls], h1_target(request));
+		snprintf(setting->paths[setting->calls], OS_PATH_BYTES_MAX,
+		    "%s%s%s",
+		    strcmp(request->method, "GET") == 0 ? "" : request->method,
+		    strcmp(request->method, "GET") == 0 ? "" : " ",
+		    h1_target(request));
 	reply = setting->calls < setting->reply_count
 		    ? &setting->replies[setting->calls]
 		    : NULL;
@@ -177,7 +181,18 @@
 	uv_ip4_addr(
 	    "127.0.0.1", h1_server_port(setting->server), &params.address);
 	assert_int_equal(os_client_create(&params, &setting->client), CS_OK);
-	os_client_follow(setting->client, true);
+}
+
+static void
+run_until_told(struct setting *setting)
+{
+	uint32_t turns = 0;
+
+	while (setting->told[0] == '\0') {
+		if (++turns > TURNS_MAX)
+			fail_msg("stuck after %u calls", setting->calls);
+		uv_run(&setting->loop, UV_RUN_ONCE);
+	}
 }
 
 struct follow_case {
@@ -226,6 +241,7 @@
 		static struct setting setting;
 
 		set_up(&setting, row->replies, row->count);
+		os_client_follow(setting.client, true);
 		run_until_calls(&setting, row->count + 1);
 		if (strcmp(setting.told, row->told) != 0 ||
 		    strcmp(setting.paths[row->count], row->last_path) != 0)
@@ -235,6 +251,166 @@
 	}
 }
 
+/* Calls on single objects: what is done, and what comes of it. */
+struct object_case {
+	const char *name;
+	enum { READ, AWAIT, WRITE, REMOVE, LIST_ALL } call;
+	uint64_t revision; /* known or expected */
+	struct reply replies[3];
+	uint32_t count;
+	const char *told;
+	const char *paths[3];
+};
+
+#define OBJECT(name, revision)                                        \
+	"{\"metadata\":{\"name\":\"" name "\",\"revision\":" revision \
+	"},\"spec\":{\"v\":1}}"
+
+static const struct object_case object_cases[] = {
+    {"read", READ, 0, {{200, OBJECT("x", "4")}}, 1, "0@4 {\"v\":1}",
+	{"/objects/k/x"}},
+    {"read what is not there", READ, 0, {{404, "{}"}}, 1, "-3@0 ",
+	{"/objects/k/x"}},
+    {"a store that is away did nothing", READ, 0, {{503, "{}"}}, 1, "-5@0 ",
+	{"/objects/k/x"}},
+    {"a call over the rate did nothing", WRITE, 7, {{429, "{}"}}, 1, "-5@0 ",
+	{"PUT /objects/k/x"}},
+    {"what a server error did is not known", WRITE, 7, {{500, "{}"}}, 1,
+	"-6@0 ", {"PUT /objects/k/x"}},
+    {"an answer that makes no sense", READ, 0, {{200, "<html>"}}, 1, "-6@0 ",
+	{"/objects/k/x"}},
+    {"update of one revision", WRITE, 7, {{200, OBJECT("x", "8")}}, 1,
+	"0@8 {\"v\":1}", {"PUT /objects/k/x"}},
+    {"update that lost the race", WRITE, 7, {{409, OBJECT("x", "9")}}, 1,
+	"-4@0 ", {"PUT /objects/k/x"}},
+    {"must not exist", WRITE, OS_MUST_NOT_EXIST, {{409, OBJECT("x", "9")}}, 1,
+	"-4@0 ", {"POST /objects/k"}},
+    {"any revision, there is none yet", WRITE, OS_ANY_REVISION,
+	{{404, "{}"}, {200, OBJECT("x", "3")}}, 2, "0@3 {\"v\":1}",
+	{"PUT /objects/k/x", "POST /objects/k"}},
+    {"remove", REMOVE, 0, {{200, "{}"}}, 1, "0@0 ", {"DELETE /objects/k/x"}},
+    {"await: nothing known, so read", AWAIT, 0, {{200, OBJECT("x", "4")}}, 1,
+	"0@4 {\"v\":1}", {"/objects/k/x"}},
+    {"await: news of another object is passed over", AWAIT, 4,
+	{{200, EVENTS(CHANGED("y", "6"), "6")},
+	    {200, EVENTS(CHANGED("x", "8"), "8")}},
+	2, "0@8 {\"v\":1}",
+	{"/objects/k?watch=4&wait_ms=", "/objects/k?watch=6&wait_ms="}},
+    {"await: nothing new", AWAIT, 4, {{200, EVENTS("", "6")}}, 1, "-8@0 ",
+	{"/objects/k?watch=4&wait_ms="}},
+    {"await: removed", AWAIT, 4, {{200, EVENTS(DELETED("x", "4"), "9")}}, 1,
+	"-3@0 ", {"/objects/k?watch=4&wait_ms="}},
+    {"await: history gone, so read", AWAIT, 4,
+	{{410, "{}"}, {200, OBJECT("x", "9")}}, 2, "0@9 {\"v\":1}",
+	{"/objects/k?watch=4&wait_ms=", "/objects/k/x"}},
+    {"list, page by page", LIST_ALL, 0,
+	{{200, "{\"items\":[" OBJECT("a", "4") "],\"more\":true,"
+					       "\"store_revision\":9}"},
+	    {200, LIST(OBJECT("b", "8"), "11")}},
+	2, "0 a={\"v\":1} b={\"v\":1}", {"/objects/k", "/objects/k?after=a"}},
+    {"list of a store that is away", LIST_ALL, 0, {{503, "{}"}}, 1, "-5",
+	{"/objects/k"}},
+};
+
+static void
+on_object(const struct os_object *object, void *user)
+{
+	struct setting *setting = user;
+
+	snprintf(setting->told, sizeof(setting->told), "%d@%llu %s",
+	    object->error, (unsigned long long)object->revision, object->value);
+}
+
+static void
+on_list(int error, const struct os_named *list, uint32_t count, void *user)
+{
+	struct setting *setting = user;
+	size_t used = (size_t)sprintf(setting->told, "%d", error);
+	uint32_t i;
+
+	for (i = 0; i < count; i++)
+		used += (size_t)snprintf(setting->told + used,
+		    sizeof(setting->told) - used, " %s=%s", list[i].name,
+		    list[i].value);
+}
+
+static void
+start_call(struct os_objects *objects, const struct object_case *row,
+    struct setting *setting)
+{
+	switch (row->call) {
+	case READ:
+		os_read(objects, "k", "x", on_object, setting);
+		break;
+	case AWAIT:
+		os_await(objects, "k", "x", row->revision, on_object, setting);
+		break;
+	case WRITE:
+		os_write(objects, "k", "x", row->revision, "{\"v\":1}",
+		    on_object, setting);
+		break;
+	case REMOVE:
+		os_remove(objects, "k", "x", on_object, setting);
+		break;
+	case LIST_ALL:
+		os_list(objects, "k", on_list, setting);
+		break;
+	}
+}
+
+static void
+test_objects(void **state)
+{
+	size_t i;
+	uint32_t k;
+
+	(void)state;
+	for (i = 0; i < sizeof(object_cases) / sizeof(object_cases[0]); i++) {
+		const struct object_case *row = &object_cases[i];
+		static struct setting setting;
+		struct sockaddr_in address;
+		struct os_objects *objects;
+
+		set_up(&setting, row->replies, row->count);
+		uv_ip4_addr(
+		    "127.0.0.1", h1_server_port(setting.server), &address);
+		objects = os_objects_create(&setting.loop, &address, &pl_codec);
+		start_call(objects, row, &setting);
+		run_until_told(&setting);
+		if (strcmp(setting.told, row->told) != 0)
+			fail_msg("%s: told \"%s\"", row->name, setting.told);
+		assert_int_equal(setting.calls, row->count);
+		for (k = 0; k < row->count; k++) {
+			if (strncmp(setting.paths[k], row->paths[k],
+				strlen(row->paths[k])) != 0)
+				fail_msg("%s: asked \"%s\"", row->name,
+				    setting.paths[k]);
+		}
+		os_objects_close(objects);
+		os_client_close(setting.client);
+	}
+}
+
+/* Nobody answers: the call is over in its time, and may have had an effect. */
+static void
+test_objects_unanswered(void **state)
+{
+	static const struct reply silence = {-1, NULL};
+	static struct setting setting;
+	struct sockaddr_in address;
+	struct os_objects *objects;
+
+	(void)state;
+	set_up(&setting, &silence, 1);
+	uv_ip4_addr("127.0.0.1", h1_server_port(setting.server), &address);
+	objects = os_objects_create(&setting.loop, &address, &pl_codec);
+	os_write(objects, "k", "x", 7, "{}", on_object, &setting);
+	run_until_told(&setting);
+	assert_string_equal(setting.told, "-6@0 ");
+	os_objects_close(objects);
+	os_client_close(setting.client);
+}
+
 static struct os_change
 object(const char *name, uint64_t revision, bool gone)
 {
@@ -323,6 +499,8 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_follow),
+	    cmocka_unit_test(test_objects),
+	    cmocka_unit_test(test_objects_unanswered),
 	    cmocka_unit_test(test_cache),
 	    cmocka_unit_test(test_cache_recreated),
 	};
