--- a/lib/gateway/answer.c
+++ b/lib/gateway/answer.c
@@ -14,15 +14,9 @@
 
 	head->length = 0;
 	for (i = 0; i < answer->header_count; i++) {
-		const char *name = h1_name(answer, i);
-		const char *value = h1_value(answer, i);
-
-		if (h1_concerns_channel(answer, i))
-			continue;
-		error |= h1_bytes_add(head, name, strlen(name));
-		error |= h1_bytes_add(head, ": ", 2);
-		error |= h1_bytes_add(head, value, strlen(value));
-		error |= h1_bytes_add(head, "\r\n", 2);
+		if (!h1_concerns_channel(answer, i))
+			error |= h1_bytes_add_header(
+			    head, h1_name(answer, i), h1_value(answer, i));
 	}
 	if (error != CS_OK) {
 		gw_answer_own(call, 502, GW_BAD_ANSWER, 0);
--- a/lib/gateway/exchange.c
+++ b/lib/gateway/exchange.c
@@ -82,22 +82,17 @@
 	uint32_t i;
 
 	head->length = 0;
-	error |= h1_bytes_add(head, request->method, strlen(request->method));
-	error |= h1_bytes_add(head, " ", 1);
-	error |=
-	    h1_bytes_add(head, h1_target(request), strlen(h1_target(request)));
-	error |= h1_bytes_add(head, " HTTP/1.1\r\n", 11);
+	error |= h1_bytes_add_text(head, request->method);
+	error |= h1_bytes_add_text(head, " ");
+	error |= h1_bytes_add_text(head, h1_target(request));
+	error |= h1_bytes_add_text(head, " HTTP/1.1\r\n");
 	for (i = 0; i < request->header_count; i++) {
 		const char *name = h1_name(request, i);
 
 		if (h1_concerns_channel(request, i) ||
 		    is_replaced(dialect, name))
 			continue;
-		error |= h1_bytes_add(head, name, strlen(name));
-		error |= h1_bytes_add(head, ": ", 2);
-		error |= h1_bytes_add(
-		    head, h1_value(request, i), strlen(h1_value(request, i)));
-		error |= h1_bytes_add(head, "\r\n", 2);
+		error |= h1_bytes_add_header(head, name, h1_value(request, i));
 	}
 	if (request->body.length > 0 ||
 	    h1_find(request, "content-length") != NULL ||
--- a/lib/h1/channel.c
+++ b/lib/h1/channel.c
@@ -336,7 +336,9 @@
 	if (channel->waiting || channel->write_pending || channel->closing)
 		return CS_E_CONFLICT;
 	channel->out.length = 0;
-	if (h1_bytes_add(&channel->out, head->data, head->length) != 0 ||
+	if (h1_bytes_reserve(&channel->out,
+		head->length + (body == NULL ? 0 : body->length)) != 0 ||
+	    h1_bytes_add(&channel->out, head->data, head->length) != 0 ||
 	    (body != NULL &&
 		h1_bytes_add(&channel->out, body->data, body->length) != 0))
 		return CS_E_SYSTEM;
--- a/lib/h1/h1.h
+++ b/lib/h1/h1.h
@@ -30,6 +30,12 @@
 int h1_bytes_add(struct h1_bytes *bytes, const void *data, size_t length);
 int h1_bytes_print(struct h1_bytes *bytes, const char *format, ...)
     __attribute__((format(printf, 2, 3)));
+/* h1_bytes_reserve(bytes, capacity): room for so many in all. */
+int h1_bytes_reserve(struct h1_bytes *bytes, size_t capacity);
+int h1_bytes_add_text(struct h1_bytes *bytes, const char *text);
+/* h1_bytes_add_header(bytes, name, value): one line with its end. */
+int h1_bytes_add_header(
+    struct h1_bytes *bytes, const char *name, const char *value);
 void h1_bytes_free(struct h1_bytes *bytes);
 
 struct h1_header {
--- a/lib/h1/message.c
+++ b/lib/h1/message.c
@@ -8,23 +8,35 @@
 #include "../base/base.h"
 #include "h1.h"
 
+#define FIRST_CAPACITY 256
+
 int
-h1_bytes_add(struct h1_bytes *bytes, const void *data, size_t length)
+h1_bytes_reserve(struct h1_bytes *bytes, size_t capacity)
 {
-	size_t capacity = bytes->capacity == 0 ? 256 : bytes->capacity;
 	char *grown;
 
+	if (capacity <= bytes->capacity)
+		return CS_OK;
+	grown = realloc(bytes->data, capacity);
+	if (grown == NULL)
+		return CS_E_SYSTEM;
+	bytes->data = grown;
+	bytes->capacity = capacity;
+	return CS_OK;
+}
+
+int
+h1_bytes_add(struct h1_bytes *bytes, const void *data, size_t length)
+{
+	size_t capacity =
+	    bytes->capacity == 0 ? FIRST_CAPACITY : bytes->capacity;
+
 	if (length == 0)
 		return CS_OK;
 	while (capacity < bytes->length + length)
 		capacity *= 2;
-	if (capacity != bytes->capacity) {
-		grown = realloc(bytes->data, capacity);
-		if (grown == NULL)
-			return CS_E_SYSTEM;
-		bytes->data = grown;
-		bytes->capacity = capacity;
-	}
+	if (h1_bytes_reserve(bytes, capacity) != CS_OK)
+		return CS_E_SYSTEM;
 	memcpy(bytes->data + bytes->length, data, length);
 	bytes->length += length;
 	return CS_OK;
@@ -45,6 +57,22 @@
 	return h1_bytes_add(bytes, line, (size_t)length);
 }
 
+int
+h1_bytes_add_text(struct h1_bytes *bytes, const char *text)
+{
+	return h1_bytes_add(bytes, text, strlen(text));
+}
+
+int
+h1_bytes_add_header(struct h1_bytes *bytes, const char *name, const char *value)
+{
+	int error = h1_bytes_add_text(bytes, name);
+
+	error |= h1_bytes_add(bytes, ": ", 2);
+	error |= h1_bytes_add_text(bytes, value);
+	return error | h1_bytes_add(bytes, "\r\n", 2);
+}
+
 void
 h1_bytes_free(struct h1_bytes *bytes)
 {
--- a/lib/h1/server.c
+++ b/lib/h1/server.c
@@ -39,7 +39,8 @@
 	bool in_pieces;
 	bool chunked;
 	bool bodiless;
-	bool last; /* the connection ends with it */
+	bool unframed; /* only the end of the connection tells its end */
+	bool last;     /* the connection ends with it */
 };
 
 struct h1_server {
@@ -160,6 +161,8 @@
 {
 	conn->state = CONN_LINGERING;
 	conn->since_us = cs_now_us();
+	release_body(conn);
+	h1_bytes_free(&conn->reader.message.body);
 	if (uv_shutdown(&conn->shutting, (uv_stream_t *)&conn->tcp, on_shut) !=
 	    0)
 		close_conn(conn);
@@ -273,9 +276,9 @@
 	conn->bodiless = is_bodiless(conn, head->status);
 	conn->chunked = !head->sized && !conn->bodiless &&
 			conn->reader.parser.http_minor > 0;
-	/* A caller of HTTP/1.0 knows no chunks: the close ends its answer. */
-	conn->last = ends_with_answer(conn) ||
-		     (!head->sized && !conn->chunked && !conn->bodiless);
+	/* A caller of HTTP/1.0 knows no chunks. */
+	conn->unframed = !head->sized && !conn->chunked && !conn->bodiless;
+	conn->last = ends_with_answer(conn) || conn->unframed;
 	if (head->sized && head->status != 204 && head->status != 304)
 		error |= h1_bytes_print(out, "Content-Length: %llu\r\n",
 		    (unsigned long long)head->length);
@@ -322,14 +325,12 @@
 void
 h1_conn_abort(struct h1_conn *conn)
 {
-	bool by_close = conn->last && !conn->chunked;
-
 	conn->in_pieces = false;
 	if (conn->state == CONN_ANSWERING)
 		conn->server->busy--;
 	conn->state = CONN_READING; /* its owner needs no news of the end */
 	conn->call = NULL;
-	if (by_close)
+	if (conn->unframed)
 		reset_conn(conn);
 	close_conn(conn);
 }
@@ -378,24 +379,29 @@
 	h1_conn_answer(conn, &answer);
 }
 
-/* Reserves room for the body as far as its length is known. */
+/* Reserves room for the body, as soon as its length is known. */
 static bool
 reserve_body(struct h1_conn *conn)
 {
 	struct h1_server *server = conn->server;
 	const struct http_parser *parser = &conn->reader.parser;
-	uint64_t wanted = conn->reader.message.body.length;
-
-	if (conn->reader.head_done && !conn->reader.whole &&
-	    (parser->flags & F_CHUNKED) == 0 &&
-	    parser->content_length != UINT64_MAX)
+	struct h1_bytes *body = &conn->reader.message.body;
+	uint64_t wanted = body->length;
+
+	if (!conn->reader.head_done)
+		return true;
+	if ((parser->flags & F_CHUNKED) != 0)
+		wanted = body->capacity;
+	else if (!conn->reader.whole && parser->content_length != UINT64_MAX)
 		wanted += parser->content_length;
-	if (wanted > conn->reserved_bytes) {
-		server->bodies_bytes += wanted - conn->reserved_bytes;
-		conn->reserved_bytes = wanted;
-	}
-	return wanted == 0 ||
-	       server->bodies_bytes <= server->params.bodies_bytes_max;
+	if (wanted <= conn->reserved_bytes)
+		return true;
+	if (server->bodies_bytes + wanted - conn->reserved_bytes >
+	    server->params.bodies_bytes_max)
+		return false;
+	server->bodies_bytes += wanted - conn->reserved_bytes;
+	conn->reserved_bytes = wanted;
+	return h1_bytes_reserve(body, wanted) == CS_OK;
 }
 
 static bool
--- a/lib/serve/admin.c
+++ b/lib/serve/admin.c
@@ -5,25 +5,27 @@
 
 #include "serve_internal.h"
 
-static bool
-path_is(const h2o_req_t *req, const char *path)
+bool
+sv_path_is(const struct h1_message *request, const char *path)
 {
-	return h2o_memis(req->path_normalized.base, req->path_normalized.len,
-	    path, strlen(path));
+	const char *target = h1_target(request);
+
+	return strcspn(target, "?") == strlen(path) &&
+	       strncmp(target, path, strlen(path)) == 0;
 }
 
 static void
-reply_json(h2o_req_t *req, int status, json_t *root)
+reply_json(struct h1_conn *conn, int status, json_t *root)
 {
 	char *text = json_dumps(root, JSON_INDENT(2));
 
 	json_decref(root);
-	ht_reply(req, status, SV_JSON, text, strlen(text));
+	h1_conn_reply(conn, status, SV_JSON, text);
 	free(text);
 }
 
 static void
-status(struct sv_server *server, h2o_req_t *req)
+status(struct sv_server *server, struct h1_conn *conn)
 {
 	struct dc_counters c;
 	json_int_t version = 0;
@@ -31,7 +33,7 @@
 	dc_counters(server->core, &c);
 	if (server->config != NULL)
 		version = (json_int_t)cf_version(server->config);
-	reply_json(req, 200,
+	reply_json(conn, 200,
 	    json_pack("{s:s, s:s, s:s, s:I, s:I, s:I, s:I, s:I, s:I, s:I}",
 		"name", server->params.name, "data_centre",
 		server->params.data_centre, "region", server->params.region,
@@ -43,7 +45,7 @@
 }
 
 static void
-members(struct sv_server *server, h2o_req_t *req)
+members(struct sv_server *server, struct h1_conn *conn)
 {
 	json_t *list = json_array();
 	uint32_t i;
@@ -57,7 +59,7 @@
 			entry->address, "admin", entry->admin, "data_centre",
 			entry->data_centre, "region", entry->region));
 	}
-	reply_json(req, 200, list);
+	reply_json(conn, 200, list);
 }
 
 static json_t *
@@ -83,7 +85,7 @@
 }
 
 static void
-targets(struct sv_server *server, h2o_req_t *req)
+targets(struct sv_server *server, struct h1_conn *conn)
 {
 	json_t *list = json_array();
 	struct dc_target_info info;
@@ -94,7 +96,7 @@
 			json_array_append_new(
 			    list, describe_target(server, &info));
 	}
-	reply_json(req, 200, list);
+	reply_json(conn, 200, list);
 }
 
 static void
@@ -112,7 +114,7 @@
 }
 
 static void
-metrics(struct sv_server *server, h2o_req_t *req)
+metrics(struct sv_server *server, struct h1_conn *conn)
 {
 	GString *text = g_string_new(NULL);
 	struct dc_counters c;
@@ -141,74 +143,72 @@
 	append_metric(text, "calls_running", "gauge", c.running);
 	server->params.callbacks.metrics(
 	    add_counter, text, server->params.callbacks.user);
-	ht_reply(req, 200, "text/plain; version=0.0.4", text->str, text->len);
+	h1_conn_reply(conn, 200, "text/plain; version=0.0.4", text->str);
 	g_string_free(text, TRUE);
 }
 
 static void
-ready(struct sv_server *server, h2o_req_t *req)
+ready(struct sv_server *server, struct h1_conn *conn)
 {
 	bool is_ready = server->config != NULL && !server->draining;
 
-	reply_json(req, is_ready ? 200 : 503,
+	reply_json(conn, is_ready ? 200 : 503,
 	    json_pack("{s:b}", "ready", (int)is_ready));
 }
 
 static void
-report(struct sv_server *server, h2o_req_t *req)
+report(struct sv_server *server, struct h1_conn *conn)
 {
 	char *text = sv_accounts(server);
 
-	ht_reply(req, 200, SV_JSON, text, strlen(text));
+	h1_conn_reply(conn, 200, SV_JSON, text);
 	free(text);
 }
 
 #define EXPLAIN_PREFIX "/explain/"
 
-static bool
-is_explain(const h2o_req_t *req)
+/* The id that is asked for; NULL: something else is. */
+static const char *
+explained_id(const struct h1_message *request)
 {
-	return req->path_normalized.len > strlen(EXPLAIN_PREFIX) &&
-	       memcmp(req->path_normalized.base, EXPLAIN_PREFIX,
-		   strlen(EXPLAIN_PREFIX)) == 0;
+	const char *target = h1_target(request);
+	size_t skip = strlen(EXPLAIN_PREFIX);
+
+	return strncmp(target, EXPLAIN_PREFIX, skip) == 0 ? target + skip
+							  : NULL;
 }
 
 static void
-explain(struct sv_server *server, h2o_req_t *req)
+explain(struct sv_server *server, struct h1_conn *conn, const char *id)
 {
-	size_t skip = strlen(EXPLAIN_PREFIX);
-	char id[SV_ID_BYTES_MAX] = "";
-	json_t *story;
+	json_t *story = sv_story_json(server, id);
 
-	if (req->path_normalized.len - skip < sizeof(id))
-		memcpy(id, req->path_normalized.base + skip,
-		    req->path_normalized.len - skip);
-	story = sv_story_json(server, id);
 	if (story != NULL)
-		reply_json(req, 200, story);
+		reply_json(conn, 200, story);
 	else
-		reply_json(req, 404, json_pack("{s:s}", "error", "not kept"));
+		reply_json(conn, 404, json_pack("{s:s}", "error", "not kept"));
 }
 
 void
-sv_on_admin_request(h2o_req_t *req, void *user)
+sv_on_admin_request(struct h1_conn *conn, const struct h1_message *request)
 {
-	struct sv_server *server = user;
-
-	if (path_is(req, "/status"))
-		status(server, req);
-	else if (path_is(req, "/metrics"))
-		metrics(server, req);
-	else if (path_is(req, "/members"))
-		members(server, req);
-	else if (path_is(req, "/targets"))
-		targets(server, req);
-	else if (path_is(req, "/report"))
-		report(server, req);
-	else if (is_explain(req))
-		explain(server, req);
-	else if (path_is(req, "/ready"))
-		ready(server, req);
+	struct sv_server *server = h1_conn_user(conn);
+	const char *id = explained_id(request);
+
+	if (sv_path_is(request, "/status"))
+		status(server, conn);
+	else if (sv_path_is(request, "/metrics"))
+		metrics(server, conn);
+	else if (sv_path_is(request, "/members"))
+		members(server, conn);
+	else if (sv_path_is(request, "/targets"))
+		targets(server, conn);
+	else if (sv_path_is(request, "/report"))
+		report(server, conn);
+	else if (id != NULL)
+		explain(server, conn, id);
+	else if (sv_path_is(request, "/ready"))
+		ready(server, conn);
 	else
-		reply_json(req, 404, json_pack("{s:s}", "error", "not found"));
+		reply_json(conn, 404, json_pack("{s:s}", "error", "not found"));
 }
--- a/lib/serve/answers.c
+++ b/lib/serve/answers.c
@@ -12,44 +12,34 @@
 static void
 free_answer(struct sv_answer *answer)
 {
-	g_ptr_array_free(answer->headers, TRUE);
-	g_byte_array_free(answer->body, TRUE);
+	h1_bytes_free(&answer->headers);
+	h1_bytes_free(&answer->body);
 	g_free(answer);
 }
 
 static size_t
 size_of(const struct sv_answer *answer)
 {
-	return sizeof(*answer) + answer->body->len +
-	       answer->headers->len * sizeof(void *) * 8;
-}
-
-static void
-keep_header(struct sv_answer *answer, const h2o_header_t *header)
-{
-	g_ptr_array_add(
-	    answer->headers, g_strndup(header->name->base, header->name->len));
-	g_ptr_array_add(
-	    answer->headers, g_strndup(header->value.base, header->value.len));
+	return sizeof(*answer) + answer->body.capacity +
+	       answer->headers.capacity;
 }
 
 void
-sv_answer_begin(struct sv_call *call)
+sv_answer_begin(struct sv_call *call, const struct h1_bytes *headers)
 {
-	const h2o_res_t *res = &call->req->res;
-	size_t i;
+	struct sv_answer *answer;
 
 	if (call->key.scope == DC_KEY_NONE || call->relayed->forwarded ||
 	    call->route->kind != CF_KIND_NON_IDEMPOTENT)
 		return;
-	call->capture = g_new0(struct sv_answer, 1);
-	call->capture->key_a = call->key.a;
-	call->capture->key_b = call->key.b;
-	call->capture->status = res->status;
-	call->capture->headers = g_ptr_array_new_with_free_func(g_free);
-	call->capture->body = g_byte_array_new();
-	for (i = 0; i < res->headers.size; i++)
-		keep_header(call->capture, &res->headers.entries[i]);
+	answer = g_new0(struct sv_answer, 1);
+	answer->key_a = call->key.a;
+	answer->key_b = call->key.b;
+	answer->status = call->relayed->status;
+	call->capture = answer;
+	if (h1_bytes_add(&answer->headers, headers->data, headers->length) !=
+	    CS_OK)
+		sv_answer_discard(call);
 }
 
 void
@@ -61,16 +51,15 @@
 }
 
 void
-sv_answer_add(struct sv_call *call, h2o_iovec_t chunk)
+sv_answer_add(struct sv_call *call, const char *data, size_t length)
 {
-	if (call->capture == NULL || chunk.len == 0)
+	struct sv_answer *answer = call->capture;
+
+	if (answer == NULL)
 		return;
-	if (call->capture->body->len + chunk.len > ANSWER_BYTES_MAX) {
+	if (answer->body.length + length > ANSWER_BYTES_MAX ||
+	    h1_bytes_add(&answer->body, data, length) != CS_OK)
 		sv_answer_discard(call);
-		return;
-	}
-	g_byte_array_append(
-	    call->capture->body, (const guint8 *)chunk.base, (guint)chunk.len);
 }
 
 static void
@@ -105,18 +94,20 @@
 {
 	struct sv_answer *answer =
 	    g_hash_table_lookup(call->server->answers, &call->key.a);
-	guint i;
+	struct h1_conn *conn = call->conn;
 
-	if (call->req == NULL)
+	if (conn == NULL)
 		return;
 	if (answer == NULL || answer->key_b != call->key.b) {
 		sv_refuse(call, DC_REASON_KEY_RAN, DC_OUTCOME_UNKNOWN);
 		return;
 	}
 	sv_call_answered(call);
-	for (i = 0; i + 1 < answer->headers->len; i += 2)
-		ht_add_header(call->req, g_ptr_array_index(answer->headers, i),
-		    g_ptr_array_index(answer->headers, i + 1));
-	ht_reply_body(call->req, answer->status,
-	    (const char *)answer->body->data, answer->body->len);
+	h1_conn_answer(conn, &(struct h1_answer){
+				 .status = answer->status,
+				 .headers = answer->headers.data,
+				 .headers_length = answer->headers.length,
+				 .body = answer->body.data,
+				 .body_length = answer->body.length,
+			     });
 }
--- a/lib/serve/directory.c
+++ b/lib/serve/directory.c
@@ -23,7 +23,7 @@
 
 /* What one answer is made for. */
 struct asked {
-	h2o_iovec_t region;
+	const char *region;
 	uint64_t group; /* of the path's pool in that region, 0: no path */
 	uint64_t preferred[AFFINITY_MAX];
 };
@@ -31,8 +31,7 @@
 static bool
 is_in_region(const struct asked *asked, const struct sv_entry *entry)
 {
-	return entry->listed && h2o_memis(asked->region.base, asked->region.len,
-				    entry->region, strlen(entry->region));
+	return entry->listed && strcmp(asked->region, entry->region) == 0;
 }
 
 static enum nearness
@@ -52,51 +51,51 @@
 	return SAME_REGION;
 }
 
-/* The value of a query parameter that ends the query or is followed by "&". */
-static h2o_iovec_t
-query_value(const h2o_req_t *req, const char *name)
+/* The value of a query parameter, as long as *length, or NULL. */
+static const char *
+query_value(const struct h1_message *request, const char *name, size_t *length)
 {
-	size_t length = strlen(name);
-	const char *at, *end, *stop;
-
-	if (req->query_at == SIZE_MAX)
-		return h2o_iovec_init(NULL, 0);
-	end = req->path.base + req->path.len;
-	for (at = req->path.base + req->query_at + 1; at < end; at = stop + 1) {
-		stop = memchr(at, '&', (size_t)(end - at));
-		if (stop == NULL)
-			stop = end;
-		if ((size_t)(stop - at) > length && at[length] == '=' &&
-		    memcmp(at, name, length) == 0)
-			return h2o_iovec_init(
-			    at + length + 1, (size_t)(stop - at) - length - 1);
+	size_t name_length = strlen(name);
+	const char *at = strchr(h1_target(request), '?');
+
+	for (; at != NULL; at = strchr(at, '&')) {
+		at++;
+		*length = strcspn(at, "&");
+		if (*length > name_length && at[name_length] == '=' &&
+		    strncmp(at, name, name_length) == 0) {
+			*length -= name_length + 1;
+			return at + name_length + 1;
+		}
 	}
-	return h2o_iovec_init(NULL, 0);
+	return NULL;
 }
 
 /* The group of the pool that serves a path, as the core numbers it. */
 static uint64_t
-find_group(
-    const struct sv_server *server, const h2o_req_t *req, h2o_iovec_t region)
+find_group(const struct sv_server *server, const struct h1_message *request,
+    const char *region)
 {
-	h2o_iovec_t path = query_value(req, "path");
-	h2o_iovec_t method = query_value(req, "method");
+	size_t path_length = 0, method_length = 0;
+	const char *path = query_value(request, "path", &path_length);
+	const char *method = query_value(request, "method", &method_length);
 	const char *pool;
 	int route;
 
-	if (path.base == NULL || server->config == NULL)
+	if (path == NULL || server->config == NULL)
 		return 0;
-	if (method.base == NULL)
-		method = h2o_iovec_init(H2O_STRLIT("GET"));
-	route = cf_match(
-	    server->config, method.base, method.len, path.base, path.len);
+	if (method == NULL) {
+		method = "GET";
+		method_length = strlen(method);
+	}
+	route =
+	    cf_match(server->config, method, method_length, path, path_length);
 	if (route < 0)
 		return 0;
 	pool = cf_pool(
 	    server->config, cf_route(server->config, (uint32_t)route)->pool)
 		   ->name;
 	return cs_hash_pair(
-	    cs_hash(pool, strlen(pool)), cs_hash(region.base, region.len));
+	    cs_hash(pool, strlen(pool)), cs_hash(region, strlen(region)));
 }
 
 /* Ranks as the core chooses owners: the highest hash first. */
@@ -159,18 +158,19 @@
 }
 
 void
-sv_directory(struct sv_server *server, h2o_req_t *req)
+sv_directory(struct sv_server *server, struct h1_conn *conn,
+    const struct h1_message *request)
 {
-	struct asked asked = {.region = ht_header(req, "chervilshelf-region")};
+	struct asked asked = {
+	    .region = h1_find(request, "chervilshelf-region")};
 	json_t *list = json_array();
 	json_t *root;
 	char *text;
 	int tier;
 
-	if (asked.region.base == NULL)
-		asked.region = h2o_iovec_init(
-		    server->params.region, strlen(server->params.region));
-	asked.group = find_group(server, req, asked.region);
+	if (asked.region == NULL)
+		asked.region = server->params.region;
+	asked.group = find_group(server, request, asked.region);
 	if (asked.group != 0)
 		choose_preferred(server, &asked);
 	for (tier = PREFERRED; tier < NEARNESS_COUNT; tier++)
@@ -179,6 +179,6 @@
 	    (json_int_t)server->params.keep_ms);
 	text = json_dumps(root, JSON_COMPACT);
 	json_decref(root);
-	ht_reply(req, 200, SV_JSON, text, strlen(text));
+	h1_conn_reply(conn, 200, SV_JSON, text);
 	free(text);
 }
--- a/lib/serve/key.c
+++ b/lib/serve/key.c
@@ -26,24 +26,19 @@
 }
 
 int
-sv_read_key(h2o_iovec_t text, struct dc_key *key)
+sv_read_key(const char *text, struct dc_key *key)
 {
-	char copy[SV_KEY_BYTES_MAX + 1];
-	uint64_t hash;
+	size_t length = text == NULL ? 0 : strlen(text);
 
 	*key = (struct dc_key){.scope = DC_KEY_NONE};
-	if (text.base == NULL)
+	if (text == NULL)
 		return CS_OK;
-	if (text.len == 0 || text.len > SV_KEY_BYTES_MAX ||
-	    memchr(text.base, '\0', text.len) != NULL)
+	if (length == 0 || length > SV_KEY_BYTES_MAX)
 		return CS_E_INVALID;
-	memcpy(copy, text.base, text.len);
-	copy[text.len] = '\0';
 	key->scope = DC_KEY_STORE;
-	read_token(copy, key);
-	hash = cs_hash(text.base, text.len);
-	key->a = hash;
-	key->b = cs_hash_seeded(text.base, text.len, KEY_SEED_B);
+	read_token(text, key);
+	key->a = cs_hash(text, length);
+	key->b = cs_hash_seeded(text, length, KEY_SEED_B);
 	return CS_OK;
 }
 
--- a/lib/serve/peers.c
+++ b/lib/serve/peers.c
@@ -147,7 +147,7 @@
 sv_drain(struct sv_server *server)
 {
 	server->draining = true;
-	ht_server_drain(server->callers);
+	h1_server_drain(server->callers);
 	sv_feed(server, &(struct dc_event){
 			    .type = DC_EV_PEER,
 			    .peer =
--- a/lib/serve/request_head.c
+++ b/lib/serve/request_head.c
@@ -1,112 +1,75 @@
 /* The head of an upstream request, made from the caller's. */
-#include <stdio.h>
 #include <string.h>
+#include <strings.h>
 
 #include "serve_internal.h"
 
-#define HEAD_EXTRA_BYTES 512
-
-/* Headers that concern one connection only, or that are written anew. */
+/* Headers that are written anew. */
 static bool
-is_dropped(const h2o_req_t *req, const h2o_header_t *header)
+is_replaced(const char *name)
 {
-	static const char *const names[] = {"connection", "keep-alive",
-	    "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade",
-	    "expect", "host", "content-length", "chervilshelf-deadline-ms",
+	static const char *const names[] = {"host", "chervilshelf-deadline-ms",
 	    "chervilshelf-depth", "chervilshelf-request-id",
 	    "chervilshelf-forwarded", NULL};
-	const char *const *name;
-	h2o_iovec_t connection = ht_header(req, "connection");
+	const char *const *at;
 
-	for (name = names; *name != NULL; name++) {
-		if (h2o_lcstris(header->name->base, header->name->len, *name,
-			strlen(*name)))
+	for (at = names; *at != NULL; at++) {
+		if (strcasecmp(name, *at) == 0)
 			return true;
 	}
-	return connection.base != NULL &&
-	       h2o_contains_token(connection.base, connection.len,
-		   header->name->base, header->name->len, ',');
-}
-
-static size_t
-head_bound(const struct sv_call *call)
-{
-	const h2o_req_t *req = call->req;
-	size_t i, bytes = HEAD_EXTRA_BYTES;
-
-	bytes += req->method.len + req->path.len + req->authority.len;
-	for (i = 0; i < req->headers.size; i++)
-		bytes += req->headers.entries[i].name->len +
-			 req->headers.entries[i].value.len + 4;
-	return bytes;
-}
-
-static char *
-append(char *at, h2o_iovec_t bytes)
-{
-	memcpy(at, bytes.base, bytes.len);
-	return at + bytes.len;
+	return false;
 }
 
-static char *
-append_text(char *at, const char *text)
+static int
+copy_headers(const struct h1_message *request, struct h1_bytes *to)
 {
-	return append(at, h2o_iovec_init(text, strlen(text)));
-}
-
-static char *
-append_headers(char *at, const struct sv_call *call)
-{
-	const h2o_req_t *req = call->req;
-	size_t i;
-
-	for (i = 0; i < req->headers.size; i++) {
-		const h2o_header_t *header = &req->headers.entries[i];
+	int error = CS_OK;
+	uint32_t i;
 
-		if (is_dropped(req, header))
+	for (i = 0; i < request->header_count; i++) {
+		if (h1_concerns_channel(request, i) ||
+		    is_replaced(h1_name(request, i)))
 			continue;
-		at = append(at, *header->name);
-		at = append_text(at, ": ");
-		at = append(at, header->value);
-		at = append_text(at, "\r\n");
+		error |= h1_bytes_add_header(
+		    to, h1_name(request, i), h1_value(request, i));
 	}
-	return at;
+	return error;
 }
 
-static char *
-append_own_headers(
-    char *at, const struct sv_call *call, const struct sv_attempt *attempt)
+static bool
+has_body(const struct h1_message *request)
 {
-	int64_t left_ms = (call->deadline_us - cs_now_us()) / 1000;
-
-	if (call->req->entity.base != NULL)
-		at += sprintf(
-		    at, "Content-Length: %zu\r\n", call->req->entity.len);
-	return at +
-	       sprintf(at,
-		   "Chervilshelf-Deadline-Ms: %lld\r\n"
-		   "Chervilshelf-Depth: %u\r\n"
-		   "Chervilshelf-Request-Id: %s\r\n%s%s\r\n",
-		   (long long)(left_ms > 0 ? left_ms : 0),
-		   call->depth + (attempt->forwarded ? 0 : 1), call->request_id,
-		   attempt->fresh ? "Connection: close\r\n" : "",
-		   attempt->forwarded ? "Chervilshelf-Forwarded: 1\r\n" : "");
+	return request->body.length > 0 ||
+	       h1_find(request, "content-length") != NULL ||
+	       h1_find(request, "transfer-encoding") != NULL;
 }
 
-h2o_iovec_t
-sv_format_head(struct sv_call *call, const struct sv_attempt *attempt)
+int
+sv_write_head(
+    struct sv_call *call, const struct sv_attempt *attempt, struct h1_bytes *to)
 {
-	h2o_req_t *req = call->req;
-	char *start = h2o_mem_alloc_pool(&req->pool, head_bound(call));
-	char *at = start;
+	const struct h1_message *request = call->request;
+	const char *host = h1_find(request, "host");
+	int64_t left_ms = (call->deadline_us - cs_now_us()) / 1000;
+	int error = CS_OK;
 
-	at = append(at, req->method);
-	at = append_text(at, " ");
-	at = append(at, req->path);
-	at = append_text(at, " HTTP/1.1\r\nHost: ");
-	at = append(at, req->authority);
-	at = append_text(at, "\r\n");
-	at = append_headers(at, call);
-	at = append_own_headers(at, call, attempt);
-	return h2o_iovec_init(start, (size_t)(at - start));
+	to->length = 0;
+	error |= h1_bytes_add_text(to, request->method);
+	error |= h1_bytes_add_text(to, " ");
+	error |= h1_bytes_add_text(to, h1_target(request));
+	error |= h1_bytes_add_text(to, " HTTP/1.1\r\n");
+	error |= h1_bytes_add_header(to, "Host", host == NULL ? "" : host);
+	error |= copy_headers(request, to);
+	if (has_body(request))
+		error |= h1_bytes_print(
+		    to, "Content-Length: %zu\r\n", request->body.length);
+	error |= h1_bytes_print(to,
+	    "Chervilshelf-Deadline-Ms: %lld\r\n"
+	    "Chervilshelf-Depth: %u\r\n"
+	    "Chervilshelf-Request-Id: %s\r\n%s%s\r\n",
+	    (long long)(left_ms > 0 ? left_ms : 0),
+	    call->depth + (attempt->forwarded ? 0 : 1), call->request_id,
+	    attempt->fresh ? "Connection: close\r\n" : "",
+	    attempt->forwarded ? "Chervilshelf-Forwarded: 1\r\n" : "");
+	return error;
 }
--- a/lib/serve/serve_internal.h
+++ b/lib/serve/serve_internal.h
@@ -3,12 +3,10 @@
 #define SV_SERVE_INTERNAL_H
 
 #include <glib.h>
-#include <h2o.h>
-#include <h2o/http1client.h>
 #include <jansson.h>
 
 #include "../base/base.h"
-#include "../http/http.h"
+#include "../h1/h1.h"
 #include "../report/report.h"
 #include "serve.h"
 
@@ -20,9 +18,9 @@
 /* Idle connections to one target; reference counted. */
 struct sv_pool {
 	struct cs_ref ref;
-	struct sockaddr_in sockaddr;
-	h2o_socketpool_t sockets;
-	uv_timer_t timer; /* disposes of it, then frees it */
+	struct sv_line *idle; /* last used first */
+	uint32_t idle_count;
+	bool retired; /* its target has another one */
 };
 
 /* One target; reference counted. */
@@ -35,6 +33,17 @@
 	struct sv_pool *pool; /* NULL: connections are not kept */
 };
 
+struct sv_attempt;
+
+/* One connection to a target. */
+struct sv_line {
+	struct h1_channel *channel;
+	struct sv_pool *pool;	    /* it returns to, or NULL */
+	struct sv_attempt *attempt; /* NULL: idle */
+	struct sv_line *next;
+	int64_t idle_since_us;
+};
+
 struct sv_call;
 
 /* What is kept of one attempt and of one call, for `explain`. */
@@ -68,36 +77,28 @@
 	uint64_t key_a;
 	uint64_t key_b;
 	int status;
-	GPtrArray *headers; /* name, value, name, value */
-	GByteArray *body;
+	struct h1_bytes headers; /* lines */
+	struct h1_bytes body;
 };
 
 /* One upstream request of a call. */
 struct sv_attempt {
 	struct sv_call *call;
 	struct sv_target *target;
-	struct sv_pool *pool;	   /* that its connection belongs to */
-	h2o_http1client_t *client; /* NULL when there is none */
+	struct sv_line *line;
 	uint32_t number;
-	bool forwarded;	  /* to another entry VM */
-	bool fresh;	  /* on a connection of its own */
-	bool in_connect;  /* inside h2o_http1client_connect*() */
-	bool in_callback; /* inside one of the client's callbacks */
-	bool cancelled;	  /* to be closed when the callback returns */
-	bool relayed;
-	int status; /* of the answer; with the two below valid in on_head */
-	h2o_header_t *headers;
-	size_t header_count;
-	size_t content_length;	/* SIZE_MAX when chunked */
-	h2o_iovec_t buffers[2]; /* head and body of the request */
-	h2o_socket_cb paused;	/* read callback while reading is paused */
+	bool forwarded;			 /* to another entry VM */
+	bool fresh;			 /* on a connection of its own */
+	int status;			 /* of the answer */
+	const struct h1_message *answer; /* its head, once it is there */
+	struct h1_bytes held;		 /* of the body, until it is relayed */
 };
 
 struct sv_call {
-	h2o_generator_t generator; /* first: h2o hands it back */
-	struct cs_ref ref;	   /* of the request and of each attempt */
+	struct cs_ref ref; /* of the request and of each attempt */
 	struct sv_server *server;
-	h2o_req_t *req; /* NULL once the caller's request is gone */
+	struct h1_conn *conn; /* NULL once answered, or its caller gone */
+	const struct h1_message *request; /* valid with conn */
 	struct cf_config *config;
 	const struct cf_route *route;
 	uint64_t id;
@@ -113,34 +114,27 @@
 	struct sv_answer *capture; /* copy of the answer for resends */
 	struct sv_attempt attempts[DC_ATTEMPTS_MAX];
 	struct sv_attempt *relayed;
-	h2o_doublebuffer_t sending;
-	h2o_buffer_t *tail; /* of the answer, once its connection is gone */
-	bool whole;	    /* the target's answer is complete */
-	bool cut;	    /* the target's answer broke off */
-	bool sent_last;	    /* h2o has the last of the answer */
 	char request_id[SV_ID_BYTES_MAX];
-	struct sv_call *next; /* list of calls that wait for a head */
-	struct sv_call **link;
 };
 
 struct sv_server {
 	struct sv_params params;
-	struct ht_server *callers;
-	struct ht_server *admin;
+	struct h1_server *callers;
+	struct h1_server *admin;
 	struct dc_core *core;
 	struct dc_actions actions;
 	bool stepping;
 	GArray *pending; /* of struct dc_event, raised during a step */
 	uv_timer_t wake;
-	uv_timer_t watch;
-	h2o_timeout_t io_timeout;
-	h2o_http1client_ctx_t client;
+	uv_timer_t sweep;
 	struct cf_config *config;
 	GHashTable *targets; /* id to struct sv_target, those configured */
 	GHashTable *calls;   /* id to struct sv_call, those the core knows */
-	struct sv_call *unanswered;
 	GHashTable *answers; /* by key_a, of struct sv_answer */
 	GQueue answers_by_age;
+	struct h1_bytes head; /* scratch for a request or an answer */
+	struct h1_answer refusal;
+	char refusal_body[128];
 	size_t answers_bytes;
 	struct sv_entry entries[SV_ENTRIES_MAX];
 	uint32_t entry_count;
@@ -157,24 +151,33 @@
 void sv_arm_wake(struct sv_server *server);
 
 /* caller.c: callers' requests. */
-void sv_on_request(h2o_req_t *req, void *user);
+void sv_on_request(struct h1_conn *conn, const struct h1_message *request);
+void sv_on_gone(struct h1_conn *conn);
+/* sv_refusal(server, status): what the listener itself refuses with. */
+const struct h1_answer *sv_refusal(void *user, int status);
 void sv_refuse(
     struct sv_call *call, enum dc_reason reason, enum dc_outcome outcome);
+/* sv_call_answered(call): its answer is complete, or its caller is gone. */
 void sv_call_answered(struct sv_call *call);
 void sv_call_unref(struct sv_call *call);
-void sv_watch_callers(struct sv_server *server);
 
-/* connections.c: targets and their idle connections. */
-void sv_pool_unref(struct sv_pool *pool);
+/* connections.c: targets and their connections. */
 void sv_target_flush(struct sv_target *target);
 struct sv_target *sv_target_new(
     struct sv_server *server, const char *address, bool pooled);
 void sv_target_unref(struct sv_target *target);
+/* sv_line_take(attempt): idle or new; NULL when no socket could be made. */
+struct sv_line *sv_line_take(struct sv_attempt *attempt);
+/* sv_line_keep(line): idle again; false: the caller drops it. */
+bool sv_line_keep(struct sv_line *line);
+/* sv_line_drop(line): forgets it; closes its channel unless that ended. */
+void sv_line_drop(struct sv_line *line);
 /* request_head.c */
-h2o_iovec_t sv_format_head(
-    struct sv_call *call, const struct sv_attempt *attempt);
+int sv_write_head(struct sv_call *call, const struct sv_attempt *attempt,
+    struct h1_bytes *to);
 
 /* upstream.c: attempts. */
+extern const struct h1_channel_events sv_channel_events;
 void sv_attempt_start(struct sv_call *call, const struct dc_send *send);
 void sv_forward_start(struct sv_call *call, const struct dc_send *send);
 void sv_attempt_cancel(struct sv_call *call, uint32_t number);
@@ -192,23 +195,30 @@
 
 /* relay.c: a target's answer on its way to the caller. */
 void sv_relay_start(struct sv_call *call, uint32_t number);
-void sv_relay_more(struct sv_call *call);
+void sv_relay_piece(
+    struct sv_attempt *attempt, const char *data, size_t length);
+/* sv_relay_end(call, whole): false breaks the answer off. */
+void sv_relay_end(struct sv_call *call, bool whole);
+void sv_on_drained(struct h1_conn *conn);
 
 /* answers.c: answers kept for resends. */
-void sv_answer_begin(struct sv_call *call);
-void sv_answer_add(struct sv_call *call, h2o_iovec_t chunk);
+void sv_answer_begin(struct sv_call *call, const struct h1_bytes *headers);
+void sv_answer_add(struct sv_call *call, const char *data, size_t length);
 void sv_answer_keep(struct sv_call *call);
 void sv_answer_discard(struct sv_call *call);
 void sv_replay(struct sv_call *call);
 
 /* key.c: the Idempotency-Key header. */
-int sv_read_key(h2o_iovec_t text, struct dc_key *key);
+int sv_read_key(const char *text, struct dc_key *key);
 void sv_format_token(const struct sv_server *server,
     const struct sv_entry *entry, char *text, size_t bytes);
 
 /* directory.c and admin.c: what the VM answers itself. */
-void sv_directory(struct sv_server *server, h2o_req_t *req);
-void sv_on_admin_request(h2o_req_t *req, void *user);
+bool sv_path_is(const struct h1_message *request, const char *path);
+void sv_directory(struct sv_server *server, struct h1_conn *conn,
+    const struct h1_message *request);
+void sv_on_admin_request(
+    struct h1_conn *conn, const struct h1_message *request);
 
 /* table.c: hands a configuration to the core. */
 void sv_load_table(struct sv_server *server, struct cf_config *config);
--- a/lib/serve/server.c
+++ b/lib/serve/server.c
@@ -10,53 +10,64 @@
 #define REQUEST_TIMEOUT_MS 120000
 #define ADMIN_BODY_BYTES_MAX 65536
 #define ADMIN_CONNECTIONS_MAX 256
-#define WATCH_INTERVAL_MS 50
+#define SWEEP_MS 250
+
+static void
+on_admin_gone(struct h1_conn *conn)
+{
+	(void)conn; /* answers there are never late */
+}
 
 static int
 create_listeners(struct sv_server *server)
 {
-	struct ht_server_params callers = {
+	static const struct h1_server_events caller_events = {
+	    .on_request = sv_on_request,
+	    .on_gone = sv_on_gone,
+	    .on_drained = sv_on_drained,
+	    .refusal = sv_refusal,
+	};
+	static const struct h1_server_events admin_events = {
+	    .on_request = sv_on_admin_request,
+	    .on_gone = on_admin_gone,
+	};
+	struct h1_server_params callers = {
 	    .loop = server->params.loop,
-	    .listen = server->params.listen,
-	    .body_bytes_max = SV_BODY_BYTES_MAX,
-	    .bodies_bytes_max = SV_BODIES_BYTES_MAX,
+	    .address = server->params.listen,
+	    .limits = {H1_HEAD_BYTES_MAX, SV_BODY_BYTES_MAX},
 	    .head_timeout_ms = REQUEST_TIMEOUT_MS,
+	    .idle_timeout_ms = REQUEST_TIMEOUT_MS,
 	    .connections_max = SV_CONNECTIONS_MAX,
-	    .on_request = sv_on_request,
+	    .bodies_bytes_max = SV_BODIES_BYTES_MAX,
+	    .events = &caller_events,
 	    .user = server,
 	};
-	struct ht_server_params admin = {
+	struct h1_server_params admin = {
 	    .loop = server->params.loop,
-	    .listen = server->params.admin_listen,
-	    .body_bytes_max = ADMIN_BODY_BYTES_MAX,
+	    .address = server->params.admin_listen,
+	    .limits = {H1_HEAD_BYTES_MAX, ADMIN_BODY_BYTES_MAX},
 	    .head_timeout_ms = REQUEST_TIMEOUT_MS,
+	    .idle_timeout_ms = REQUEST_TIMEOUT_MS,
 	    .connections_max = ADMIN_CONNECTIONS_MAX,
-	    .on_request = sv_on_admin_request,
+	    .bodies_bytes_max = ADMIN_CONNECTIONS_MAX * ADMIN_BODY_BYTES_MAX,
+	    .events = &admin_events,
 	    .user = server,
 	};
-	int error;
+	int error = h1_server_create(&callers, &server->callers);
 
-	error = ht_server_create(&callers, &server->callers);
 	if (error != CS_OK)
 		return error;
-	return ht_server_create(&admin, &server->admin);
+	return h1_server_create(&admin, &server->admin);
 }
 
 static void
-on_watch(uv_timer_t *timer)
+on_sweep(uv_timer_t *timer)
 {
-	sv_watch_callers(timer->data);
-}
+	struct sv_server *server = timer->data;
+	int64_t now_us = cs_now_us();
 
-static void
-init_client(struct sv_server *server)
-{
-	h2o_timeout_init(
-	    server->params.loop, &server->io_timeout, CF_DEADLINE_MS_MAX);
-	server->client = (h2o_http1client_ctx_t){
-	    .loop = server->params.loop,
-	    .io_timeout = &server->io_timeout,
-	};
+	h1_server_sweep(server->callers, now_us);
+	h1_server_sweep(server->admin, now_us);
 }
 
 static int
@@ -110,15 +121,13 @@
 	server->targets = g_hash_table_new(g_int64_hash, g_int64_equal);
 	uv_timer_init(params->loop, &server->wake);
 	server->wake.data = server;
-	uv_timer_init(params->loop, &server->watch);
-	server->watch.data = server;
-	uv_timer_start(
-	    &server->watch, on_watch, WATCH_INTERVAL_MS, WATCH_INTERVAL_MS);
-	init_client(server);
+	uv_timer_init(params->loop, &server->sweep);
+	server->sweep.data = server;
 	init_core(server);
 	error = create_listeners(server);
 	if (error != CS_OK)
 		return error;
+	uv_timer_start(&server->sweep, on_sweep, SWEEP_MS, SWEEP_MS);
 	*out = server;
 	return CS_OK;
 }
@@ -126,13 +135,13 @@
 void
 sv_address(const struct sv_server *server, char *text)
 {
-	ht_server_address(server->callers, text);
+	h1_server_address(server->callers, text);
 }
 
 void
 sv_admin_address(const struct sv_server *server, char *text)
 {
-	ht_server_address(server->admin, text);
+	h1_server_address(server->admin, text);
 }
 
 int
@@ -158,13 +167,13 @@
 void
 sv_stop_accepting(struct sv_server *server)
 {
-	ht_server_close(server->callers);
+	h1_server_stop(server->callers);
 }
 
 uint32_t
 sv_open_calls(const struct sv_server *server)
 {
-	return server->open_calls;
+	return server->open_calls + h1_server_unsent(server->callers);
 }
 
 char *
--- a/lib/serve/shell.c
+++ b/lib/serve/shell.c
@@ -43,8 +43,10 @@
 	if (call == NULL)
 		return;
 	forget_call(server, call);
+	cs_ref_take(&call->ref);
 	sv_replay(call);
 	sv_story_ended(call, RP_SERVED, DC_REASON_NONE);
+	sv_call_unref(call);
 }
 
 static void
@@ -55,10 +57,8 @@
 	if (call == NULL)
 		return;
 	forget_call(server, call);
-	call->whole = whole;
-	call->cut = !whole;
 	sv_story_ended(call, whole ? call->outcome : RP_CUT, DC_REASON_NONE);
-	sv_relay_more(call);
+	sv_relay_end(call, whole);
 }
 
 static void
--- a/lib/serve/upstream.c
+++ b/lib/serve/upstream.c
@@ -1,12 +1,8 @@
-/* Attempts: one upstream request of a call, on h2o's HTTP client. */
-#include <netinet/tcp.h>
-#include <stdio.h>
+/* Attempts: one upstream request of a call. */
 #include <string.h>
-#include <sys/socket.h>
 
 #include "serve_internal.h"
 
-#define SILENCE_TIMEOUT_MS 2000
 #define STATUS_MISDIRECTED 421
 
 static void
@@ -15,10 +11,10 @@
 	struct sv_target *target = attempt->target;
 	struct sv_call *call = attempt->call;
 
-	attempt->client = NULL;
+	attempt->line = NULL;
 	attempt->target = NULL;
-	sv_pool_unref(attempt->pool);
-	attempt->pool = NULL;
+	attempt->answer = NULL;
+	h1_bytes_free(&attempt->held);
 	sv_target_unref(target);
 	sv_call_unref(call);
 }
@@ -43,6 +39,7 @@
 	return "unlisted";
 }
 
+/* The attempt's line is dropped or idle by now. */
 static void
 report_end(struct sv_attempt *attempt, enum dc_result result)
 {
@@ -63,191 +60,116 @@
 	sv_feed(server, &event);
 }
 
-/* Moves what was received but not yet relayed off the client's socket. */
+/* Ends an attempt whose answer cannot be used. */
 static void
-keep_tail(struct sv_attempt *attempt)
+give_up(struct sv_attempt *attempt, enum dc_result result)
 {
-	struct sv_call *call = attempt->call;
-	h2o_socket_t *sock = attempt->client->sock;
-
-	if (call->tail != NULL)
-		return;
-	call->tail = sock->input;
-	h2o_buffer_init(&sock->input, &h2o_socket_buffer_prototype);
+	sv_line_drop(attempt->line);
+	report_end(attempt, result);
 }
 
-static int
-on_body(h2o_http1client_t *client, const char *error)
+static void
+report_sent(struct sv_attempt *attempt, bool reused)
 {
-	struct sv_attempt *attempt = client->data;
-	struct sv_call *call = attempt->call;
-	bool cancelled;
-
-	if (error != NULL) {
-		keep_tail(attempt);
-		report_end(attempt, error == h2o_http1client_error_is_eos
-					? DC_RESULT_WHOLE
-					: DC_RESULT_TRUNCATED);
-		return 0;
-	}
-	attempt->in_callback = true;
-	sv_relay_more(call);
-	attempt->in_callback = false;
-	cancelled = attempt->cancelled;
-	if (cancelled)
-		release(attempt);
-	return cancelled ? -1 : 0;
+	sv_feed(attempt->call->server, &(struct dc_event){
+					   .type = DC_EV_ATTEMPT_SENT,
+					   .sent =
+					       {
+						   .call = attempt->call->id,
+						   .attempt = attempt->number,
+						   .reused = reused,
+					       },
+				       });
 }
 
-static bool
-has_token(h2o_iovec_t value, const char *token)
+static void
+report_head(struct sv_attempt *attempt)
 {
-	return h2o_contains_token(
-	    value.base, value.len, token, strlen(token), ',');
+	sv_feed(attempt->call->server,
+	    &(struct dc_event){
+		.type = DC_EV_ATTEMPT_HEAD,
+		.head =
+		    {
+			.call = attempt->call->id,
+			.attempt = attempt->number,
+			.status = (uint32_t)attempt->status,
+		    },
+	    });
 }
 
-/*
- * Finds how the answer's end is marked. False when it would be marked by the
- * close of the connection only, which a crash looks like too.
- */
-static bool
-read_framing(struct sv_attempt *attempt, bool no_body)
+static void
+on_connect(struct h1_channel *channel)
 {
-	bool framed = no_body;
-	size_t i;
-
-	attempt->content_length = no_body ? 0 : SIZE_MAX;
-	for (i = 0; i < attempt->header_count; i++) {
-		const h2o_header_t *h = &attempt->headers[i];
-
-		if (h->name == &H2O_TOKEN_CONTENT_LENGTH->buf) {
-			attempt->content_length =
-			    h2o_strtosize(h->value.base, h->value.len);
-			framed = true;
-		} else if (h->name == &H2O_TOKEN_TRANSFER_ENCODING->buf) {
-			framed = framed || has_token(h->value, "chunked");
-		}
-	}
-	return framed;
+	struct sv_line *line = h1_channel_owner(channel);
+
+	report_sent(line->attempt, false);
 }
 
 static bool
-answer_has_no_body(const struct sv_call *call, int status)
+on_head(struct h1_channel *channel, const struct h1_message *answer)
 {
-	if (h2o_memis(call->req->method.base, call->req->method.len,
-		H2O_STRLIT("HEAD")))
-		return true;
-	return status == 204 || status == 304;
+	struct sv_line *line = h1_channel_owner(channel);
+	struct sv_attempt *attempt = line->attempt;
+
+	attempt->status = answer->status;
+	attempt->answer = answer;
+	if (attempt->forwarded && answer->status == STATUS_MISDIRECTED)
+		give_up(attempt, DC_RESULT_NOT_HOME);
+	else if (!answer->framed) /* a crash would look like its end */
+		give_up(attempt, DC_RESULT_UNFRAMED);
+	else
+		report_head(attempt);
+	return true;
 }
 
 static void
-report_head(struct sv_attempt *attempt, int status)
+on_body(struct h1_channel *channel, const char *data, size_t length)
 {
-	struct sv_call *call = attempt->call;
+	struct sv_line *line = h1_channel_owner(channel);
 
-	sv_feed(call->server, &(struct dc_event){
-				  .type = DC_EV_ATTEMPT_HEAD,
-				  .head =
-				      {
-					  .call = call->id,
-					  .attempt = attempt->number,
-					  .status = (uint32_t)status,
-				      },
-			      });
+	sv_relay_piece(line->attempt, data, length);
 }
 
-static h2o_http1client_body_cb
-on_head(h2o_http1client_t *client, const char *error, int minor_version,
-    int status, h2o_iovec_t message, h2o_header_t *headers, size_t count,
-    int head_bytes)
+static enum h1_keep
+on_answer(struct h1_channel *channel, const struct h1_message *answer)
 {
-	struct sv_attempt *attempt = client->data;
-	bool is_end = error == h2o_http1client_error_is_eos;
-
-	(void)minor_version;
-	(void)message;
-	(void)head_bytes;
-	if (error != NULL && !is_end) {
-		report_end(attempt, DC_RESULT_BROKEN);
-		return NULL;
-	}
-	attempt->status = status;
-	attempt->headers = headers;
-	attempt->header_count = count;
-	if (attempt->forwarded && status == STATUS_MISDIRECTED) {
-		report_end(attempt, DC_RESULT_NOT_HOME);
-		return NULL;
-	}
-	if (!read_framing(attempt, answer_has_no_body(attempt->call, status))) {
-		report_end(attempt, DC_RESULT_UNFRAMED);
-		return NULL;
-	}
-	attempt->in_callback = true;
-	report_head(attempt, status);
-	attempt->in_callback = false;
-	if (attempt->cancelled) {
-		release(attempt);
-		return NULL;
-	}
-	if (is_end) {
-		/* The socket's buffer still holds the head. */
-		h2o_buffer_init(
-		    &attempt->call->tail, &h2o_socket_buffer_prototype);
-		report_end(attempt, DC_RESULT_WHOLE);
-		return NULL;
+	struct sv_line *line = h1_channel_owner(channel);
+	struct sv_attempt *attempt = line->attempt;
+	bool kept = answer->keep_alive && sv_line_keep(line);
+
+	if (!kept) {
+		line->channel = NULL; /* closed when this returns */
+		sv_line_drop(line);
 	}
-	return on_body;
+	report_end(attempt, DC_RESULT_WHOLE);
+	return kept ? H1_KEEP : H1_CLOSE;
 }
 
-/* A connection that acknowledges nothing for a while is given up. */
 static void
-limit_silence(h2o_socket_t *sock)
+on_end(struct h1_channel *channel, enum h1_end end)
 {
-	int timeout_ms = SILENCE_TIMEOUT_MS;
-	int on = 1, fd = h2o_socket_get_fd(sock);
+	struct sv_line *line = h1_channel_owner(channel);
+	struct sv_attempt *attempt = line->attempt;
+	enum dc_result result = DC_RESULT_BROKEN;
 
-	if (fd < 0)
+	line->channel = NULL;
+	sv_line_drop(line);
+	if (attempt == NULL)
 		return;
-	setsockopt(
-	    fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof(timeout_ms));
-	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	if (end == H1_END_UNREACHED)
+		result = DC_RESULT_NOT_SENT;
+	else if (attempt->answer != NULL)
+		result = DC_RESULT_TRUNCATED;
+	report_end(attempt, result);
 }
 
-static h2o_http1client_head_cb
-on_connect(h2o_http1client_t *client, const char *error, h2o_iovec_t **buffers,
-    size_t *buffer_count, int *method_is_head)
-{
-	struct sv_attempt *attempt = client->data;
-	struct sv_call *call = attempt->call;
-	bool reused = attempt->in_connect;
-
-	if (error != NULL) {
-		report_end(attempt, DC_RESULT_NOT_SENT);
-		return NULL;
-	}
-	if (!reused)
-		limit_silence(client->sock);
-	attempt->in_callback = true;
-	sv_feed(call->server, &(struct dc_event){
-				  .type = DC_EV_ATTEMPT_SENT,
-				  .sent =
-				      {
-					  .call = call->id,
-					  .attempt = attempt->number,
-					  .reused = reused,
-				      },
-			      });
-	attempt->in_callback = false;
-	if (attempt->cancelled) {
-		release(attempt);
-		return NULL;
-	}
-	*buffers = attempt->buffers;
-	*buffer_count = attempt->buffers[1].len != 0 ? 2 : 1;
-	*method_is_head = h2o_memis(
-	    call->req->method.base, call->req->method.len, H2O_STRLIT("HEAD"));
-	return on_head;
-}
+const struct h1_channel_events sv_channel_events = {
+    .on_connect = on_connect,
+    .on_head = on_head,
+    .on_body = on_body,
+    .on_answer = on_answer,
+    .on_end = on_end,
+};
 
 static struct sv_attempt *
 unused_attempt(struct sv_call *call)
@@ -261,26 +183,30 @@
 	return NULL;
 }
 
+static int
+send_request(struct sv_attempt *attempt)
+{
+	struct sv_call *call = attempt->call;
+	struct h1_bytes *head = &call->server->head;
+
+	if (sv_write_head(call, attempt, head) != CS_OK)
+		return CS_E_SYSTEM;
+	return h1_channel_send(attempt->line->channel, head,
+	    &call->request->body, strcmp(call->request->method, "HEAD") == 0);
+}
+
 static void
-connect_target(struct sv_attempt *attempt)
+report_not_sent(struct sv_call *call, uint32_t number)
 {
-	struct sv_server *server = attempt->call->server;
-	struct sv_target *target = attempt->target;
-	char host[INET_ADDRSTRLEN];
-
-	if (!attempt->fresh) {
-		attempt->pool = target->pool;
-		cs_ref_take(&attempt->pool->ref);
-		attempt->in_connect = true;
-		h2o_http1client_connect_with_pool(&attempt->client, attempt,
-		    &server->client, &attempt->pool->sockets, on_connect);
-		attempt->in_connect = false;
-		return;
-	}
-	uv_ip4_name(&target->sockaddr, host, sizeof(host));
-	h2o_http1client_connect(&attempt->client, attempt, &server->client,
-	    h2o_iovec_init(host, strlen(host)),
-	    ntohs(target->sockaddr.sin_port), 0, on_connect);
+	sv_feed(call->server, &(struct dc_event){
+				  .type = DC_EV_ATTEMPT_ENDED,
+				  .ended =
+				      {
+					  .call = call->id,
+					  .attempt = number,
+					  .result = DC_RESULT_NOT_SENT,
+				      },
+			      });
 }
 
 /* Starts an attempt; takes over the reference to the target. */
@@ -290,16 +216,10 @@
 {
 	struct sv_attempt *attempt = unused_attempt(call);
 
-	if (target == NULL) {
-		sv_feed(call->server, &(struct dc_event){
-					  .type = DC_EV_ATTEMPT_ENDED,
-					  .ended =
-					      {
-						  .call = call->id,
-						  .attempt = send->attempt,
-						  .result = DC_RESULT_NOT_SENT,
-					      },
-				      });
+	if (target == NULL || call->conn == NULL) {
+		if (target != NULL)
+			sv_target_unref(target);
+		report_not_sent(call, (uint32_t)send->attempt);
 		return;
 	}
 	cs_ref_take(&call->ref);
@@ -310,10 +230,16 @@
 	    .forwarded = forwarded,
 	    .fresh = send->fresh != 0,
 	};
-	attempt->buffers[0] = sv_format_head(call, attempt);
-	attempt->buffers[1] = call->req->entity;
 	sv_story_sent(attempt);
-	connect_target(attempt);
+	attempt->line = sv_line_take(attempt);
+	if (attempt->line == NULL) {
+		report_end(attempt, DC_RESULT_NOT_SENT);
+		return;
+	}
+	if (h1_channel_connected(attempt->line->channel))
+		report_sent(attempt, true);
+	if (send_request(attempt) != CS_OK)
+		give_up(attempt, DC_RESULT_BROKEN);
 }
 
 void
@@ -354,11 +280,7 @@
 			continue;
 		sv_story_attempt_ended(
 		    call, number, "cancelled", attempt->status);
-		if (attempt->in_callback) {
-			attempt->cancelled = true;
-			return;
-		}
-		h2o_http1client_cancel(attempt->client);
+		sv_line_drop(attempt->line);
 		release(attempt);
 		return;
 	}
--- a/programs/session.c
+++ b/programs/session.c
@@ -63,6 +63,8 @@
 {
 	os_objects_close(session->objects);
 	h1_client_close(session->http);
+	uv_run(&session->loop, UV_RUN_DEFAULT); /* frees what was closed */
+	uv_loop_close(&session->loop);
 	g_free(session);
 }
 
