--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -2,7 +2,7 @@
 # Installs the Debian packages that the build, the tests and the linters need.
 set -eu
 
-packages="build-essential cmake pkg-config  libuv1-dev
+packages="build-essential cmake pkg-config libuv1-dev
 libmsgpack-dev liblog4c-dev libglib2.0-dev libcmocka-dev libjansson-dev
 libxxhash-dev libhttp-parser-dev zlib1g-dev python3 clang-format clang-tidy cppcheck"
 
