--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -23,8 +23,8 @@
 		uv_timer_start(&fleet->early, on_early, EARLY_MS, EARLY_MS);
 }
 
-void
-fl_judge(struct fleet *fleet)
+static void
+judge(struct fleet *fleet)
 {
 	const struct fl_member *leader;
 	enum fl_role role =
@@ -50,7 +50,7 @@
 {
 	struct fleet *fleet = timer->data;
 
-	fl_judge(fleet);
+	judge(fleet);
 	if (fleet->members.met_us == 0 &&
 	    fleet->early_ticks % EARLY_GREET_EVERY == 0)
 		fl_greet_seeds(fleet); /* they may have started later */
@@ -69,7 +69,78 @@
 		fl_send_heartbeats(fleet);
 	fl_members_tick(&fleet->members, cs_now_us(), &leader);
 	fl_check_source(fleet, leader);
-	fl_judge(fleet);
+	judge(fleet);
+}
+
+static void
+on_heartbeat(struct fleet *fleet, struct fl_frame *frame)
+{
+	struct fl_member *member = &frame->as.heartbeat.member;
+	bool is_new;
+
+	member->region = cs_hash(
+	    frame->as.heartbeat.region, strlen(frame->as.heartbeat.region));
+	member->near = member->region == fleet->members.self.region;
+	is_new = fl_members_heard(&fleet->members, member, cs_now_us());
+
+	if (is_new)
+		fleet->params.events->on_member(
+		    fleet->params.user, member, "joined");
+	if (frame->as.heartbeat.asks)
+		fl_greet(fleet, &member->fleet, member->region, false);
+	fl_greet_peers(fleet, frame);
+	if (member->stopping || member->current)
+		judge(fleet);
+}
+
+static void
+on_pulse(struct fleet *fleet, const struct fl_frame *frame,
+    const struct sockaddr_in *from)
+{
+	if (!fl_members_pulse(&fleet->members, from, frame, cs_now_us()))
+		fl_greet(fleet, from, FL_REGION_UNKNOWN, true);
+	else if (fleet->members.changed)
+		judge(fleet);
+}
+
+static void
+on_datagram(uv_udp_t *udp, ssize_t length, const uv_buf_t *buffer,
+    const struct sockaddr *from, unsigned flags)
+{
+	struct fleet *fleet = udp->data;
+	struct fl_frame frame;
+
+	(void)flags;
+	if (length <= 0 || from == NULL ||
+	    fl_decode(buffer->base, (size_t)length, &frame) != CS_OK)
+		return;
+	switch (frame.type) {
+	case FL_FRAME_HEARTBEAT:
+		on_heartbeat(fleet, &frame);
+		break;
+	case FL_FRAME_PULSE:
+		on_pulse(fleet, &frame, (const struct sockaddr_in *)from);
+		break;
+	case FL_FRAME_SUSPECT:
+		fleet->params.events->on_suspect(
+		    fleet->params.user, frame.as.suspect.fingerprint);
+		break;
+	case FL_FRAME_NEWS: /* comes over links alone */
+		os_batch_free(&frame.as.news.batch);
+		break;
+	case FL_FRAME_HELLO:
+		break;
+	}
+}
+
+static void
+on_udp_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
+{
+	static char bytes[64 * 1024]; /* one loop, one read at a time */
+
+	(void)handle;
+	(void)suggested;
+	*buffer = uv_buf_init(bytes, sizeof(bytes));
 }
 
 void
@@ -133,8 +204,7 @@
 	    (const struct sockaddr *)&fleet->params.self.fleet;
 
 	if (uv_udp_bind(&fleet->udp, own, 0) != 0 ||
-	    uv_udp_recv_start(&fleet->udp, fl_on_udp_alloc, fl_on_datagram) !=
-		0 ||
+	    uv_udp_recv_start(&fleet->udp, on_udp_alloc, on_datagram) != 0 ||
 	    uv_tcp_bind(&fleet->listener, own, 0) != 0 ||
 	    uv_listen((uv_stream_t *)&fleet->listener, BACKLOG_MAX,
 		fl_on_accept) != 0)
--- a/lib/fleet/fleet_internal.h
+++ b/lib/fleet/fleet_internal.h
@@ -22,26 +22,23 @@
 };
 
 /* heartbeat.c */
+#define FL_REGION_UNKNOWN 0 /* no peers can be named to it */
 void fl_send_datagram(struct fleet *fleet, const struct fl_frame *frame,
     const struct sockaddr_in *to);
-/* fl_known_news(fleet): the sum of the revisions known here. */
-uint64_t fl_known_news(const struct fleet *fleet);
 /* fl_greet(fleet, to, region, asks): introduces this VM, and VMs of region. */
 void fl_greet(struct fleet *fleet, const struct sockaddr_in *to,
     uint64_t region, bool asks);
 void fl_greet_seeds(struct fleet *fleet);
 void fl_send_heartbeats(struct fleet *fleet);
-void fl_on_datagram(uv_udp_t *udp, ssize_t length, const uv_buf_t *buffer,
-    const struct sockaddr *from, unsigned flags);
-void fl_on_udp_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer);
+/* fl_greet_peers(fleet, frame): those that another VM named. */
+void fl_greet_peers(struct fleet *fleet, const struct fl_frame *frame);
 
 /* news.c */
+/* fl_known_news(fleet): the sum of the revisions known here. */
+uint64_t fl_known_news(const struct fleet *fleet);
 void fl_listen_to(struct fleet *fleet, const struct fl_member *leader);
 /* fl_check_source(fleet, leader): a link that no longer brings its news. */
 void fl_check_source(struct fleet *fleet, const struct fl_member *leader);
 void fl_on_accept(uv_stream_t *listener, int status);
 
-/* fleet.c: decides the role and whom to listen to */
-void fl_judge(struct fleet *fleet);
-
 #endif
--- a/lib/fleet/heartbeat.c
+++ b/lib/fleet/heartbeat.c
@@ -7,7 +7,6 @@
 
 #include "fleet_internal.h"
 
-#define REGION_UNKNOWN 0 /* no peers can be named to it */
 /* VMs that fell silent are called less often, so that they can return. */
 #define SILENT_EVERY 6
 
@@ -26,17 +25,6 @@
 	free(buffer.data);
 }
 
-uint64_t
-fl_known_news(const struct fleet *fleet)
-{
-	uint64_t sum = 0;
-	uint32_t i;
-
-	for (i = 0; i < fleet->params.kind_count; i++)
-		sum += os_cache_revision(fleet->params.cache, i);
-	return sum;
-}
-
 /* Names other VMs of that region, not always the same ones. */
 static uint32_t
 pick_peers(struct fleet *fleet, uint64_t region,
@@ -94,7 +82,8 @@
 	uint32_t i;
 
 	for (i = 0; i < fleet->params.seed_count; i++)
-		fl_greet(fleet, &fleet->params.seeds[i], REGION_UNKNOWN, true);
+		fl_greet(
+		    fleet, &fleet->params.seeds[i], FL_REGION_UNKNOWN, true);
 }
 
 /* Short ones to those that live, introductions to those that may return. */
@@ -118,8 +107,8 @@
 }
 
 /* Addresses of VMs that another one knows; whoever answers is a member. */
-static void
-greet_peers(struct fleet *fleet, const struct fl_frame *frame)
+void
+fl_greet_peers(struct fleet *fleet, const struct fl_frame *frame)
 {
 	uint32_t i, k;
 
@@ -137,74 +126,3 @@
 			fl_greet(fleet, peer, fleet->members.self.region, true);
 	}
 }
-
-static void
-on_heartbeat(struct fleet *fleet, struct fl_frame *frame)
-{
-	struct fl_member *member = &frame->as.heartbeat.member;
-	bool is_new;
-
-	member->region = cs_hash(
-	    frame->as.heartbeat.region, strlen(frame->as.heartbeat.region));
-	member->near = member->region == fleet->members.self.region;
-	is_new = fl_members_heard(&fleet->members, member, cs_now_us());
-
-	if (is_new)
-		fleet->params.events->on_member(
-		    fleet->params.user, member, "joined");
-	if (frame->as.heartbeat.asks)
-		fl_greet(fleet, &member->fleet, member->region, false);
-	greet_peers(fleet, frame);
-	if (member->stopping || member->current)
-		fl_judge(fleet);
-}
-
-static void
-on_pulse(struct fleet *fleet, const struct fl_frame *frame,
-    const struct sockaddr_in *from)
-{
-	if (!fl_members_pulse(&fleet->members, from, frame, cs_now_us()))
-		fl_greet(fleet, from, REGION_UNKNOWN, true);
-	else if (fleet->members.changed)
-		fl_judge(fleet);
-}
-
-void
-fl_on_datagram(uv_udp_t *udp, ssize_t length, const uv_buf_t *buffer,
-    const struct sockaddr *from, unsigned flags)
-{
-	struct fleet *fleet = udp->data;
-	struct fl_frame frame;
-
-	(void)flags;
-	if (length <= 0 || from == NULL ||
-	    fl_decode(buffer->base, (size_t)length, &frame) != CS_OK)
-		return;
-	switch (frame.type) {
-	case FL_FRAME_HEARTBEAT:
-		on_heartbeat(fleet, &frame);
-		break;
-	case FL_FRAME_PULSE:
-		on_pulse(fleet, &frame, (const struct sockaddr_in *)from);
-		break;
-	case FL_FRAME_SUSPECT:
-		fleet->params.events->on_suspect(
-		    fleet->params.user, frame.as.suspect.fingerprint);
-		break;
-	case FL_FRAME_NEWS: /* comes over links alone */
-		os_batch_free(&frame.as.news.batch);
-		break;
-	case FL_FRAME_HELLO:
-		break;
-	}
-}
-
-void
-fl_on_udp_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
-{
-	static char bytes[64 * 1024]; /* one loop, one read at a time */
-
-	(void)handle;
-	(void)suggested;
-	*buffer = uv_buf_init(bytes, sizeof(bytes));
-}
--- a/lib/fleet/news.c
+++ b/lib/fleet/news.c
@@ -6,6 +6,17 @@
 
 #define BEHIND_MAX 2 /* ticks, each a heartbeat apart */
 
+uint64_t
+fl_known_news(const struct fleet *fleet)
+{
+	uint64_t sum = 0;
+	uint32_t i;
+
+	for (i = 0; i < fleet->params.kind_count; i++)
+		sum += os_cache_revision(fleet->params.cache, i);
+	return sum;
+}
+
 static void
 on_source_open(struct fl_link *link)
 {
--- a/lib/gateway/answer.c
+++ b/lib/gateway/answer.c
@@ -3,37 +3,64 @@
 
 #include "gateway_internal.h"
 
+/* Every target refused: there may be room once some answers are out. */
+#define RETRY_AFTER_REFUSED_US 50000
+
+static const char *const reason_texts[] = {
+#define GW_REASON(symbol, text) text,
+#include "reasons.def"
+#undef GW_REASON
+};
+
+const char *
+gw_reason_text(enum gw_reason reason)
+{
+	return reason < GW_REASONS ? reason_texts[reason] : "unknown";
+}
+
+static void
+drop_tried(struct gw_call *call)
+{
+	uint32_t i;
+
+	for (i = 0; i < call->tried_count; i++)
+		bl_target_drop(call->tried[i]);
+	call->tried_count = 0;
+}
+
 void
-gw_answer_relay(struct gw_call *call, const struct h1_message *answer)
+gw_call_end(struct gw_call *call, int status, enum gw_reason reason)
 {
 	struct gw *gw = call->gw;
-	struct h1_bytes *head = &gw->head;
-	struct h1_conn *conn = call->conn;
-	int error = CS_OK;
-	uint32_t i;
+	int64_t took_us = cs_now_us() - call->received_us;
 
-	head->length = 0;
-	for (i = 0; i < answer->header_count; i++) {
-		if (!h1_concerns_channel(answer, i))
-			error |= h1_bytes_add_header(
-			    head, h1_name(answer, i), h1_value(answer, i));
-	}
-	if (error != CS_OK) {
-		gw_answer_own(call, 502, GW_BAD_ANSWER, 0);
-		return;
-	}
-	gw_call_end(call, answer->status,
-	    answer->status >= 500 ? GW_TARGET_FAILED : GW_ANSWERED);
-	h1_conn_answer(
-	    conn, &(struct h1_answer){
-		      .status = answer->status,
-		      .headers = head->data,
-		      .headers_length = head->length,
-		      .body = answer->body.data,
-		      .body_length = answer->body.length,
-		      /* Whether it is whole only its reader can tell. */
-		      .unframed = !answer->framed,
-		  });
+	gw->counters.ended[reason]++;
+	if (reason == GW_ANSWERED)
+		cs_histogram_add(&gw->counters.answered, took_us);
+	cs_log(
+	    reason == GW_ANSWERED ? CS_LOG_CALL_ANSWERED : CS_LOG_CALL_FAILED,
+	    "request=%s status=%d reason=%s route=%s%s pool=%s version=%llu "
+	    "attempts=%u last=%s waited_us=%lld took_us=%lld",
+	    call->id, status, gw_reason_text(reason),
+	    call->route == NULL ? "-" : call->route->host,
+	    call->route == NULL ? "" : call->route->prefix,
+	    call->pool == NULL ? "-" : call->pool->decide->name,
+	    call->table == NULL ? 0ULL
+				: (unsigned long long)call->table->version,
+	    call->attempts,
+	    call->attempts == 0 ? "-" : bl_outcome_text(call->outcome),
+	    (long long)call->waited_us, (long long)took_us);
+	gw_unqueue(call);
+	uv_timer_stop(&call->final);
+	drop_tried(call);
+	rt_table_drop(call->table);
+	call->table = NULL;
+	call->route = NULL;
+	call->pool = NULL;
+	call->conn = NULL;
+	call->state = GW_CALL_FREE;
+	call->next = gw->free_calls;
+	gw->free_calls = call;
 }
 
 void
@@ -69,3 +96,96 @@
 				 .body_length = strlen(body),
 			     });
 }
+
+static void
+relay_answer(struct gw_call *call, const struct h1_message *answer)
+{
+	struct gw *gw = call->gw;
+	struct h1_bytes *head = &gw->head;
+	struct h1_conn *conn = call->conn;
+	int error = CS_OK;
+	uint32_t i;
+
+	head->length = 0;
+	for (i = 0; i < answer->header_count; i++) {
+		if (!h1_concerns_channel(answer, i))
+			error |= h1_bytes_add_header(
+			    head, h1_name(answer, i), h1_value(answer, i));
+	}
+	if (error != CS_OK) {
+		gw_answer_own(call, 502, GW_BAD_ANSWER, 0);
+		return;
+	}
+	gw_call_end(call, answer->status,
+	    answer->status >= 500 ? GW_TARGET_FAILED : GW_ANSWERED);
+	h1_conn_answer(
+	    conn, &(struct h1_answer){
+		      .status = answer->status,
+		      .headers = head->data,
+		      .headers_length = head->length,
+		      .body = answer->body.data,
+		      .body_length = answer->body.length,
+		      /* Whether it is whole only its reader can tell. */
+		      .unframed = !answer->framed,
+		  });
+}
+
+/* An answer of these would promise callers what its target did not. */
+static bool
+would_promise(int status)
+{
+	return status == 503 || status == 429 || status == 408 || status == 421;
+}
+
+static enum gw_reason
+reason_of(enum bl_outcome outcome)
+{
+	switch (outcome) {
+	case BL_SERVED:
+		return GW_ANSWERED;
+	case BL_FAILED:
+		return GW_TARGET_FAILED;
+	case BL_SHED:
+		return GW_SHED;
+	case BL_MISPLACED:
+	case BL_UNREACHED:
+		return GW_NOT_REACHED;
+	case BL_LOST:
+		return GW_LOST_AT_TARGET;
+	case BL_GARBLED:
+		return GW_BAD_ANSWER;
+	case BL_CANCELLED:
+		return GW_TIMED_OUT;
+	}
+	return GW_BAD_ANSWER;
+}
+
+static void
+relay(struct gw_call *call, enum bl_outcome outcome,
+    const struct h1_message *answer)
+{
+	if (outcome == BL_FAILED && would_promise(answer->status))
+		gw_answer_own(call, 502, GW_TARGET_FAILED, 0);
+	else
+		relay_answer(call, answer);
+}
+
+void
+gw_answer_step(struct gw_call *call, enum bl_step step, enum bl_outcome outcome,
+    const struct h1_message *answer)
+{
+	switch (step) {
+	case BL_RELAY:
+		relay(call, outcome, answer);
+		break;
+	case BL_FAIL_NOT_RUN:
+		gw_answer_own(
+		    call, 503, reason_of(outcome), RETRY_AFTER_REFUSED_US);
+		break;
+	case BL_FAIL_UNKNOWN:
+		gw_answer_own(call, 502, reason_of(outcome), 0);
+		break;
+	case BL_AGAIN: /* nothing to answer yet */
+		break;
+	}
+}
--- a/lib/gateway/attempt.c
+++ b/lib/gateway/attempt.c
@@ -1,12 +1,10 @@
-/* One attempt of a call at a target, and what follows its end. */
+/* One attempt of a call at a target: its start, and the account of its end. */
 #include <string.h>
 
 #include "gateway_internal.h"
 
 /* Far over a round trip between regions. */
 #define CONNECT_WAIT_MS 150
-/* Every target refused: there may be room once some answers are out. */
-#define RETRY_AFTER_REFUSED_US 50000
 
 void
 gw_attempt_drop(struct gw_call *call, enum bl_outcome outcome)
@@ -48,10 +46,10 @@
 	if (call->channel == NULL || h1_channel_connected(call->channel->line))
 		return;
 	gw_cancel(call);
-	gw_call_attempt_ended(call, BL_UNREACHED, NULL);
+	call->gw->flow->attempt_ended(call, BL_UNREACHED, NULL);
 }
 
-void
+int
 gw_attempt_start(struct gw_call *call, const struct bl_placement *placement)
 {
 	struct bl_target *target = placement->target;
@@ -74,13 +72,12 @@
 	log_attempt(call, placement);
 	bl_started(target, now_us);
 	call->state = GW_CALL_SENT;
-	if (gw_send(call, target) != CS_OK) {
-		gw_call_attempt_ended(call, BL_UNREACHED, NULL);
-		return;
-	}
+	if (gw_send(call, target) != CS_OK)
+		return CS_E_SYSTEM;
 	if (!h1_channel_connected(call->channel->line))
 		uv_timer_start(
 		    &call->step, on_connect_late, CONNECT_WAIT_MS, 0);
+	return CS_OK;
 }
 
 static bool
@@ -107,57 +104,15 @@
 	return step;
 }
 
-/* An answer of these would promise callers what its target did not. */
-static bool
-would_promise(int status)
-{
-	return status == 503 || status == 429 || status == 408 || status == 421;
-}
-
-static enum gw_reason
-reason_of(enum bl_outcome outcome)
-{
-	switch (outcome) {
-	case BL_SERVED:
-		return GW_ANSWERED;
-	case BL_FAILED:
-		return GW_TARGET_FAILED;
-	case BL_SHED:
-		return GW_SHED;
-	case BL_MISPLACED:
-	case BL_UNREACHED:
-		return GW_NOT_REACHED;
-	case BL_LOST:
-		return GW_LOST_AT_TARGET;
-	case BL_GARBLED:
-		return GW_BAD_ANSWER;
-	case BL_CANCELLED:
-		return GW_TIMED_OUT;
-	}
-	return GW_BAD_ANSWER;
-}
-
-static void
-relay(struct gw_call *call, enum bl_outcome outcome,
+enum bl_step
+gw_attempt_finish(struct gw_call *call, enum bl_outcome outcome,
     const struct h1_message *answer)
 {
-	if (outcome == BL_FAILED && would_promise(answer->status))
-		gw_answer_own(call, 502, GW_TARGET_FAILED, 0);
-	else
-		gw_answer_relay(call, answer);
-}
-
-void
-gw_call_attempt_ended(struct gw_call *call, enum bl_outcome outcome,
-    const struct h1_message *answer)
-{
-	struct gw_pool *pool = call->pool;
+	int64_t took_us = cs_now_us() - call->started_us;
 	const struct bl_target *target = call->target;
-	enum bl_step step;
 
 	uv_timer_stop(&call->step);
-	cs_histogram_add(
-	    &call->gw->counters.at_target, cs_now_us() - call->started_us);
+	cs_histogram_add(&call->gw->counters.at_target, took_us);
 	if (outcome == BL_SERVED)
 		bl_ran_well(&call->gw->poison, call->fingerprint);
 	else
@@ -166,29 +121,12 @@
 		    "took_us=%lld expected_us=%lld",
 		    call->id, call->attempts, target == NULL ? "-" : target->id,
 		    bl_outcome_text(outcome),
-		    answer == NULL ? 0 : answer->status,
-		    (long long)(cs_now_us() - call->started_us),
+		    answer == NULL ? 0 : answer->status, (long long)took_us,
 		    (long long)call->expected_us);
 	gw_attempt_drop(call, outcome);
 	call->state = GW_CALL_PLACING;
 	call->outcome = outcome;
 	call->arrivals += bl_arrived(outcome);
 	call->may_have_run |= bl_may_have_run(outcome);
-	step = next_step(call, outcome);
-	switch (step) {
-	case BL_RELAY:
-		relay(call, outcome, answer);
-		break;
-	case BL_AGAIN:
-		gw_call_place(call);
-		break;
-	case BL_FAIL_NOT_RUN:
-		gw_answer_own(
-		    call, 503, reason_of(outcome), RETRY_AFTER_REFUSED_US);
-		break;
-	case BL_FAIL_UNKNOWN:
-		gw_answer_own(call, 502, reason_of(outcome), 0);
-		break;
-	}
-	gw_pool_pump(pool);
+	return next_step(call, outcome);
 }
--- a/lib/gateway/call.c
+++ b/lib/gateway/call.c
@@ -1,6 +1,8 @@
 /*
- * One request from a caller, from its arrival to its answer. Each step asks
- * lib/balance what to do and carries that out.
+ * One request from a caller, from its arrival to its answer. All that happens
+ * to it is put in order here: what is placed is carried out, what ended at a
+ * target is answered or placed again. Modules below report through
+ * gw_call_flow.
  */
 #include <stdlib.h>
 #include <string.h>
@@ -33,51 +35,108 @@
 	return call;
 }
 
+static void place_call(struct gw_call *call);
+static void pump(struct gw_pool *pool);
+
+/* An attempt is over: its caller is answered, or it is placed again. */
 static void
-drop_tried(struct gw_call *call)
+attempt_ended(struct gw_call *call, enum bl_outcome outcome,
+    const struct h1_message *answer)
 {
-	uint32_t i;
+	struct gw_pool *pool = call->pool;
+	enum bl_step step = gw_attempt_finish(call, outcome, answer);
 
-	for (i = 0; i < call->tried_count; i++)
-		bl_target_drop(call->tried[i]);
-	call->tried_count = 0;
+	if (step == BL_AGAIN)
+		place_call(call);
+	else
+		gw_answer_step(call, step, outcome, answer);
+	pump(pool);
 }
 
-void
-gw_call_end(struct gw_call *call, int status, enum gw_reason reason)
+static void
+carry_out(struct gw_call *call, const struct bl_placement *placement)
 {
-	struct gw *gw = call->gw;
-	int64_t took_us = cs_now_us() - call->received_us;
-
-	gw->counters.ended[reason]++;
-	if (reason == GW_ANSWERED)
-		cs_histogram_add(&gw->counters.answered, took_us);
-	cs_log(
-	    reason == GW_ANSWERED ? CS_LOG_CALL_ANSWERED : CS_LOG_CALL_FAILED,
-	    "request=%s status=%d reason=%s route=%s%s pool=%s version=%llu "
-	    "attempts=%u last=%s waited_us=%lld took_us=%lld",
-	    call->id, status, gw_reason_text(reason),
-	    call->route == NULL ? "-" : call->route->host,
-	    call->route == NULL ? "" : call->route->prefix,
-	    call->pool == NULL ? "-" : call->pool->decide->name,
-	    call->table == NULL ? 0ULL
-				: (unsigned long long)call->table->version,
-	    call->attempts,
-	    call->attempts == 0 ? "-" : bl_outcome_text(call->outcome),
-	    (long long)call->waited_us, (long long)took_us);
-	gw_unqueue(call);
-	uv_timer_stop(&call->final);
-	drop_tried(call);
-	rt_table_drop(call->table);
-	call->table = NULL;
-	call->route = NULL;
-	call->pool = NULL;
-	call->conn = NULL;
-	call->state = GW_CALL_FREE;
-	call->next = gw->free_calls;
-	gw->free_calls = call;
+	switch (placement->verdict) {
+	case BL_SEND:
+		if (gw_attempt_start(call, placement) != CS_OK)
+			attempt_ended(call, BL_UNREACHED, NULL);
+		break;
+	case BL_ASK:
+		if (!gw_ask(call, placement))
+			place_call(call);
+		break;
+	case BL_WAIT:
+		gw_wait_for_room(call);
+		break;
+	case BL_REFUSE:
+		gw_log_refusal(call, placement);
+		gw_answer_own(call, 503,
+		    strcmp(placement->reason, "no_target") == 0 ? GW_NO_TARGET
+								: GW_NO_ROOM,
+		    placement->retry_after_us);
+		break;
+	}
 }
 
+static void
+place_call(struct gw_call *call)
+{
+	struct bl_placement placement;
+
+	gw_place(call, &placement);
+	if (placement.verdict == BL_SEND && gw_must_queue(call))
+		placement.verdict = BL_WAIT;
+	carry_out(call, &placement);
+}
+
+/* Places those that wait, most urgent first. */
+static void
+pump(struct gw_pool *pool)
+{
+	struct gw_call *call;
+
+	while ((call = pool->waiting) != NULL) {
+		struct bl_placement placement;
+
+		gw_place(call, &placement);
+		if (placement.verdict == BL_WAIT)
+			break;
+		if (placement.verdict == BL_ASK) { /* it stays in its place */
+			gw_probe_for(pool, &placement);
+			break;
+		}
+		gw_unqueue(call);
+		carry_out(call, &placement);
+	}
+	gw_pump_soon(pool);
+}
+
+static void
+probe_ended(struct gw_pool *pool, struct bl_target *target)
+{
+	struct gw_call *call = pool->asking, *next;
+
+	for (; call != NULL; call = next) {
+		struct bl_placement placement;
+
+		next = call->next;
+		if (!gw_settle(call, target, &placement))
+			continue;
+		gw_unqueue(call);
+		call->asked = 0;
+		carry_out(call, &placement);
+		next = pool->asking; /* the list may have changed */
+	}
+	pump(pool);
+}
+
+const struct gw_flow gw_call_flow = {
+    .attempt_ended = attempt_ended,
+    .probe_ended = probe_ended,
+    .place = place_call,
+    .pump = pump,
+};
+
 void
 gw_call_gone(struct gw_call *call)
 {
@@ -88,7 +147,7 @@
 	gw_attempt_drop(call, BL_CANCELLED);
 	gw_call_end(call, 0, GW_CALLER_GONE);
 	if (pool != NULL)
-		gw_pool_pump(pool);
+		pump(pool);
 }
 
 static void
@@ -105,7 +164,7 @@
 	else
 		gw_answer_own(
 		    call, 503, GW_TIMED_OUT_WAITING, RETRY_AFTER_WAITED_US);
-	gw_pool_pump(pool);
+	pump(pool);
 }
 
 static uint64_t
@@ -239,5 +298,5 @@
 	}
 	bl_count_request(
 	    call->pool->decide, &gw->params.budget, call->received_us);
-	gw_call_place(call);
+	place_call(call);
 }
--- a/lib/gateway/channels.c
+++ b/lib/gateway/channels.c
@@ -116,7 +116,7 @@
 
 	keep = keep_or_close(channel, answer);
 	if (pool != NULL)
-		gw_call_probe_ended(pool, target);
+		pool->gw->flow->probe_ended(pool, target);
 	bl_target_drop(target);
 	return keep;
 }
@@ -136,7 +136,7 @@
 		call->channel = NULL;
 		channel->line = NULL;
 		drop_channel(channel);
-		gw_call_attempt_ended(call, BL_GARBLED, NULL);
+		call->gw->flow->attempt_ended(call, BL_GARBLED, NULL);
 		return H1_CLOSE;
 	case GW_ECHO_OWN:
 		break;
@@ -145,7 +145,7 @@
 	hear_load(channel, answer);
 	call->channel = NULL;
 	keep = keep_or_close(channel, answer);
-	gw_call_attempt_ended(call, outcome, answer);
+	call->gw->flow->attempt_ended(call, outcome, answer);
 	return keep;
 }
 
@@ -196,7 +196,7 @@
 	bl_started(target, cs_now_us());
 	bl_ended(target, judge_end(channel, end), 0, cs_now_us());
 	if (pool != NULL)
-		gw_call_probe_ended(pool, target);
+		pool->gw->flow->probe_ended(pool, target);
 }
 
 static void
@@ -220,7 +220,7 @@
 		if (channel->owner->probe_fingerprint != 0 && !target->leaving)
 			gw_probe(channel->owner->gw, target);
 		drop_channel(channel);
-		gw_call_attempt_ended(call, outcome, NULL);
+		call->gw->flow->attempt_ended(call, outcome, NULL);
 	} else {
 		channel->line = NULL;
 		drop_channel(channel);
--- a/lib/gateway/gateway.c
+++ b/lib/gateway/gateway.c
@@ -11,52 +11,6 @@
 #define HEAD_TIMEOUT_FIRST_MS 3000
 #define IDLE_TIMEOUT_FIRST_MS 15000
 
-static const char *const reason_texts[] = {
-#define GW_REASON(symbol, text) text,
-#include "reasons.def"
-#undef GW_REASON
-};
-
-const char *
-gw_reason_text(enum gw_reason reason)
-{
-	return reason < GW_REASONS ? reason_texts[reason] : "unknown";
-}
-
-static struct gw_pool *
-create_pool(struct gw *gw, const char *name)
-{
-	struct gw_pool *pool = calloc(1, sizeof(*pool));
-
-	if (pool == NULL)
-		return NULL;
-	pool->gw = gw;
-	pool->decide = bl_pool_create(name);
-	if (pool->decide == NULL) {
-		free(pool);
-		return NULL;
-	}
-	pool->decide->waiting = pool;
-	uv_timer_init(gw->params.loop, &pool->timer);
-	pool->timer.data = pool;
-	g_hash_table_insert(gw->pools, pool->decide->name, pool);
-	return pool;
-}
-
-struct gw_pool *
-gw_pool_of(struct gw *gw, const char *name)
-{
-	struct gw_pool *pool = g_hash_table_lookup(gw->pools, name);
-
-	return pool != NULL ? pool : create_pool(gw, name);
-}
-
-struct gw_pool *
-gw_pool_of_target(const struct bl_target *target)
-{
-	return target->pool == NULL ? NULL : target->pool->waiting;
-}
-
 static void
 on_request(struct h1_conn *conn, const struct h1_message *request)
 {
@@ -124,6 +78,7 @@
 
 	uv_timer_init(params->loop, &gw->sweep);
 	gw->sweep.data = gw;
+	gw->flow = &gw_call_flow;
 	uv_timer_start(&gw->sweep, on_sweep, SWEEP_MS, SWEEP_MS);
 	*out = gw;
 	return CS_OK;
@@ -223,7 +178,7 @@
 	target->leaving = news->leaving;
 	target->cold_until_us =
 	    news->cold_ms > 0 ? cs_now_us() + news->cold_ms * 1000 : 0;
-	gw_pool_pump(gw_pool_of_target(target));
+	gw->flow->pump(gw_pool_of_target(target));
 }
 
 void
--- a/lib/gateway/gateway_internal.h
+++ b/lib/gateway/gateway_internal.h
@@ -89,6 +89,7 @@
 
 struct gw {
 	struct gw_params params;
+	const struct gw_flow *flow;
 	struct h1_server *server;
 	struct rt_table *table;
 	GHashTable *pools;   /* by name */
@@ -107,35 +108,63 @@
 /* A target tells its own time-out; its answer may still be on its way. */
 #define GW_TIMEOUT_MARGIN_US 60000
 
+/*
+ * What the modules below report to call.c, which alone puts in order what
+ * follows.
+ */
+struct gw_flow {
+	/* answer is NULL without one. */
+	void (*attempt_ended)(struct gw_call *call, enum bl_outcome outcome,
+	    const struct h1_message *answer);
+	void (*probe_ended)(struct gw_pool *pool, struct bl_target *target);
+	void (*place)(struct gw_call *call); /* it has asked long enough */
+	void (*pump)(struct gw_pool *pool);  /* there may be room */
+};
+
 /* call.c: one request from a caller */
+extern const struct gw_flow gw_call_flow;
 void gw_call_begin(
     struct gw *gw, struct h1_conn *conn, const struct h1_message *request);
 void gw_call_gone(struct gw_call *call);
 
+/* answer.c: what callers get */
+/* gw_call_end(call, status, reason): logs, counts and frees it. */
+void gw_call_end(struct gw_call *call, int status, enum gw_reason reason);
+void gw_answer_own(struct gw_call *call, int status, enum gw_reason reason,
+    int64_t retry_after_us);
+/* gw_answer_step(call, step, ...): what follows an attempt, unless BL_AGAIN. */
+void gw_answer_step(struct gw_call *call, enum bl_step step,
+    enum bl_outcome outcome, const struct h1_message *answer);
+
 /* placing.c: where it goes, and waiting */
-/* gw_call_place(call): asks for a target and does what is decided. */
-void gw_call_place(struct gw_call *call);
-void gw_call_probe_ended(struct gw_pool *pool, struct bl_target *target);
-/* gw_pool_pump(pool): places those that wait, most urgent first. */
-void gw_pool_pump(struct gw_pool *pool);
+/* gw_place(call, out): asks lib/balance; does nothing about it. */
+void gw_place(struct gw_call *call, struct bl_placement *out);
+/* gw_ask(call, placement): probes its targets; false: none could be asked. */
+bool gw_ask(struct gw_call *call, const struct bl_placement *placement);
+/* gw_probe_for(pool, placement): the same without a call that waits for it. */
+void gw_probe_for(struct gw_pool *pool, const struct bl_placement *placement);
+/* gw_settle(call, target, out): a probe is over; true: to be placed now. */
+bool gw_settle(struct gw_call *call, const struct bl_target *target,
+    struct bl_placement *out);
+/* gw_must_queue(call): others that are at least as urgent wait already. */
+bool gw_must_queue(const struct gw_call *call);
+void gw_wait_for_room(struct gw_call *call);
+/* gw_pump_soon(pool): places those that wait again in a few ms. */
+void gw_pump_soon(struct gw_pool *pool);
 /* gw_unqueue(call): takes it out of whatever it waits in. */
 void gw_unqueue(struct gw_call *call);
+void gw_log_refusal(
+    const struct gw_call *call, const struct bl_placement *placement);
 
 /* attempt.c: one attempt at a target */
-void gw_attempt_start(
+/* gw_attempt_start(call, placement): on an error it has ended unreached. */
+int gw_attempt_start(
     struct gw_call *call, const struct bl_placement *placement);
-/* gw_attempt_drop(call, outcome): ends the attempt without a next step. */
-void gw_attempt_drop(struct gw_call *call, enum bl_outcome outcome);
-/* gw_call_attempt_ended(call, ...): answer is NULL without one. */
-void gw_call_attempt_ended(struct gw_call *call, enum bl_outcome outcome,
+/* gw_attempt_finish(call, ...): accounts for its end; says what follows. */
+enum bl_step gw_attempt_finish(struct gw_call *call, enum bl_outcome outcome,
     const struct h1_message *answer);
-
-/* answer.c: what callers get */
-void gw_answer_relay(struct gw_call *call, const struct h1_message *answer);
-void gw_answer_own(struct gw_call *call, int status, enum gw_reason reason,
-    int64_t retry_after_us);
-/* gw_call_end(call, status, reason): logs, counts and frees it. */
-void gw_call_end(struct gw_call *call, int status, enum gw_reason reason);
+/* gw_attempt_drop(call, outcome): ends it, nothing follows. */
+void gw_attempt_drop(struct gw_call *call, enum bl_outcome outcome);
 
 /* channels.c: connections to targets */
 int gw_send(struct gw_call *call, struct bl_target *target);
@@ -161,6 +190,7 @@
 /* gw_write_head(call, target): into the gateway's scratch buffer. */
 int gw_write_head(struct gw_call *call, const struct bl_target *target);
 
+/* pools.c */
 struct gw_pool *gw_pool_of(struct gw *gw, const char *name);
 struct gw_pool *gw_pool_of_target(const struct bl_target *target);
 
--- a/lib/gateway/placing.c
+++ b/lib/gateway/placing.c
@@ -1,6 +1,6 @@
 /*
- * Where a call goes: targets are asked, calls wait for room, most urgent first,
- * and what lib/balance decides is carried out.
+ * Where a call goes: what lib/balance is told, targets that are asked, and the
+ * calls that wait for room, most urgent first.
  */
 #include <string.h>
 
@@ -72,11 +72,11 @@
 
 	gw_unqueue(call);
 	call->asked = 0;
-	gw_call_place(call);
+	call->gw->flow->place(call);
 }
 
-static void
-ask(struct gw_call *call, const struct bl_placement *placement)
+bool
+gw_ask(struct gw_call *call, const struct bl_placement *placement)
 {
 	uint32_t i;
 
@@ -89,20 +89,28 @@
 			continue;
 		call->asked_targets[call->asked++] = placement->probes[i];
 	}
-	if (call->asked == 0) {
-		gw_call_place(call);
-		return;
-	}
+	if (call->asked == 0)
+		return false;
 	call->state = GW_CALL_ASKING;
 	call->next = call->pool->asking;
 	call->pool->asking = call;
 	uv_timer_start(&call->step, on_ask_over, ASK_WAIT_MS, 0);
+	return true;
 }
 
 static void
 on_pump_due(uv_timer_t *timer)
 {
-	gw_pool_pump(timer->data);
+	struct gw_pool *pool = timer->data;
+
+	pool->gw->flow->pump(pool);
+}
+
+void
+gw_pump_soon(struct gw_pool *pool)
+{
+	if (pool->waiting != NULL && !uv_is_active((uv_handle_t *)&pool->timer))
+		uv_timer_start(&pool->timer, on_pump_due, PUMP_MS, 0);
 }
 
 static bool
@@ -113,8 +121,8 @@
 	return a->received_us < b->received_us;
 }
 
-static void
-wait_for_room(struct gw_call *call)
+void
+gw_wait_for_room(struct gw_call *call)
 {
 	struct gw_pool *pool = call->pool;
 	struct gw_call **at = &pool->waiting;
@@ -125,12 +133,11 @@
 	*at = call;
 	pool->waiting_count++;
 	call->state = GW_CALL_WAITING;
-	if (!uv_is_active((uv_handle_t *)&pool->timer))
-		uv_timer_start(&pool->timer, on_pump_due, PUMP_MS, 0);
+	gw_pump_soon(pool);
 }
 
-static void
-log_refusal(const struct gw_call *call, const struct bl_placement *placement)
+void
+gw_log_refusal(const struct gw_call *call, const struct bl_placement *placement)
 {
 	const struct bl_target *best = placement->target;
 	int64_t now_us = cs_now_us();
@@ -153,8 +160,8 @@
 	    call->pool->waiting_count, (long long)placement->retry_after_us);
 }
 
-static void
-place(struct gw_call *call, struct bl_placement *out)
+void
+gw_place(struct gw_call *call, struct bl_placement *out)
 {
 	struct bl_request request = {
 	    .now_us = cs_now_us(),
@@ -172,32 +179,8 @@
 	bl_place(call->gw->params.topology, call->pool->decide, &request, out);
 }
 
-static void
-carry_out(struct gw_call *call, const struct bl_placement *placement)
-{
-	switch (placement->verdict) {
-	case BL_SEND:
-		gw_attempt_start(call, placement);
-		break;
-	case BL_ASK:
-		ask(call, placement);
-		break;
-	case BL_WAIT:
-		wait_for_room(call);
-		break;
-	case BL_REFUSE:
-		log_refusal(call, placement);
-		gw_answer_own(call, 503,
-		    strcmp(placement->reason, "no_target") == 0 ? GW_NO_TARGET
-								: GW_NO_ROOM,
-		    placement->retry_after_us);
-		break;
-	}
-}
-
-/* Others that are at least as urgent wait already. */
-static bool
-must_queue(const struct gw_call *call)
+bool
+gw_must_queue(const struct gw_call *call)
 {
 	const struct gw_call *first = call->pool->waiting;
 
@@ -205,46 +188,18 @@
 }
 
 void
-gw_call_place(struct gw_call *call)
-{
-	struct bl_placement placement;
-
-	place(call, &placement);
-	if (placement.verdict == BL_SEND && must_queue(call))
-		placement.verdict = BL_WAIT;
-	carry_out(call, &placement);
-}
-
-void
-gw_pool_pump(struct gw_pool *pool)
+gw_probe_for(struct gw_pool *pool, const struct bl_placement *placement)
 {
-	struct gw_call *call;
-
-	while ((call = pool->waiting) != NULL) {
-		struct bl_placement placement;
-
-		place(call, &placement);
-		if (placement.verdict == BL_WAIT)
-			break;
-		if (placement.verdict == BL_ASK) { /* it stays in its place */
-			uint32_t i;
+	uint32_t i;
 
-			for (i = 0; i < placement.probe_count; i++) {
-				if (may_probe(pool))
-					gw_probe(pool->gw, placement.probes[i]);
-			}
-			break;
-		}
-		gw_unqueue(call);
-		carry_out(call, &placement);
+	for (i = 0; i < placement->probe_count; i++) {
+		if (may_probe(pool))
+			gw_probe(pool->gw, placement->probes[i]);
 	}
-	if (pool->waiting != NULL && !uv_is_active((uv_handle_t *)&pool->timer))
-		uv_timer_start(&pool->timer, on_pump_due, PUMP_MS, 0);
 }
 
-/* True when the call is to be placed now. */
-static bool
-settle(struct gw_call *call, const struct bl_target *target,
+bool
+gw_settle(struct gw_call *call, const struct bl_target *target,
     struct bl_placement *placement)
 {
 	uint32_t i;
@@ -253,28 +208,9 @@
 		if (call->asked_targets[i] == target) {
 			call->asked_targets[i] =
 			    call->asked_targets[--call->asked];
-			place(call, placement);
+			gw_place(call, placement);
 			return placement->verdict != BL_ASK;
 		}
 	}
 	return false;
 }
-
-void
-gw_call_probe_ended(struct gw_pool *pool, struct bl_target *target)
-{
-	struct gw_call *call = pool->asking, *next;
-
-	for (; call != NULL; call = next) {
-		struct bl_placement placement;
-
-		next = call->next;
-		if (!settle(call, target, &placement))
-			continue;
-		gw_unqueue(call);
-		call->asked = 0;
-		carry_out(call, &placement);
-		next = pool->asking; /* the list may have changed */
-	}
-	gw_pool_pump(pool);
-}
--- a/lib/h1/h1.h
+++ b/lib/h1/h1.h
@@ -64,6 +64,14 @@
 const char *h1_name(const struct h1_message *message, uint32_t index);
 const char *h1_value(const struct h1_message *message, uint32_t index);
 const char *h1_target(const struct h1_message *message);
+/* h1_path_is(request, path): compares the target without its query. */
+bool h1_path_is(const struct h1_message *request, const char *path);
+/*
+ * h1_query(request, name, length): the first value of that name in the
+ * target's query, *length bytes, or NULL. Nothing is unescaped.
+ */
+const char *h1_query(
+    const struct h1_message *request, const char *name, size_t *length);
 /*
  * h1_concerns_channel(message, index): the header describes one connection
  * only (hop-by-hop) and must not be forwarded.
--- a/lib/h1/message.c
+++ b/lib/h1/message.c
@@ -98,6 +98,33 @@
 	return message->head.data + message->target;
 }
 
+bool
+h1_path_is(const struct h1_message *request, const char *path)
+{
+	const char *target = h1_target(request);
+
+	return strcspn(target, "?") == strlen(path) &&
+	       strncmp(target, path, strlen(path)) == 0;
+}
+
+const char *
+h1_query(const struct h1_message *request, const char *name, size_t *length)
+{
+	size_t name_length = strlen(name);
+	const char *at = strchr(h1_target(request), '?');
+
+	for (; at != NULL; at = strchr(at, '&')) {
+		at++;
+		*length = strcspn(at, "&");
+		if (*length > name_length && at[name_length] == '=' &&
+		    strncmp(at, name, name_length) == 0) {
+			*length -= name_length + 1;
+			return at + name_length + 1;
+		}
+	}
+	return NULL;
+}
+
 const char *
 h1_find(const struct h1_message *message, const char *name)
 {
--- a/lib/serve/admin.c
+++ b/lib/serve/admin.c
@@ -5,15 +5,6 @@
 
 #include "serve_internal.h"
 
-bool
-sv_path_is(const struct h1_message *request, const char *path)
-{
-	const char *target = h1_target(request);
-
-	return strcspn(target, "?") == strlen(path) &&
-	       strncmp(target, path, strlen(path)) == 0;
-}
-
 static void
 reply_json(struct h1_conn *conn, int status, json_t *root)
 {
@@ -195,19 +186,19 @@
 	struct sv_server *server = h1_conn_user(conn);
 	const char *id = explained_id(request);
 
-	if (sv_path_is(request, "/status"))
+	if (h1_path_is(request, "/status"))
 		status(server, conn);
-	else if (sv_path_is(request, "/metrics"))
+	else if (h1_path_is(request, "/metrics"))
 		metrics(server, conn);
-	else if (sv_path_is(request, "/members"))
+	else if (h1_path_is(request, "/members"))
 		members(server, conn);
-	else if (sv_path_is(request, "/targets"))
+	else if (h1_path_is(request, "/targets"))
 		targets(server, conn);
-	else if (sv_path_is(request, "/report"))
+	else if (h1_path_is(request, "/report"))
 		report(server, conn);
 	else if (id != NULL)
 		explain(server, conn, id);
-	else if (sv_path_is(request, "/ready"))
+	else if (h1_path_is(request, "/ready"))
 		ready(server, conn);
 	else
 		reply_json(conn, 404, json_pack("{s:s}", "error", "not found"));
--- a/lib/serve/answers.c
+++ b/lib/serve/answers.c
@@ -89,25 +89,11 @@
 		forget_oldest(server);
 }
 
-void
-sv_replay(struct sv_call *call)
+const struct sv_answer *
+sv_answer_find(const struct sv_server *server, const struct dc_key *key)
 {
-	struct sv_answer *answer =
-	    g_hash_table_lookup(call->server->answers, &call->key.a);
-	struct h1_conn *conn = call->conn;
+	const struct sv_answer *answer =
+	    g_hash_table_lookup(server->answers, &key->a);
 
-	if (conn == NULL)
-		return;
-	if (answer == NULL || answer->key_b != call->key.b) {
-		sv_refuse(call, DC_REASON_KEY_RAN, DC_OUTCOME_UNKNOWN);
-		return;
-	}
-	sv_call_answered(call);
-	h1_conn_answer(conn, &(struct h1_answer){
-				 .status = answer->status,
-				 .headers = answer->headers.data,
-				 .headers_length = answer->headers.length,
-				 .body = answer->body.data,
-				 .body_length = answer->body.length,
-			     });
+	return answer != NULL && answer->key_b == key->b ? answer : NULL;
 }
--- a/lib/serve/directory.c
+++ b/lib/serve/directory.c
@@ -51,33 +51,14 @@
 	return SAME_REGION;
 }
 
-/* The value of a query parameter, as long as *length, or NULL. */
-static const char *
-query_value(const struct h1_message *request, const char *name, size_t *length)
-{
-	size_t name_length = strlen(name);
-	const char *at = strchr(h1_target(request), '?');
-
-	for (; at != NULL; at = strchr(at, '&')) {
-		at++;
-		*length = strcspn(at, "&");
-		if (*length > name_length && at[name_length] == '=' &&
-		    strncmp(at, name, name_length) == 0) {
-			*length -= name_length + 1;
-			return at + name_length + 1;
-		}
-	}
-	return NULL;
-}
-
 /* The group of the pool that serves a path, as the core numbers it. */
 static uint64_t
 find_group(const struct sv_server *server, const struct h1_message *request,
     const char *region)
 {
 	size_t path_length = 0, method_length = 0;
-	const char *path = query_value(request, "path", &path_length);
-	const char *method = query_value(request, "method", &method_length);
+	const char *path = h1_query(request, "path", &path_length);
+	const char *method = h1_query(request, "method", &method_length);
 	const char *pool;
 	int route;
 
--- /dev/null
+++ b/lib/serve/feed.c
@@ -0,0 +1,90 @@
+/*
+ * Feeds events to the decision core. What it decides is carried out at once,
+ * which can raise further events (an idle connection is ready immediately);
+ * those wait until the actions of the step under way are done.
+ */
+#include <stdio.h>
+
+#include "serve_internal.h"
+
+#define US_PER_MS 1000
+
+static void
+write_trace(
+    struct sv_server *server, const struct dc_event *event, int64_t now_us)
+{
+	char line[DC_TRACE_LINE_BYTES_MAX];
+	uint32_t i;
+
+	dc_trace_event(event, now_us, line);
+	fprintf(server->params.trace, "%s\n", line);
+	for (i = 0; i < server->actions.count; i++) {
+		dc_trace_action(&server->actions.items[i], line);
+		fprintf(server->params.trace, "%s\n", line);
+	}
+}
+
+static void
+step(struct sv_server *server, const struct dc_event *event)
+{
+	uint32_t i;
+	int error;
+
+	int64_t now_us = cs_now_us();
+
+	error = dc_step(server->core, event, now_us, &server->actions);
+	if (server->params.trace != NULL)
+		write_trace(server, event, now_us);
+	if (error != CS_OK)
+		return;
+	for (i = 0; i < server->actions.count; i++)
+		server->perform(server, &server->actions.items[i]);
+}
+
+static void on_wake(uv_timer_t *timer);
+
+static void
+arm_wake(struct sv_server *server)
+{
+	int64_t at_us = dc_wake_us(server->core);
+	int64_t left_us;
+
+	if (at_us == INT64_MAX) {
+		uv_timer_stop(&server->wake);
+		return;
+	}
+	left_us = at_us - cs_now_us();
+	if (left_us < 0)
+		left_us = 0;
+	uv_update_time(server->params.loop);
+	uv_timer_start(&server->wake, on_wake,
+	    (uint64_t)(left_us + US_PER_MS - 1) / US_PER_MS, 0);
+}
+
+void
+sv_feed(struct sv_server *server, const struct dc_event *event)
+{
+	struct dc_event next;
+	guint done = 0;
+
+	if (server->stepping) {
+		g_array_append_val(server->pending, *event);
+		return;
+	}
+	server->stepping = true;
+	step(server, event);
+	while (done < server->pending->len) {
+		next = g_array_index(server->pending, struct dc_event, done);
+		done++;
+		step(server, &next);
+	}
+	g_array_set_size(server->pending, 0);
+	server->stepping = false;
+	arm_wake(server);
+}
+
+static void
+on_wake(uv_timer_t *timer)
+{
+	sv_feed(timer->data, &(struct dc_event){.type = DC_EV_TIMER});
+}
--- a/lib/serve/serve_internal.h
+++ b/lib/serve/serve_internal.h
@@ -119,6 +119,7 @@
 
 struct sv_server {
 	struct sv_params params;
+	void (*perform)(struct sv_server *, const struct dc_action *);
 	struct h1_server *callers;
 	struct h1_server *admin;
 	struct dc_core *core;
@@ -146,15 +147,21 @@
 	struct sv_story *stories;
 };
 
-/* shell.c: feeds the core and carries out its actions. */
+/* feed.c: events for the core. */
 void sv_feed(struct sv_server *server, const struct dc_event *event);
-void sv_arm_wake(struct sv_server *server);
+
+/* shell.c: carries out one action of the core. */
+void sv_perform(struct sv_server *server, const struct dc_action *action);
 
 /* caller.c: callers' requests. */
 void sv_on_request(struct h1_conn *conn, const struct h1_message *request);
 void sv_on_gone(struct h1_conn *conn);
 /* sv_refusal(server, status): what the listener itself refuses with. */
 const struct h1_answer *sv_refusal(void *user, int status);
+
+/* call.c: the life of a call. */
+struct sv_call *sv_call_new(struct sv_server *server, struct h1_conn *conn,
+    const struct h1_message *request);
 void sv_refuse(
     struct sv_call *call, enum dc_reason reason, enum dc_outcome outcome);
 /* sv_call_answered(call): its answer is complete, or its caller is gone. */
@@ -206,7 +213,9 @@
 void sv_answer_add(struct sv_call *call, const char *data, size_t length);
 void sv_answer_keep(struct sv_call *call);
 void sv_answer_discard(struct sv_call *call);
-void sv_replay(struct sv_call *call);
+/* sv_answer_find(server, key): what a resend of the key gets, or NULL. */
+const struct sv_answer *sv_answer_find(
+    const struct sv_server *server, const struct dc_key *key);
 
 /* key.c: the Idempotency-Key header. */
 int sv_read_key(const char *text, struct dc_key *key);
@@ -214,7 +223,6 @@
     const struct sv_entry *entry, char *text, size_t bytes);
 
 /* directory.c and admin.c: what the VM answers itself. */
-bool sv_path_is(const struct h1_message *request, const char *path);
 void sv_directory(struct sv_server *server, struct h1_conn *conn,
     const struct h1_message *request);
 void sv_on_admin_request(
--- a/lib/serve/server.c
+++ b/lib/serve/server.c
@@ -108,6 +108,7 @@
 	int error;
 
 	server->params = *params;
+	server->perform = sv_perform;
 	server->core = dc_core_create(params->seed);
 	if (server->core == NULL)
 		return CS_E_SYSTEM;
@@ -175,16 +176,3 @@
 {
 	return server->open_calls + h1_server_unsent(server->callers);
 }
-
-char *
-sv_accounts(struct sv_server *server)
-{
-	json_t *list = rp_json(server->accounts, cs_now_us());
-	json_t *root =
-	    json_pack("{s:s, s:I, s:o}", "entry", server->params.name, "epoch",
-		(json_int_t)server->params.epoch, "accounts", list);
-	char *text = json_dumps(root, JSON_COMPACT);
-
-	json_decref(root);
-	return text;
-}
--- a/lib/serve/shell.c
+++ b/lib/serve/shell.c
@@ -1,15 +1,8 @@
-/*
- * Feeds events to the core and carries out its actions. Actions can raise
- * events at once (a pooled connection is ready immediately); those wait until
- * the actions of the step under way are done.
- */
-#include <stdio.h>
+/* Carries out what the decision core has decided. */
 #include <string.h>
 
 #include "serve_internal.h"
 
-#define US_PER_MS 1000
-
 static struct sv_call *
 find_call(struct sv_server *server, uint64_t id)
 {
@@ -35,6 +28,30 @@
 	    (enum dc_outcome)refuse->outcome);
 }
 
+/* Gives a resend the answer that was kept. */
+static void
+answer_again(struct sv_call *call)
+{
+	const struct sv_answer *answer =
+	    sv_answer_find(call->server, &call->key);
+	struct h1_conn *conn = call->conn;
+
+	if (conn == NULL)
+		return;
+	if (answer == NULL) {
+		sv_refuse(call, DC_REASON_KEY_RAN, DC_OUTCOME_UNKNOWN);
+		return;
+	}
+	sv_call_answered(call);
+	h1_conn_answer(conn, &(struct h1_answer){
+				 .status = answer->status,
+				 .headers = answer->headers.data,
+				 .headers_length = answer->headers.length,
+				 .body = answer->body.data,
+				 .body_length = answer->body.length,
+			     });
+}
+
 static void
 replay(struct sv_server *server, uint64_t id)
 {
@@ -44,7 +61,7 @@
 		return;
 	forget_call(server, call);
 	cs_ref_take(&call->ref);
-	sv_replay(call);
+	answer_again(call);
 	sv_story_ended(call, RP_SERVED, DC_REASON_NONE);
 	sv_call_unref(call);
 }
@@ -70,8 +87,8 @@
 		sv_target_flush(target);
 }
 
-static void
-perform(struct sv_server *server, const struct dc_action *action)
+void
+sv_perform(struct sv_server *server, const struct dc_action *action)
 {
 	struct sv_call *call;
 
@@ -125,81 +142,3 @@
 		break;
 	}
 }
-
-static void
-write_trace(
-    struct sv_server *server, const struct dc_event *event, int64_t now_us)
-{
-	char line[DC_TRACE_LINE_BYTES_MAX];
-	uint32_t i;
-
-	dc_trace_event(event, now_us, line);
-	fprintf(server->params.trace, "%s\n", line);
-	for (i = 0; i < server->actions.count; i++) {
-		dc_trace_action(&server->actions.items[i], line);
-		fprintf(server->params.trace, "%s\n", line);
-	}
-}
-
-static void
-step(struct sv_server *server, const struct dc_event *event)
-{
-	uint32_t i;
-	int error;
-
-	int64_t now_us = cs_now_us();
-
-	error = dc_step(server->core, event, now_us, &server->actions);
-	if (server->params.trace != NULL)
-		write_trace(server, event, now_us);
-	if (error != CS_OK)
-		return;
-	for (i = 0; i < server->actions.count; i++)
-		perform(server, &server->actions.items[i]);
-}
-
-void
-sv_feed(struct sv_server *server, const struct dc_event *event)
-{
-	struct dc_event next;
-	guint done = 0;
-
-	if (server->stepping) {
-		g_array_append_val(server->pending, *event);
-		return;
-	}
-	server->stepping = true;
-	step(server, event);
-	while (done < server->pending->len) {
-		next = g_array_index(server->pending, struct dc_event, done);
-		done++;
-		step(server, &next);
-	}
-	g_array_set_size(server->pending, 0);
-	server->stepping = false;
-	sv_arm_wake(server);
-}
-
-static void
-on_wake(uv_timer_t *timer)
-{
-	sv_feed(timer->data, &(struct dc_event){.type = DC_EV_TIMER});
-}
-
-void
-sv_arm_wake(struct sv_server *server)
-{
-	int64_t at_us = dc_wake_us(server->core);
-	int64_t left_us;
-
-	if (at_us == INT64_MAX) {
-		uv_timer_stop(&server->wake);
-		return;
-	}
-	left_us = at_us - cs_now_us();
-	if (left_us < 0)
-		left_us = 0;
-	uv_update_time(server->params.loop);
-	uv_timer_start(&server->wake, on_wake,
-	    (uint64_t)(left_us + US_PER_MS - 1) / US_PER_MS, 0);
-}
--- a/lib/serve/story.c
+++ b/lib/serve/story.c
@@ -7,6 +7,14 @@
 
 #include "serve_internal.h"
 
+void
+sv_format_request_id(
+    const struct sv_server *server, uint64_t call, char id[SV_ID_BYTES_MAX])
+{
+	snprintf(id, SV_ID_BYTES_MAX, "%.60s-%llx-%llx", server->params.name,
+	    (unsigned long long)server->params.epoch, (unsigned long long)call);
+}
+
 static struct sv_story *
 story_of(const struct sv_call *call)
 {
@@ -186,3 +194,16 @@
 	    "end", story->end, "reason_code", (json_int_t)story->reason,
 	    "attempts", attempts_json(story));
 }
+
+char *
+sv_accounts(struct sv_server *server)
+{
+	json_t *list = rp_json(server->accounts, cs_now_us());
+	json_t *root =
+	    json_pack("{s:s, s:I, s:o}", "entry", server->params.name, "epoch",
+		(json_int_t)server->params.epoch, "accounts", list);
+	char *text = json_dumps(root, JSON_COMPACT);
+
+	json_decref(root);
+	return text;
+}
--- a/lib/store/call.c
+++ b/lib/store/call.c
@@ -1,4 +1,4 @@
-/* One call to the store after the other. */
+/* One call to the store after the other, and the pauses after failed ones. */
 #include <string.h>
 
 #include "store_internal.h"
@@ -7,6 +7,30 @@
 #define SILENCE_MS 1500	  /* unacknowledged bytes: the path is cut */
 #define PROBES_LOST_MAX 1 /* a watch waits; its path must prove itself */
 
+#define BACKOFF_FIRST_MS 160
+#define BACKOFF_MAX_MS 1500 /* back within the bound of a configuration */
+
+uint32_t
+os_backoff_ms(struct os_client *client, uint32_t failures)
+{
+	uint32_t pause_ms = BACKOFF_FIRST_MS;
+
+	for (; failures > 1 && pause_ms < BACKOFF_MAX_MS; failures--)
+		pause_ms *= 2;
+	if (pause_ms > BACKOFF_MAX_MS)
+		pause_ms = BACKOFF_MAX_MS;
+	return pause_ms / 2 + cs_random_below(&client->random, pause_ms);
+}
+
+void
+os_reach(struct os_client *client, bool reached, const char *reason)
+{
+	if (client->reached == reached)
+		return;
+	client->reached = reached;
+	client->params.events->on_reach(client->params.user, reached, reason);
+}
+
 static void
 on_reply(const struct h1_reply *reply, void *user)
 {
--- a/lib/store/client.c
+++ b/lib/store/client.c
@@ -5,8 +5,6 @@
 
 #include "store_internal.h"
 
-#define BACKOFF_FIRST_MS 160
-#define BACKOFF_MAX_MS 1500 /* back within the bound of a configuration */
 /*
  * A watch that waits does not show a store that turned silent; a stale read
  * does, at a tenth of the price of a call.
@@ -15,27 +13,6 @@
 #define CHECK_TIMEOUT_MS 400 /* a slow store takes about 270 ms */
 #define ANNOUNCE_TIMEOUT_MS 2000
 
-uint32_t
-os_backoff_ms(struct os_client *client, uint32_t failures)
-{
-	uint32_t pause_ms = BACKOFF_FIRST_MS;
-
-	for (; failures > 1 && pause_ms < BACKOFF_MAX_MS; failures--)
-		pause_ms *= 2;
-	if (pause_ms > BACKOFF_MAX_MS)
-		pause_ms = BACKOFF_MAX_MS;
-	return pause_ms / 2 + cs_random_below(&client->random, pause_ms);
-}
-
-void
-os_reach(struct os_client *client, bool reached, const char *reason)
-{
-	if (client->reached == reached)
-		return;
-	client->reached = reached;
-	client->params.events->on_reach(client->params.user, reached, reason);
-}
-
 static void
 start_follows(struct os_client *client)
 {
--- a/lib/store/store_internal.h
+++ b/lib/store/store_internal.h
@@ -44,6 +44,10 @@
 	uint64_t calls;
 };
 
+/* call.c */
+/* os_backoff_ms(client, failures): pause before the next try, spread. */
+uint32_t os_backoff_ms(struct os_client *client, uint32_t failures);
+void os_reach(struct os_client *client, bool reached, const char *reason);
 void os_call_init(struct os_call *call, struct os_client *client,
     void (*done)(struct os_call *, int, const char *));
 /* os_call_send(call, ...): body NULL sends none. done comes later, once. */
@@ -52,10 +56,7 @@
 void os_call_cancel(struct os_call *call);
 bool os_call_busy(const struct os_call *call);
 
-/* os_backoff_ms(client, failures): pause before the next try, spread. */
-uint32_t os_backoff_ms(struct os_client *client, uint32_t failures);
-void os_reach(struct os_client *client, bool reached, const char *reason);
-
+/* follow.c */
 void os_follow_start(struct os_follow *follow);
 void os_follow_stop(struct os_follow *follow);
 void os_follow_init(
--- a/programs/gateway_serve.c
+++ b/programs/gateway_serve.c
@@ -41,19 +41,10 @@
 	free(text);
 }
 
-static bool
-is_path(const struct h1_message *request, const char *path)
-{
-	const char *target = h1_target(request);
-	size_t length = strcspn(target, "?");
-
-	return strlen(path) == length && strncmp(target, path, length) == 0;
-}
-
 static void
 on_directory(struct h1_conn *conn, const struct h1_message *request)
 {
-	if (is_path(request, PL_DIRECTORY_PATH))
+	if (h1_path_is(request, PL_DIRECTORY_PATH))
 		reply_directory(h1_conn_user(conn), conn);
 	else
 		h1_conn_reply(conn, 404, "text/plain", "not found\n");
@@ -64,7 +55,7 @@
 {
 	const struct ga_app *app = h1_conn_user(conn);
 
-	if (!is_path(request, PL_READINESS_PATH))
+	if (!h1_path_is(request, PL_READINESS_PATH))
 		h1_conn_reply(conn, 404, "text/plain", "not found\n");
 	else if (ga_is_ready(app))
 		h1_conn_reply(conn, 200, "text/plain", "ready\n");
--- a/tests/standins/platform.c
+++ b/tests/standins/platform.c
@@ -352,7 +352,7 @@
 {
 	struct platform *p = h1_conn_user(conn);
 
-	if (si_path_is(request, "/control")) {
+	if (h1_path_is(request, "/control")) {
 		control(p, conn, request);
 		return;
 	}
--- a/tests/standins/standin.c
+++ b/tests/standins/standin.c
@@ -14,24 +14,14 @@
 si_query(const struct h1_message *request, const char *key, char *out,
     size_t out_bytes)
 {
-	size_t key_bytes = strlen(key), length;
-	const char *at = strchr(h1_target(request), '?');
+	size_t length;
+	const char *value = h1_query(request, key, &length);
 
-	while (at != NULL) {
-		at++;
-		length = strcspn(at, "&");
-		if (length > key_bytes && memcmp(at, key, key_bytes) == 0 &&
-		    at[key_bytes] == '=') {
-			length -= key_bytes + 1;
-			if (length >= out_bytes)
-				return false;
-			memcpy(out, at + key_bytes + 1, length);
-			out[length] = '\0';
-			return true;
-		}
-		at = strchr(at, '&');
-	}
-	return false;
+	if (value == NULL || length >= out_bytes)
+		return false;
+	memcpy(out, value, length);
+	out[length] = '\0';
+	return true;
 }
 
 int64_t
@@ -51,15 +41,6 @@
 	return -mean * log(1.0 - unit);
 }
 
-bool
-si_path_is(const struct h1_message *request, const char *path)
-{
-	const char *target = h1_target(request);
-
-	return strcspn(target, "?") == strlen(path) &&
-	       strncmp(target, path, strlen(path)) == 0;
-}
-
 int
 si_listen(uv_loop_t *loop, const struct h1_server_events *events, void *user,
     uint64_t body_bytes_max, struct h1_server **out)
--- a/tests/standins/standin.h
+++ b/tests/standins/standin.h
@@ -22,8 +22,6 @@
     const struct h1_message *request, const char *key, int64_t fallback);
 /* si_exponential(random unit, mean): an exponential sample. */
 double si_exponential(double unit, double mean);
-/* si_path_is(request, path): compares the path without its query. */
-bool si_path_is(const struct h1_message *request, const char *path);
 /* si_listen(...): at a free port of the loopback address. */
 int si_listen(uv_loop_t *loop, const struct h1_server_events *events,
     void *user, uint64_t body_bytes_max, struct h1_server **out);
--- a/tests/standins/targets.c
+++ b/tests/standins/targets.c
@@ -310,11 +310,11 @@
 	int64_t wanted = si_query_number(request, "target", -1);
 	int i;
 
-	if (si_path_is(request, "/runs")) {
+	if (h1_path_is(request, "/runs")) {
 		reply_json(conn, describe_runs(all));
 		return;
 	}
-	if (si_path_is(request, "/served")) {
+	if (h1_path_is(request, "/served")) {
 		reply_json(conn, describe_served(all));
 		return;
 	}
