--- /dev/null
+++ b/lib/h1/answer.c
@@ -0,0 +1,177 @@
+/* Answers of the listener: whole ones, and ones in pieces. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../base/base.h"
+#include "h1_internal.h"
+
+/* An end of the stream would look like the end of the answer. */
+static void
+reset_conn(struct h1_conn *conn)
+{
+	struct linger at_once = {.l_onoff = 1, .l_linger = 0};
+	uv_os_fd_t fd;
+
+	if (uv_fileno((uv_handle_t *)&conn->tcp, &fd) == 0)
+		setsockopt(
+		    fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+}
+
+/* The answer is out or on its way: what becomes of the connection. */
+static void
+end_answer(struct h1_conn *conn, bool close)
+{
+	if (conn->state == CONN_ANSWERING)
+		conn->server->busy--;
+	conn->state = CONN_READING;
+	conn->call = NULL;
+	if (conn->closing)
+		return;
+	if (close)
+		h1_conn_linger(conn);
+	else
+		conn->server->read_next(conn);
+}
+
+static bool
+ends_with_answer(const struct h1_conn *conn)
+{
+	return conn->server->draining || !conn->reader.message.keep_alive;
+}
+
+static bool
+is_bodiless(const struct h1_conn *conn, int status)
+{
+	const char *method = conn->reader.message.method;
+
+	return status == 204 || status == 304 ||
+	       (method != NULL && strcmp(method, "HEAD") == 0);
+}
+
+static int
+write_head(struct h1_bytes *out, int status, const char *headers, size_t length)
+{
+	out->length = 0;
+	if (h1_bytes_print(
+		out, "HTTP/1.1 %d %s\r\n", status, h1_status_text(status)) != 0)
+		return CS_E_SYSTEM;
+	return h1_bytes_add(out, headers, length);
+}
+
+void
+h1_conn_answer(struct h1_conn *conn, const struct h1_answer *answer)
+{
+	struct h1_bytes *out = &conn->out;
+	bool close =
+	    answer->close || answer->unframed || ends_with_answer(conn);
+
+	if (write_head(out, answer->status, answer->headers,
+		answer->headers_length) != 0 ||
+	    (!answer->unframed && answer->status != 204 &&
+		answer->status != 304 &&
+		h1_bytes_print(out, "Content-Length: %zu\r\n",
+		    answer->body_length) != 0) ||
+	    h1_bytes_print(
+		out, "%s\r\n", close ? "Connection: close\r\n" : "") != 0 ||
+	    (!is_bodiless(conn, answer->status) &&
+		h1_bytes_add(out, answer->body, answer->body_length) != 0)) {
+		end_answer(conn, true);
+		return;
+	}
+	h1_conn_write(conn, out->data, out->length);
+	end_answer(conn, close);
+}
+
+void
+h1_conn_begin(struct h1_conn *conn, const struct h1_answer_head *head)
+{
+	struct h1_bytes *out = &conn->out;
+	int error =
+	    write_head(out, head->status, head->headers, head->headers_length);
+
+	conn->in_pieces = true;
+	conn->bodiless = is_bodiless(conn, head->status);
+	conn->chunked = !head->sized && !conn->bodiless &&
+			conn->reader.parser.http_minor > 0;
+	/* A caller of HTTP/1.0 knows no chunks. */
+	conn->unframed = !head->sized && !conn->chunked && !conn->bodiless;
+	conn->last = ends_with_answer(conn) || conn->unframed;
+	if (head->sized && head->status != 204 && head->status != 304)
+		error |= h1_bytes_print(out, "Content-Length: %llu\r\n",
+		    (unsigned long long)head->length);
+	error |= h1_bytes_print(out, "%s%s\r\n",
+	    conn->chunked ? "Transfer-Encoding: chunked\r\n" : "",
+	    conn->last ? "Connection: close\r\n" : "");
+	if (error == CS_OK)
+		h1_conn_write(conn, out->data, out->length);
+	else
+		h1_conn_close(conn);
+}
+
+void
+h1_conn_piece(struct h1_conn *conn, const char *data, size_t length)
+{
+	struct h1_bytes *out = &conn->out;
+
+	if (conn->bodiless || conn->closing || length == 0)
+		return;
+	if (!conn->chunked) {
+		h1_conn_write(conn, data, length);
+		return;
+	}
+	out->length = 0;
+	if (h1_bytes_print(out, "%zx\r\n", length) != 0 ||
+	    h1_bytes_add(out, data, length) != 0 ||
+	    h1_bytes_add(out, "\r\n", 2) != 0)
+		h1_conn_close(conn);
+	else
+		h1_conn_write(conn, out->data, out->length);
+}
+
+void
+h1_conn_finish(struct h1_conn *conn)
+{
+	static const char last_chunk[] = "0\r\n\r\n";
+
+	conn->in_pieces = false;
+	if (conn->chunked && !conn->closing)
+		h1_conn_write(conn, last_chunk, sizeof(last_chunk) - 1);
+	end_answer(conn, conn->last);
+}
+
+void
+h1_conn_abort(struct h1_conn *conn)
+{
+	conn->in_pieces = false;
+	if (conn->state == CONN_ANSWERING)
+		conn->server->busy--;
+	conn->state = CONN_READING; /* its owner needs no news of the end */
+	conn->call = NULL;
+	if (conn->unframed)
+		reset_conn(conn);
+	h1_conn_close(conn);
+}
+
+int64_t
+h1_conn_opened_us(const struct h1_conn *conn)
+{
+	return conn->opened_us;
+}
+
+void
+h1_conn_reply(
+    struct h1_conn *conn, int status, const char *type, const char *text)
+{
+	char headers[128];
+	int length =
+	    snprintf(headers, sizeof(headers), "Content-Type: %s\r\n", type);
+
+	h1_conn_answer(conn, &(struct h1_answer){
+				 .status = status,
+				 .headers = headers,
+				 .headers_length = (size_t)length,
+				 .body = text,
+				 .body_length = strlen(text),
+			     });
+}
--- a/lib/h1/server.c
+++ b/lib/h1/server.c
@@ -7,179 +7,13 @@
 #include <string.h>
 
 #include "../base/base.h"
-#include "h1.h"
+#include "h1_internal.h"
 
 #define BACKLOG_MAX 1024
 #define READ_BYTES_MAX (64 * 1024)
 #define PIPELINED_BYTES_MAX (64 * 1024) /* unread requests of a connection */
 #define LINGER_MS 1000 /* lets the last answer arrive before the close */
 
-enum conn_state {
-	CONN_READING,	/* waits for a request, or is in one */
-	CONN_ANSWERING, /* its request is with the owner */
-	CONN_LINGERING, /* answered for the last time */
-};
-
-struct h1_conn {
-	uv_tcp_t tcp; /* first: handles are cast to connections */
-	uv_shutdown_t shutting;
-	struct h1_server *server;
-	struct h1_conn *next, *previous;
-	struct h1_reader reader;
-	struct h1_bytes pipelined;
-	struct h1_bytes out;
-	void *call;
-	enum conn_state state;
-	int64_t opened_us;
-	int64_t since_us;	 /* when the state, or the request, began */
-	uint64_t reserved_bytes; /* for the body of its request */
-	bool continue_sent;
-	bool closing;
-	/* Of an answer in pieces. */
-	bool in_pieces;
-	bool chunked;
-	bool bodiless;
-	bool unframed; /* only the end of the connection tells its end */
-	bool last;     /* the connection ends with it */
-};
-
-struct h1_server {
-	uv_tcp_t tcp; /* first: handles are cast to servers */
-	struct h1_server_params params;
-	struct h1_conn *conns;
-	uint32_t count;
-	uint32_t busy;
-	uint64_t bodies_bytes;
-	bool draining;
-	bool stopped;
-};
-
-struct write_request {
-	uv_write_t request;
-	char data[];
-};
-
-static void
-unlink_conn(struct h1_conn *conn)
-{
-	struct h1_server *server = conn->server;
-
-	if (conn->previous != NULL)
-		conn->previous->next = conn->next;
-	else
-		server->conns = conn->next;
-	if (conn->next != NULL)
-		conn->next->previous = conn->previous;
-	server->count--;
-}
-
-static void
-on_closed(uv_handle_t *handle)
-{
-	struct h1_conn *conn = (struct h1_conn *)handle;
-
-	h1_reader_free(&conn->reader);
-	h1_bytes_free(&conn->pipelined);
-	h1_bytes_free(&conn->out);
-	free(conn);
-}
-
-static void
-release_body(struct h1_conn *conn)
-{
-	conn->server->bodies_bytes -= conn->reserved_bytes;
-	conn->reserved_bytes = 0;
-}
-
-static void
-close_conn(struct h1_conn *conn)
-{
-	if (conn->closing)
-		return;
-	conn->closing = true;
-	release_body(conn);
-	unlink_conn(conn);
-	if (conn->state == CONN_ANSWERING) {
-		conn->server->busy--;
-		conn->server->params.events->on_gone(conn);
-	}
-	uv_close((uv_handle_t *)&conn->tcp, on_closed);
-}
-
-static void
-on_written(uv_write_t *request, int status)
-{
-	struct h1_conn *conn = (struct h1_conn *)request->handle;
-
-	free(request);
-	if (status < 0 && status != UV_ECANCELED)
-		close_conn(conn);
-	else if (conn->in_pieces && !conn->closing &&
-		 conn->server->params.events->on_drained != NULL &&
-		 h1_conn_unsent(conn) == 0)
-		conn->server->params.events->on_drained(conn);
-}
-
-/* Writes what it can at once and queues a copy of the rest. */
-static void
-write_out(struct h1_conn *conn, const char *data, size_t length)
-{
-	uv_stream_t *stream = (uv_stream_t *)&conn->tcp;
-	uv_buf_t buffer =
-	    uv_buf_init((char *)(uintptr_t)data, (unsigned)length);
-	struct write_request *rest;
-	int written = uv_try_write(stream, &buffer, 1);
-
-	if (written == (int)length)
-		return;
-	if (written < 0 && written != UV_EAGAIN)
-		return; /* reading tells that the caller is gone */
-	if (written < 0)
-		written = 0;
-	rest = malloc(sizeof(*rest) + length - (size_t)written);
-	if (rest == NULL) {
-		close_conn(conn); /* a partial answer must not go on */
-		return;
-	}
-	memcpy(rest->data, data + written, length - (size_t)written);
-	buffer = uv_buf_init(rest->data, (unsigned)(length - (size_t)written));
-	if (uv_write(&rest->request, stream, &buffer, 1, on_written) != 0) {
-		free(rest);
-		close_conn(conn);
-	}
-}
-
-static void
-on_shut(uv_shutdown_t *request, int status)
-{
-	(void)request;
-	(void)status; /* the sweep closes what lingers */
-}
-
-static void
-linger(struct h1_conn *conn)
-{
-	conn->state = CONN_LINGERING;
-	conn->since_us = cs_now_us();
-	release_body(conn);
-	h1_bytes_free(&conn->reader.message.body);
-	if (uv_shutdown(&conn->shutting, (uv_stream_t *)&conn->tcp, on_shut) !=
-	    0)
-		close_conn(conn);
-}
-
-/* An end of the stream would look like the end of the answer. */
-static void
-reset_conn(struct h1_conn *conn)
-{
-	struct linger at_once = {.l_onoff = 1, .l_linger = 0};
-	uv_os_fd_t fd;
-
-	if (uv_fileno((uv_handle_t *)&conn->tcp, &fd) == 0)
-		setsockopt(
-		    fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
-}
-
 static void process(struct h1_conn *conn, const char *data, size_t length);
 
 /* Makes the connection ready for its next request. */
@@ -188,7 +22,7 @@
 {
 	struct h1_bytes waiting = conn->pipelined;
 
-	release_body(conn);
+	h1_conn_release_body(conn);
 	h1_reader_next(&conn->reader);
 	conn->reader.limits = conn->server->params.limits;
 	conn->state = CONN_READING;
@@ -200,170 +34,6 @@
 	h1_bytes_free(&waiting);
 }
 
-/* The answer is out or on its way: what becomes of the connection. */
-static void
-end_answer(struct h1_conn *conn, bool close)
-{
-	if (conn->state == CONN_ANSWERING)
-		conn->server->busy--;
-	conn->state = CONN_READING;
-	conn->call = NULL;
-	if (conn->closing)
-		return;
-	if (close)
-		linger(conn);
-	else
-		read_next(conn);
-}
-
-static bool
-ends_with_answer(const struct h1_conn *conn)
-{
-	return conn->server->draining || !conn->reader.message.keep_alive;
-}
-
-static bool
-is_bodiless(const struct h1_conn *conn, int status)
-{
-	const char *method = conn->reader.message.method;
-
-	return status == 204 || status == 304 ||
-	       (method != NULL && strcmp(method, "HEAD") == 0);
-}
-
-static int
-write_head(struct h1_bytes *out, int status, const char *headers, size_t length)
-{
-	out->length = 0;
-	if (h1_bytes_print(
-		out, "HTTP/1.1 %d %s\r\n", status, h1_status_text(status)) != 0)
-		return CS_E_SYSTEM;
-	return h1_bytes_add(out, headers, length);
-}
-
-void
-h1_conn_answer(struct h1_conn *conn, const struct h1_answer *answer)
-{
-	struct h1_bytes *out = &conn->out;
-	bool close =
-	    answer->close || answer->unframed || ends_with_answer(conn);
-
-	if (write_head(out, answer->status, answer->headers,
-		answer->headers_length) != 0 ||
-	    (!answer->unframed && answer->status != 204 &&
-		answer->status != 304 &&
-		h1_bytes_print(out, "Content-Length: %zu\r\n",
-		    answer->body_length) != 0) ||
-	    h1_bytes_print(
-		out, "%s\r\n", close ? "Connection: close\r\n" : "") != 0 ||
-	    (!is_bodiless(conn, answer->status) &&
-		h1_bytes_add(out, answer->body, answer->body_length) != 0)) {
-		end_answer(conn, true);
-		return;
-	}
-	write_out(conn, out->data, out->length);
-	end_answer(conn, close);
-}
-
-void
-h1_conn_begin(struct h1_conn *conn, const struct h1_answer_head *head)
-{
-	struct h1_bytes *out = &conn->out;
-	int error =
-	    write_head(out, head->status, head->headers, head->headers_length);
-
-	conn->in_pieces = true;
-	conn->bodiless = is_bodiless(conn, head->status);
-	conn->chunked = !head->sized && !conn->bodiless &&
-			conn->reader.parser.http_minor > 0;
-	/* A caller of HTTP/1.0 knows no chunks. */
-	conn->unframed = !head->sized && !conn->chunked && !conn->bodiless;
-	conn->last = ends_with_answer(conn) || conn->unframed;
-	if (head->sized && head->status != 204 && head->status != 304)
-		error |= h1_bytes_print(out, "Content-Length: %llu\r\n",
-		    (unsigned long long)head->length);
-	error |= h1_bytes_print(out, "%s%s\r\n",
-	    conn->chunked ? "Transfer-Encoding: chunked\r\n" : "",
-	    conn->last ? "Connection: close\r\n" : "");
-	if (error == CS_OK)
-		write_out(conn, out->data, out->length);
-	else
-		close_conn(conn);
-}
-
-void
-h1_conn_piece(struct h1_conn *conn, const char *data, size_t length)
-{
-	struct h1_bytes *out = &conn->out;
-
-	if (conn->bodiless || conn->closing || length == 0)
-		return;
-	if (!conn->chunked) {
-		write_out(conn, data, length);
-		return;
-	}
-	out->length = 0;
-	if (h1_bytes_print(out, "%zx\r\n", length) != 0 ||
-	    h1_bytes_add(out, data, length) != 0 ||
-	    h1_bytes_add(out, "\r\n", 2) != 0)
-		close_conn(conn);
-	else
-		write_out(conn, out->data, out->length);
-}
-
-void
-h1_conn_finish(struct h1_conn *conn)
-{
-	static const char last_chunk[] = "0\r\n\r\n";
-
-	conn->in_pieces = false;
-	if (conn->chunked && !conn->closing)
-		write_out(conn, last_chunk, sizeof(last_chunk) - 1);
-	end_answer(conn, conn->last);
-}
-
-void
-h1_conn_abort(struct h1_conn *conn)
-{
-	conn->in_pieces = false;
-	if (conn->state == CONN_ANSWERING)
-		conn->server->busy--;
-	conn->state = CONN_READING; /* its owner needs no news of the end */
-	conn->call = NULL;
-	if (conn->unframed)
-		reset_conn(conn);
-	close_conn(conn);
-}
-
-size_t
-h1_conn_unsent(const struct h1_conn *conn)
-{
-	return uv_stream_get_write_queue_size((const uv_stream_t *)&conn->tcp);
-}
-
-int64_t
-h1_conn_opened_us(const struct h1_conn *conn)
-{
-	return conn->opened_us;
-}
-
-void
-h1_conn_reply(
-    struct h1_conn *conn, int status, const char *type, const char *text)
-{
-	char headers[128];
-	int length =
-	    snprintf(headers, sizeof(headers), "Content-Type: %s\r\n", type);
-
-	h1_conn_answer(conn, &(struct h1_answer){
-				 .status = status,
-				 .headers = headers,
-				 .headers_length = (size_t)length,
-				 .body = text,
-				 .body_length = strlen(text),
-			     });
-}
-
 static void
 refuse(struct h1_conn *conn, int status)
 {
@@ -423,7 +93,7 @@
 		return;
 	}
 	if (h1_bytes_add(&conn->pipelined, rest, length) != 0) {
-		close_conn(conn);
+		h1_conn_close(conn);
 		return;
 	}
 	conn->state = CONN_ANSWERING;
@@ -437,7 +107,7 @@
 	static const char text[] = "HTTP/1.1 100 Continue\r\n\r\n";
 
 	conn->continue_sent = true;
-	write_out(conn, text, sizeof(text) - 1);
+	h1_conn_write(conn, text, sizeof(text) - 1);
 }
 
 static void
@@ -491,7 +161,7 @@
 	struct h1_conn *conn = (struct h1_conn *)stream;
 
 	if (length < 0) {
-		close_conn(conn);
+		h1_conn_close(conn);
 		return;
 	}
 	switch (conn->state) {
@@ -504,7 +174,7 @@
 			PIPELINED_BYTES_MAX ||
 		    h1_bytes_add(
 			&conn->pipelined, buffer->base, (size_t)length) != 0)
-			close_conn(conn);
+			h1_conn_close(conn);
 		return;
 	case CONN_LINGERING:
 		return; /* discarded, so that the close is no reset */
@@ -535,7 +205,7 @@
 	if (uv_accept(listener, (uv_stream_t *)&conn->tcp) != 0 ||
 	    server->count > server->params.connections_max ||
 	    uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read) != 0) {
-		close_conn(conn);
+		h1_conn_close(conn);
 		return;
 	}
 	uv_tcp_nodelay(&conn->tcp, 1);
@@ -555,6 +225,7 @@
 	if (server == NULL)
 		return CS_E_SYSTEM;
 	server->params = *params;
+	server->read_next = read_next;
 	if (uv_tcp_init(params->loop, &server->tcp) != 0) {
 		free(server);
 		return CS_E_SYSTEM;
@@ -593,7 +264,7 @@
 	for (conn = server->conns; conn != NULL; conn = next) {
 		next = conn->next;
 		if (conn->state == CONN_READING && !conn->reader.started)
-			linger(conn);
+			h1_conn_linger(conn);
 	}
 }
 
@@ -637,7 +308,7 @@
 		if (conn->state == CONN_READING && conn->reader.started)
 			refuse(conn, 408);
 		else
-			close_conn(conn);
+			h1_conn_close(conn);
 	}
 }
 
@@ -671,7 +342,7 @@
 
 	for (conn = server->conns; conn != NULL; conn = next) {
 		next = conn->next;
-		close_conn(conn);
+		h1_conn_close(conn);
 	}
 }
 
