Directories of large regions, suspects across regions, bounded connections

A directory names 64 VMs at most and always named the first 64 it knew, so a region of 100 left 36 unused. A request that crashes targets was known in its region alone, so each region let it crash two more. A pool's max_conns was read and not used.

Ruled out: changing the 64 over time (callers leave connections to addresses that are not named any more).

Change: beyond 64 the VMs of the asker's data centre come first, then by rendezvous hashing of data centre, host and VM, the same from every VM. A VM that hears of a suspect from another region tells its own. A VM opens its part of max_conns to a target and closes an idle connection rather than exceed it.

Measured: test_listed_of_many, test_suspects_cross_regions (three fleets on loopback) and test_channels_are_bounded failed first, now pass.

--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -103,6 +103,33 @@
 		judge(fleet);
 }
 
+static void
+tell_suspect(struct fleet *fleet, uint64_t fingerprint, bool near_only)
+{
+	struct fl_frame frame = {
+	    .type = FL_FRAME_SUSPECT, .as.suspect.fingerprint = fingerprint};
+	uint32_t i;
+
+	for (i = 0; i < fleet->members.count; i++) {
+		const struct fl_member *member = &fleet->members.list[i];
+
+		if (member->near || !near_only)
+			fl_send_datagram(fleet, &frame, &member->fleet);
+	}
+}
+
+static void
+on_suspect(struct fleet *fleet, const struct fl_frame *frame,
+    const struct sockaddr_in *from)
+{
+	uint64_t fingerprint = frame->as.suspect.fingerprint;
+
+	fleet->params.events->on_suspect(fleet->params.user, fingerprint);
+	/* Other regions know some VMs of this one only. */
+	if (!fl_members_is_near(&fleet->members, from))
+		tell_suspect(fleet, fingerprint, true);
+}
+
 static void
 on_datagram(uv_udp_t *udp, ssize_t length, const uv_buf_t *buffer,
     const struct sockaddr *from, unsigned flags)
@@ -122,8 +149,7 @@
 		on_pulse(fleet, &frame, (const struct sockaddr_in *)from);
 		break;
 	case FL_FRAME_SUSPECT:
-		fleet->params.events->on_suspect(
-		    fleet->params.user, frame.as.suspect.fingerprint);
+		on_suspect(fleet, &frame, (const struct sockaddr_in *)from);
 		break;
 	case FL_FRAME_NEWS: /* comes over links alone */
 		os_batch_free(&frame.as.news.batch);
@@ -156,12 +182,7 @@
 void
 fl_suspect(struct fleet *fleet, uint64_t fingerprint)
 {
-	struct fl_frame frame = {
-	    .type = FL_FRAME_SUSPECT, .as.suspect.fingerprint = fingerprint};
-	uint32_t i;
-
-	for (i = 0; i < fleet->members.count; i++)
-		fl_send_datagram(fleet, &frame, &fleet->members.list[i].fleet);
+	tell_suspect(fleet, fingerprint, false);
 }
 
 void
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -90,14 +90,23 @@
  */
 enum fl_role fl_members_tick(struct fl_members *members, int64_t now_us,
     const struct fl_member **leader);
+/* fl_members_is_near(members, fleet): that address is of a VM of the region. */
+bool fl_members_is_near(
+    const struct fl_members *members, const struct sockaddr_in *fleet);
 /* fl_members_near(members, now): live VMs of the region, this one too. */
 uint32_t fl_members_near(const struct fl_members *members, int64_t now_us);
 /*
- * fl_members_listed(members, now, out, max): front addresses for callers:
- * live, ready VMs of this region; one that hears nobody names all it knew.
+ * fl_members_listed(members, now, asker, out, max): front addresses for
+ * callers: live, ready VMs of this region; one that hears nobody names all it
+ * knew. Where there are more than max, equal askers get the same ones from
+ * whichever VM, those of their own data centre first.
  */
+struct fl_asker {
+	char data_centre[FL_NAME_BYTES_MAX];
+	uint64_t number; /* spreads askers of one data centre */
+};
 uint32_t fl_members_listed(const struct fl_members *members, int64_t now_us,
-    struct sockaddr_in *out, uint32_t max);
+    const struct fl_asker *asker, struct sockaddr_in *out, uint32_t max);
 
 /* Frames between VMs, encoded with msgpack. */
 enum fl_frame_type {
@@ -183,6 +192,10 @@
 void fl_know(struct fleet *fleet, const struct fl_member *member);
 /* fl_pass_on(fleet, news): to all that listen here. */
 void fl_pass_on(struct fleet *fleet, const struct fl_news *news);
+/*
+ * fl_suspect(fleet, fingerprint): tells the VMs of the region, and those known
+ * in other regions, which tell theirs.
+ */
 void fl_suspect(struct fleet *fleet, uint64_t fingerprint);
 void fl_set_ready(struct fleet *fleet, bool ready);
 void fl_set_current(struct fleet *fleet, bool current);
--- a/lib/fleet/members.c
+++ b/lib/fleet/members.c
@@ -294,29 +294,80 @@
 	return count;
 }
 
-uint32_t
-fl_members_listed(const struct fl_members *members, int64_t now_us,
-    struct sockaddr_in *out, uint32_t max)
+bool
+fl_members_is_near(
+    const struct fl_members *members, const struct sockaddr_in *fleet)
 {
-	uint32_t i, listed = 0;
-	bool alone;
-
-	if (members->self.ready && !members->self.stopping && max > 0)
-		out[listed++] = members->self.front;
-	for (i = 0; i < members->count && listed < max; i++) {
-		const struct fl_member *member = &members->list[i];
+	uint32_t i;
 
-		if (member->near && member->ready && !member->stopping &&
-		    fl_is_alive(member, now_us))
-			out[listed++] = member->front;
+	for (i = 0; i < members->count; i++) {
+		if (same_address(&members->list[i].fleet, fleet))
+			return members->list[i].near;
 	}
-	alone = listed <= (members->self.ready ? 1U : 0U);
-	for (i = 0; alone && i < members->count && listed < max; i++) {
+	return false;
+}
+
+/* One VM that may be named to callers, and its rank for those that ask. */
+struct listing {
+	bool here; /* in the data centre of those that ask */
+	uint64_t rank;
+	struct sockaddr_in front;
+};
+
+static void
+add_listing(struct listing *list, uint32_t *count,
+    const struct fl_member *member, const struct fl_asker *asker)
+{
+	list[(*count)++] = (struct listing){
+	    .here = strcmp(member->data_centre, asker->data_centre) == 0,
+	    .rank = cs_hash_pair(
+		asker->number, cs_hash(member->name, strlen(member->name))),
+	    .front = member->front,
+	};
+}
+
+static int
+by_rank(const void *a, const void *b)
+{
+	const struct listing *x = a, *y = b;
+
+	if (x->here != y->here)
+		return x->here ? -1 : 1;
+	return x->rank < y->rank ? 1 : x->rank > y->rank ? -1 : 0;
+}
+
+static void
+list_others(const struct fl_members *members, int64_t now_us, bool only_live,
+    const struct fl_asker *asker, struct listing *list, uint32_t *count)
+{
+	uint32_t i;
+
+	for (i = 0; i < members->count; i++) {
 		const struct fl_member *member = &members->list[i];
 
 		if (member->near && member->ready && !member->stopping &&
-		    now_us - member->heard_us < KNOWN_US)
-			out[listed++] = member->front;
+		    (only_live ? fl_is_alive(member, now_us)
+			       : now_us - member->heard_us < KNOWN_US))
+			add_listing(list, count, member, asker);
 	}
-	return listed;
+}
+
+uint32_t
+fl_members_listed(const struct fl_members *members, int64_t now_us,
+    const struct fl_asker *asker, struct sockaddr_in *out, uint32_t max)
+{
+	struct listing list[FL_MEMBERS_MAX + 1];
+	uint32_t i, own = 0, count;
+
+	if (members->self.ready && !members->self.stopping)
+		add_listing(list, &own, &members->self, asker);
+	count = own;
+	list_others(members, now_us, true, asker, list, &count);
+	if (count == own) /* it hears nobody: it is cut off itself */
+		list_others(members, now_us, false, asker, list, &count);
+	if (count > max)
+		qsort(list, count, sizeof(list[0]), by_rank);
+	for (i = 0; i < count && i < max; i++)
+		out[i] = list[i].front;
+	return i;
 }
--- a/lib/gateway/channels.c
+++ b/lib/gateway/channels.c
@@ -247,6 +247,36 @@
 	free_channels_if_unused(owner);
 }
 
+/* This VM's part of the connections that a target takes; 0: any number. */
+static uint32_t
+share_of(const struct gw_channels *channels)
+{
+	const struct gw_pool *pool = gw_pool_of_target(channels->target);
+	uint32_t members = channels->gw->params.budget.members;
+
+	if (pool == NULL || pool->channels_max == 0)
+		return 0;
+	if (members <= 1)
+		return pool->channels_max;
+	return pool->channels_max > members ? pool->channels_max / members : 1;
+}
+
+/* Makes room for one more connection, if need be by closing an idle one. */
+static bool
+has_room(struct gw_channels *channels)
+{
+	uint32_t share = share_of(channels);
+
+	if (share == 0 || channels->open < share)
+		return true;
+	if (channels->idle == NULL)
+		return false;
+	channels->open++; /* keeps channels meanwhile */
+	drop_channel(channels->idle);
+	channels->open--;
+	return channels->open < share;
+}
+
 static struct gw_channel *
 open_channel(struct gw_channels *channels)
 {
@@ -287,7 +317,7 @@
 		channel->next_idle = NULL;
 		return channel;
 	}
-	return open_channel(channels);
+	return has_room(channels) ? open_channel(channels) : NULL;
 }
 
 int
--- a/programs/gateway_serve.c
+++ b/programs/gateway_serve.c
@@ -18,14 +18,18 @@
 #define IDLE_TIMEOUT_MS 15000
 
 static void
-reply_directory(struct ga_app *app, struct h1_conn *conn)
+reply_directory(
+    struct ga_app *app, struct h1_conn *conn, const struct h1_message *request)
 {
 	struct sockaddr_in addresses[DIRECTORY_MAX];
-	uint32_t count = fl_members_listed(
-	    fl_get_members(app->fleet), cs_now_us(), addresses, DIRECTORY_MAX);
+	struct fl_asker asker;
+	uint32_t count;
 	int64_t keep_ms = DIRECTORY_KEEP_MS;
 	char *text;
 
+	pl_read_asker(request, &asker);
+	count = fl_members_listed(fl_get_members(app->fleet), cs_now_us(),
+	    &asker, addresses, DIRECTORY_MAX);
 	if (keep_ms > app->settings.directory_keep_max_ms)
 		keep_ms = app->settings.directory_keep_max_ms;
 	if (count == 0) {
@@ -45,7 +49,7 @@
 on_directory(struct h1_conn *conn, const struct h1_message *request)
 {
 	if (h1_path_is(request, PL_DIRECTORY_PATH))
-		reply_directory(h1_conn_user(conn), conn);
+		reply_directory(h1_conn_user(conn), conn, request);
 	else
 		h1_conn_reply(conn, 404, "text/plain", "not found\n");
 }
--- a/tests/unit/gateway_rig.c
+++ b/tests/unit/gateway_rig.c
@@ -34,7 +34,7 @@
 	struct gw *gw;
 	uv_tcp_t listeners[RIG_TARGETS_MAX];
 	struct peer *peers;
-	uv_tcp_t caller;
+	uv_tcp_t caller, held;
 	uv_connect_t connecting;
 	uv_timer_t tick;
 	struct h1_bytes sent;
@@ -360,6 +360,30 @@
 	close_caller(rig);
 }
 
+static void
+on_held_connected(uv_connect_t *request, int status)
+{
+	struct rig *rig = request->data;
+
+	require(status == 0);
+	write_text((uv_stream_t *)&rig->held, rig->sent.data, rig->sent.length);
+}
+
+void
+rig_hold(struct rig *rig, const char *bytes, size_t length)
+{
+	uint32_t turns = 0, before = rig->requests;
+
+	rig->sent.length = 0;
+	h1_bytes_add(&rig->sent, bytes, length);
+	uv_tcp_init(&rig->loop, &rig->held);
+	rig->connecting.data = rig;
+	uv_tcp_connect(&rig->connecting, &rig->held,
+	    (const struct sockaddr *)&rig->front, on_held_connected);
+	while (rig->requests == before)
+		run_once(rig, &turns);
+}
+
 void
 rig_await_closes(struct rig *rig, uint32_t closes)
 {
@@ -404,8 +428,9 @@
 	    .head_timeout_ms = 60000,
 	    .idle_timeout_ms = 60000,
 	};
-	rt_table_add_pool(
-	    table, &(struct rt_pool){.name = "p", .health_path = "/health"});
+	rt_table_add_pool(table, &(struct rt_pool){.name = "p",
+				     .health_path = "/health",
+				     .channels_max = rig->params.channels_max});
 	for (i = 0; i < 2; i++) {
 		struct rt_route route = {
 		    .host = "h",
--- a/tests/unit/gateway_rig.h
+++ b/tests/unit/gateway_rig.h
@@ -34,6 +34,7 @@
 	bool dead_target; /* the first one refuses connections */
 	uint32_t timeout_ms;
 	uint32_t attempts_max;
+	uint32_t channels_max; /* of a target; 0: any number */
 };
 
 struct rig;
@@ -47,6 +48,8 @@
 const char *rig_ask(struct rig *rig, const char *bytes, size_t length);
 /* rig_leave(rig, bytes): sends, waits for a target to have it, closes. */
 void rig_leave(struct rig *rig, const char *bytes, size_t length);
+/* rig_hold(rig, bytes): sends, waits for a target to have it, stays. */
+void rig_hold(struct rig *rig, const char *bytes, size_t length);
 /* rig_await_closes(rig, closes): runs until targets saw so many closes. */
 void rig_await_closes(struct rig *rig, uint32_t closes);
 uint32_t rig_requests(const struct rig *rig);
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -7,6 +7,8 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <cmocka.h>
 
@@ -259,6 +261,7 @@
 static void
 test_listed(void **state)
 {
+	static const struct fl_asker nobody = {.number = 0};
 	struct region region;
 	struct sockaddr_in out[VMS];
 
@@ -267,23 +270,206 @@
 	region.vms[0].self.ready = true;
 	run(&region, 3000000);
 	assert_int_equal(
-	    fl_members_listed(&region.vms[0], region.now_us, out, VMS), VMS);
+	    fl_members_listed(&region.vms[0], region.now_us, &nobody, out, VMS),
+	    VMS);
 	region.dead[1] = true;
 	region.vms[2].self.stopping = true;
 	run(&region, 2000000);
 	assert_int_equal(
-	    fl_members_listed(&region.vms[0], region.now_us, out, VMS),
+	    fl_members_listed(&region.vms[0], region.now_us, &nobody, out, VMS),
 	    VMS - 2);
 	assert_int_equal(
-	    fl_members_listed(&region.vms[0], region.now_us, out, 1), 1);
+	    fl_members_listed(&region.vms[0], region.now_us, &nobody, out, 1),
+	    1);
 	/* One that hears nobody is cut off itself: it names all it knew. */
 	region.dead[3] = region.dead[4] = region.dead[2] = true;
 	run(&region, 2000000);
-	assert_true(
-	    fl_members_listed(&region.vms[0], region.now_us, out, VMS) >= 3);
+	assert_true(fl_members_listed(
+			&region.vms[0], region.now_us, &nobody, out, VMS) >= 3);
 	tear_down(&region);
 }
 
+#define MANY 150
+#define DATA_CENTRES 3
+#define LISTED_MAX 64
+
+/* All VMs of a region of MANY, as one of them knows the others. */
+static void
+know_many(struct fl_members *members, uint32_t self)
+{
+	struct fl_member own = member(self);
+	uint32_t i;
+
+	snprintf(own.data_centre, sizeof(own.data_centre), "dc-%u",
+	    self % DATA_CENTRES);
+	fl_members_init(members, &own, 1);
+	members->self.ready = true;
+	for (i = 0; i < MANY; i++) {
+		struct fl_member other = member((i + self) % MANY);
+
+		snprintf(other.data_centre, sizeof(other.data_centre), "dc-%u",
+		    (i + self) % MANY % DATA_CENTRES);
+		fl_members_heard(members, &other, 1);
+	}
+}
+
+/*
+ * A directory cannot name all: callers of one data centre get the same VMs
+ * from whichever they ask, and between them the data centres use all VMs.
+ */
+static void
+test_listed_of_many(void **state)
+{
+	struct sockaddr_in first[LISTED_MAX], second[LISTED_MAX];
+	struct fl_members a, b;
+	bool used[MANY] = {false};
+	struct fl_asker asker = {.number = 0};
+	uint32_t i, count = 0;
+
+	(void)state;
+	know_many(&a, 3);
+	know_many(&b, 70);
+	for (asker.number = 0; asker.number < DATA_CENTRES; asker.number++) {
+		snprintf(asker.data_centre, sizeof(asker.data_centre), "dc-%u",
+		    (unsigned)asker.number);
+		assert_int_equal(
+		    fl_members_listed(&a, 2, &asker, first, LISTED_MAX),
+		    LISTED_MAX);
+		assert_int_equal(
+		    fl_members_listed(&b, 2, &asker, second, LISTED_MAX),
+		    LISTED_MAX);
+		assert_memory_equal(first, second, sizeof(first));
+		for (i = 0; i < LISTED_MAX; i++)
+			used[ntohs(first[i].sin_port) - 7000] = true;
+	}
+	for (i = 0; i < MANY; i++)
+		count += used[i];
+	assert_int_equal(count, MANY);
+	fl_members_free(&a);
+	fl_members_free(&b);
+}
+
+/* Three VMs with real sockets; the first one is alone in its region. */
+struct live {
+	uv_loop_t loop;
+	struct fleet *vms[3];
+	uint32_t told[3]; /* suspects that each heard of */
+	bool hung;
+};
+
+struct live_user {
+	struct live *live;
+	uint32_t number;
+};
+
+static void
+on_live_suspect(void *user, uint64_t fingerprint)
+{
+	struct live_user *self = user;
+
+	assert_int_equal(fingerprint, 77);
+	self->live->told[self->number]++;
+}
+
+static void
+on_live_role(void *user, enum fl_role role, const struct fl_member *leader)
+{
+	(void)user;
+	(void)role;
+	(void)leader;
+}
+
+static void
+on_live_news(void *user, const struct fl_news *news)
+{
+	(void)user;
+	(void)news;
+}
+
+static void
+on_live_member(void *user, const struct fl_member *other, const char *what)
+{
+	(void)user;
+	(void)other;
+	(void)what;
+}
+
+static void
+on_hung(uv_timer_t *timer)
+{
+	((struct live *)timer->data)->hung = true;
+}
+
+static struct sockaddr_in
+free_address(void)
+{
+	struct sockaddr_in address = {.sin_family = AF_INET};
+	socklen_t length = sizeof(address);
+	int file = socket(AF_INET, SOCK_STREAM, 0);
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	assert_int_equal(
+	    bind(file, (struct sockaddr *)&address, sizeof(address)), 0);
+	getsockname(file, (struct sockaddr *)&address, &length);
+	close(file);
+	return address;
+}
+
+static void
+start_live(struct live *live, struct live_user *user, const char *region,
+    const struct sockaddr_in *own, const struct sockaddr_in *seed)
+{
+	static const struct fl_events events = {.on_role = on_live_role,
+	    .on_news = on_live_news,
+	    .on_suspect = on_live_suspect,
+	    .on_member = on_live_member};
+	struct fl_params params = {
+	    .loop = &live->loop,
+	    .self = {.fleet = *own, .boot = user->number + 1},
+	    .seed_count = 1,
+	    .cache = os_cache_create(),
+	    .kind_count = 1,
+	    .events = &events,
+	    .user = user,
+	};
+
+	snprintf(
+	    params.self.name, sizeof(params.self.name), "vm-%u", user->number);
+	snprintf(params.region, sizeof(params.region), "%s", region);
+	params.seeds[0] = *seed;
+	assert_int_equal(fl_create(&params, &live->vms[user->number]), CS_OK);
+}
+
+/* A request that crashes targets is known in the other regions too. */
+static void
+test_suspects_cross_regions(void **state)
+{
+	static struct live live;
+	struct live_user users[3] = {{&live, 0}, {&live, 1}, {&live, 2}};
+	struct sockaddr_in at[3] = {
+	    free_address(), free_address(), free_address()};
+	uv_timer_t guard;
+
+	(void)state;
+	uv_loop_init(&live.loop);
+	uv_timer_init(&live.loop, &guard);
+	guard.data = &live;
+	uv_timer_start(&guard, on_hung, 5000, 0); /* judges nothing */
+	start_live(&live, &users[1], "there", &at[1], &at[2]);
+	start_live(&live, &users[2], "there", &at[2], &at[1]);
+	while (fl_members_near(fl_get_members(live.vms[1]), cs_now_us()) < 2)
+		uv_run(&live.loop, UV_RUN_ONCE);
+	start_live(&live, &users[0], "here", &at[0], &at[1]);
+	while (fl_get_members(live.vms[0])->count == 0 ||
+	       fl_get_members(live.vms[0])->list[0].heard_us == 0)
+		uv_run(&live.loop, UV_RUN_ONCE);
+	fl_suspect(live.vms[0], 77);
+	while (!live.hung && (live.told[1] == 0 || live.told[2] == 0))
+		uv_run(&live.loop, UV_RUN_ONCE);
+	assert_int_equal(live.told[1], 1);
+	assert_int_equal(live.told[2], 1);
+}
+
 /* A VM that was paused itself does not take the others for dead. */
 static void
 test_paused(void **state)
@@ -372,6 +558,8 @@
 	    cmocka_unit_test(test_store_refuses_most),
 	    cmocka_unit_test(test_store_down),
 	    cmocka_unit_test(test_listed),
+	    cmocka_unit_test(test_listed_of_many),
+	    cmocka_unit_test(test_suspects_cross_regions),
 	    cmocka_unit_test(test_paused),
 	    cmocka_unit_test(test_frames),
 	    cmocka_unit_test(test_frames_random),
--- a/tests/unit/test_gateway.c
+++ b/tests/unit/test_gateway.c
@@ -367,6 +367,29 @@
 	rig_free(rig);
 }
 
+/* A target bears so many connections; one more is not opened. */
+static void
+test_channels_are_bounded(void **state)
+{
+	const struct rig_script scripts[] = {
+	    {NULL, RIG_SILENT, NULL, false}, {WHOLE, RIG_KEEP, NULL, false}};
+	struct rig *rig = rig_create(&(struct rig_params){
+	    .scripts = scripts,
+	    .script_count = 2,
+	    .target_count = 1,
+	    .with_table = true,
+	    .timeout_ms = 30000,
+	    .attempts_max = 2,
+	    .channels_max = 1,
+	});
+
+	(void)state;
+	rig_hold(rig, SAFE, strlen(SAFE));
+	assert_int_equal(status_of(rig_ask(rig, ONCE, strlen(ONCE))), 503);
+	assert_int_equal(rig_connections(rig), 1);
+	rig_free(rig);
+}
+
 /* A caller that leaves cancels its request at the target. */
 static void
 test_caller_leaves(void **state)
@@ -528,6 +551,7 @@
 	    cmocka_unit_test(test_unreached_is_no_attempt),
 	    cmocka_unit_test(test_extra_answer_without_id),
 	    cmocka_unit_test(test_silent_target),
+	    cmocka_unit_test(test_channels_are_bounded),
 	    cmocka_unit_test(test_caller_leaves),
 	    cmocka_unit_test(test_callers),
 	    cmocka_unit_test(test_large_head),
