explain from the logs of gateways, report of their service-level burn

Cause: on-call engineers had grep for a request of a gateway, and no report: both commands knew entry VMs alone.

Ruled out: keeping stories of calls in each gateway, as entry does (they die with the VM; the logs are kept).

Accounts are found by hash instead of a walk over all of them.

Measured: scenario test_gateway_explain (answered, lost at its target, no target, never seen; four uses of report) passes; test_report and test_whole_path pass.

--- a/lib/gateway/answer.c
+++ b/lib/gateway/answer.c
@@ -6,8 +6,11 @@
 /* Every target refused: there may be room once some answers are out. */
 #define RETRY_AFTER_REFUSED_US 50000
 
-static const char *const reason_texts[] = {
-#define GW_REASON(symbol, text) text,
+static const struct {
+	const char *text;
+	const char *meaning;
+} reasons[] = {
+#define GW_REASON(symbol, text, meaning) {text, meaning},
 #include "reasons.def"
 #undef GW_REASON
 };
@@ -15,7 +18,19 @@
 const char *
 gw_reason_text(enum gw_reason reason)
 {
-	return reason < GW_REASONS ? reason_texts[reason] : "unknown";
+	return reason < GW_REASONS ? reasons[reason].text : "unknown";
+}
+
+const char *
+gw_reason_meaning(const char *text)
+{
+	size_t i;
+
+	for (i = 0; i < GW_REASONS; i++) {
+		if (strcmp(reasons[i].text, text) == 0)
+			return reasons[i].meaning;
+	}
+	return NULL;
 }
 
 static void
@@ -50,6 +65,15 @@
 	    call->attempts,
 	    call->attempts == 0 ? "-" : bl_outcome_text(call->outcome),
 	    (long long)call->waited_us, (long long)took_us);
+	if (call->route != NULL)
+		gw->params.events->on_ended(
+		    gw->params.user, &(struct gw_ended){
+					 .route = call->route,
+					 .reason = reason,
+					 .status = status,
+					 .took_us = took_us,
+					 .objective_us = call->objective_us,
+				     });
 	gw_unqueue(call);
 	uv_timer_stop(&call->final);
 	drop_tried(call);
--- a/lib/gateway/gateway.h
+++ b/lib/gateway/gateway.h
@@ -27,13 +27,15 @@
 
 /* Why a call ended as it did; the catalogue is docs/EVENTS.md. */
 enum gw_reason {
-#define GW_REASON(symbol, text) GW_##symbol,
+#define GW_REASON(symbol, text, meaning) GW_##symbol,
 #include "reasons.def"
 #undef GW_REASON
 	GW_REASONS
 };
 
 const char *gw_reason_text(enum gw_reason reason);
+/* gw_reason_meaning(text): a sentence for operators, NULL: no such reason. */
+const char *gw_reason_meaning(const char *text);
 
 struct gw_counters {
 	uint64_t calls;
@@ -48,7 +50,17 @@
 	struct cs_histogram at_target;
 };
 
+/* How a call on a route ended. */
+struct gw_ended {
+	const struct rt_route *route;
+	enum gw_reason reason;
+	int status; /* 0: none was sent */
+	int64_t took_us;
+	int64_t objective_us;
+};
+
 struct gw_events {
+	void (*on_ended)(void *user, const struct gw_ended *ended);
 	/* A request crashed a target: others should know. */
 	void (*on_crash)(void *user, uint64_t fingerprint);
 };
--- a/lib/report/accounts.c
+++ b/lib/report/accounts.c
@@ -1,4 +1,5 @@
 /* Counting: one account for each pair of member and route. */
+#include <glib.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -29,6 +30,7 @@
 struct rp_accounts {
 	uint32_t count;
 	struct account *items[RP_ACCOUNTS_MAX];
+	GHashTable *index; /* by key_of(): number of the account + 1 */
 };
 
 static const char *const result_names[RP_RESULTS] = {
@@ -37,7 +39,12 @@
 struct rp_accounts *
 rp_create(void)
 {
-	return calloc(1, sizeof(struct rp_accounts));
+	struct rp_accounts *accounts = calloc(1, sizeof(*accounts));
+
+	if (accounts != NULL)
+		accounts->index = g_hash_table_new_full(
+		    g_int64_hash, g_int64_equal, g_free, NULL);
+	return accounts;
 }
 
 void
@@ -47,6 +54,7 @@
 
 	for (i = 0; i < accounts->count; i++)
 		free(accounts->items[i]);
+	g_hash_table_destroy(accounts->index);
 	free(accounts);
 }
 
@@ -59,10 +67,29 @@
 	out[bytes] = '\0';
 }
 
+static uint64_t
+key_of(const char *member, const char *route)
+{
+	return cs_hash_pair(
+	    cs_hash(member, strlen(member)), cs_hash(route, strlen(route)));
+}
+
+static struct account *
+find_known(
+    const struct rp_accounts *accounts, const char *member, const char *route)
+{
+	uint64_t key = key_of(member, route);
+	guint number =
+	    GPOINTER_TO_UINT(g_hash_table_lookup(accounts->index, &key));
+
+	return number == 0 ? NULL : accounts->items[number - 1];
+}
+
 static struct account *
 add_account(struct rp_accounts *accounts, const char *member, const char *route)
 {
 	struct account *account;
+	uint64_t *key;
 
 	if (accounts->count == RP_ACCOUNTS_MAX)
 		return NULL;
@@ -72,31 +99,27 @@
 	strcpy(account->member, member);
 	copy_name(account->route, route, (uint32_t)strlen(route));
 	accounts->items[accounts->count++] = account;
+	key = g_new(uint64_t, 1);
+	*key = key_of(member, route);
+	g_hash_table_insert(
+	    accounts->index, key, GUINT_TO_POINTER(accounts->count));
 	return account;
 }
 
-/* Members beyond the limit share the account "(others)" of their route. */
+/* Members beyond the limit share one account of their route. */
+#define OTHERS "(others)"
+
 static struct account *
 find(struct rp_accounts *accounts, const char *member, const char *route)
 {
-	struct account *others = NULL;
-	uint32_t i;
-
-	for (i = 0; i < accounts->count; i++) {
-		struct account *account = accounts->items[i];
-
-		if (strcmp(account->route, route) != 0)
-			continue;
-		if (strcmp(account->member, member) == 0)
-			return account;
-		if (strcmp(account->member, "(others)") == 0)
-			others = account;
-	}
-	if (accounts->count >= RP_ACCOUNTS_MAX / 2)
-		return others != NULL
-			   ? others
-			   : add_account(accounts, "(others)", route);
-	return add_account(accounts, member, route);
+	struct account *account = find_known(accounts, member, route);
+
+	if (account != NULL)
+		return account;
+	if (accounts->count < RP_ACCOUNTS_MAX / 2)
+		return add_account(accounts, member, route);
+	account = find_known(accounts, OTHERS, route);
+	return account != NULL ? account : add_account(accounts, OTHERS, route);
 }
 
 static void
--- a/lib/report/merge.c
+++ b/lib/report/merge.c
@@ -237,7 +237,7 @@
 append_html_row(char **out, const json_t *row)
 {
 	char member[RP_NAME_BYTES_MAX * 6], route[RP_NAME_BYTES_MAX * 6];
-	char line[LINE_BYTES * 3];
+	char line[LINE_BYTES * 4];
 
 	escape(member, sizeof(member), text(row, "member"));
 	escape(route, sizeof(route), text(row, "route"));
--- a/lib/report/report.h
+++ b/lib/report/report.h
@@ -11,7 +11,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#define RP_NAME_BYTES_MAX 64
+#define RP_NAME_BYTES_MAX 128
 #define RP_ACCOUNTS_MAX 512 /* pairs of member and route, per process */
 #define RP_SHORT_MINUTES 5
 #define RP_LONG_MINUTES 60
--- a/programs/gateway.c
+++ b/programs/gateway.c
@@ -93,7 +93,44 @@
 	fl_suspect(app->fleet, fingerprint);
 }
 
-static const struct gw_events gateway_events = {.on_crash = on_crash};
+/* The platform names a latency for each route, and no share within it. */
+#define OBJECTIVE_SHARE 0.99
+
+static enum rp_result
+result_of(const struct gw_ended *ended)
+{
+	if (ended->reason == GW_CALLER_GONE)
+		return RP_LEFT;
+	if (ended->reason == GW_ANSWERED)
+		return ended->took_us <= ended->objective_us ? RP_SERVED
+							     : RP_LATE;
+	return ended->status == 503 ? RP_NOT_RUN : RP_UNKNOWN;
+}
+
+static void
+on_ended(void *user, const struct gw_ended *ended)
+{
+	struct ga_app *app = user;
+	char route[2 * RT_NAME_BYTES_MAX]; /* longer ones are cut short */
+
+	snprintf(route, sizeof(route), "%s%s", ended->route->host,
+	    ended->route->prefix);
+	rp_add(app->accounts,
+	    &(struct rp_call){
+		.member = "",
+		.route = route,
+		.idempotent = ended->route->kind == RT_IDEMPOTENT,
+		.weight = 1,
+		.objective_ms = (uint32_t)(ended->objective_us / 1000),
+		.objective_share = OBJECTIVE_SHARE,
+		.result = result_of(ended),
+		.took_us = ended->took_us,
+	    },
+	    cs_now_us());
+}
+
+static const struct gw_events gateway_events = {
+    .on_ended = on_ended, .on_crash = on_crash};
 
 static struct bl_budget_terms
 budget_terms(const struct pl_settings *settings, uint32_t members)
@@ -335,7 +372,9 @@
 
 	fill_topology(app);
 	app->cache = os_cache_create();
-	if (app->cache == NULL || create_gateway(app, seed) != CS_OK ||
+	app->accounts = rp_create();
+	if (app->cache == NULL || app->accounts == NULL ||
+	    create_gateway(app, seed) != CS_OK ||
 	    create_store(app, seed) != CS_OK ||
 	    create_fleet(app, seed) != CS_OK || ga_serve(app) != CS_OK)
 		return CS_E_SYSTEM;
--- a/programs/gateway.h
+++ b/programs/gateway.h
@@ -4,6 +4,7 @@
 
 #include "../lib/fleet/fleet.h"
 #include "../lib/gateway/gateway.h"
+#include "../lib/report/report.h"
 #include "../lib/store/store.h"
 #include "../platform/platform.h"
 
@@ -15,6 +16,7 @@
 	struct pl_settings settings;
 	struct bl_topology topology;
 	struct gw *gw;
+	struct rp_accounts *accounts; /* by route, of this process */
 	struct os_client *store;
 	struct os_cache *cache;
 	struct fleet *fleet;
--- a/programs/gateway_serve.c
+++ b/programs/gateway_serve.c
@@ -13,6 +13,7 @@
  */
 #define DIRECTORY_KEEP_MS 1400
 #define METRICS_PORT 9464 /* also in deploy/system.toml */
+#define REPORT_PATH "/report"
 #define CONNECTIONS_MAX 512
 #define REQUEST_BYTES_MAX 8192
 #define IDLE_TIMEOUT_MS 15000
@@ -151,6 +152,20 @@
 	    gw_connections(app->gw));
 }
 
+/* The accounts of this process, as `report` merges them. */
+static void
+reply_report(const struct ga_app *app, struct h1_conn *conn)
+{
+	json_t *root = json_pack("{s:s, s:I, s:o}", "entry", app->settings.name,
+	    "epoch", (json_int_t)app->started_us, "accounts",
+	    rp_json(app->accounts, cs_now_us()));
+	char *text = json_dumps(root, JSON_COMPACT);
+
+	json_decref(root);
+	h1_conn_reply(conn, 200, "application/json", text == NULL ? "" : text);
+	free(text);
+}
+
 static void
 on_metrics(struct h1_conn *conn, const struct h1_message *request)
 {
@@ -158,7 +173,10 @@
 	const struct gw_counters *counters = gw_get_counters(app->gw);
 	struct h1_bytes out = {.data = NULL};
 
-	(void)request;
+	if (h1_path_is(request, REPORT_PATH)) {
+		reply_report(app, conn);
+		return;
+	}
 	print_standing(&out, app);
 	print_counters(&out, counters);
 	print_histogram(&out, "answered", &counters->answered);
--- a/programs/report.c
+++ b/programs/report.c
@@ -1,4 +1,4 @@
-/* The operators' commands report and explain. */
+/* The operators' command report. */
 #include <glib.h>
 #include <jansson.h>
 #include <stdio.h>
@@ -12,10 +12,9 @@
 #include "session.h"
 #include "settings.h"
 
-#define PATH_BYTES_MAX 256
-
 struct options {
 	const char *platform;
+	const char *vms; /* metrics addresses of gateways, comma separated */
 	const char *html;
 	const char *member;
 	bool json;
@@ -48,6 +47,39 @@
 	rp_merge(total, json_object_get(root, "accounts"));
 }
 
+/* Asks one VM; false after a message when it gave no answer. */
+static bool
+add_vm(struct se_session *session, const char *address, struct seen *seen,
+    json_t *total)
+{
+	struct se_answer answer;
+	json_t *root;
+
+	se_admin(session, address, "/report", &answer);
+	root = json_loads(answer.value, 0, NULL);
+	g_free(answer.value);
+	if (root == NULL) {
+		fprintf(stderr, "chervilshelf: no answer from %s\n", address);
+		return false;
+	}
+	add_process(seen, total, root);
+	json_decref(root);
+	return true;
+}
+
+static uint32_t
+add_gateways(struct se_session *session, const char *vms, struct seen *seen,
+    json_t *total)
+{
+	gchar **addresses = g_strsplit(vms, ",", 0), **address;
+	uint32_t answered = 0;
+
+	for (address = addresses; *address != NULL; address++)
+		answered += add_vm(session, *address, seen, total);
+	g_strfreev(addresses);
+	return answered;
+}
+
 static uint32_t
 add_live(struct se_session *session, struct seen *seen, json_t *total)
 {
@@ -56,22 +88,8 @@
 
 	if (se_entries(session, entries, &count) != CS_OK)
 		return 0;
-	for (i = 0; i < count; i++) {
-		struct se_answer answer;
-		json_t *root;
-
-		se_admin(session, entries[i].admin, "/report", &answer);
-		root = json_loads(answer.value, 0, NULL);
-		g_free(answer.value);
-		if (root == NULL) {
-			fprintf(stderr, "chervilshelf: no answer from %s\n",
-			    entries[i].name);
-			continue;
-		}
-		add_process(seen, total, root);
-		json_decref(root);
-		answered++;
-	}
+	for (i = 0; i < count; i++)
+		answered += add_vm(session, entries[i].admin, seen, total);
 	return answered;
 }
 
@@ -181,7 +199,16 @@
 {
 	struct options o = {0};
 	const struct st_setting settings[] = {
-	    ST_PLATFORM(o),
+	    {.name = "platform",
+		.kind = ST_TEXT,
+		.text = &o.platform,
+		.argument = "URL",
+		.help = "the platform's address, http://IPV4:PORT: entry VMs"},
+	    {.name = "vms",
+		.kind = ST_TEXT,
+		.text = &o.vms,
+		.argument = "IP:PORT,...",
+		.help = "metrics addresses of gateways"},
 	    {.name = "member",
 		.kind = ST_TEXT,
 		.text = &o.member,
@@ -203,13 +230,23 @@
 	uint32_t answered;
 	int code;
 
-	if (st_parse(&command, argc, argv, NULL) != CS_OK ||
-	    se_open(o.platform, &session) != CS_OK)
+	if (st_parse(&command, argc, argv, NULL) != CS_OK)
+		return ST_EXIT_USAGE;
+	if ((o.platform == NULL) == (o.vms == NULL)) {
+		st_refuse("platform", o.platform == NULL ? "nothing" : "both",
+		    "one of --platform and --vms");
+		return ST_EXIT_USAGE;
+	}
+	if (se_open(o.platform, &session) != CS_OK)
 		return ST_EXIT_USAGE;
 	total = json_array();
 	seen.processes = g_hash_table_new(g_str_hash, g_str_equal);
-	answered = add_live(session, &seen, total);
-	add_stored(session, &seen, total);
+	if (o.vms != NULL) {
+		answered = add_gateways(session, o.vms, &seen, total);
+	} else {
+		answered = add_live(session, &seen, total);
+		add_stored(session, &seen, total);
+	}
 	se_close(session);
 	if (answered == 0)
 		fprintf(stderr, "chervilshelf: no entry VM answered\n");
@@ -217,54 +254,3 @@
 	json_decref(total);
 	return answered == 0 ? ST_EXIT_REFUSED : code;
 }
-
-static int
-explain(struct se_session *session, const char *id)
-{
-	static struct se_entry entries[SE_ENTRIES_MAX];
-	char path[PATH_BYTES_MAX];
-	uint32_t i, count;
-
-	if (se_entries(session, entries, &count) != CS_OK) {
-		fprintf(stderr, "chervilshelf: no entry VM answered\n");
-		return ST_EXIT_REFUSED;
-	}
-	snprintf(path, sizeof(path), "/explain/%s", id);
-	for (i = 0; i < count; i++) {
-		struct se_answer answer;
-		bool found;
-
-		se_admin(session, entries[i].admin, path, &answer);
-		found = answer.error == CS_OK;
-		if (found)
-			puts(answer.value);
-		g_free(answer.value);
-		if (found)
-			return ST_EXIT_DONE;
-	}
-	fprintf(stderr, "chervilshelf: no live entry VM keeps %s\n", id);
-	return ST_EXIT_REFUSED;
-}
-
-int
-cm_explain(int argc, char **argv)
-{
-	struct options o = {0};
-	const char *id;
-	const struct st_setting settings[] = {
-	    ST_PLATFORM(o),
-	};
-	const struct st_command command = {"explain", "ID",
-	    "Tells what happened to one request, by its "
-	    "Chervilshelf-Request-Id.",
-	    settings, 1, 1};
-	struct se_session *session;
-	int code;
-
-	if (st_parse(&command, argc, argv, &id) != CS_OK ||
-	    se_open(o.platform, &session) != CS_OK)
-		return ST_EXIT_USAGE;
-	code = explain(session, id);
-	se_close(session);
-	return code;
-}
--- a/programs/session.c
+++ b/programs/session.c
@@ -44,7 +44,7 @@
 	struct sockaddr_in store;
 
 	uv_loop_init(&session->loop);
-	if (se_parse_url(platform, &store) != CS_OK) {
+	if (platform != NULL && se_parse_url(platform, &store) != CS_OK) {
 		fprintf(stderr,
 		    "chervilshelf: --platform: given \"%s\", allowed: "
 		    "http://IPV4:PORT\n",
@@ -52,7 +52,9 @@
 		g_free(session);
 		return CS_E_INVALID;
 	}
-	session->objects = os_objects_create(&session->loop, &store, &pl_codec);
+	if (platform != NULL)
+		session->objects =
+		    os_objects_create(&session->loop, &store, &pl_codec);
 	session->http = h1_client_create(&session->loop);
 	*out = session;
 	return CS_OK;
@@ -61,7 +63,8 @@
 void
 se_close(struct se_session *session)
 {
-	os_objects_close(session->objects);
+	if (session->objects != NULL)
+		os_objects_close(session->objects);
 	h1_client_close(session->http);
 	uv_run(&session->loop, UV_RUN_DEFAULT); /* frees what was closed */
 	uv_loop_close(&session->loop);
--- a/programs/session.h
+++ b/programs/session.h
@@ -32,7 +32,7 @@
 
 /*
  * se_open(platform, out): CS_E_INVALID after a message when the URL is not
- * valid.
+ * valid. NULL: a session that asks VMs alone.
  */
 int se_open(const char *platform, struct se_session **out);
 void se_close(struct se_session *session);
--- /dev/null
+++ b/tests/scenario/test_gateway_explain.py
@@ -0,0 +1,88 @@
+"""Operators' commands for gateways: explain from logs, report from VMs."""
+import asyncio
+import json
+import os
+import subprocess
+import sys
+
+sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "standins"))
+from cluster import Cluster  # noqa: E402
+
+PROGRAM = os.path.join(os.environ.get("BUILD_DIR", "build"), "chervilshelf")
+METRICS = 9464
+
+
+async def command(*words):
+    """Runs beside the loop, which plays the VMs' surroundings."""
+    process = await asyncio.create_subprocess_exec(
+        PROGRAM, *words, stdout=subprocess.PIPE, stderr=subprocess.PIPE)
+    out, err = await process.communicate()
+    return process.returncode, out.decode(), err.decode()
+
+
+async def explain(cluster, attempt, expected, reason):
+    """The logs are written a few times a second: until the end is there."""
+    logs = ",".join(vm.log for vm in cluster.vms)
+
+    async def told():
+        code, out, _ = await command("explain", attempt, "--logs", logs)
+        return code == 0 and "cause: " + reason in out
+    await cluster.until(told, 20, "%s is explained as %s" % (attempt, reason))
+    out = (await command("explain", attempt, "--logs", logs))[1]
+    for part in expected:
+        assert part in out, (part, out)
+
+
+async def run(cluster):
+    vm, target = cluster.vms[0], cluster.targets[0]
+    await cluster.start()
+    cluster.put_config([("/a/", "unsafe", "a"), ("/b/", "safe", "b"),
+                        ("/empty/", "safe", "none")])
+    await cluster.until(cluster.all_ready, 20, "all VMs are ready")
+    assert await cluster.call(vm.host, "/b/1", attempt="well") == 200
+    await explain(cluster, "well", ["name=call_sent", "status 200"],
+                  "answered")
+
+    target.work_s = 5
+    call = asyncio.ensure_future(
+        cluster.call(vm.host, "/a/1", "unsafe", attempt="once-lost"))
+
+    async def runs():
+        return cluster.runs.get("once-lost") == 1
+    await cluster.until(runs, 20, "the target has it")
+    await target.stop()
+    assert await call == 502
+    await explain(cluster, "once-lost",
+                  ["name=attempt_failed", "outcome=lost", "may have run"],
+                  "lost_at_target")
+
+    assert await cluster.call(vm.host, "/empty/1", attempt="nowhere") == 503
+    await explain(cluster, "nowhere", ["name=place_refused", "not run"],
+                  "no_target")
+    code, _, err = await command("explain", "never-seen", "--logs", vm.log)
+    assert code == 1 and "no line is about" in err, err
+
+    vms = ",".join("%s:%d" % (v.host, METRICS) for v in cluster.vms)
+    code, out, err = await command("report", "--vms", vms, "--json")
+    assert code == 0, err
+    rows = {row["route"]: row for row in json.loads(out)}
+    assert rows["svc.example/b/"]["served"] == 1, rows
+    assert rows["svc.example/a/"]["unknown"] == 1, rows
+    assert rows["svc.example/empty/"]["not_run"] == 1, rows
+    assert (await command("report", "--vms", vms))[0] == 0
+    assert (await command("report"))[0] == 2
+    assert (await command("report", "--vms", "127.0.0.1:1"))[0] == 1
+
+
+async def main():
+    cluster = Cluster(PROGRAM, vm_count=2, pools=("a", "b", "none"),
+                      targets=1)
+    cluster.targets = [t for t in cluster.targets if t.pool != "none"]
+    try:
+        await run(cluster)
+    finally:
+        await cluster.stop()
+    print("explained and reported")
+
+
+asyncio.run(main())
--- a/tests/unit/gateway_rig.c
+++ b/tests/unit/gateway_rig.c
@@ -489,6 +489,13 @@
 	(void)fingerprint;
 }
 
+static void
+on_ended(void *user, const struct gw_ended *ended)
+{
+	(void)user;
+	(void)ended;
+}
+
 static uint16_t
 free_port(struct rig *rig)
 {
@@ -506,7 +513,8 @@
 struct rig *
 rig_create(const struct rig_params *params)
 {
-	static const struct gw_events events = {.on_crash = on_crash};
+	static const struct gw_events events = {
+	    .on_ended = on_ended, .on_crash = on_crash};
 	struct rig *rig = calloc(1, sizeof(*rig));
 	struct gw_params gateway = {
 	    .dialect = &pl_dialect,
