--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -218,6 +218,12 @@
 	return &fleet->members;
 }
 
+const struct fl_counters *
+fl_get_counters(const struct fleet *fleet)
+{
+	return &fleet->counters;
+}
+
 static int
 open_sockets(struct fleet *fleet)
 {
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -187,6 +187,15 @@
 
 struct fleet;
 
+/* What this VM has sent to others, without the headers of UDP and TCP. */
+struct fl_counters {
+	uint64_t datagrams;
+	uint64_t datagram_bytes;
+	uint64_t news; /* frames of news, each once for each listener */
+	uint64_t news_bytes;
+	uint64_t snapshots; /* those of them that hold a whole kind */
+};
+
 int fl_create(const struct fl_params *params, struct fleet **out);
 /* fl_know(fleet, member): the store lists this VM. */
 void fl_know(struct fleet *fleet, const struct fl_member *member);
@@ -202,6 +211,7 @@
 /* fl_leave(fleet): tells the others at once that this VM stops. */
 void fl_leave(struct fleet *fleet);
 const struct fl_members *fl_get_members(const struct fleet *fleet);
+const struct fl_counters *fl_get_counters(const struct fleet *fleet);
 void fl_close(struct fleet *fleet);
 
 #endif
--- a/lib/fleet/fleet_internal.h
+++ b/lib/fleet/fleet_internal.h
@@ -18,6 +18,7 @@
 	uint64_t greetings;
 	uint64_t ticks;
 
+	struct fl_counters counters;
 	uint32_t behind; /* ticks for which the leader knew more */
 };
 
--- a/lib/fleet/heartbeat.c
+++ b/lib/fleet/heartbeat.c
@@ -19,6 +19,8 @@
 
 	if (fl_encode(frame, &buffer) != CS_OK)
 		return;
+	fleet->counters.datagrams++;
+	fleet->counters.datagram_bytes += buffer.length;
 	piece = uv_buf_init(buffer.data, (unsigned)buffer.length);
 	/* A datagram that cannot leave is one that was lost. */
 	uv_udp_try_send(&fleet->udp, &piece, 1, (const struct sockaddr *)to);
--- a/lib/fleet/news.c
+++ b/lib/fleet/news.c
@@ -97,6 +97,15 @@
 	fleet->source = NULL;
 }
 
+static void
+count_news(struct fleet *fleet, const struct fl_news *news,
+    const struct fl_buffer *out)
+{
+	fleet->counters.news++;
+	fleet->counters.news_bytes += out->length;
+	fleet->counters.snapshots += news->whole;
+}
+
 static void
 send_news(struct fl_link *link, const struct fl_news *news)
 {
@@ -105,6 +114,7 @@
 
 	if (fl_encode(&frame, &buffer) != CS_OK)
 		return;
+	count_news(link->owner, news, &buffer);
 	fl_link_send(link, &buffer);
 	free(buffer.data);
 }
@@ -187,8 +197,10 @@
 		return;
 	for (link = fleet->listeners; link != NULL; link = next) {
 		next = link->next;
-		if (link->said_hello)
-			fl_link_send(link, &buffer);
+		if (!link->said_hello)
+			continue;
+		count_news(fleet, news, &buffer);
+		fl_link_send(link, &buffer);
 	}
 	free(buffer.data);
 }
--- a/programs/gateway.c
+++ b/programs/gateway.c
@@ -287,9 +287,15 @@
 static void
 finish(struct ga_app *app)
 {
-	cs_log(CS_LOG_GATEWAY_STOPPED, "after_us=%lld connections=%u",
+	const struct fl_counters *sent = fl_get_counters(app->fleet);
+
+	cs_log(CS_LOG_GATEWAY_STOPPED,
+	    "after_us=%lld connections=%u datagram_bytes=%llu news_bytes=%llu "
+	    "snapshots=%llu",
 	    (long long)(cs_now_us() - app->stopping_us),
-	    gw_connections(app->gw));
+	    gw_connections(app->gw), (unsigned long long)sent->datagram_bytes,
+	    (unsigned long long)sent->news_bytes,
+	    (unsigned long long)sent->snapshots);
 	cs_log_flush();
 	uv_stop(&app->loop);
 }
--- a/programs/gateway_serve.c
+++ b/programs/gateway_serve.c
@@ -110,6 +110,22 @@
 	    pool->work_us / 1e6);
 }
 
+static void
+print_fleet(struct h1_bytes *out, const struct fl_counters *counters)
+{
+	h1_bytes_print(out,
+	    "chervilshelf_fleet_datagrams_total %llu\n"
+	    "chervilshelf_fleet_datagram_bytes_total %llu\n"
+	    "chervilshelf_fleet_news_total %llu\n"
+	    "chervilshelf_fleet_news_bytes_total %llu\n"
+	    "chervilshelf_fleet_snapshots_total %llu\n",
+	    (unsigned long long)counters->datagrams,
+	    (unsigned long long)counters->datagram_bytes,
+	    (unsigned long long)counters->news,
+	    (unsigned long long)counters->news_bytes,
+	    (unsigned long long)counters->snapshots);
+}
+
 static void
 print_counters(struct h1_bytes *out, const struct gw_counters *counters)
 {
@@ -178,6 +194,7 @@
 		return;
 	}
 	print_standing(&out, app);
+	print_fleet(&out, fl_get_counters(app->fleet));
 	print_counters(&out, counters);
 	print_histogram(&out, "answered", &counters->answered);
 	print_histogram(&out, "waited", &counters->waited);
