Fleet: addresses of other VMs are told to newcomers alone

Ruled out: pulses (1 KB/s a VM), news and lists of the store (7 MB), by counters in the logs.

Change: a greeting tells how many VMs of its region its sender knows; addresses stand only in answers to those that know fewer.

--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -87,7 +87,7 @@
 		fleet->params.events->on_member(
 		    fleet->params.user, member, "joined");
 	if (frame->as.heartbeat.asks)
-		fl_greet(fleet, &member->fleet, member->region, false);
+		fl_answer_greeting(fleet, member, frame->as.heartbeat.known);
 	fl_greet_peers(fleet, frame);
 	if (member->stopping || member->current)
 		judge(fleet);
@@ -98,7 +98,7 @@
     const struct sockaddr_in *from)
 {
 	if (!fl_members_pulse(&fleet->members, from, frame, cs_now_us()))
-		fl_greet(fleet, from, FL_REGION_UNKNOWN, true);
+		fl_greet(fleet, from);
 	else if (fleet->members.changed)
 		judge(fleet);
 }
@@ -175,8 +175,7 @@
 	struct fl_member *known = fl_members_learn(&fleet->members, member);
 
 	if (known != NULL && known->heard_us == 0 && known->near)
-		fl_greet(
-		    fleet, &known->fleet, fleet->members.self.region, true);
+		fl_greet(fleet, &known->fleet);
 }
 
 void
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -133,7 +133,8 @@
 			uint32_t peer_count;
 			struct sockaddr_in peers[FL_PEERS_MAX];
 			char region[FL_NAME_BYTES_MAX];
-			bool asks; /* to be answered with one */
+			bool asks;	/* to be answered with one */
+			uint32_t known; /* VMs of its region that it knows */
 		} heartbeat;
 		struct {
 			uint64_t boot;
--- a/lib/fleet/fleet_internal.h
+++ b/lib/fleet/fleet_internal.h
@@ -23,12 +23,16 @@
 };
 
 /* heartbeat.c */
-#define FL_REGION_UNKNOWN 0 /* no peers can be named to it */
 void fl_send_datagram(struct fleet *fleet, const struct fl_frame *frame,
     const struct sockaddr_in *to);
-/* fl_greet(fleet, to, region, asks): introduces this VM, and VMs of region. */
-void fl_greet(struct fleet *fleet, const struct sockaddr_in *to,
-    uint64_t region, bool asks);
+/* fl_greet(fleet, to): introduces this VM and asks the other to do so. */
+void fl_greet(struct fleet *fleet, const struct sockaddr_in *to);
+/*
+ * fl_answer_greeting(fleet, member, known): introduces this VM to one that
+ * asked, and names others of its region if it knows fewer than there are.
+ */
+void fl_answer_greeting(
+    struct fleet *fleet, const struct fl_member *member, uint32_t known);
 void fl_greet_seeds(struct fleet *fleet);
 void fl_send_heartbeats(struct fleet *fleet);
 /* fl_greet_peers(fleet, frame): those that another VM named. */
--- a/lib/fleet/frames.c
+++ b/lib/fleet/frames.c
@@ -30,7 +30,7 @@
 	const struct fl_member *member = &frame->as.heartbeat.member;
 	uint32_t i;
 
-	msgpack_pack_array(packer, 11 + frame->as.heartbeat.peer_count);
+	msgpack_pack_array(packer, 12 + frame->as.heartbeat.peer_count);
 	msgpack_pack_int(packer, frame->type);
 	pack_text(packer, member->name, strlen(member->name));
 	pack_text(packer, member->data_centre, strlen(member->data_centre));
@@ -44,6 +44,7 @@
 				     frame->as.heartbeat.asks << 3);
 	msgpack_pack_uint64(packer, member->news);
 	msgpack_pack_uint32(packer, member->capacity);
+	msgpack_pack_uint32(packer, frame->as.heartbeat.known);
 	msgpack_pack_uint32(packer, frame->as.heartbeat.peer_count);
 	for (i = 0; i < frame->as.heartbeat.peer_count; i++)
 		pack_address(packer, &frame->as.heartbeat.peers[i]);
@@ -267,6 +268,7 @@
 
 	member->news = read_number(cursor);
 	member->capacity = (uint32_t)read_number(cursor);
+	out->as.heartbeat.known = (uint32_t)read_number(cursor);
 	out->as.heartbeat.peer_count = (uint32_t)read_number(cursor);
 	if (out->as.heartbeat.peer_count > FL_PEERS_MAX) {
 		cursor->bad = true;
--- a/lib/fleet/heartbeat.c
+++ b/lib/fleet/heartbeat.c
@@ -61,10 +61,19 @@
 	};
 }
 
-/* Introduces this VM, and others of the receiver's region. */
-void
-fl_greet(struct fleet *fleet, const struct sockaddr_in *to, uint64_t region,
-    bool asks)
+static uint32_t
+count_known(const struct fleet *fleet, uint64_t region)
+{
+	uint32_t i, count = 0;
+
+	for (i = 0; i < fleet->members.count; i++)
+		count += fleet->members.list[i].heard_us != 0 &&
+			 fleet->members.list[i].region == region;
+	return count;
+}
+
+static struct fl_frame
+introduction(struct fleet *fleet, bool asks)
 {
 	struct fl_frame frame = {.type = FL_FRAME_HEARTBEAT};
 
@@ -73,19 +82,38 @@
 	memcpy(frame.as.heartbeat.region, fleet->params.region,
 	    sizeof(frame.as.heartbeat.region));
 	frame.as.heartbeat.asks = asks;
-	frame.as.heartbeat.peer_count =
-	    pick_peers(fleet, region, frame.as.heartbeat.peers);
+	frame.as.heartbeat.known =
+	    count_known(fleet, fleet->members.self.region);
+	return frame;
+}
+
+void
+fl_greet(struct fleet *fleet, const struct sockaddr_in *to)
+{
+	struct fl_frame frame = introduction(fleet, true);
+
 	fl_send_datagram(fleet, &frame, to);
 }
 
+void
+fl_answer_greeting(
+    struct fleet *fleet, const struct fl_member *member, uint32_t known)
+{
+	struct fl_frame frame = introduction(fleet, false);
+
+	if (known < count_known(fleet, member->region))
+		frame.as.heartbeat.peer_count =
+		    pick_peers(fleet, member->region, frame.as.heartbeat.peers);
+	fl_send_datagram(fleet, &frame, &member->fleet);
+}
+
 void
 fl_greet_seeds(struct fleet *fleet)
 {
 	uint32_t i;
 
 	for (i = 0; i < fleet->params.seed_count; i++)
-		fl_greet(
-		    fleet, &fleet->params.seeds[i], FL_REGION_UNKNOWN, true);
+		fl_greet(fleet, &fleet->params.seeds[i]);
 }
 
 /* Short ones to those that live, introductions to those that may return. */
@@ -104,7 +132,7 @@
 		if (fl_is_alive(member, now_us))
 			fl_send_datagram(fleet, &pulse, &member->fleet);
 		else if ((fleet->ticks + i) % SILENT_EVERY == 0)
-			fl_greet(fleet, &member->fleet, member->region, true);
+			fl_greet(fleet, &member->fleet);
 	}
 }
 
@@ -125,6 +153,6 @@
 		if (k == fleet->members.count &&
 		    memcmp(peer, &fleet->members.self.fleet, sizeof(*peer)) !=
 			0)
-			fl_greet(fleet, peer, fleet->members.self.region, true);
+			fl_greet(fleet, peer);
 	}
 }
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -470,6 +470,61 @@
 	assert_int_equal(live.told[2], 1);
 }
 
+/* Asks a VM as one that knows so many others; how many addresses it tells. */
+static uint32_t
+ask_for_peers(struct live *live, const struct sockaddr_in *vm, uint32_t known)
+{
+	struct sockaddr_in own = free_address();
+	struct fl_frame ask = {.type = FL_FRAME_HEARTBEAT};
+	struct fl_frame answer = {.type = FL_FRAME_PULSE};
+	int file = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK, 0);
+	struct fl_buffer buffer;
+	char bytes[4096];
+	ssize_t length;
+
+	assert_int_equal(bind(file, (struct sockaddr *)&own, sizeof(own)), 0);
+	ask.as.heartbeat.member = member(50 + known);
+	ask.as.heartbeat.member.fleet = own;
+	ask.as.heartbeat.asks = true;
+	ask.as.heartbeat.known = known;
+	strcpy(ask.as.heartbeat.region, "there");
+	assert_int_equal(fl_encode(&ask, &buffer), CS_OK);
+	sendto(file, buffer.data, buffer.length, 0, (const struct sockaddr *)vm,
+	    sizeof(*vm));
+	free(buffer.data);
+	while (answer.type != FL_FRAME_HEARTBEAT || answer.as.heartbeat.asks) {
+		uv_run(&live->loop, UV_RUN_ONCE);
+		assert_false(live->hung);
+		length = recv(file, bytes, sizeof(bytes), 0);
+		if (length > 0)
+			fl_decode(bytes, (size_t)length, &answer);
+	}
+	close(file);
+	return answer.as.heartbeat.peer_count;
+}
+
+/* Addresses of others are told to those that know fewer, and to them alone. */
+static void
+test_peers_are_told_to_newcomers(void **state)
+{
+	static struct live live;
+	struct live_user users[2] = {{&live, 0}, {&live, 1}};
+	struct sockaddr_in at[2] = {free_address(), free_address()};
+	uv_timer_t guard;
+
+	(void)state;
+	uv_loop_init(&live.loop);
+	uv_timer_init(&live.loop, &guard);
+	guard.data = &live;
+	uv_timer_start(&guard, on_hung, 5000, 0); /* judges nothing */
+	start_live(&live, &users[0], "there", &at[0], &at[1]);
+	start_live(&live, &users[1], "there", &at[1], &at[0]);
+	while (fl_members_near(fl_get_members(live.vms[0]), cs_now_us()) < 2)
+		uv_run(&live.loop, UV_RUN_ONCE);
+	assert_int_equal(ask_for_peers(&live, &at[0], 20), 0);
+	assert_true(ask_for_peers(&live, &at[0], 0) > 0);
+}
+
 /* A VM that was paused itself does not take the others for dead. */
 static void
 test_paused(void **state)
@@ -560,6 +615,7 @@
 	    cmocka_unit_test(test_listed),
 	    cmocka_unit_test(test_listed_of_many),
 	    cmocka_unit_test(test_suspects_cross_regions),
+	    cmocka_unit_test(test_peers_are_told_to_newcomers),
 	    cmocka_unit_test(test_paused),
 	    cmocka_unit_test(test_frames),
 	    cmocka_unit_test(test_frames_random),
