Fleet: a VM that is named is greeted once, and silent ones in turn

Cause: at the start of 30 VMs each sent 963 datagrams, 136 KB: every answer that named a VM that had not answered yet had it greeted again. And VMs at odd places of a list were never called again once they were silent, unless by the follower: calls went by ticks, which are even for the others.

Change: a named VM is noted and greeted once, then again every second round of heartbeats until it answers; silent ones every third round, counted in rounds.

--- a/lib/fleet/fleet_internal.h
+++ b/lib/fleet/fleet_internal.h
@@ -17,6 +17,7 @@
 	uint32_t early_ticks;
 	uint64_t greetings;
 	uint64_t ticks;
+	uint64_t rounds; /* of heartbeats */
 
 	struct fl_counters counters;
 	uint32_t behind; /* ticks for which the leader knew more */
--- a/lib/fleet/heartbeat.c
+++ b/lib/fleet/heartbeat.c
@@ -7,8 +7,12 @@
 
 #include "fleet_internal.h"
 
-/* VMs that fell silent are called less often, so that they can return. */
-#define SILENT_EVERY 6
+/*
+ * VMs that fell silent are called less often, so that they can return, and
+ * those that never answered more often: the first greeting may have got lost.
+ */
+#define SILENT_EVERY 3
+#define UNHEARD_EVERY 2
 
 void
 fl_send_datagram(struct fleet *fleet, const struct fl_frame *frame,
@@ -116,6 +120,16 @@
 		fl_greet(fleet, &fleet->params.seeds[i]);
 }
 
+static bool
+is_called(const struct fleet *fleet, uint32_t number)
+{
+	uint32_t every = fleet->members.list[number].heard_us == 0
+			     ? UNHEARD_EVERY
+			     : SILENT_EVERY;
+
+	return (fleet->rounds + number) % every == 0;
+}
+
 /* Short ones to those that live, introductions to those that may return. */
 void
 fl_send_heartbeats(struct fleet *fleet)
@@ -124,6 +138,7 @@
 	int64_t now_us = cs_now_us();
 	uint32_t i;
 
+	fleet->rounds++;
 	for (i = 0; i < fleet->members.count; i++) {
 		const struct fl_member *member = &fleet->members.list[i];
 
@@ -131,28 +146,27 @@
 			continue;
 		if (fl_is_alive(member, now_us))
 			fl_send_datagram(fleet, &pulse, &member->fleet);
-		else if ((fleet->ticks + i) % SILENT_EVERY == 0)
+		else if (is_called(fleet, i))
 			fl_greet(fleet, &member->fleet);
 	}
 }
 
-/* Addresses of VMs that another one knows; whoever answers is a member. */
+/*
+ * Addresses of VMs that another one knows; whoever answers is a member. Each is
+ * greeted once here, and again as one that is silent.
+ */
 void
 fl_greet_peers(struct fleet *fleet, const struct fl_frame *frame)
 {
-	uint32_t i, k;
+	struct fl_member unheard = {
+	    .region = fleet->members.self.region, .near = true};
+	uint32_t i, before;
 
 	for (i = 0; i < frame->as.heartbeat.peer_count; i++) {
-		const struct sockaddr_in *peer = &frame->as.heartbeat.peers[i];
-
-		for (k = 0; k < fleet->members.count; k++) {
-			if (memcmp(&fleet->members.list[k].fleet, peer,
-				sizeof(*peer)) == 0)
-				break;
-		}
-		if (k == fleet->members.count &&
-		    memcmp(peer, &fleet->members.self.fleet, sizeof(*peer)) !=
-			0)
-			fl_greet(fleet, peer);
+		unheard.fleet = frame->as.heartbeat.peers[i];
+		before = fleet->members.count;
+		fl_members_learn(&fleet->members, &unheard);
+		if (fleet->members.count > before)
+			fl_greet(fleet, &unheard.fleet);
 	}
 }
