--- a/lib/decide/decide.h
+++ b/lib/decide/decide.h
@@ -52,7 +52,7 @@
 	DC_REASON_KEY_UNSURE = 1021,	  /* an earlier request may have run */
 	DC_REASON_KEY_KILLED = 1022,	  /* never ran and never will */
 	DC_REASON_KEY_NO_WITNESS = 1023,  /* its witness gave no claim */
-	DC_REASON_KEY_STORE = 1024,	  /* the object API gave no claim */
+	DC_REASON_KEY_STORE = 1024,	  /* the store gave no claim */
 	DC_REASON_KEY_HOME_GONE = 1025,	  /* its home may have run it */
 	DC_REASON_KEY_NOT_HOME = 1026,	  /* forwarded to the wrong process */
 	DC_REASON_KEYS_FULL = 1027,	  /* DC_KEYS_MAX keys are known */
@@ -77,7 +77,7 @@
 	DC_EV_ATTEMPT_SENT, /* connected; from now on it may run */
 	DC_EV_ATTEMPT_HEAD, /* the head of the answer is here */
 	DC_EV_ATTEMPT_ENDED,
-	DC_EV_STORE_CLAIMED, /* the object API answered DC_ACT_STORE_CLAIM */
+	DC_EV_STORE_CLAIMED, /* the store answered DC_ACT_STORE_CLAIM */
 	DC_EV_TARGET_DRAINS, /* said by the target or by the VM list */
 	DC_EV_PEER,	     /* an entry VM appeared, changed or went */
 	DC_EV_LINK,	     /* the link to an entry VM is up, perhaps again */
@@ -101,7 +101,7 @@
 enum dc_key_scope {
 	DC_KEY_NONE,  /* no key: each request is work of its own */
 	DC_KEY_HOME,  /* at the entry VM whose token begins the key */
-	DC_KEY_STORE, /* where the object API gave the claim */
+	DC_KEY_STORE, /* where the store gave the claim */
 };
 
 enum dc_store_result {
@@ -370,7 +370,7 @@
 	DC_ACT_CUT,	/* the relayed answer broke: close on the caller */
 	DC_ACT_DONE,	/* the whole answer was relayed; call forgotten */
 	DC_ACT_FLUSH,	/* open new connections to a target only */
-	DC_ACT_STORE_CLAIM, /* claim the call's key in the object API */
+	DC_ACT_STORE_CLAIM, /* claim the call's key in the store */
 	DC_ACT_MESSAGE,	    /* to the core of another entry VM */
 	DC_ACT_TYPES,
 };
--- a/lib/decide/decide_internal.h
+++ b/lib/decide/decide_internal.h
@@ -443,7 +443,7 @@
 struct dc_key_record *dc_key_insert(struct dc_key_table *table, uint64_t a,
     uint64_t b, int64_t until_us, int64_t now_us);
 
-/* keys.c: keys whose home is this VM, or the object API. */
+/* keys.c: keys whose home is this VM, or the store. */
 bool dc_key_is_home(const struct dc_core *core, const struct dc_key *key);
 bool dc_key_settles(struct dc_core *core, const struct dc_call_arrived *event);
 void dc_key_begin(struct dc_core *core, struct dc_call *call);
--- a/lib/decide/keys.c
+++ b/lib/decide/keys.c
@@ -3,7 +3,7 @@
  * process that may run it and a witness. The home claims the key at the
  * witness before anything is sent; so another VM can learn from the witness,
  * once the home is gone, that the key never ran, and kill it for good. A bare
- * key is claimed in the object API in the same place of the sequence.
+ * key is claimed in the store in the same place of the sequence.
  */
 #include "decide_internal.h"
 
--- a/lib/h1/h1.h
+++ b/lib/h1/h1.h
@@ -1,9 +1,8 @@
 /*
  * h1: HTTP/1.1 messages, outgoing channels and a listener on libuv streams.
  *
- * h2o's listener stops reading a connection while its request is being
- * answered, so it cannot notice a caller that leaves; this library keeps
- * reading. Messages are parsed by http_parser and held whole.
+ * The listener goes on reading a connection while its request is answered, so
+ * that a caller that leaves is noticed. Messages are parsed by http_parser.
  */
 #ifndef H1_H1_H
 #define H1_H1_H
--- a/lib/serve/key.c
+++ b/lib/serve/key.c
@@ -1,7 +1,7 @@
 /*
  * The Idempotency-Key header. "h1-HOME-EPOCH-WITNESS-EPOCH-WINDOW.REST", in
  * hexadecimal, begins with a token from the directory; any other text is a
- * bare key, which is claimed in the object API.
+ * bare key, which is claimed in the store.
  */
 #include <inttypes.h>
 #include <stdio.h>
--- a/lib/serve/serve.h
+++ b/lib/serve/serve.h
@@ -43,7 +43,7 @@
 	/* Delivers a message to another core; peer 0: to every live one. */
 	void (*send)(
 	    uint64_t peer, const struct dc_message *message, void *user);
-	/* Claims a key in the object API; sv_store_claimed() follows. */
+	/* Claims a key in the store; sv_store_claimed() follows. */
 	void (*claim)(
 	    uint64_t call, uint64_t key_a, uint64_t key_b, void *user);
 	/* Adds what others count to the metrics page. */
--- a/lib/serve/story.c
+++ b/lib/serve/story.c
@@ -144,7 +144,7 @@
 	case DC_KEY_HOME:
 		return "home token";
 	case DC_KEY_STORE:
-		return "bare, claimed in the object API";
+		return "bare, claimed in the store";
 	case DC_KEY_NONE:
 		break;
 	}
--- a/programs/entry_claims.c
+++ b/programs/entry_claims.c
@@ -1,5 +1,5 @@
 /*
- * Claims of bare keys in the object API: an object a key, made only if there
+ * Claims of bare keys in the store: an object a key, made only if there
  * is none. Its value names the claiming call, so that a lost answer is settled
  * by reading back.
  */
