test_mesh: links that were closed are not touched again

Cause: the played VM kept pointers to links that the mesh had closed; the address sanitizer found it in the test, not in the mesh. Change: a closed link's place is emptied.

--- a/tests/unit/test_mesh.c
+++ b/tests/unit/test_mesh.c
@@ -107,11 +107,24 @@
 }
 
 static void
-on_link_event(struct pr_link *link)
+on_broken(struct pr_link *link)
 {
 	(void)link;
 }
 
+/* Its memory goes: it keeps its place, so that links stay counted. */
+static void
+on_closed(struct pr_link *link)
+{
+	struct other *other = other_of(link->owner->user, link);
+	uint32_t k;
+
+	for (k = 0; other != NULL && k < other->accepted; k++) {
+		if (other->links[k] == link)
+			other->links[k] = NULL;
+	}
+}
+
 static void
 on_accept(uv_stream_t *listener, int status)
 {
@@ -158,8 +171,10 @@
 	uint32_t i, k;
 
 	for (i = 0; i < 2; i++) {
-		for (k = 0; k < rig->others[i].accepted; k++)
-			pr_link_flush(rig->others[i].links[k]);
+		for (k = 0; k < rig->others[i].accepted; k++) {
+			if (rig->others[i].links[k] != NULL)
+				pr_link_flush(rig->others[i].links[k]);
+		}
 	}
 }
 
@@ -228,8 +243,8 @@
 	uv_loop_init(&rig->loop);
 	rig->loop.data = rig;
 	rig->owner = (struct pr_link_owner){.on_frame = on_frame,
-	    .on_broken = on_link_event,
-	    .on_closed = on_link_event,
+	    .on_broken = on_broken,
+	    .on_closed = on_closed,
 	    .counters = &rig->counters,
 	    .user = rig};
 	start_other(rig, 0);
