Random troubles of a region's VMs on virtual time

Change: test_random_fleet: seven VMs that freeze, die, start again, are cut one way or lose datagrams, a store that refuses some or all; at each tick nobody is named who was silent for over 2.1 s, after calm one VM follows and all others listen to it and name everybody, and the only VM that the store serves is found.

Ruled out: a test over sockets, which would wait in real time.

--- /dev/null
+++ b/tests/unit/test_random_fleet.c
@@ -0,0 +1,318 @@
+/*
+ * Random troubles of a region's VMs on virtual time: processes that freeze, die
+ * and start again, cuts between VMs, lost datagrams, a store that refuses some
+ * VMs or all. What must hold is checked at each tick, and after a calm spell.
+ *
+ * Usage: test_random_fleet [SEED]
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "../../lib/fleet/fleet.h"
+
+#define VMS 7
+#define SEEDS 1000
+#define SPELLS 6 /* of trouble, each followed by calm */
+#define TICK_US 100000
+#define BEAT_TICKS 4	  /* of a VM that follows the store */
+#define CALM_BEAT_TICKS 8 /* of the others */
+#define TROUBLE_TICKS 60
+#define CALM_TICKS 120
+/* A VM that is silent is out of the directory in 2 s, and a tick. */
+#define UNLISTED_US (2000000 + TICK_US)
+
+enum process { RUNNING, FROZEN, DOWN };
+
+struct vm {
+	struct fl_members members;
+	enum process process;
+	enum fl_role role;
+	const struct fl_member *leader;
+	bool refused;	       /* by the store */
+	int64_t heard_us[VMS]; /* as the test saw it */
+	uint64_t boots;
+};
+
+struct region {
+	struct vm vms[VMS];
+	bool cut[VMS][VMS];
+	uint32_t lost_pct;
+	struct cs_random random;
+	int64_t now_us;
+	uint32_t ticks;
+	uint64_t seed;
+};
+
+static uint64_t only_seed;
+
+static struct fl_member
+record_of(uint32_t number, uint64_t boot)
+{
+	struct fl_member one = {.boot = boot, .near = true, .ready = true};
+
+	snprintf(one.name, sizeof(one.name), "vm-%u", number);
+	one.fleet.sin_family = AF_INET;
+	one.fleet.sin_port = htons((uint16_t)(7000 + number));
+	one.front = one.fleet;
+	return one;
+}
+
+static void
+start_vm(struct region *region, uint32_t number)
+{
+	struct vm *vm = &region->vms[number];
+	uint64_t boots = vm->boots + 1;
+	struct fl_member self = record_of(number, boots * VMS + number);
+	bool refused = vm->refused;
+
+	fl_members_free(&vm->members);
+	*vm = (struct vm){.boots = boots, .refused = refused};
+	fl_members_init(&vm->members, &self, region->now_us);
+	vm->members.self.ready = true;
+}
+
+/* Introductions and pulses both arrive as whole records here. */
+static void
+send_heartbeat(struct region *region, uint32_t from, uint32_t to)
+{
+	struct vm *receiver = &region->vms[to];
+
+	if (from == to || region->cut[from][to] ||
+	    receiver->process != RUNNING ||
+	    cs_random_below(&region->random, 100) < region->lost_pct)
+		return;
+	fl_members_heard(&receiver->members, &region->vms[from].members.self,
+	    region->now_us);
+	receiver->heard_us[from] = region->now_us;
+}
+
+static void
+send_heartbeats(struct region *region, uint32_t from)
+{
+	uint32_t to;
+
+	for (to = 0; to < VMS; to++)
+		send_heartbeat(region, from, to);
+}
+
+static void
+fail_with(const struct region *region, const char *what, uint32_t vm)
+{
+	fail_msg("seed %llu, tick %u, vm-%u: %s",
+	    (unsigned long long)region->seed, region->ticks, vm, what);
+}
+
+/* Nobody is named who was silent too long, unless nobody is heard at all. */
+static void
+check_listing(const struct region *region, uint32_t number)
+{
+	static const struct fl_asker nobody = {.number = 0};
+	const struct vm *vm = &region->vms[number];
+	struct sockaddr_in out[VMS];
+	uint32_t i, count, other;
+
+	if (fl_members_near(&vm->members, region->now_us) == 1)
+		return;
+	count =
+	    fl_members_listed(&vm->members, region->now_us, &nobody, out, VMS);
+	for (i = 0; i < count; i++) {
+		other = ntohs(out[i].sin_port) - 7000U;
+		if (other != number &&
+		    region->now_us - vm->heard_us[other] > UNLISTED_US)
+			fail_with(region, "names one that is silent", number);
+	}
+}
+
+static void
+tick_vm(struct region *region, uint32_t number)
+{
+	struct vm *vm = &region->vms[number];
+	struct fl_member *self = &vm->members.self;
+
+	if (vm->process != RUNNING)
+		return;
+	vm->role = fl_members_tick(&vm->members, region->now_us, &vm->leader);
+	self->current = vm->role == FL_WATCH && !vm->refused;
+	if (region->ticks % (self->current ? BEAT_TICKS : CALM_BEAT_TICKS) == 0)
+		send_heartbeats(region, number);
+	check_listing(region, number);
+}
+
+static void
+run(struct region *region, uint32_t ticks)
+{
+	uint32_t i;
+
+	for (; ticks > 0; ticks--) {
+		region->now_us += TICK_US;
+		region->ticks++;
+		for (i = 0; i < VMS; i++)
+			tick_vm(region, i);
+	}
+}
+
+/* After a pause silence is forgiven: the VM could not have heard. */
+static void
+thaw(struct region *region, uint32_t number)
+{
+	struct vm *vm = &region->vms[number];
+	uint32_t i;
+
+	vm->process = RUNNING;
+	for (i = 0; i < VMS; i++)
+		vm->heard_us[i] = region->now_us;
+}
+
+static void
+trouble(struct region *region)
+{
+	struct cs_random *random = &region->random;
+	uint32_t number = cs_random_below(random, VMS);
+	uint32_t other = cs_random_below(random, VMS);
+	struct vm *vm = &region->vms[number];
+
+	switch (cs_random_below(random, 7)) {
+	case 0:
+		vm->process = FROZEN;
+		break;
+	case 1:
+		vm->process = DOWN;
+		break;
+	case 2:
+		if (vm->process == FROZEN)
+			thaw(region, number);
+		else
+			start_vm(region, number);
+		break;
+	case 3:
+		region->cut[number][other] = true; /* one way */
+		break;
+	case 4:
+		region->cut[number][other] = region->cut[other][number] = false;
+		break;
+	case 5:
+		vm->refused = !vm->refused;
+		break;
+	case 6:
+		region->lost_pct = cs_random_below(random, 20);
+		break;
+	}
+}
+
+static void
+calm(struct region *region)
+{
+	uint32_t i;
+
+	memset(region->cut, 0, sizeof(region->cut));
+	region->lost_pct = 0;
+	for (i = 0; i < VMS; i++) {
+		region->vms[i].refused = false;
+		if (region->vms[i].process == FROZEN)
+			thaw(region, i);
+		if (region->vms[i].process == DOWN)
+			start_vm(region, i);
+	}
+}
+
+/* One follows the store, all others listen to it and name everybody. */
+static void
+check_calm(const struct region *region)
+{
+	static const struct fl_asker nobody = {.number = 0};
+	struct sockaddr_in out[VMS];
+	uint32_t i, watching = 0, leader = VMS;
+
+	for (i = 0; i < VMS; i++) {
+		watching += region->vms[i].role == FL_WATCH;
+		if (region->vms[i].members.self.current)
+			leader = i;
+	}
+	if (watching != 1 || leader == VMS)
+		fail_with(region, "not one that follows the store", watching);
+	for (i = 0; i < VMS; i++) {
+		const struct vm *vm = &region->vms[i];
+
+		if (i != leader &&
+		    (vm->role != FL_LISTEN ||
+			ntohs(vm->leader->fleet.sin_port) != 7000 + leader))
+			fail_with(region, "listens to nobody", i);
+		if (fl_members_listed(
+			&vm->members, region->now_us, &nobody, out, VMS) != VMS)
+			fail_with(region, "does not name everybody", i);
+	}
+}
+
+/* The store serves one VM alone: that one is found. */
+static void
+check_only_one_served(struct region *region)
+{
+	uint32_t served = cs_random_below(&region->random, VMS), i;
+
+	for (i = 0; i < VMS; i++)
+		region->vms[i].refused = i != served;
+	run(region, CALM_TICKS);
+	if (!region->vms[served].members.self.current)
+		fail_with(region, "is the only one served, and idle", served);
+}
+
+static void
+play(uint64_t seed)
+{
+	static struct region region;
+	uint32_t i, spell;
+
+	memset(&region, 0, sizeof(region));
+	region.now_us = 1000000;
+	region.seed = seed;
+	cs_random_seed(&region.random, seed);
+	for (i = 0; i < VMS; i++)
+		start_vm(&region, i);
+	for (spell = 0; spell < SPELLS; spell++) {
+		for (i = 0; i < TROUBLE_TICKS; i++) {
+			if (cs_random_below(&region.random, 4) == 0)
+				trouble(&region);
+			run(&region, 1);
+		}
+		calm(&region);
+		run(&region, CALM_TICKS);
+		check_calm(&region);
+		check_only_one_served(&region);
+		calm(&region);
+		run(&region, CALM_TICKS);
+	}
+	for (i = 0; i < VMS; i++)
+		fl_members_free(&region.vms[i].members);
+}
+
+static void
+test_random_troubles(void **state)
+{
+	uint64_t seed;
+
+	(void)state;
+	if (only_seed != 0) {
+		play(only_seed);
+		return;
+	}
+	for (seed = 1; seed <= SEEDS; seed++)
+		play(seed);
+}
+
+int
+main(int argc, char **argv)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_random_troubles),
+	};
+
+	only_seed = argc > 1 ? strtoull(argv[1], NULL, 10) : 0;
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
