Store: what cannot be asked as meant is not asked

Cause: found on reading. Names of objects were copied into 128 bytes and cut there unnoticed, so that a call on a longer name went to another object (a removal too); a call for which memory ran out was never answered. Ruled out: the length of the path (at most 280 of 512 bytes). Change: such a call fails at once, CS_E_INVALID or CS_E_UNAVAILABLE, nothing is sent. Test: test_objects_long_name, failed first (a removal was sent).

--- a/lib/store/objects.c
+++ b/lib/store/objects.c
@@ -35,6 +35,7 @@
 	struct os_objects *objects;
 	struct op *next;
 	enum op_type type;
+	int error; /* not CS_OK: never sent */
 	char kind[OS_NAME_BYTES_MAX];
 	char name[OS_NAME_BYTES_MAX]; /* of a list: the last name so far */
 	char *value;
@@ -66,6 +67,16 @@
 	free(op);
 }
 
+static void
+report(const struct op *op, int error)
+{
+	if (op->type == OP_LIST)
+		op->on_list(error, NULL, 0, op->user);
+	else
+		op->on_object(
+		    &(struct os_object){.error = error, .value = ""}, op->user);
+}
+
 static void
 finish(struct op *op, const struct os_object *result)
 {
@@ -76,12 +87,8 @@
 static void
 finish_failed(struct op *op, int error)
 {
-	if (op->type == OP_LIST) {
-		op->on_list(error, NULL, 0, op->user);
-		free_op(op);
-		return;
-	}
-	finish(op, &(struct os_object){.error = error, .value = ""});
+	report(op, error);
+	free_op(op);
 }
 
 static void
@@ -293,14 +300,15 @@
 	return "GET";
 }
 
-static void
-send_op(struct op *op)
+static int
+send_request(struct op *op)
 {
 	struct os_objects *objects = op->objects;
 	int64_t left_ms = (op->until_us - cs_now_us()) / 1000;
 	uint32_t wait_ms =
 	    op->type == OP_WATCH && left_ms > 0 ? (uint32_t)left_ms : 0;
-	char path[OS_PATH_BYTES_MAX] = "", *body = NULL;
+	char path[OS_PATH_BYTES_MAX], *body = NULL;
+	bool sent;
 	struct h1_request request = {
 	    .address = objects->address,
 	    .method = method_of(op->type),
@@ -313,18 +321,29 @@
 	    .user = op,
 	};
 
+	if (write_path(op, path, wait_ms) != CS_OK)
+		return CS_E_INVALID;
 	if (op->value != NULL) {
 		body = objects->codec->write_object(op->name, op->value,
 		    op->type == OP_UPDATE ? op->revision : 0);
+		if (body == NULL)
+			return CS_E_UNAVAILABLE;
 		request.body = body;
-		request.body_length = body == NULL ? 0 : strlen(body);
+		request.body_length = strlen(body);
 	}
-	/* A path that is too long is refused by the store. */
-	if (write_path(op, path, wait_ms) != CS_OK)
-		path[0] = '/';
 	objects->calls++;
-	h1_client_send(objects->http, &request);
+	sent = h1_client_send(objects->http, &request) != NULL;
 	free(body);
+	return sent ? CS_OK : CS_E_UNAVAILABLE;
+}
+
+static void
+send_op(struct op *op)
+{
+	int error = op->error == CS_OK ? send_request(op) : op->error;
+
+	if (error != CS_OK)
+		finish_failed(op, error);
 }
 
 static void
@@ -333,14 +352,8 @@
 	struct op *op = malloc(sizeof(*op));
 
 	if (op == NULL) {
-		if (template->type == OP_LIST)
-			template->on_list(
-			    CS_E_UNAVAILABLE, NULL, 0, template->user);
-		else
-			template->on_object(
-			    &(struct os_object){
-				.error = CS_E_UNAVAILABLE, .value = ""},
-			    template->user);
+		report(template, CS_E_UNAVAILABLE);
+		free(template->value);
 		return;
 	}
 	*op = *template;
@@ -356,8 +369,10 @@
 {
 	struct op op = {.type = type, .on_object = cb, .user = user};
 
-	cs_copy_text(op.kind, sizeof(op.kind), kind);
-	cs_copy_text(op.name, sizeof(op.name), name);
+	/* Cut short it would be another object's. */
+	if (cs_copy_text(op.kind, sizeof(op.kind), kind) != CS_OK ||
+	    cs_copy_text(op.name, sizeof(op.name), name) != CS_OK)
+		op.error = CS_E_INVALID;
 	return op;
 }
 
@@ -396,6 +411,8 @@
 	op = make_op(type, kind, name, cb, user);
 	op.revision = expected;
 	op.value = strdup(value_json);
+	if (op.value == NULL && op.error == CS_OK)
+		op.error = CS_E_UNAVAILABLE;
 	begin(objects, &op);
 }
 
--- a/lib/store/store.h
+++ b/lib/store/store.h
@@ -119,6 +119,7 @@
  *	CS_E_MISSING      there is no such object
  *	CS_E_CONFLICT     it is not at the expected revision, or exists
  *	CS_E_STALE        os_await() saw nothing newer in its time
+ *	CS_E_INVALID      kind or name is too long: not sent, told at once
  *	CS_E_UNAVAILABLE  the call surely had no effect
  *	CS_E_UNKNOWN      the call was sent, its answer did not come
  */
--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -411,6 +411,30 @@
 	os_client_close(setting.client);
 }
 
+/* A name that does not fit is not cut to another object's: nothing is sent. */
+static void
+test_objects_long_name(void **state)
+{
+	static const struct reply never = {200, "{}"};
+	static struct setting setting;
+	char name[OS_NAME_BYTES_MAX + 1];
+	struct sockaddr_in address;
+	struct os_objects *objects;
+
+	(void)state;
+	memset(name, 'x', OS_NAME_BYTES_MAX);
+	name[OS_NAME_BYTES_MAX] = '\0';
+	set_up(&setting, &never, 1);
+	uv_ip4_addr("127.0.0.1", h1_server_port(setting.server), &address);
+	objects = os_objects_create(&setting.loop, &address, &pl_codec);
+	os_remove(objects, "k", name, on_object, &setting);
+	run_until_told(&setting);
+	assert_string_equal(setting.told, "-1@0 ");
+	assert_int_equal(os_objects_calls(objects), 0);
+	os_objects_close(objects);
+	os_client_close(setting.client);
+}
+
 static struct os_change
 object(const char *name, uint64_t revision, bool gone)
 {
@@ -501,6 +525,7 @@
 	    cmocka_unit_test(test_follow),
 	    cmocka_unit_test(test_objects),
 	    cmocka_unit_test(test_objects_unanswered),
+	    cmocka_unit_test(test_objects_long_name),
 	    cmocka_unit_test(test_cache),
 	    cmocka_unit_test(test_cache_recreated),
 	};
