--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -10,7 +10,7 @@
 #define EARLY_MS 25
 #define EARLY_TICKS 40	    /* one second */
 #define EARLY_GREET_EVERY 2 /* ticks, until a VM of the region is heard */
-#define BACKLOG_MAX 512
+#define BACKLOG_MAX 512	    /* several VMs of a region at once */
 
 static void on_early(uv_timer_t *timer);
 
--- a/lib/fleet/frames.c
+++ b/lib/fleet/frames.c
@@ -87,7 +87,7 @@
 /* A frame that holds another one, compressed. */
 #define PACKED_TYPE 6
 #define PACKED_FROM_BYTES 600 /* below it hardly anything is saved */
-#define UNPACKED_BYTES_MAX (8 * 1024 * 1024)
+#define UNPACKED_BYTES_MAX (8 * 1024 * 1024) /* a frame of the links */
 
 static int
 encode(const struct fl_frame *frame, struct fl_buffer *out)
--- a/lib/fleet/link.c
+++ b/lib/fleet/link.c
@@ -5,8 +5,8 @@
 
 #include "link.h"
 
-#define FRAME_BYTES_MAX (8 * 1024 * 1024) /* a whole kind of objects */
-#define QUEUED_BYTES_MAX (16 * 1024 * 1024)
+#define FRAME_BYTES_MAX (8 * 1024 * 1024)   /* a whole kind of objects */
+#define QUEUED_BYTES_MAX (16 * 1024 * 1024) /* two whole kinds */
 #define LENGTH_BYTES 4
 #define SILENCE_MS 1200 /* unacknowledged bytes: the peer is cut off */
 
--- a/lib/gateway/call.c
+++ b/lib/gateway/call.c
@@ -11,10 +11,10 @@
 
 /* Callers that come back soon find a VM that has its configuration. */
 #define RETRY_AFTER_START_US 100000
-#define RETRY_AFTER_STOPPING_US 20000
-#define RETRY_AFTER_SUSPECT_US 30000000
-#define RETRY_AFTER_WAITED_US 10000
-#define DEADLINE_DEFAULT_MS 60000
+#define RETRY_AFTER_STOPPING_US 20000	/* another VM serves already */
+#define RETRY_AFTER_SUSPECT_US 30000000 /* half of the life of a suspicion */
+#define RETRY_AFTER_WAITED_US 10000	/* it has waited here already */
+#define DEADLINE_DEFAULT_MS 60000	/* of a caller that names none */
 
 static struct gw_call *
 new_call(struct gw *gw)
--- a/lib/gateway/gateway_internal.h
+++ b/lib/gateway/gateway_internal.h
@@ -31,7 +31,7 @@
 	uint64_t probe_fingerprint; /* asked because of a crash, or 0 */
 };
 
-#define GW_ID_BYTES_MAX 128
+#define GW_ID_BYTES_MAX 128 /* a longer request id is left out */
 
 struct gw_channel {
 	struct h1_channel *line;
--- a/lib/h1/channel.c
+++ b/lib/h1/channel.c
@@ -10,7 +10,7 @@
 #define PROBE_IDLE_S 1
 #define PROBE_EVERY_S 1
 
-#define READ_BYTES_MAX (64 * 1024)
+#define READ_BYTES_MAX (64 * 1024) /* what libuv suggests */
 
 struct h1_channel {
 	uv_tcp_t tcp; /* first: handles are cast to channels */
--- a/lib/h1/h1.h
+++ b/lib/h1/h1.h
@@ -16,7 +16,7 @@
 
 #include "../base/base.h"
 
-#define H1_HEADERS_MAX 64
+#define H1_HEADERS_MAX 64 /* of one message: far over what callers send */
 #define H1_HEAD_BYTES_MAX (64 * 1024) /* of one message, before its body */
 
 /* A growing byte string; bytes may be NULL while length is 0. */
--- a/lib/h1/message.c
+++ b/lib/h1/message.c
@@ -8,7 +8,7 @@
 #include "../base/base.h"
 #include "h1.h"
 
-#define FIRST_CAPACITY 256
+#define FIRST_CAPACITY 256 /* bytes: a short head */
 
 int
 h1_bytes_reserve(struct h1_bytes *bytes, size_t capacity)
--- a/lib/h1/server.c
+++ b/lib/h1/server.c
@@ -9,8 +9,8 @@
 #include "../base/base.h"
 #include "h1_internal.h"
 
-#define BACKLOG_MAX 1024
-#define READ_BYTES_MAX (64 * 1024)
+#define BACKLOG_MAX 1024		/* all callers come back at once */
+#define READ_BYTES_MAX (64 * 1024)	/* what libuv suggests */
 #define PIPELINED_BYTES_MAX (64 * 1024) /* unread requests of a connection */
 #define LINGER_MS 1000 /* lets the last answer arrive before the close */
 
--- a/lib/peer/mesh.c
+++ b/lib/peer/mesh.c
@@ -8,12 +8,12 @@
 
 #include "peer_internal.h"
 
-#define BACKLOG 128
-#define TICK_MS 100
+#define BACKLOG 128	 /* all VMs of today at once */
+#define TICK_MS 100	 /* half of a ping */
 #define PING_TICKS 2	 /* a ping every 200 ms */
 #define TABLE_TICKS 10	 /* a differing digest is mended once a second */
 #define IDLE_US 60000000 /* links not needed are closed after this */
-#define CHANGES_MAX 64
+#define CHANGES_MAX 64	 /* in one tick; the rest follow in the next */
 
 struct pr_mesh {
 	struct pr_mesh_params params;
--- a/lib/serve/feed.c
+++ b/lib/serve/feed.c
@@ -29,7 +29,6 @@
 {
 	uint32_t i;
 	int error;
-
 	int64_t now_us = cs_now_us();
 
 	error = dc_step(server->core, event, now_us, &server->actions);
--- a/lib/store/client.c
+++ b/lib/store/client.c
@@ -10,8 +10,8 @@
  * does, at a tenth of the price of a call.
  */
 #define CHECK_EVERY_MS 400
-#define CHECK_TIMEOUT_MS 400 /* a slow store takes about 270 ms */
-#define ANNOUNCE_TIMEOUT_MS 2000
+#define CHECK_TIMEOUT_MS 400	 /* a slow store takes about 270 ms */
+#define ANNOUNCE_TIMEOUT_MS 2000 /* repeated with pauses */
 
 static void
 start_follows(struct os_client *client)
--- a/lib/store/objects.c
+++ b/lib/store/objects.c
@@ -8,7 +8,7 @@
 
 #include "store_internal.h"
 
-#define CALL_TIMEOUT_MS 2000
+#define CALL_TIMEOUT_MS 2000		  /* a slow store takes about 270 ms */
 #define REPLY_BYTES_MAX (4 * 1024 * 1024) /* lists end at about 1 MB */
 #define STATUS_HISTORY_GONE 410
 
