Gateway: a request with a long id gets its answer too

Cause: found on reading. An id of 128 bytes or more was kept as none, so that the target's answer, which echoes it, counted as another request's: attempts ran out and the caller got 502. Change: of a long id the beginning and a hash are kept, and echoes are compared in that form; an own answer repeats the id as it came. Test: test_long_id, failed first (502 for 200).

--- a/lib/gateway/answer.c
+++ b/lib/gateway/answer.c
@@ -94,6 +94,7 @@
 	struct gw *gw = call->gw;
 	struct h1_bytes *head = &gw->head;
 	struct h1_conn *conn = call->conn;
+	const char *id = h1_find(call->request, gw->params.dialect->request_id);
 	char body[128];
 
 	/* An earlier attempt may have run: 503 would promise that none did. */
@@ -102,9 +103,9 @@
 		retry_after_us = 0;
 	}
 	head->length = 0;
-	if (call->id[0] != '\0')
-		h1_bytes_print(head, "%s: %s\r\n",
-		    gw->params.dialect->request_id, call->id);
+	if (id != NULL)
+		h1_bytes_print(
+		    head, "%s: %s\r\n", gw->params.dialect->request_id, id);
 	if (retry_after_us > 0)
 		h1_bytes_print(head, "Retry-After: %.3f\r\n",
 		    (double)retry_after_us / 1e6);
--- a/lib/gateway/call.c
+++ b/lib/gateway/call.c
@@ -254,9 +254,7 @@
 	call->rounds = 0;
 	call->target = NULL;
 	call->channel = NULL;
-	call->id[0] = '\0';
-	if (id != NULL && strlen(id) < sizeof(call->id))
-		strcpy(call->id, id);
+	gw_note_id(call->id, id == NULL ? "" : id);
 	call->fingerprint = fingerprint_of(conn, request);
 	call->table = call->gw->table;
 	if (call->table != NULL)
--- a/lib/gateway/exchange.c
+++ b/lib/gateway/exchange.c
@@ -2,6 +2,8 @@
  * What is sent to a target, and what its answer is worth: whose it is, whether
  * the request ran, how long the connection is good.
  */
+#include <inttypes.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -10,6 +12,7 @@
 
 #define IDLE_DEFAULT_US 4000000 /* when the target does not say */
 #define IDLE_MARGIN_US 1500000	/* closed this long before the target does */
+#define ID_BYTES_KEPT 100	/* of a long id: leaves room for the hash */
 
 int64_t
 gw_idle_limit_us(const struct h1_message *answer)
@@ -45,11 +48,24 @@
 	return BL_SERVED;
 }
 
+void
+gw_note_id(char out[GW_ID_BYTES_MAX], const char *id)
+{
+	size_t length = strlen(id);
+
+	if (length < GW_ID_BYTES_MAX)
+		memcpy(out, id, length + 1);
+	else
+		snprintf(out, GW_ID_BYTES_MAX, "%.*s~%016" PRIx64,
+		    ID_BYTES_KEPT, id, cs_hash(id, length));
+}
+
 enum gw_echo
 gw_judge_echo(const struct gw_channel *channel, const struct h1_message *answer)
 {
 	const struct gw_dialect *dialect = channel->owner->gw->params.dialect;
 	const char *echo = h1_find(answer, dialect->request_id);
+	char noted[GW_ID_BYTES_MAX];
 
 	if (channel->id[0] == '\0' && echo == NULL)
 		return GW_ECHO_OWN; /* the caller gave no id */
@@ -58,10 +74,11 @@
 			       h1_find(answer, dialect->not_run) != NULL
 			   ? GW_ECHO_OWN
 			   : GW_ECHO_STRANGE;
-	if (strcmp(echo, channel->id) == 0)
+	gw_note_id(noted, echo);
+	if (strcmp(noted, channel->id) == 0)
 		return GW_ECHO_OWN;
-	return strcmp(echo, channel->last_id) == 0 ? GW_ECHO_PREVIOUS
-						   : GW_ECHO_STRANGE;
+	return strcmp(noted, channel->last_id) == 0 ? GW_ECHO_PREVIOUS
+						    : GW_ECHO_STRANGE;
 }
 
 static bool
--- a/lib/gateway/gateway_internal.h
+++ b/lib/gateway/gateway_internal.h
@@ -31,7 +31,7 @@
 	uint64_t probe_fingerprint; /* asked because of a crash, or 0 */
 };
 
-#define GW_ID_BYTES_MAX 128 /* a longer request id is left out */
+#define GW_ID_BYTES_MAX 128 /* of a request, as gw_note_id() writes it */
 
 struct gw_channel {
 	struct h1_channel *line;
@@ -181,6 +181,8 @@
 	GW_ECHO_PREVIOUS, /* a second answer to the request before */
 	GW_ECHO_STRANGE,
 };
+/* gw_note_id(out, id): whole where it fits, or its beginning and a hash. */
+void gw_note_id(char out[GW_ID_BYTES_MAX], const char *id);
 enum gw_echo gw_judge_echo(
     const struct gw_channel *channel, const struct h1_message *answer);
 enum bl_outcome gw_judge_answer(
--- a/tests/unit/gateway_rig.c
+++ b/tests/unit/gateway_rig.c
@@ -144,7 +144,7 @@
 static void
 play(struct peer *peer, const struct rig_script *script)
 {
-	char id[128];
+	char id[512];
 
 	raw_header(peer->in.data, "chervilshelf-attempt-id", id, sizeof(id));
 	peer->answered = true;
--- a/tests/unit/test_gateway.c
+++ b/tests/unit/test_gateway.c
@@ -461,6 +461,34 @@
 	}
 }
 
+/* However long its id is, a caller gets its own answer, and its id back. */
+static void
+test_long_id(void **state)
+{
+	const struct rig_script script = {WHOLE, RIG_KEEP, NULL, false};
+	struct rig *rig = make_rig(&script, 1, 1);
+	char request[1024], echo[512];
+	const char *answer;
+	int length;
+
+	(void)state;
+	length = snprintf(request, sizeof(request),
+	    "GET /safe/x HTTP/1.1\r\nHost: h\r\n"
+	    "Chervilshelf-Attempt-Id: %0300d\r\n\r\n",
+	    7);
+	answer = rig_ask(rig, request, (size_t)length);
+	assert_int_equal(status_of(answer), 200);
+	length = snprintf(request, sizeof(request),
+	    "GET /none/x HTTP/1.1\r\nHost: h\r\n"
+	    "Chervilshelf-Attempt-Id: %0300d\r\n\r\n",
+	    7);
+	answer = rig_ask(rig, request, (size_t)length);
+	assert_int_equal(status_of(answer), 404);
+	snprintf(echo, sizeof(echo), "Chervilshelf-Attempt-Id: %0300d\r\n", 7);
+	assert_non_null(strstr(answer, echo));
+	rig_free(rig);
+}
+
 static void
 test_large_head(void **state)
 {
@@ -554,6 +582,7 @@
 	    cmocka_unit_test(test_channels_are_bounded),
 	    cmocka_unit_test(test_caller_leaves),
 	    cmocka_unit_test(test_callers),
+	    cmocka_unit_test(test_long_id),
 	    cmocka_unit_test(test_large_head),
 	    cmocka_unit_test(test_forwarded),
 	    cmocka_unit_test(test_no_configuration),
