test_keys: a thawed home may read the passed-on request first

Trace of the home's decisions (--trace): call 5, passed on by the other VM, is read first and asks the witness; call 6, the caller's own, is read 54 us later while 5 is under way and is refused as such; the witness then says killed. So the answer is true, and nothing ran. Ruled out: a run, a false not-run, a wrong state afterwards. Change: the check allows the two traced answers, with their reasons, and now asks also that the same request sent again to the home gets not-run key_killed. No code of the product changed.

--- a/tests/scenario/test_keys.py
+++ b/tests/scenario/test_keys.py
@@ -79,7 +79,10 @@
     assert (outcome, reason) == ("not-run", "key_killed"), (outcome, reason)
     home.process.send_signal(signal.SIGCONT)
     late.join()
-    assert answers[0][1] == "not-run", answers
+    # The request that was passed on may be read first, and is then under way.
+    assert answers[0][1:] in (("not-run", "key_killed"),
+                              ("unknown", "key_in_progress")), answers
+    assert letters.post(home, key)[1:] == ("not-run", "key_killed")
     assert letters.runs(key) == 0
 
 
