--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,7 @@
 	BUILD_DIR=$(BUILD) python3 tests/bench/overhead.py
 	BUILD_DIR=$(BUILD) python3 tests/bench/bodies.py
 	BUILD_DIR=$(BUILD) python3 tests/bench/capacity.py
+	BUILD_DIR=$(BUILD) python3 tests/bench/gateway.py
 
 lint: deps
 	sh scripts/lint.sh
