--- a/programs/gateway_serve.c
+++ b/programs/gateway_serve.c
@@ -110,20 +110,21 @@
 	    pool->work_us / 1e6);
 }
 
+static void
+print_total(struct h1_bytes *out, const char *name, uint64_t total)
+{
+	h1_bytes_print(out, "chervilshelf_%s_total %llu\n", name,
+	    (unsigned long long)total);
+}
+
 static void
 print_fleet(struct h1_bytes *out, const struct fl_counters *counters)
 {
-	h1_bytes_print(out,
-	    "chervilshelf_fleet_datagrams_total %llu\n"
-	    "chervilshelf_fleet_datagram_bytes_total %llu\n"
-	    "chervilshelf_fleet_news_total %llu\n"
-	    "chervilshelf_fleet_news_bytes_total %llu\n"
-	    "chervilshelf_fleet_snapshots_total %llu\n",
-	    (unsigned long long)counters->datagrams,
-	    (unsigned long long)counters->datagram_bytes,
-	    (unsigned long long)counters->news,
-	    (unsigned long long)counters->news_bytes,
-	    (unsigned long long)counters->snapshots);
+	print_total(out, "fleet_datagrams", counters->datagrams);
+	print_total(out, "fleet_datagram_bytes", counters->datagram_bytes);
+	print_total(out, "fleet_news", counters->news);
+	print_total(out, "fleet_news_bytes", counters->news_bytes);
+	print_total(out, "fleet_snapshots", counters->snapshots);
 }
 
 static void
@@ -131,22 +132,16 @@
 {
 	uint32_t i;
 
-	h1_bytes_print(out, "chervilshelf_calls_total %llu\n",
-	    (unsigned long long)counters->calls);
+	print_total(out, "calls", counters->calls);
 	for (i = 0; i < GW_REASONS; i++)
 		h1_bytes_print(out,
 		    "chervilshelf_calls_ended_total{reason=\"%s\"} %llu\n",
 		    gw_reason_text((enum gw_reason)i),
 		    (unsigned long long)counters->ended[i]);
-	h1_bytes_print(out,
-	    "chervilshelf_attempts_total %llu\n"
-	    "chervilshelf_retries_total %llu\n"
-	    "chervilshelf_probes_total %llu\n"
-	    "chervilshelf_channels_opened_total %llu\n",
-	    (unsigned long long)counters->attempts,
-	    (unsigned long long)counters->retries,
-	    (unsigned long long)counters->probes,
-	    (unsigned long long)counters->channels_opened);
+	print_total(out, "attempts", counters->attempts);
+	print_total(out, "retries", counters->retries);
+	print_total(out, "probes", counters->probes);
+	print_total(out, "channels_opened", counters->channels_opened);
 }
 
 static void
