decide: a target that shed a call stays avoided while a stale attempt ends

Cause: every released attempt set the target to avoid.

the first attempt was then cancelled as stale, and the third attempt went to the shedding target again, whose 503 was relayed. Ruled out: the choice of the target itself, which honours the one to avoid. Change: a target that shed the call stays the one to avoid. Test: test_stale_attempt_does_not_lift_the_avoidance_of_a_shedding_target, 16 random states; failed before (0x65 == 0x65), passes now. test_decide: 27 of 27.

--- a/lib/decide/attempts.c
+++ b/lib/decide/attempts.c
@@ -45,13 +45,18 @@
 	return NULL;
 }
 
-/* Frees the attempt's slot; the next attempt avoids its target. */
+/*
+ * Frees the attempt's slot; the next attempt avoids its target. A target that
+ * shed the call stays the one to avoid: an attempt that ends later says less
+ * of its own target.
+ */
 static void
 release_attempt(
     struct dc_core *core, struct dc_call *call, struct dc_attempt *attempt)
 {
 	dc_target_release(core, call, attempt);
-	call->avoid_target = attempt->target;
+	if (!call->was_shed)
+		call->avoid_target = attempt->target;
 	attempt->state = DC_ATTEMPT_NONE;
 }
 
@@ -294,7 +299,9 @@
 		dc_target_failed(core, attempt);
 		if (call->idempotent &&
 		    may_send_again(core, call, DC_RESULT_CONNECTION_LOST)) {
+			call->was_shed = false;
 			dc_attempt_cancel(core, call, attempt);
+			call->was_shed = true;
 			if (dc_attempt_find_active(call) == NULL)
 				send_again(core, call);
 			return;
@@ -455,7 +462,8 @@
 	stale = looks_stale(core, first, route);
 	if (pool->waiting > 0 && !stale)
 		return;
-	call->avoid_target = first->target;
+	if (!call->was_shed)
+		call->avoid_target = first->target;
 	choice = dc_target_pick(core, pool, call);
 	if (choice.target == DC_NONE || choice.target == first->target) {
 		if (call->hedge_tries < HEDGE_TRIES_MAX &&
--- a/lib/decide/decide_internal.h
+++ b/lib/decide/decide_internal.h
@@ -84,7 +84,9 @@
 	int64_t arrived_us;
 	int64_t deadline_us;
 	uint32_t sends;
-	uint32_t avoid_target; /* of the last attempt, DC_NONE: none */
+	/* Of the last attempt that was shed, else of the last one; or DC_NONE. */
+	uint32_t avoid_target;
+	bool was_shed; /* avoid_target answered that it has no room */
 	struct dc_key key;
 	struct dc_attempt attempts[DC_ATTEMPTS_MAX];
 	struct dc_node nodes[DC_NODE_KINDS];
--- a/tests/unit/test_decide.c
+++ b/tests/unit/test_decide.c
@@ -689,6 +689,72 @@
 	tear_down(&f);
 }
 
+/*
+ * Replays journal/findings/20261204-shed-after-stale.trace: the hedge is shed
+ * while the first attempt hangs on a stale connection. Returns the target of
+ * the third attempt and sets *shedding to that of the hedge.
+ */
+static uint64_t
+resend_after_shed_hedge(
+    struct fixture *f, uint64_t warm_up_calls, uint64_t *shedding)
+{
+	const struct dc_action *send;
+	uint64_t call, other, stale;
+
+	for (call = 1; call <= warm_up_calls; call++) {
+		add_call(f, call, IDEMPOTENT_ROUTE, 500 * MS);
+		complete_call(f, call, 20 * MS);
+	}
+	add_call(f, 90, IDEMPOTENT_ROUTE, 5000 * MS);
+	stale = find_action(f, DC_ACT_SEND)->send.target;
+	step(f, &(struct dc_event){
+		    .type = DC_EV_ATTEMPT_SENT, .sent = {90, 1, 1}});
+	advance_time(f, 200 * MS); /* asks for a slot */
+	advance_time(f, 5 * MS);
+	*shedding = find_action(f, DC_ACT_SEND)->send.target;
+	report_sent(f, 90, 2);
+	report_head(f, 90, 2, 503);
+	/* Holds the other slots until a call is sent to the stale target. */
+	for (call = 91; call < 96; call++) {
+		add_call(f, call, IDEMPOTENT_ROUTE, 500 * MS);
+		if (find_action(f, DC_ACT_SEND)->send.target == stale)
+			break;
+		report_sent(f, call, 1);
+	}
+	for (other = 91; other < call; other++) {
+		report_head(f, other, 1, 200);
+		report_end(f, other, 1, DC_RESULT_COMPLETE);
+	}
+	report_sent(f, call, 1);
+	report_head(f, call, 1, 200);
+	advance_time(f, 1 * MS);
+	send = find_action(f, DC_ACT_SEND);
+	assert_non_null(send);
+	assert_int_equal(send->send.call, 90);
+	return send->send.target;
+}
+
+static void
+test_stale_attempt_does_not_lift_the_avoidance_of_a_shedding_target(
+    void **state)
+{
+	uint64_t warm_up_calls, shedding;
+
+	(void)state;
+	for (warm_up_calls = 40; warm_up_calls < 56; warm_up_calls++) {
+		struct fixture f;
+
+		set_up(&f, 3, 2);
+		assert_int_not_equal(
+		    resend_after_shed_hedge(&f, warm_up_calls, &shedding),
+		    shedding);
+		report_sent(&f, 90, 3);
+		report_head(&f, 90, 3, 200);
+		report_end(&f, 90, 3, DC_RESULT_COMPLETE);
+		tear_down(&f);
+	}
+}
+
 /* A call that takes longer than most on an old connection. */
 static bool
 slow_call_retires_connections(struct fixture *f, uint64_t call)
@@ -816,6 +882,8 @@
 	    cmocka_unit_test(test_one_vm_may_use_all_slots_that_it_holds),
 	    cmocka_unit_test(
 		test_slow_idempotent_call_is_hedged_and_slower_attempt_cancelled),
+	    cmocka_unit_test(
+		test_stale_attempt_does_not_lift_the_avoidance_of_a_shedding_target),
 	    cmocka_unit_test(
 		test_slow_calls_retire_connections_at_most_once_per_100_ms),
 	    cmocka_unit_test(test_non_idempotent_call_is_never_hedged),
