fleet: seeds watch first after a start, few VMs list the store

Ruled out: the watches (about 230 calls), the liveness checks of the store.

Tests: test_restarted_seed_watches_before_the_others, test_refused_seed_gives_way, test_few_nodes_list_the_store_when_a_region_restarts, test_discovery_waits_for_answers_and_backs_off.

--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -196,6 +196,12 @@
 	send_suspect_request(fleet, fingerprint, false);
 }
 
+bool
+fl_is_discovery_due(struct fleet *fleet)
+{
+	return fl_membership_is_discovery_due(&fleet->membership, cs_now_us());
+}
+
 void
 fl_set_ready(struct fleet *fleet, bool ready)
 {
@@ -250,6 +256,20 @@
 	return CS_OK;
 }
 
+static bool
+is_seed(const struct fl_params *params)
+{
+	const struct sockaddr_in *own = &params->self.fleet;
+	uint32_t i;
+
+	for (i = 0; i < params->seed_count; i++) {
+		if (params->seeds[i].sin_addr.s_addr == own->sin_addr.s_addr &&
+		    params->seeds[i].sin_port == own->sin_port)
+			return true;
+	}
+	return false;
+}
+
 int
 fl_create(const struct fl_params *params, struct fleet **out)
 {
@@ -261,6 +281,7 @@
 	fl_membership_init(&fleet->membership, &params->self, cs_now_us());
 	fleet->membership.self.region =
 	    cs_hash(params->region, strlen(params->region));
+	fleet->membership.is_seed = is_seed(params);
 	uv_udp_init(params->loop, &fleet->udp);
 	uv_tcp_init(params->loop, &fleet->listener);
 	uv_timer_init(params->loop, &fleet->timer);
@@ -297,5 +318,6 @@
 	}
 	if (fleet->leader_link != NULL)
 		fl_link_close(fleet->leader_link);
+	fl_free_snapshots(fleet);
 	fl_membership_free(&fleet->membership);
 }
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -19,6 +19,7 @@
 
 #define FL_NAME_BYTES_MAX 64
 #define FL_NODES_MAX 1024
+#define FL_CAPACITY_MAX 10 /* larger nodes count as equal */
 
 struct fl_frame;
 
@@ -68,6 +69,13 @@
 	bool status_changed;
 	/* Since when it watches while another one should lead; 0: not so. */
 	int64_t outranked_since_us;
+	/*
+	 * Every node contacts the seeds first, so a seed that starts watches
+	 * the store at once instead of waiting for its turn.
+	 */
+	bool is_seed;
+	int64_t next_discovery_us;
+	int64_t discovery_interval_us;
 };
 
 void fl_membership_init(struct fl_membership *membership,
@@ -116,6 +124,21 @@
 uint32_t fl_membership_count_alive(
     const struct fl_membership *membership, int64_t now_us);
 
+/*
+ * fl_membership_is_discovery_due(membership, now_us): returns true if this node
+ * is to look for others in the store, because it hears none of its region: at
+ * doubling intervals, and not before others had time to answer.
+ */
+bool fl_membership_is_discovery_due(
+    struct fl_membership *membership, int64_t now_us);
+/*
+ * fl_first_read_delay_us(capacity, random): how long a node that has started
+ * again waits for the objects from its leader before it lists the store itself.
+ * Nodes of small capacity wait longer, so that only some list it when all start
+ * again at once. random spreads nodes of equal capacity.
+ */
+int64_t fl_first_read_delay_us(uint32_t capacity, uint64_t random);
+
 /* A request to the directory. */
 struct fl_directory_query {
 	char data_centre[FL_NAME_BYTES_MAX];
@@ -241,6 +264,8 @@
  * theirs.
  */
 void fl_broadcast_suspect_request(struct fleet *fleet, uint64_t fingerprint);
+/* fl_is_discovery_due(fleet): see fl_membership_is_discovery_due(). */
+bool fl_is_discovery_due(struct fleet *fleet);
 void fl_set_ready(struct fleet *fleet, bool ready);
 void fl_set_current(struct fleet *fleet, bool current);
 /* fl_leave(fleet): tells the other nodes at once that this one stops. */
--- a/lib/fleet/fleet_internal.h
+++ b/lib/fleet/fleet_internal.h
@@ -4,6 +4,15 @@
 
 #include "link.h"
 
+/*
+ * The encoded snapshot of a kind: many followers need it at once when a region
+ * starts again, and encoding it takes far longer than sending it.
+ */
+struct fl_snapshot {
+	uint64_t revision; /* 0: none */
+	struct fl_buffer frame;
+};
+
 struct fleet {
 	struct fl_params params;
 	struct fl_membership membership;
@@ -22,6 +31,7 @@
 
 	struct fl_counters counters;
 	uint32_t ticks_behind; /* in a row, in which the leader knew more */
+	struct fl_snapshot snapshots[OS_KINDS_MAX];
 };
 
 /* heartbeat.c */
@@ -56,5 +66,6 @@
  */
 void fl_check_leader_link(struct fleet *fleet, const struct fl_node *leader);
 void fl_on_accept(uv_stream_t *listener, int status);
+void fl_free_snapshots(struct fleet *fleet);
 
 #endif
--- a/lib/fleet/membership.c
+++ b/lib/fleet/membership.c
@@ -25,6 +25,8 @@
  */
 #define DISCOVERY_US 250000
 #define DISCOVERY_ALONE_US 500000
+/* A seed waits only for the answers of nodes that run already. */
+#define DISCOVERY_SEED_US 40000
 
 /*
  * The time between the attempts of nodes of consecutive ranks; listing the
@@ -291,6 +293,14 @@
 	return now_us - membership->started_us >= DISCOVERY_ALONE_US;
 }
 
+/* Returns true once, for a seed that has heard of no leader since its start. */
+static bool
+is_seed_starting(const struct fl_membership *membership, int64_t now_us)
+{
+	return membership->is_seed && membership->attempt_us == 0 &&
+	       now_us - membership->started_us >= DISCOVERY_SEED_US;
+}
+
 enum fl_role
 fl_membership_tick(struct fl_membership *membership, int64_t now_us,
     const struct fl_node **leader)
@@ -302,10 +312,16 @@
 	if (*leader != NULL)
 		return defer_to_leader(membership, *leader, now_us);
 	membership->outranked_since_us = 0;
+	if (is_seed_starting(membership, now_us)) {
+		membership->watching = true;
+		membership->attempt_us = now_us;
+		membership->attempt_turn = 0;
+	}
 	if (!is_discovery_over(membership, now_us)) {
 		/* Turns are counted from here. */
 		membership->no_leader_since_us = now_us;
-		return FL_ROLE_UNDECIDED;
+		return membership->watching ? FL_ROLE_WATCH_STORE
+					    : FL_ROLE_UNDECIDED;
 	}
 	if (membership->watching && membership->self.current) {
 		membership->no_leader_since_us = membership->attempt_us =
--- a/lib/fleet/replication.c
+++ b/lib/fleet/replication.c
@@ -100,26 +100,68 @@
 	fleet->leader_link = NULL;
 }
 
-static void
-count_update(struct fleet *fleet, const struct fl_update *update,
-    const struct fl_buffer *out)
+void
+fl_free_snapshots(struct fleet *fleet)
 {
-	fleet->counters.updates++;
-	fleet->counters.update_bytes += out->length;
-	fleet->counters.snapshots += update->snapshot;
+	uint32_t i;
+
+	for (i = 0; i < OS_KINDS_MAX; i++) {
+		free(fleet->snapshots[i].frame.data);
+		fleet->snapshots[i] = (struct fl_snapshot){.revision = 0};
+	}
+}
+
+/*
+ * Encodes the changes of a kind after a revision. *is_snapshot is set if they
+ * are a snapshot.
+ */
+static int
+encode_changes(struct fleet *fleet, uint32_t kind, uint64_t revision,
+    struct fl_buffer *out, bool *is_snapshot)
+{
+	struct fl_frame frame = {
+	    .type = FL_FRAME_UPDATE, .as.update = {.kind = kind}};
+	struct fl_update *update = &frame.as.update;
+	int error = os_cache_changes_since(fleet->params.cache, kind, revision,
+	    &update->batch, &update->snapshot);
+
+	if (error != CS_OK)
+		return error;
+	*is_snapshot = update->snapshot;
+	error = fl_encode(&frame, out);
+	free(update->batch.changes); /* the cache owns the texts */
+	return error;
+}
+
+/* Returns the encoded snapshot of a kind, or NULL if there is none. */
+static const struct fl_buffer *
+find_snapshot(struct fleet *fleet, uint32_t kind)
+{
+	struct fl_snapshot *snapshot = &fleet->snapshots[kind];
+	uint64_t revision = os_cache_revision(fleet->params.cache, kind);
+	bool is_snapshot;
+
+	if (snapshot->revision == revision)
+		return &snapshot->frame;
+	free(snapshot->frame.data);
+	*snapshot = (struct fl_snapshot){.revision = 0};
+	if (encode_changes(fleet, kind, 0, &snapshot->frame, &is_snapshot) !=
+	    CS_OK)
+		return NULL;
+	snapshot->revision = revision;
+	return &snapshot->frame;
 }
 
 static void
-send_update(struct fl_link *link, const struct fl_update *update)
+send_encoded(
+    struct fl_link *link, const struct fl_buffer *buffer, bool is_snapshot)
 {
-	struct fl_frame frame = {.type = FL_FRAME_UPDATE, .as.update = *update};
-	struct fl_buffer buffer;
+	struct fleet *fleet = link->owner;
 
-	if (fl_encode(&frame, &buffer) != CS_OK)
-		return;
-	count_update(link->owner, update, &buffer);
-	fl_link_send(link, &buffer);
-	free(buffer.data);
+	fleet->counters.updates++;
+	fleet->counters.update_bytes += buffer->length;
+	fleet->counters.snapshots += is_snapshot;
+	fl_link_send(link, buffer);
 }
 
 static void
@@ -129,15 +171,22 @@
 	uint32_t i;
 
 	for (i = 0; i < fleet->params.kind_count && !link->closing; i++) {
-		struct fl_update update = {.kind = i};
+		uint64_t revision = subscribe->as.subscribe.revisions[i];
+		const struct fl_buffer *snapshot;
+		struct fl_buffer buffer;
+		bool is_snapshot;
 
-		if (os_cache_revision(fleet->params.cache, i) == 0 ||
-		    os_cache_changes_since(fleet->params.cache, i,
-			subscribe->as.subscribe.revisions[i], &update.batch,
-			&update.snapshot) != CS_OK)
+		if (os_cache_revision(fleet->params.cache, i) == 0)
 			continue;
-		send_update(link, &update);
-		free(update.batch.changes); /* the cache owns the texts */
+		if (revision == 0) {
+			snapshot = find_snapshot(fleet, i);
+			if (snapshot != NULL)
+				send_encoded(link, snapshot, true);
+		} else if (encode_changes(fleet, i, revision, &buffer,
+			       &is_snapshot) == CS_OK) {
+			send_encoded(link, &buffer, is_snapshot);
+			free(buffer.data);
+		}
 	}
 }
 
@@ -202,8 +251,7 @@
 		next = link->next;
 		if (!link->subscribed)
 			continue;
-		count_update(fleet, update, &buffer);
-		fl_link_send(link, &buffer);
+		send_encoded(link, &buffer, update->snapshot);
 	}
 	free(buffer.data);
 }
--- a/programs/gateway.c
+++ b/programs/gateway.c
@@ -12,9 +12,6 @@
 #include "settings.h"
 
 #define TICK_MS 250
-/* Spreads the first reads of the store by VMs that restart together. */
-#define FIRST_READ_SPREAD_MS 120
-#define WATCH_CAPACITY_MAX 10	 /* larger links give no more */
 #define RELOAD_INTERVAL_TICKS 20 /* the file may change without a signal */
 #define PAUSE_MIN_US 1000000	 /* beyond a tick: the process did not run */
 /* Initial round-trip times, until samples exist. */
@@ -207,7 +204,7 @@
 	double mbps = settings->link_mbps * settings->cpu_share;
 	uint32_t capacity = 0;
 
-	for (; mbps >= 2.0 && capacity < WATCH_CAPACITY_MAX; mbps /= 2)
+	for (; mbps >= 2.0 && capacity < FL_CAPACITY_MAX; mbps /= 2)
 		capacity++;
 	return capacity;
 }
@@ -402,7 +399,10 @@
 	start_timers(app);
 	if (!app->settings.first_start)
 		uv_timer_start(&app->first_read, on_first_read,
-		    seed % FIRST_READ_SPREAD_MS, 0);
+		    (uint64_t)fl_first_read_delay_us(
+			watch_capacity(&app->settings), seed) /
+			1000,
+		    0);
 
 	cs_log(CS_LOG_GATEWAY_STARTED,
 	    "vm=%s data_centre=%s version=%s memory_mb=%u", app->settings.name,
--- a/programs/gateway.h
+++ b/programs/gateway.h
@@ -38,9 +38,7 @@
 	int64_t stop_started_us;
 	uint32_t region_count;
 
-	bool registered;	   /* in the store, since it was current */
-	int64_t next_discovery_us; /* next look for other nodes, while alone */
-	int64_t discovery_interval_us;
+	bool registered; /* in the store, since it was current */
 	bool targets_loaded;
 	enum fl_role role;
 };
--- a/programs/gateway_updates.c
+++ b/programs/gateway_updates.c
@@ -14,9 +14,6 @@
 #define REMOVAL_GRACE_US 2300000
 /* A shorter outage cannot have let registrations expire. */
 #define OUTAGE_MIN_US 1000000
-/* A VM that knows no live node reads the store at doubling intervals. */
-#define DISCOVERY_INTERVAL_MIN_US 500000
-#define DISCOVERY_INTERVAL_MAX_US 60000000
 
 static void
 apply_config(struct ga_app *app, const struct os_change *change)
@@ -343,23 +340,14 @@
 void
 ga_discover_nodes(struct ga_app *app)
 {
-	bool current = fl_get_membership(app->fleet)->self.current;
-	int64_t now_us = cs_now_us();
+	bool is_due = fl_is_discovery_due(app->fleet);
 
-	if (current && !app->registered) {
-		app->registered = true;
-		register_node(app);
-	}
-	if (fl_membership_count_alive(fl_get_membership(app->fleet), now_us) >
-	    1) {
-		app->discovery_interval_us = DISCOVERY_INTERVAL_MIN_US;
-		app->next_discovery_us = now_us + app->discovery_interval_us;
-	} else if (now_us >= app->next_discovery_us) {
-		app->next_discovery_us = now_us + app->discovery_interval_us;
-		if (app->discovery_interval_us < DISCOVERY_INTERVAL_MAX_US)
-			app->discovery_interval_us *= 2;
-		register_node(app);
-	}
+	if (fl_get_membership(app->fleet)->self.current && !app->registered)
+		is_due = true;
+	if (!is_due)
+		return;
+	app->registered |= fl_get_membership(app->fleet)->self.current;
+	register_node(app);
 }
 
 bool
--- a/tests/unit/test_decide.c
+++ b/tests/unit/test_decide.c
@@ -707,8 +707,8 @@
 	}
 	add_call(f, 90, IDEMPOTENT_ROUTE, 5000 * MS);
 	stale = find_action(f, DC_ACT_SEND)->send.target;
-	step(f, &(struct dc_event){
-		    .type = DC_EV_ATTEMPT_SENT, .sent = {90, 1, 1}});
+	step(f,
+	    &(struct dc_event){.type = DC_EV_ATTEMPT_SENT, .sent = {90, 1, 1}});
 	advance_time(f, 200 * MS); /* asks for a slot */
 	advance_time(f, 5 * MS);
 	*shedding = find_action(f, DC_ACT_SEND)->send.target;
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -262,6 +262,104 @@
 	tear_down(&region);
 }
 
+/* All start again at once: the seed watches first and nobody else begins. */
+static void
+test_restarted_seed_watches_before_the_others(void **state)
+{
+	struct region region;
+
+	(void)state;
+	set_up(&region);
+	region.memberships[2].is_seed = true;
+	tick(&region);
+	assert_int_equal(region.roles[2], FL_ROLE_WATCH_STORE);
+	assert_int_equal(count_watchers(&region), 1);
+	run_for(&region, 3000000);
+	assert_int_equal(find_current(&region), 2);
+	assert_int_equal(count_watchers(&region), 1);
+	tear_down(&region);
+}
+
+/* The store refuses the seed: another node takes over. */
+static void
+test_refused_seed_gives_way(void **state)
+{
+	struct region region;
+
+	(void)state;
+	set_up(&region);
+	region.memberships[2].is_seed = true;
+	region.store_refuses[2] = true;
+	run_for(&region, 3000000);
+	assert_true(find_current(&region) >= 0);
+	assert_int_not_equal(find_current(&region), 2);
+	tear_down(&region);
+}
+
+#define RESTARTED_NODES 158
+#define LARGE_NODES 9
+#define CALLS_PER_LIST 3	    /* one kind has two pages */
+#define CALLS_PER_START_MAX 2	    /* the stated target */
+#define RECOVERY_US 15000000	    /* the stated target */
+#define LEADER_OBJECTS_AT_US 600000 /* after the start */
+
+/*
+ * A large region starts again at once. Few of its nodes list the store while
+ * the leader's objects are on their way, and all do in time if none arrive.
+ */
+static void
+test_few_nodes_list_the_store_when_a_region_restarts(void **state)
+{
+	uint32_t calls = 0, i;
+	struct cs_random random;
+
+	(void)state;
+	cs_random_seed(&random, 7);
+	for (i = 0; i < RESTARTED_NODES; i++) {
+		uint32_t capacity = i < LARGE_NODES ? 6 : 1;
+		int64_t delay_us =
+		    fl_first_read_delay_us(capacity, cs_random_next(&random));
+
+		assert_true(delay_us < RECOVERY_US);
+		if (delay_us < LEADER_OBJECTS_AT_US)
+			calls += CALLS_PER_LIST;
+	}
+	assert_true(calls <= CALLS_PER_START_MAX * RESTARTED_NODES);
+}
+
+/* A node looks for others in the store only if none answers. */
+static void
+test_discovery_waits_for_answers_and_backs_off(void **state)
+{
+	struct fl_node self = make_node(0), other = make_node(1);
+	struct fl_membership membership;
+	int64_t at_us, previous_us = 0, interval_us = 0;
+	uint32_t found = 0;
+
+	(void)state;
+	fl_membership_init(&membership, &self, 1000);
+	for (at_us = 1000; at_us < 60000000; at_us += 250000) {
+		if (!fl_membership_is_discovery_due(&membership, at_us))
+			continue;
+		if (found == 0)
+			assert_true(at_us >= 900000);
+		if (found >= 2)
+			assert_true(at_us - previous_us >= interval_us);
+		interval_us = found == 0 ? 0 : at_us - previous_us;
+		previous_us = at_us;
+		found++;
+	}
+	assert_in_range(found, 4, 12);
+	fl_membership_free(&membership);
+
+	fl_membership_init(&membership, &self, 1000);
+	fl_membership_on_hello(&membership, &other, 300000);
+	for (at_us = 300000; at_us < 2000000; at_us += 250000)
+		assert_false(
+		    fl_membership_is_discovery_due(&membership, at_us));
+	fl_membership_free(&membership);
+}
+
 /* Who is named to callers: not the silent, not those that stop. */
 static void
 test_directory_lists_no_silent_or_stopping_nodes(void **state)
@@ -630,6 +728,11 @@
 	    cmocka_unit_test(test_short_store_outage_causes_no_takeover),
 	    cmocka_unit_test(
 		test_only_node_accepted_by_the_store_becomes_watcher),
+	    cmocka_unit_test(test_restarted_seed_watches_before_the_others),
+	    cmocka_unit_test(test_refused_seed_gives_way),
+	    cmocka_unit_test(
+		test_few_nodes_list_the_store_when_a_region_restarts),
+	    cmocka_unit_test(test_discovery_waits_for_answers_and_backs_off),
 	    cmocka_unit_test(test_few_nodes_retry_while_the_store_is_down),
 	    cmocka_unit_test(test_directory_lists_no_silent_or_stopping_nodes),
 	    cmocka_unit_test(test_directory_is_the_same_from_every_node),
