Calls wait at VMs that start, instead of being refused

Change: lib/balance/recover.c decides whether a call waits: until the objects are known, for half of its time and 3 s after the start at most; where most other VMs of the region are ready it is refused at once with a Retry-After of 20 ms. Tests: test_calls_at_a_starting_vm_wait_or_are_refused (table), test_call_waits_until_the_objects_are_loaded (503 before), test_call_is_refused_at_a_starting_vm_if_others_are_ready.

--- a/lib/balance/balance.h
+++ b/lib/balance/balance.h
@@ -4,6 +4,7 @@
  * output and take the current time as an argument, so that tests can replay a
  * load on virtual time. They are used in this order:
  *
+ * bl_hold_at_start(): waits for the objects of a VM that starts (recover.c)
  * bl_place(): selects a target, or tells to wait or to refuse (place.c)
  * bl_request_started(): a request is being sent to a target (pool.c)
  * bl_request_ended(): the outcome of that request (pool.c)
@@ -190,6 +191,25 @@
 	BL_REFUSE, /* cannot be served in time */
 };
 
+/* A call at a VM that does not know its configuration and targets yet. */
+struct bl_start {
+	int64_t now_us;
+	int64_t process_start_us;
+	int64_t received_us;
+	int64_t deadline_us;
+	uint32_t live_nodes;  /* other VMs of the region that respond */
+	uint32_t ready_nodes; /* of these, VMs that accept calls */
+};
+
+struct bl_hold {
+	bool hold;
+	int64_t until_us;	/* with hold: decide again at this time */
+	int64_t retry_after_us; /* otherwise: refuse */
+};
+
+/* bl_hold_at_start(start, out): whether the call waits or is refused. */
+void bl_hold_at_start(const struct bl_start *start, struct bl_hold *out);
+
 struct bl_request {
 	int64_t now_us;
 	/* A response by this time is of full use to the caller. */
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -124,6 +124,12 @@
 uint32_t fl_membership_count_alive(
     const struct fl_membership *membership, int64_t now_us);
 
+/*
+ * fl_membership_count_ready(membership, now_us): returns the number of other
+ * live nodes of the region that accept requests.
+ */
+uint32_t fl_membership_count_ready(
+    const struct fl_membership *membership, int64_t now_us);
 /*
  * fl_membership_is_discovery_due(membership, now_us): returns true if this node
  * is to look for others in the store, because it hears none of its region: at
--- a/lib/fleet/membership.c
+++ b/lib/fleet/membership.c
@@ -343,6 +343,21 @@
 	return count;
 }
 
+uint32_t
+fl_membership_count_ready(
+    const struct fl_membership *membership, int64_t now_us)
+{
+	uint32_t i, count = 0;
+
+	for (i = 0; i < membership->count; i++) {
+		const struct fl_node *node = &membership->nodes[i];
+
+		count += node->same_region && node->ready && !node->stopping &&
+			 fl_node_is_alive(node, now_us);
+	}
+	return count;
+}
+
 bool
 fl_membership_is_same_region(
     const struct fl_membership *membership, const struct sockaddr_in *fleet)
--- a/lib/gateway/call.c
+++ b/lib/gateway/call.c
@@ -9,13 +9,12 @@
 
 #include "gateway_internal.h"
 
-/* A caller that retries this soon finds a VM that has its configuration. */
-#define RETRY_AFTER_NOT_READY_US 100000
+/* A pool that the configuration names has no target yet. */
+#define RETRY_AFTER_NO_POOL_US 100000
 #define RETRY_AFTER_STOPPING_US 20000 /* another VM serves already */
 /* Half of the time for which a request is suspected. */
 #define RETRY_AFTER_SUSPECT_US 30000000
 #define RETRY_AFTER_WAITED_US 10000 /* the call has waited already */
-#define DEADLINE_DEFAULT_MS 60000   /* if the caller gives none */
 
 static struct gw_call *
 allocate_call(struct gw *gw)
@@ -132,13 +131,6 @@
 	dispatch_waiting(pool);
 }
 
-const struct gw_callbacks gw_call_callbacks = {
-    .attempt_ended = attempt_ended,
-    .probe_ended = probe_ended,
-    .place = place_call,
-    .dispatch_waiting = dispatch_waiting,
-};
-
 void
 gw_call_abandon(struct gw_call *call)
 {
@@ -182,27 +174,12 @@
 	return hash == 0 ? 1 : hash;
 }
 
-static int64_t
-deadline_ms_of(const struct gw *gw, const struct h1_message *request)
-{
-	const char *text =
-	    h1_find_header(request, gw->params.header_names->deadline);
-	char *end;
-	long long value;
-
-	if (text == NULL)
-		return DEADLINE_DEFAULT_MS;
-	value = strtoll(text, &end, 10);
-	return end == text || value < 0 || value > DEADLINE_DEFAULT_MS
-		   ? DEADLINE_DEFAULT_MS
-		   : value;
-}
-
 static void
 set_deadlines(struct gw_call *call)
 {
-	int64_t left_ms = deadline_ms_of(call->gw, call->request);
+	int64_t left_ms = gw_deadline_ms(call->gw, call->request);
 	int64_t timeout_ms = call->route->timeout_ms;
+	int64_t left_us;
 
 	if (left_ms < timeout_ms)
 		timeout_ms = left_ms;
@@ -210,8 +187,9 @@
 	if (call->objective_us == 0)
 		call->objective_us = timeout_ms * 1000;
 	call->deadline_us = call->received_us + timeout_ms * 1000;
+	left_us = call->deadline_us - cs_now_us() + GW_TIMEOUT_MARGIN_US;
 	uv_timer_start(&call->deadline_timer, on_deadline,
-	    (uint64_t)(timeout_ms + GW_TIMEOUT_MARGIN_US / 1000), 0);
+	    left_us > 0 ? (uint64_t)left_us / 1000 : 0, 0);
 }
 
 static void
@@ -261,32 +239,26 @@
 	call->connection = NULL;
 	gw_shorten_id(call->id, id == NULL ? "" : id);
 	call->fingerprint = fingerprint_of(conn, request);
-	call->table = call->gw->table;
-	if (call->table != NULL)
-		cs_ref_take(&call->table->ref);
 	h1_conn_set_call(conn, call);
 }
 
-void
-gw_call_begin(
-    struct gw *gw, struct h1_conn *conn, const struct h1_message *request)
+/* Takes the call through the routing table in force to its first placement. */
+static void
+route_call(struct gw_call *call)
 {
-	struct gw_call *call = allocate_call(gw);
+	struct gw *gw = call->gw;
+	int64_t retry_after_us;
 
-	if (call == NULL) {
-		h1_conn_send_text(conn, 503, "text/plain", "out of memory\n");
+	if (!gw->loaded) {
+		if (!gw_hold(call, &retry_after_us))
+			gw_respond_error(
+			    call, 503, GW_NO_CONFIGURATION, retry_after_us);
 		return;
 	}
-	gw->counters.calls++;
-	call->number = gw->next_number++;
-	reset_call(call, conn, request);
-	if (call->table == NULL) {
-		gw_respond_error(
-		    call, 503, GW_NO_CONFIGURATION, RETRY_AFTER_NOT_READY_US);
-		return;
-	}
-	call->route = rt_table_find(
-	    call->table, h1_find_header(request, "host"), h1_target(request));
+	call->table = gw->table;
+	cs_ref_take(&call->table->ref);
+	call->route = rt_table_find(call->table,
+	    h1_find_header(call->request, "host"), h1_target(call->request));
 	if (call->route == NULL) {
 		gw_respond_error(call, 404, GW_NO_ROUTE, 0);
 		return;
@@ -297,10 +269,45 @@
 	choose_pool(call);
 	if (call->pool == NULL) {
 		gw_respond_error(
-		    call, 503, GW_NO_TARGET, RETRY_AFTER_NOT_READY_US);
+		    call, 503, GW_NO_TARGET, RETRY_AFTER_NO_POOL_US);
 		return;
 	}
 	bl_count_request(
 	    call->pool->balance, &gw->params.budget, call->received_us);
 	place_call(call);
 }
+
+void
+gw_release_held_calls(struct gw *gw)
+{
+	struct gw_call *call;
+
+	while ((call = gw->held) != NULL) {
+		gw_dequeue(call);
+		route_call(call);
+	}
+}
+
+const struct gw_callbacks gw_call_callbacks = {
+    .attempt_ended = attempt_ended,
+    .probe_ended = probe_ended,
+    .place = place_call,
+    .resume_held = route_call,
+    .dispatch_waiting = dispatch_waiting,
+};
+
+void
+gw_call_begin(
+    struct gw *gw, struct h1_conn *conn, const struct h1_message *request)
+{
+	struct gw_call *call = allocate_call(gw);
+
+	if (call == NULL) {
+		h1_conn_send_text(conn, 503, "text/plain", "out of memory\n");
+		return;
+	}
+	gw->counters.calls++;
+	call->number = gw->next_number++;
+	reset_call(call, conn, request);
+	route_call(call);
+}
--- a/lib/gateway/exchange.c
+++ b/lib/gateway/exchange.c
@@ -50,6 +50,22 @@
 	return BL_SERVED;
 }
 
+int64_t
+gw_deadline_ms(const struct gw *gw, const struct h1_message *request)
+{
+	const char *text =
+	    h1_find_header(request, gw->params.header_names->deadline);
+	char *end;
+	long long value;
+
+	if (text == NULL)
+		return GW_DEADLINE_DEFAULT_MS;
+	value = strtoll(text, &end, 10);
+	return end == text || value < 0 || value > GW_DEADLINE_DEFAULT_MS
+		   ? GW_DEADLINE_DEFAULT_MS
+		   : value;
+}
+
 void
 gw_shorten_id(char out[GW_ID_BYTES_MAX], const char *id)
 {
--- a/lib/gateway/gateway.c
+++ b/lib/gateway/gateway.c
@@ -1,4 +1,5 @@
 /* The gateway: creation, routing table, targets, and shutdown. */
+#include <assert.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -69,6 +70,7 @@
 	if (gw == NULL)
 		return CS_E_SYSTEM;
 	gw->params = *params;
+	gw->start_us = cs_now_us();
 	if (h1_server_create(&server, &gw->server) != CS_OK) {
 		free(gw);
 		return CS_E_SYSTEM;
@@ -115,6 +117,21 @@
 	return gw->table;
 }
 
+void
+gw_set_loaded(struct gw *gw)
+{
+	assert(gw->table != NULL);
+	gw->loaded = true;
+	gw_release_held_calls(gw);
+}
+
+void
+gw_set_region(struct gw *gw, uint32_t live_nodes, uint32_t ready_nodes)
+{
+	gw->live_nodes = live_nodes;
+	gw->ready_nodes = ready_nodes;
+}
+
 static void
 remove_target(struct gw *gw, struct bl_target *target)
 {
--- a/lib/gateway/gateway.h
+++ b/lib/gateway/gateway.h
@@ -97,6 +97,16 @@
 /* gw_set_table(gw, table): replaces the routing table; takes a reference. */
 void gw_set_table(struct gw *gw, struct rt_table *table);
 const struct rt_table *gw_table(const struct gw *gw);
+/*
+ * gw_set_loaded(gw): the routing table and the targets are known. Until then
+ * calls are held or refused, see bl_hold_at_start().
+ */
+void gw_set_loaded(struct gw *gw);
+/*
+ * gw_set_region(gw, live_nodes, ready_nodes): the other VMs of the region that
+ * respond, and how many of them accept calls.
+ */
+void gw_set_region(struct gw *gw, uint32_t live_nodes, uint32_t ready_nodes);
 
 /* Description of one target, given by the user of the gateway. */
 struct gw_target_info {
--- a/lib/gateway/gateway_internal.h
+++ b/lib/gateway/gateway_internal.h
@@ -53,6 +53,7 @@
 
 enum gw_call_state {
 	GW_CALL_FREE,
+	GW_CALL_HELD, /* until this VM has loaded its objects */
 	GW_CALL_PLACING,
 	GW_CALL_PROBING,
 	GW_CALL_WAITING,
@@ -113,6 +114,12 @@
 	/* Scratch buffer for the head of a request or response. */
 	struct h1_bytes head;
 	uint64_t next_number;
+	/* The configuration and the targets are known. */
+	bool loaded;
+	int64_t start_us;
+	struct gw_call *held; /* in order of arrival */
+	uint32_t held_count;
+	uint32_t live_nodes, ready_nodes; /* see gw_set_region() */
 	bool stopping;
 	int64_t stop_us;
 };
@@ -123,6 +130,8 @@
  */
 #define GW_TIMEOUT_MARGIN_US 60000
 
+#define GW_DEADLINE_DEFAULT_MS 60000 /* if the caller gives none */
+
 /*
  * Reports from the lower modules to call.c, which alone decides the order of
  * the steps that follow.
@@ -133,6 +142,7 @@
 	    const struct h1_message *response);
 	void (*probe_ended)(struct gw_pool *pool, struct bl_target *target);
 	void (*place)(struct gw_call *call); /* its wait for probes is over */
+	void (*resume_held)(struct gw_call *call);
 	/* A target of the pool may have room. */
 	void (*dispatch_waiting)(struct gw_pool *pool);
 };
@@ -143,6 +153,16 @@
     struct gw *gw, struct h1_conn *conn, const struct h1_message *request);
 void gw_call_abandon(struct gw_call *call);
 
+/* gw_release_held_calls(gw): continues the calls that waited for objects. */
+void gw_release_held_calls(struct gw *gw);
+
+/* start.c: calls at a VM that has not loaded its objects yet */
+/*
+ * gw_hold(call): holds the call if bl_hold_at_start() says so. Otherwise it
+ * returns false and sets *retry_after_us.
+ */
+bool gw_hold(struct gw_call *call, int64_t *retry_after_us);
+
 /* response.c: responses to callers */
 /* gw_call_end(call, status, reason): logs, counts and frees the call. */
 void gw_call_end(struct gw_call *call, int status, enum gw_reason reason);
@@ -229,6 +249,8 @@
  * gw_shorten_id(out, id): copies an id that fits, or its beginning and a hash.
  */
 void gw_shorten_id(char out[GW_ID_BYTES_MAX], const char *id);
+/* gw_deadline_ms(gw, request): the caller's deadline, from its arrival on. */
+int64_t gw_deadline_ms(const struct gw *gw, const struct h1_message *request);
 enum gw_match gw_match_response(
     const struct gw_connection *connection, const struct h1_message *response);
 enum bl_outcome gw_classify_response(const struct gw_header_names *header_names,
--- a/lib/gateway/placement.c
+++ b/lib/gateway/placement.c
@@ -35,6 +35,10 @@
 	case GW_CALL_PROBING:
 		remove_from_list(&call->pool->awaiting_probes, call);
 		break;
+	case GW_CALL_HELD:
+		remove_from_list(&call->gw->held, call);
+		call->gw->held_count--;
+		break;
 	case GW_CALL_FREE:
 	case GW_CALL_PLACING:
 	case GW_CALL_SENT:
--- a/programs/gateway_updates.c
+++ b/programs/gateway_updates.c
@@ -119,6 +119,8 @@
 	if (changed.count > 0)
 		fl_send_update(app->fleet, &update);
 	free(changed.changes);
+	if (gw_table(app->gw) != NULL && app->targets_loaded)
+		gw_set_loaded(app->gw);
 	ga_publish_state(app);
 }
 
@@ -271,10 +273,13 @@
 void
 ga_update_budget_share(struct ga_app *app)
 {
-	uint32_t node_count = fl_membership_count_alive(
-	    fl_get_membership(app->fleet), cs_now_us());
+	const struct fl_membership *membership = fl_get_membership(app->fleet);
+	int64_t now_us = cs_now_us();
+	uint32_t node_count = fl_membership_count_alive(membership, now_us);
 
 	gw_set_node_count(app->gw, node_count * app->region_count);
+	gw_set_region(app->gw, node_count - 1,
+	    fl_membership_count_ready(membership, now_us));
 }
 
 static void
--- a/tests/unit/gateway_rig.c
+++ b/tests/unit/gateway_rig.c
@@ -297,11 +297,18 @@
 	(void)timer; /* wakes the loop, so that turns go on */
 }
 
+static void set_route_table(struct rig *rig);
+
 static void
 run_once(struct rig *rig, uint32_t *iterations)
 {
 	require(++*iterations < LOOP_ITERATIONS_MAX);
 	uv_run(&rig->loop, UV_RUN_ONCE);
+	if (rig->params.late_table && gw_table(rig->gw) == NULL &&
+	    gw_get_counters(rig->gw)->calls > 0) {
+		set_route_table(rig);
+		gw_set_loaded(rig->gw);
+	}
 }
 
 static void
@@ -556,6 +563,8 @@
 		set_route_table(rig);
 	for (i = 0; i < params->target_count; i++)
 		add_target(rig, i);
+	if (params->with_table)
+		gw_set_loaded(rig->gw);
 	return rig;
 }
 
--- a/tests/unit/gateway_rig.h
+++ b/tests/unit/gateway_rig.h
@@ -32,6 +32,7 @@
 	uint32_t script_count; /* the last one repeats */
 	uint32_t target_count;
 	bool with_table;
+	bool late_table;  /* set after the first request has arrived */
 	bool dead_target; /* the first one refuses connections */
 	uint32_t timeout_ms;
 	uint32_t attempts_max;
--- a/tests/unit/test_balance.c
+++ b/tests/unit/test_balance.c
@@ -422,10 +422,54 @@
 	bl_pool_free(pool);
 }
 
+/* Calls at a VM that started at 0 and does not know its objects yet. */
+static const struct {
+	const char *name;
+	int64_t now_ms, received_ms, deadline_ms;
+	uint32_t live, ready;
+	bool hold;
+	int64_t until_ms;
+} start_cases[] = {
+    {"all VMs start", 100, 100, 2100, 4, 0, true, 1100},
+    {"alone", 100, 100, 2100, 0, 0, true, 1100},
+    {"a few others are ready", 100, 100, 2100, 4, 1, true, 1100},
+    {"most others are ready", 100, 100, 2100, 4, 3, false, 0},
+    {"half of its time is over", 1100, 100, 2100, 4, 0, false, 0},
+    {"long deadline", 100, 100, 60100, 4, 0, true, 3000},
+    {"the objects do not come", 3000, 2900, 60000, 4, 0, false, 0},
+    {"its deadline is over", 200, 100, 100, 0, 0, false, 0},
+};
+
+static void
+test_calls_at_a_starting_vm_wait_or_are_refused(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(start_cases) / sizeof(start_cases[0]); i++) {
+		struct bl_start start = {
+		    .now_us = start_cases[i].now_ms * 1000,
+		    .received_us = start_cases[i].received_ms * 1000,
+		    .deadline_us = start_cases[i].deadline_ms * 1000,
+		    .live_nodes = start_cases[i].live,
+		    .ready_nodes = start_cases[i].ready,
+		};
+		struct bl_hold hold;
+
+		bl_hold_at_start(&start, &hold);
+		if (hold.hold != start_cases[i].hold ||
+		    hold.until_us != start_cases[i].until_ms * 1000)
+			fail_msg("%s: hold %d until %lld", start_cases[i].name,
+			    hold.hold, (long long)hold.until_us);
+		assert_true(hold.hold == (hold.retry_after_us == 0));
+	}
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_calls_at_a_starting_vm_wait_or_are_refused),
 	    cmocka_unit_test(test_next_step_of_each_outcome),
 	    cmocka_unit_test(test_fast_target_is_preferred),
 	    cmocka_unit_test(test_targets_with_stale_load_are_probed),
--- a/tests/unit/test_gateway.c
+++ b/tests/unit/test_gateway.c
@@ -295,6 +295,54 @@
 	rig_free(rig);
 }
 
+/* A VM that has just started serves the call once it knows its targets. */
+static void
+test_call_waits_until_the_objects_are_loaded(void **state)
+{
+	const struct rig_script script = {
+	    COMPLETE_RESPONSE, RIG_KEEP, NULL, false};
+	struct rig *rig = rig_create(&(struct rig_params){
+	    .scripts = &script,
+	    .script_count = 1,
+	    .target_count = 2,
+	    .late_table = true,
+	    .timeout_ms = 30000,
+	    .attempts_max = 2,
+	});
+
+	(void)state;
+	assert_int_equal(status_of(rig_ask(rig, NON_IDEMPOTENT_REQUEST,
+			     strlen(NON_IDEMPOTENT_REQUEST))),
+	    200);
+	assert_int_equal(rig_requests(rig), 1);
+	rig_free(rig);
+}
+
+/* The other VMs of the region are ready: the call is sent to one of them. */
+static void
+test_call_is_refused_at_a_starting_vm_if_others_are_ready(void **state)
+{
+	const struct rig_script script = {
+	    COMPLETE_RESPONSE, RIG_KEEP, NULL, false};
+	struct rig *rig = rig_create(&(struct rig_params){
+	    .scripts = &script,
+	    .script_count = 1,
+	    .target_count = 2,
+	    .timeout_ms = 30000,
+	    .attempts_max = 2,
+	});
+	const char *response;
+
+	(void)state;
+	gw_set_region(rig_gateway(rig), 4, 3);
+	response = rig_ask(
+	    rig, NON_IDEMPOTENT_REQUEST, strlen(NON_IDEMPOTENT_REQUEST));
+	assert_int_equal(status_of(response), 503);
+	assert_non_null(strstr(response, "Retry-After: 0.020"));
+	assert_int_equal(rig_requests(rig), 0);
+	rig_free(rig);
+}
+
 /* No target ran the request: the gateway responds 503, Retry-After. */
 static void
 test_request_that_no_target_ran_is_refused(void **state)
@@ -629,6 +677,9 @@
 	    cmocka_unit_test(
 		test_connection_is_not_reused_after_an_early_response),
 	    cmocka_unit_test(test_refused_connections_are_retried),
+	    cmocka_unit_test(test_call_waits_until_the_objects_are_loaded),
+	    cmocka_unit_test(
+		test_call_is_refused_at_a_starting_vm_if_others_are_ready),
 	    cmocka_unit_test(test_request_that_no_target_ran_is_refused),
 	    cmocka_unit_test(test_lost_attempt_keeps_the_outcome_unknown),
 	    cmocka_unit_test(test_refused_connection_does_not_count_as_attempt),
