h1, gateway: responses of all connections share a budget of memory

Cause (read, then shown by test): a response may take an eighth of a VM's memory, and nothing bounded how many such responses are held at once: nine endless bodies exceed the memory of a VM. Ruled out, by test: endless heads, single headers, status lines, chunk lengths, chunk extensions and trailers, which the limits on heads end already. Change: h1_body_budget, shared by the connections of a gateway, a quarter of the memory; a response beyond it ends like one that exceeds its own limit. Tests: test_bytes_without_end_close_the_connection (8 forms; 502, connection closed), test_bodies_of_all_responses_share_a_budget.

--- a/lib/gateway/connections.c
+++ b/lib/gateway/connections.c
@@ -318,6 +318,7 @@
 	    .loop = gw->params.loop,
 	    .address = connections->target->address,
 	    .limits = {H1_HEAD_BYTES_MAX, gw->params.response_bytes_max},
+	    .body_budget = &gw->response_budget,
 	    .unacked_timeout_ms = UNACKED_TIMEOUT_MS,
 	    .keepalive_probes_max = KEEPALIVE_PROBES_MAX,
 	    .events = &events,
--- a/lib/gateway/gateway.c
+++ b/lib/gateway/gateway.c
@@ -71,6 +71,7 @@
 		return CS_E_SYSTEM;
 	gw->params = *params;
 	gw->start_us = cs_now_us();
+	gw->response_budget.bytes_max = params->all_responses_bytes_max;
 	if (h1_server_create(&server, &gw->server) != CS_OK) {
 		free(gw);
 		return CS_E_SYSTEM;
--- a/lib/gateway/gateway.h
+++ b/lib/gateway/gateway.h
@@ -84,8 +84,9 @@
 	uint32_t connections_max;
 	/* Limit of all request bodies held at the same time. */
 	uint64_t memory_bytes_max;
-	uint64_t response_bytes_max; /* one response of a target */
-	double probes_per_s;	     /* per target, from the whole fleet */
+	uint64_t response_bytes_max;	  /* one response of a target */
+	uint64_t all_responses_bytes_max; /* all responses held at once */
+	double probes_per_s;		  /* per target, from the whole fleet */
 	uint64_t seed;
 	const struct gw_events *events;
 	void *user;
--- a/lib/h1/client_conn.c
+++ b/lib/h1/client_conn.c
@@ -325,6 +325,7 @@
 	conn->keepalive_probes_max = params->keepalive_probes_max;
 
 	h1_reader_init(&conn->reader, HTTP_RESPONSE, params->limits);
+	conn->reader.body_budget = params->body_budget;
 	if (uv_tcp_init_ex(params->loop, &conn->tcp, AF_INET) != 0) {
 		free(conn);
 		return CS_E_SYSTEM;
--- a/lib/h1/h1.h
+++ b/lib/h1/h1.h
@@ -98,10 +98,18 @@
 };
 
 /* Parses consecutive messages from a byte stream. */
+/* Bytes of bodies that several readers may hold in all. */
+struct h1_body_budget {
+	uint64_t used_bytes;
+	uint64_t bytes_max;
+};
+
 struct h1_reader {
 	http_parser parser;
 	struct h1_message message;
 	struct h1_limits limits;
+	struct h1_body_budget *body_budget; /* NULL: none */
+	uint64_t budgeted_bytes;	    /* that this reader uses of it */
 	enum h1_read failure;
 	uint32_t header_bytes;
 	bool in_value;
@@ -166,6 +174,11 @@
 	uv_loop_t *loop;
 	struct sockaddr_in address;
 	struct h1_limits limits;
+	/*
+	 * Shared by connections; must outlive them. A response that exceeds it
+	 * ends its connection as one that exceeds the limits does. NULL: none.
+	 */
+	struct h1_body_budget *body_budget;
 	/* The connection is reset when sent data is unacknowledged so long. */
 	uint32_t unacked_timeout_ms;
 	/* Or after so many unanswered keep-alive probes, sent at 1 s each. */
--- a/lib/h1/message.c
+++ b/lib/h1/message.c
@@ -306,13 +306,36 @@
 	return parser->type == HTTP_RESPONSE && reader->skip_body ? 1 : 0;
 }
 
+static bool
+take_budget(struct h1_reader *reader, size_t length)
+{
+	struct h1_body_budget *budget = reader->body_budget;
+
+	if (budget == NULL)
+		return true;
+	if (budget->used_bytes + length > budget->bytes_max)
+		return false;
+	budget->used_bytes += length;
+	reader->budgeted_bytes += length;
+	return true;
+}
+
+static void
+return_budget(struct h1_reader *reader)
+{
+	if (reader->body_budget != NULL)
+		reader->body_budget->used_bytes -= reader->budgeted_bytes;
+	reader->budgeted_bytes = 0;
+}
+
 static int
 on_body(http_parser *parser, const char *data, size_t length)
 {
 	struct h1_reader *reader = reader_of(parser);
 	struct h1_bytes *body = &reader->message.body;
 
-	if (body->length + length > reader->limits.body_bytes)
+	if (body->length + length > reader->limits.body_bytes ||
+	    !take_budget(reader, length))
 		return fail(reader, H1_READ_BODY_TOO_LARGE);
 	return h1_bytes_add(body, data, length) == 0
 		   ? 0
@@ -360,6 +383,7 @@
 {
 	struct h1_message *message = &reader->message;
 
+	return_budget(reader);
 	clear_buffer(&message->head);
 	clear_buffer(&message->body);
 	message->header_count = 0;
@@ -425,6 +449,7 @@
 void
 h1_reader_free(struct h1_reader *reader)
 {
+	return_budget(reader);
 	h1_bytes_free(&reader->message.head);
 	h1_bytes_free(&reader->message.body);
 }
--- a/programs/gateway.c
+++ b/programs/gateway.c
@@ -22,7 +22,7 @@
 #define FILES_RESERVED 600
 /* One response may take an eighth of the memory. */
 #define RESPONSE_MEMORY_DIVISOR 8
-/* All request bodies may take a quarter of the memory. */
+/* All request bodies may take a quarter of the memory, and all responses. */
 #define BODIES_MEMORY_DIVISOR 4
 /*
  * Time after which no cached directory response names a stopping VM: some
@@ -165,6 +165,7 @@
 				   : settings->files_max / 2,
 	    .memory_bytes_max = memory / BODIES_MEMORY_DIVISOR,
 	    .response_bytes_max = memory / RESPONSE_MEMORY_DIVISOR,
+	    .all_responses_bytes_max = memory / BODIES_MEMORY_DIVISOR,
 	    .probes_per_s = settings->probes_per_s,
 	    .seed = seed,
 	    .events = &gateway_events,
--- a/tests/unit/gateway_rig.h
+++ b/tests/unit/gateway_rig.h
@@ -10,6 +10,7 @@
 
 #define RIG_SCRIPTS_MAX 8
 #define RIG_TARGETS_MAX 3
+#define RIG_RESPONSE_BYTES_MAX (1024 * 1024)
 
 enum rig_end {
 	RIG_KEEP,
--- a/tests/unit/test_gateway.c
+++ b/tests/unit/test_gateway.c
@@ -295,6 +295,103 @@
 	rig_free(rig);
 }
 
+/* Bytes that a target sends without end; the prefix is followed by them. */
+static const struct {
+	const char *name;
+	const char *prefix;
+	const char *repeated;
+} endless_cases[] = {
+    {"head", "HTTP/1.1 200 OK\r\n", "X-Filler: aaaaaaaaaaaaaaaa\r\n"},
+    {"one header", "HTTP/1.1 200 OK\r\nX-Filler: ", "aaaaaaaaaaaaaaaaaaaaaaaa"},
+    {"status line", "HTTP/1.1 200 ", "aaaaaaaaaaaaaaaaaaaaaaaa"},
+    {"body without a length",
+	"HTTP/1.1 200 OK\r\n" ATTEMPT_ID RESPONSE_SEAL "\r\n",
+	"aaaaaaaaaaaaaaaaaaaaaaaa"},
+    {"chunks",
+	"HTTP/1.1 200 OK\r\n" ATTEMPT_ID RESPONSE_SEAL
+	"Transfer-Encoding: chunked\r\n\r\n",
+	"10\r\naaaaaaaaaaaaaaaa\r\n"},
+    {"chunk extension",
+	"HTTP/1.1 200 OK\r\n" ATTEMPT_ID RESPONSE_SEAL
+	"Transfer-Encoding: chunked\r\n\r\n5;",
+	"aaaaaaaaaaaaaaaaaaaaaaaa"},
+    {"chunk length",
+	"HTTP/1.1 200 OK\r\n" ATTEMPT_ID RESPONSE_SEAL
+	"Transfer-Encoding: chunked\r\n\r\n",
+	"000000000000000000000000"},
+    {"trailers",
+	"HTTP/1.1 200 OK\r\n" ATTEMPT_ID RESPONSE_SEAL
+	"Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n",
+	"X-Filler: aaaaaaaaaaaaaaaa\r\n"},
+};
+
+#define ENDLESS_BYTES (3 * RIG_RESPONSE_BYTES_MAX)
+
+/*
+ * The target keeps its connection open and sends more than any limit: the
+ * gateway closes it, and the caller does not get it as a response.
+ */
+static void
+test_bytes_without_end_close_the_connection(void **state)
+{
+	static char bytes[ENDLESS_BYTES + 1024];
+	size_t i, length;
+
+	(void)state;
+	for (i = 0; i < sizeof(endless_cases) / sizeof(endless_cases[0]); i++) {
+		const struct rig_script script = {bytes, RIG_KEEP, NULL, false};
+		struct rig *rig;
+		int status;
+
+		length = (size_t)snprintf(
+		    bytes, sizeof(bytes), "%s", endless_cases[i].prefix);
+		while (length < ENDLESS_BYTES)
+			length += (size_t)snprintf(bytes + length,
+			    sizeof(bytes) - length, "%s",
+			    endless_cases[i].repeated);
+		rig = make_rig(&script, 1, 1);
+		status = status_of(rig_ask(rig, NON_IDEMPOTENT_REQUEST,
+		    strlen(NON_IDEMPOTENT_REQUEST)));
+		if (status != 502)
+			fail_msg("%s: %d", endless_cases[i].name, status);
+		rig_await_closes(rig, 1);
+		rig_free(rig);
+	}
+}
+
+/* Bodies of many connections together stay within their budget. */
+static void
+test_bodies_of_all_responses_share_a_budget(void **state)
+{
+	static const char head[] =
+	    "HTTP/1.1 200 OK\r\nContent-Length: 60\r\n\r\n";
+	static const char body[60] = {'a'};
+	struct h1_body_budget budget = {.bytes_max = 100};
+	struct h1_reader readers[2];
+	size_t used;
+	int i;
+
+	(void)state;
+	for (i = 0; i < 2; i++) {
+		h1_reader_init(
+		    &readers[i], HTTP_RESPONSE, (struct h1_limits){1024, 1024});
+		readers[i].body_budget = &budget;
+		assert_int_equal(
+		    h1_reader_feed(&readers[i], head, strlen(head), &used),
+		    H1_READ_MORE);
+	}
+	assert_int_equal(h1_reader_feed(&readers[0], body, sizeof(body), &used),
+	    H1_READ_COMPLETE);
+	assert_int_equal(h1_reader_feed(&readers[1], body, sizeof(body), &used),
+	    H1_READ_BODY_TOO_LARGE);
+	assert_int_equal(budget.used_bytes, 60);
+	h1_reader_next(&readers[0]);
+	assert_int_equal(budget.used_bytes, 0);
+	for (i = 0; i < 2; i++)
+		h1_reader_free(&readers[i]);
+	assert_int_equal(budget.used_bytes, 0);
+}
+
 /* A VM that has just started serves the call once it knows its targets. */
 static void
 test_call_waits_until_the_objects_are_loaded(void **state)
@@ -677,6 +774,8 @@
 	    cmocka_unit_test(
 		test_connection_is_not_reused_after_an_early_response),
 	    cmocka_unit_test(test_refused_connections_are_retried),
+	    cmocka_unit_test(test_bytes_without_end_close_the_connection),
+	    cmocka_unit_test(test_bodies_of_all_responses_share_a_budget),
 	    cmocka_unit_test(test_call_waits_until_the_objects_are_loaded),
 	    cmocka_unit_test(
 		test_call_is_refused_at_a_starting_vm_if_others_are_ready),
