--- a/lib/balance/recover.c
+++ b/lib/balance/recover.c
@@ -3,8 +3,9 @@
  * configuration and targets yet. Load pattern: all VMs have lost power and
  * start again, and all callers return at once; each of them repeats a refused
  * call only once or twice, so a refusal in the first second is final for many.
- * Where the other VMs of the region are ready, the call is refused at once and
- * one of them serves it. Replayed by test_balance: calls at VMs that start.
+ * Where all other VMs of the region are ready, the call is refused at once and
+ * one of them serves it; while others start as well, its repeat could meet one
+ * of these. Replayed by test_restart.
  */
 #include "balance_internal.h"
 
@@ -26,7 +27,7 @@
 	    (start->deadline_us - start->received_us) / TIME_LEFT_DIVISOR;
 
 	*out = (struct bl_hold){.hold = false};
-	if (start->ready_nodes * 2 > start->live_nodes) {
+	if (start->live_nodes > 0 && start->ready_nodes == start->live_nodes) {
 		out->retry_after_us = RETRY_AFTER_OTHERS_READY_US;
 	} else if (start->now_us >= limit_us) {
 		out->retry_after_us = RETRY_AFTER_UNREACHABLE_US;
--- a/tests/unit/gateway_rig.c
+++ b/tests/unit/gateway_rig.c
@@ -42,6 +42,7 @@
 	struct h1_bytes got;
 	struct h1_bytes last;
 	bool caller_done;
+	uint32_t responses_wanted;
 	bool caller_open;
 	uint32_t requests, connections, closes;
 	struct sockaddr_in listen_address;
@@ -242,20 +243,26 @@
 	    (uv_stream_t *)&connection->tcp, on_alloc, on_target_read);
 }
 
-static bool
-has_complete_response(const struct rig *rig)
+/* Counts the complete responses that the caller has received. */
+static uint32_t
+count_responses(const struct rig *rig)
 {
-	const char *text = rig->got.data;
-	const char *end = text == NULL ? NULL : strstr(text, "\r\n\r\n");
+	const char *at = rig->got.data == NULL ? "" : rig->got.data;
+	uint32_t count = 0;
 	char length[32];
 
-	if (end == NULL)
-		return false;
-	if (strncmp(text, "HTTP/1.1 100", 12) == 0)
-		return false;
-	copy_header_value(text, "Content-Length", length, sizeof(length));
-	return length[0] != '\0' &&
-	       strlen(end + 4) >= strtoul(length, NULL, 10);
+	for (;;) {
+		const char *end = strstr(at, "\r\n\r\n");
+
+		if (end == NULL || strncmp(at, "HTTP/1.1 100", 12) == 0)
+			return count;
+		copy_header_value(at, "Content-Length", length, sizeof(length));
+		if (length[0] == '\0' ||
+		    strlen(end + 4) < strtoul(length, NULL, 10))
+			return count;
+		count++;
+		at = end + 4 + strtoul(length, NULL, 10);
+	}
 }
 
 static void
@@ -270,7 +277,7 @@
 	h1_bytes_add(&rig->got, buffer->base, (size_t)length);
 	h1_bytes_add(&rig->got, "", 1);
 	rig->got.length--;
-	if (has_complete_response(rig))
+	if (count_responses(rig) >= rig->responses_wanted)
 		rig->caller_done = true;
 }
 
@@ -351,9 +358,17 @@
 
 const char *
 rig_ask(struct rig *rig, const char *bytes, size_t length)
+{
+	return rig_ask_all(rig, bytes, length, 1);
+}
+
+const char *
+rig_ask_all(
+    struct rig *rig, const char *bytes, size_t length, uint32_t responses)
 {
 	uint32_t iterations = 0;
 
+	rig->responses_wanted = responses;
 	connect_caller(rig, bytes, length);
 	while (!rig->caller_done)
 		run_once(rig, &iterations);
--- a/tests/unit/gateway_rig.h
+++ b/tests/unit/gateway_rig.h
@@ -49,6 +49,12 @@
  * or a complete response has arrived; returns the bytes received.
  */
 const char *rig_ask(struct rig *rig, const char *bytes, size_t length);
+/*
+ * rig_ask_all(rig, bytes, length, responses): as rig_ask, until so many
+ * complete responses have arrived or the connection ends.
+ */
+const char *rig_ask_all(
+    struct rig *rig, const char *bytes, size_t length, uint32_t responses);
 /* rig_leave(rig, bytes): sends, waits until a target has it, closes. */
 void rig_leave(struct rig *rig, const char *bytes, size_t length);
 /* rig_hold(rig, bytes): as rig_leave, but keeps the connection open. */
--- a/tests/unit/test_gateway.c
+++ b/tests/unit/test_gateway.c
@@ -295,6 +295,56 @@
 	rig_free(rig);
 }
 
+#define PIPELINED_REQUEST(id)                      \
+	"GET /safe/" id " HTTP/1.1\r\nHost: h\r\n" \
+	"Chervilshelf-Attempt-Id: " id "\r\n\r\n"
+static const char pipelined_requests[] = PIPELINED_REQUEST("one")
+    PIPELINED_REQUEST("two") PIPELINED_REQUEST("three");
+
+/* Pipelined requests get their responses in the order of the requests. */
+static void
+test_pipelined_requests_are_answered_in_order(void **state)
+{
+	const struct rig_script script = {
+	    COMPLETE_RESPONSE, RIG_KEEP, NULL, false};
+	struct rig *rig = make_rig(&script, 1, 3);
+	const char *got =
+	    rig_ask_all(rig, pipelined_requests, strlen(pipelined_requests), 3);
+	const char *one = strstr(got, "Attempt-Id: one\r\n");
+	const char *two = strstr(got, "Attempt-Id: two\r\n");
+	const char *three = strstr(got, "Attempt-Id: three\r\n");
+
+	(void)state;
+	assert_true(one != NULL && two != NULL && three != NULL);
+	assert_true(one < two && two < three);
+	assert_int_equal(rig_requests(rig), 3);
+	rig_free(rig);
+}
+
+/*
+ * Behind a response that closes the connection no request is passed on: its
+ * caller sends it again, whatever its kind.
+ */
+static void
+test_requests_behind_a_closing_response_are_not_sent(void **state)
+{
+	const struct rig_script script = {
+	    COMPLETE_RESPONSE, RIG_KEEP, NULL, false};
+	struct rig *rig = make_rig(&script, 1, 3);
+	const char *got;
+
+	(void)state;
+	gw_stop(rig_gateway(rig), INT64_MAX);
+	got =
+	    rig_ask_all(rig, pipelined_requests, strlen(pipelined_requests), 3);
+	assert_int_equal(status_of(got), 200);
+	assert_non_null(strstr(got, "Attempt-Id: one\r\n"));
+	assert_null(strstr(got, "Attempt-Id: two"));
+	assert_non_null(strcasestr(got, "Connection: close\r\n"));
+	assert_int_equal(rig_requests(rig), 1);
+	rig_free(rig);
+}
+
 /* Bytes that a target sends without end; the prefix is followed by them. */
 static const struct {
 	const char *name;
@@ -431,7 +481,7 @@
 	const char *response;
 
 	(void)state;
-	gw_set_region(rig_gateway(rig), 4, 3);
+	gw_set_region(rig_gateway(rig), 4, 4);
 	response = rig_ask(
 	    rig, NON_IDEMPOTENT_REQUEST, strlen(NON_IDEMPOTENT_REQUEST));
 	assert_int_equal(status_of(response), 503);
@@ -774,6 +824,9 @@
 	    cmocka_unit_test(
 		test_connection_is_not_reused_after_an_early_response),
 	    cmocka_unit_test(test_refused_connections_are_retried),
+	    cmocka_unit_test(test_pipelined_requests_are_answered_in_order),
+	    cmocka_unit_test(
+		test_requests_behind_a_closing_response_are_not_sent),
 	    cmocka_unit_test(test_bytes_without_end_close_the_connection),
 	    cmocka_unit_test(test_bodies_of_all_responses_share_a_budget),
 	    cmocka_unit_test(test_call_waits_until_the_objects_are_loaded),
