--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -464,6 +464,7 @@
 	struct fleet *fleets[3];
 	uint32_t suspects_received[3]; /* suspects that each heard of */
 	bool timed_out;
+	struct os_cache *caches[3];
 };
 
 struct live_user {
@@ -546,7 +547,7 @@
 	    .loop = &live->loop,
 	    .self = {.fleet = *own, .boot = user->number + 1},
 	    .seed_count = 1,
-	    .cache = os_cache_create(),
+	    .cache = live->caches[user->number] = os_cache_create(),
 	    .kind_count = 1,
 	    .events = &events,
 	    .user = user,
@@ -644,6 +645,83 @@
 	assert_true(request_peer_count(&live, &addresses[0], 0) > 0);
 }
 
+/* Subscribes as a node that has just started; returns the names it is sent. */
+static void
+subscribe(struct live *live, const struct sockaddr_in *leader, char *names,
+    size_t size)
+{
+	struct fl_frame request = {.type = FL_FRAME_SUBSCRIBE}, update;
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	struct fl_buffer buffer;
+	char bytes[4096];
+	uint32_t length, i;
+	ssize_t got = 0, more;
+
+	assert_int_equal(
+	    connect(fd, (const struct sockaddr *)leader, sizeof(*leader)), 0);
+	assert_int_equal(fl_encode(&request, &buffer), CS_OK);
+	length = htonl((uint32_t)buffer.length);
+	assert_int_equal(write(fd, &length, sizeof(length)), sizeof(length));
+	assert_int_equal(
+	    write(fd, buffer.data, buffer.length), (ssize_t)buffer.length);
+	free(buffer.data);
+	for (;;) {
+		uv_run(&live->loop, UV_RUN_ONCE);
+		assert_false(live->timed_out);
+		more = recv(
+		    fd, bytes + got, sizeof(bytes) - (size_t)got, MSG_DONTWAIT);
+		got += more > 0 ? more : 0;
+		memcpy(&length, bytes, sizeof(length));
+		if (got >= 4 && (size_t)got >= 4 + ntohl(length))
+			break;
+	}
+	close(fd);
+	assert_int_equal(fl_decode(bytes + 4, ntohl(length), &update), CS_OK);
+	assert_true(update.as.update.snapshot);
+	names[0] = '\0';
+	for (i = 0; i < update.as.update.batch.count; i++)
+		strncat(names, update.as.update.batch.changes[i].name,
+		    size - strlen(names) - 1);
+	os_batch_free(&update.as.update.batch);
+}
+
+/*
+ * Nodes that start one after the other get the objects of their time: one that
+ * has left in between is not sent again.
+ */
+static void
+test_snapshot_does_not_bring_back_an_object_that_left(void **state)
+{
+	static struct live live;
+	struct live_user user = {&live, 0};
+	struct sockaddr_in address = free_address();
+	struct os_change objects[] = {
+	    {.name = "a", .revision = 4, .text = "{}", .text_length = 2},
+	    {.name = "b", .revision = 5, .text = "{}", .text_length = 2}};
+	struct os_change left = {.name = "a", .revision = 6, .deleted = true};
+	struct os_batch batch = {.changes = objects, .count = 2, .revision = 5};
+	struct os_batch out;
+	uv_timer_t watchdog;
+	char names[16];
+
+	(void)state;
+	start_loop(&live, &watchdog);
+	start_live(&live, &user, "there", &address, &address);
+	assert_int_equal(
+	    os_cache_apply_snapshot(live.caches[0], 0, &batch, &out), CS_OK);
+	free(out.changes);
+	subscribe(&live, &address, names, sizeof(names));
+	assert_true(strcmp(names, "ab") == 0 || strcmp(names, "ba") == 0);
+	subscribe(&live, &address, names, sizeof(names));
+	assert_true(strcmp(names, "ab") == 0 || strcmp(names, "ba") == 0);
+	batch = (struct os_batch){.changes = &left, .count = 1, .revision = 6};
+	assert_int_equal(
+	    os_cache_apply_changes(live.caches[0], 0, &batch, &out), CS_OK);
+	free(out.changes);
+	subscribe(&live, &address, names, sizeof(names));
+	assert_string_equal(names, "b");
+}
+
 /* A VM that was paused itself does not take the others for dead. */
 static void
 test_paused_node_does_not_expire_its_peers(void **state)
@@ -743,6 +821,8 @@
 	    cmocka_unit_test(test_directory_is_the_same_from_every_node),
 	    cmocka_unit_test(test_suspect_requests_reach_other_regions),
 	    cmocka_unit_test(test_peers_are_sent_only_to_nodes_that_know_fewer),
+	    cmocka_unit_test(
+		test_snapshot_does_not_bring_back_an_object_that_left),
 	    cmocka_unit_test(test_paused_node_does_not_expire_its_peers),
 	    cmocka_unit_test(test_frames_round_trip_and_truncated_are_refused),
 	    cmocka_unit_test(test_random_bytes_do_not_crash_the_decoder),
--- a/tests/unit/test_gateway.c
+++ b/tests/unit/test_gateway.c
@@ -490,6 +490,29 @@
 	rig_free(rig);
 }
 
+/* A VM that is stopped before it knows its targets answers its callers. */
+static void
+test_call_at_a_starting_vm_that_stops_is_answered(void **state)
+{
+	const struct rig_script script = {
+	    COMPLETE_RESPONSE, RIG_KEEP, NULL, false};
+	struct rig *rig = rig_create(&(struct rig_params){
+	    .scripts = &script,
+	    .script_count = 1,
+	    .target_count = 2,
+	    .timeout_ms = 30000,
+	    .attempts_max = 2,
+	});
+
+	(void)state;
+	gw_stop(rig_gateway(rig), INT64_MAX);
+	assert_int_equal(status_of(rig_ask(rig, NON_IDEMPOTENT_REQUEST,
+			     strlen(NON_IDEMPOTENT_REQUEST))),
+	    503);
+	assert_int_equal(rig_requests(rig), 0);
+	rig_free(rig);
+}
+
 /* No target ran the request: the gateway responds 503, Retry-After. */
 static void
 test_request_that_no_target_ran_is_refused(void **state)
@@ -832,6 +855,7 @@
 	    cmocka_unit_test(test_call_waits_until_the_objects_are_loaded),
 	    cmocka_unit_test(
 		test_call_is_refused_at_a_starting_vm_if_others_are_ready),
+	    cmocka_unit_test(test_call_at_a_starting_vm_that_stops_is_answered),
 	    cmocka_unit_test(test_request_that_no_target_ran_is_refused),
 	    cmocka_unit_test(test_lost_attempt_keeps_the_outcome_unknown),
 	    cmocka_unit_test(test_refused_connection_does_not_count_as_attempt),
