--- a/tests/unit/test_load.c
+++ b/tests/unit/test_load.c
@@ -51,6 +51,11 @@
 	0.15},
     {"a target that fails all requests", 6, 4, 3, 120, 1, 50, 200, 0.25, 4, 0,
 	1, 0.85, 0.15},
+    /* Nothing states a share for these: only the gain is required. */
+    {"peaks of twice the calls on half of the targets", 6, 4, 3, 150, 2, 50,
+	200, 0.25, 4, 3, 0, 0.0, 0.10},
+    {"a third of the targets slow by 5", 6, 4, 3, 150, 1, 50, 200, 0.33, 5, 0,
+	0, 0.0, 0.10},
 };
 
 struct call {
