store: the cache reports the last of several changes of an object in a batch

A watch that reports several versions of one object in one answer (changes close together are batched by 150 ms) made os_cache_apply_changes() report each of them, although applying the next one frees the text of the one before: freed memory was read as a configuration (printed in a scratch copy). A target that changed and left in one batch was read in the same way. Ruled out: the store's bytes (the last version of each batch was read well) and the codec. Change: out holds one change for each object; a later one overwrites it. Test: test_cache_reports_the_last_of_several_changes_of_an_object (4 != 2 before).

--- a/lib/store/cache.c
+++ b/lib/store/cache.c
@@ -11,6 +11,9 @@
 struct object {
 	char name[OS_NAME_BYTES_MAX];
 	uint64_t revision;
+	/* The last batch that changed it, and the index of that change. */
+	uint64_t batch;
+	uint32_t index;
 	char *text;
 	size_t text_length;
 	bool seen; /* in the snapshot being applied */
@@ -24,6 +27,7 @@
 struct kind {
 	GHashTable *objects;
 	uint64_t revision;
+	uint64_t batch;		   /* number of the last applied one */
 	uint64_t tombstones_since; /* later deletions all have one */
 	struct tombstone tombstones[TOMBSTONES_MAX];
 	uint32_t tombstone_count; /* ever added; the ring holds the last */
@@ -84,26 +88,41 @@
 	kind->tombstone_count++;
 }
 
-static void
-append_change(struct os_batch *out, const struct object *object)
+static struct os_change
+change_of(const struct object *object)
 {
-	struct os_change *change = &out->changes[out->count++];
-
-	*change = (struct os_change){
+	struct os_change change = {
 	    .revision = object->revision,
 	    .text = object->text,
 	    .text_length = object->text_length,
 	};
-	memcpy(change->name, object->name, sizeof(change->name));
+
+	memcpy(change.name, object->name, sizeof(change.name));
+	return change;
 }
 
-static void
-append_deletion(struct os_batch *out, const char *name, uint64_t revision)
+static struct os_change
+deletion_of(const char *name, uint64_t revision)
 {
-	struct os_change *change = &out->changes[out->count++];
+	struct os_change change = {.revision = revision, .deleted = true};
 
-	*change = (struct os_change){.revision = revision, .deleted = true};
-	cs_copy_text(change->name, sizeof(change->name), name);
+	cs_copy_text(change.name, sizeof(change.name), name);
+	return change;
+}
+
+/*
+ * Adds a change of an object to out. An earlier change of the object in the
+ * same batch is overwritten: its text has been freed.
+ */
+static void
+set_change(const struct kind *kind, struct os_batch *out, struct object *object,
+    const struct os_change *change)
+{
+	if (object->batch != kind->batch) {
+		object->batch = kind->batch;
+		object->index = out->count++;
+	}
+	out->changes[object->index] = *change;
 }
 
 /* Stores an object; returns true when it is newer than the known one. */
@@ -141,17 +160,34 @@
 	return true;
 }
 
-static bool
-apply_deletion(struct kind *kind, const struct os_change *change)
+static void
+apply_deletion(
+    struct kind *kind, const struct os_change *change, struct os_batch *out)
 {
 	struct object *object =
 	    g_hash_table_lookup(kind->objects, change->name);
+	struct os_change deletion = deletion_of(change->name, change->revision);
 
 	if (object == NULL || object->revision > change->revision)
-		return false;
+		return;
 	add_tombstone(kind, change->name, change->revision);
+	set_change(kind, out, object, &deletion);
 	g_hash_table_remove(kind->objects, change->name);
-	return true;
+}
+
+/* Stores an object and adds it to out if it is newer than the known one. */
+static void
+apply_update(
+    struct kind *kind, const struct os_change *change, struct os_batch *out)
+{
+	struct os_change update;
+	struct object *object;
+
+	if (!apply_object(kind, change))
+		return;
+	object = g_hash_table_lookup(kind->objects, change->name);
+	update = change_of(object);
+	set_change(kind, out, object, &update);
 }
 
 int
@@ -165,14 +201,12 @@
 	out->changes = calloc(batch->count + 1, sizeof(*out->changes));
 	if (out->changes == NULL)
 		return CS_E_SYSTEM;
+	kind->batch++;
 	for (i = 0; i < batch->count; i++) {
-		const struct os_change *change = &batch->changes[i];
-
-		if (change->deleted && apply_deletion(kind, change))
-			append_deletion(out, change->name, change->revision);
-		if (!change->deleted && apply_object(kind, change))
-			append_change(out,
-			    g_hash_table_lookup(kind->objects, change->name));
+		if (batch->changes[i].deleted)
+			apply_deletion(kind, &batch->changes[i], out);
+		else
+			apply_update(kind, &batch->changes[i], out);
 	}
 	if (batch->revision > kind->revision)
 		kind->revision = batch->revision;
@@ -198,18 +232,17 @@
 	g_hash_table_iter_init(&iter, kind->objects);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		((struct object *)value)->seen = false;
-	for (i = 0; i < batch->count; i++) {
-		if (apply_object(kind, &batch->changes[i]))
-			append_change(out, g_hash_table_lookup(kind->objects,
-					       batch->changes[i].name));
-	}
+	kind->batch++;
+	for (i = 0; i < batch->count; i++)
+		apply_update(kind, &batch->changes[i], out);
 	g_hash_table_iter_init(&iter, kind->objects);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct object *object = value;
 
 		if (object->seen || object->revision > batch->revision)
 			continue;
-		append_deletion(out, object->name, batch->revision);
+		out->changes[out->count++] =
+		    deletion_of(object->name, batch->revision);
 		add_tombstone(kind, object->name, batch->revision);
 		g_hash_table_iter_remove(&iter);
 	}
@@ -241,14 +274,15 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		if (*is_snapshot ||
 		    ((struct object *)value)->revision > revision)
-			append_change(out, value);
+			out->changes[out->count++] = change_of(value);
 	}
 	for (i = 0; !*is_snapshot && i < tombstones_kept; i++) {
 		if (kind->tombstones[i].revision > revision &&
 		    !g_hash_table_contains(
 			kind->objects, kind->tombstones[i].name))
-			append_deletion(out, kind->tombstones[i].name,
-			    kind->tombstones[i].revision);
+			out->changes[out->count++] =
+			    deletion_of(kind->tombstones[i].name,
+				kind->tombstones[i].revision);
 	}
 	return CS_OK;
 }
--- a/lib/store/cache.h
+++ b/lib/store/cache.h
@@ -16,7 +16,8 @@
  * kind by those of the batch. os_cache_apply_changes(cache, kind, batch, out):
  * applies single changes. Both set out to the differences from the previous
  * state. The cache owns the texts of out, which are valid until the next call;
- * the caller frees only its array, with free(). Changes older than the known
+ * the caller frees only its array, with free(). Of several changes of an object
+ * in one batch out has the last one. Changes older than the known
  * state are ignored; for a snapshot that is older as a whole, CS_E_STALE is
  * returned.
  */
--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -534,6 +534,36 @@
 	os_cache_free(cache);
 }
 
+/*
+ * A watch may report several changes of an object at once: only the text of the
+ * last one is still valid. From incident inc-47bf of the users' csp-coop: 143
+ * configurations of a storm were refused, because freed text was read.
+ */
+static void
+test_cache_reports_the_last_of_several_changes_of_an_object(void **state)
+{
+	struct os_cache *cache = os_cache_create();
+	struct os_change changes[] = {make_change("a", 3, false),
+	    make_change("b", 4, false), make_change("a", 5, false),
+	    make_change("b", 6, true)};
+	struct os_batch batch = {.changes = changes, .count = 4, .revision = 6};
+	struct os_batch out;
+
+	(void)state;
+	changes[0].text = "{1}";
+	changes[2].text = "{2}";
+	changes[0].text_length = changes[2].text_length = 3;
+	assert_int_equal(os_cache_apply_changes(cache, 0, &batch, &out), CS_OK);
+	assert_int_equal(out.count, 2);
+	assert_string_equal(out.changes[0].name, "a");
+	assert_string_equal(out.changes[0].text, "{2}");
+	assert_int_equal(out.changes[0].revision, 5);
+	assert_string_equal(out.changes[1].name, "b");
+	assert_true(out.changes[1].deleted);
+	free(out.changes);
+	os_cache_free(cache);
+}
+
 int
 main(void)
 {
@@ -544,6 +574,8 @@
 	    cmocka_unit_test(test_overlong_object_name_is_rejected_unsent),
 	    cmocka_unit_test(test_cache_applies_only_newer_revisions),
 	    cmocka_unit_test(test_cache_keeps_recreated_object),
+	    cmocka_unit_test(
+		test_cache_reports_the_last_of_several_changes_of_an_object),
 	};
 
 	cs_log_open("error");
