--- a/lib/decide/attempts.c
+++ b/lib/decide/attempts.c
@@ -299,8 +299,8 @@
 		dc_target_failed(core, attempt);
 		if (call->idempotent &&
 		    may_send_again(core, call, DC_RESULT_CONNECTION_LOST)) {
-			call->was_shed = false;
 			dc_attempt_cancel(core, call, attempt);
+			call->avoid_target = attempt->target;
 			call->was_shed = true;
 			if (dc_attempt_find_active(call) == NULL)
 				send_again(core, call);
--- a/lib/decide/decide_internal.h
+++ b/lib/decide/decide_internal.h
@@ -84,8 +84,7 @@
 	int64_t arrived_us;
 	int64_t deadline_us;
 	uint32_t sends;
-	/* Of the last attempt that was shed, else of the last one; or DC_NONE.
-	 */
+	/* Of the last attempt that was shed, else of the last; or DC_NONE. */
 	uint32_t avoid_target;
 	bool was_shed; /* avoid_target answered that it has no room */
 	struct dc_key key;
