review: a script that is interrupted ends all that it started

Cause: on a signal the clean-up waited in a loop that was being cancelled, so that two entry VMs, or the script itself, were left. Done: all processes are killed first and without waiting, on each way out; nothing in the checks.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -74,4 +74,4 @@
         await cluster.stop()
 
 
-si.main(__file__, case)
+si.main(case)
--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -40,6 +40,9 @@
 OWN_ZONES = ("nbo-a", "nbo-b")  # of the VMs and the upstreams
 
 
+CLUSTERS = []  # to be ended, however the script ends
+
+
 class CannotRun(Exception):
     """The case could not be set up; says nothing about the rule."""
 
@@ -507,9 +510,9 @@
     def __init__(self, case_file, vm_count=3, services=None, slots=4):
         self.case_folder = os.path.dirname(os.path.abspath(case_file))
         self.record = Record(self.case_folder)
-        self.folder = tempfile.mkdtemp(prefix="review-")
         self.memory_mb = 260
         self.prefix = self.free_prefix()
+        self.folder = tempfile.mkdtemp(prefix="review-")
         self.store = Store()
         self.host = "svc.example"
         self.version = 7
@@ -523,6 +526,7 @@
                     Upstream(self, service, number, slots))
         self.services = list(services or {"alpha": 4})
         self.store_server = None
+        CLUSTERS.append(self)
 
     @staticmethod
     def free_prefix():
@@ -669,14 +673,22 @@
             attempt, status or "-", len(body), how))
         return status, headers, body, how
 
-    async def stop(self):
-        for vm in self.vms:
-            vm.signal(signal.SIGCONT)
-            vm.signal(signal.SIGKILL)
-            if vm.process is not None:
-                await vm.process.wait()
+    def processes(self):
+        """All processes that this script has started and not yet ended."""
+        return [vm.process for vm in self.vms if vm.process is not None]
+
+    def kill_all(self):
+        """Ends all processes and removes the folder, without waiting."""
+        for process in self.processes():
+            if process.returncode is None:
+                process.kill()
         shutil.rmtree(self.folder, ignore_errors=True)
-        self.record.out.close()
+        self.record.out.flush()
+
+    async def stop(self):
+        self.kill_all()
+        for process in self.processes():
+            await process.wait()
 
 
 async def connect(host, port):
@@ -702,15 +714,29 @@
     return status, headers, body, "answered"
 
 
-def main(case_file, case, limit_s=110):
+def end(code):
+    """Ends this process at once, and before it all that it started."""
+    for cluster in CLUSTERS:
+        cluster.kill_all()
+    sys.stdout.flush()
+    os._exit(code)
+
+
+def main(case, limit_s=110):
     """Runs a case, a coroutine function that returns an exit code."""
     async def bounded():
-        return await asyncio.wait_for(case(), limit_s)
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: sys.exit(NOT_RUN))
+        try:
+            code = await asyncio.wait_for(case(), limit_s)
+        except (CannotRun, asyncio.TimeoutError, OSError) as error:
+            print("could not run: %s %s" % (type(error).__name__, error))
+            code = NOT_RUN
+        end(code)
+
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP,
+                   signal.SIGALRM):
+        signal.signal(number, lambda *_: end(NOT_RUN))
+    signal.alarm(limit_s + 5)
     try:
-        code = asyncio.run(bounded())
-    except (CannotRun, asyncio.TimeoutError, OSError) as error:
-        print("could not run: %s %s" % (type(error).__name__, error))
-        code = NOT_RUN
-    sys.exit(code)
+        asyncio.run(bounded())
+    finally:
+        end(NOT_RUN)
