--- a/lib/gateway/attempt.c
+++ b/lib/gateway/attempt.c
@@ -27,14 +27,14 @@
 
 	cs_log(CS_LOG_CALL_SENT,
 	    "request=%s attempt=%u target=%s data_centre=%s why=%s "
-	    "expected_us=%lld "
+	    "fingerprint=%llx expected_us=%lld "
 	    "load=%u/%u/%u slow_pct=%u load_age_us=%lld in_flight=%u "
 	    "failing=%.2f",
 	    call->id, call->attempts, target->id,
 	    call->gw->params.topology->data_centres[target->data_centre].name,
-	    placement->reason, (long long)placement->expected_us,
-	    target->load.running, target->load.waiting, target->slots,
-	    target->load.slowness_pct,
+	    placement->reason, (unsigned long long)call->fingerprint,
+	    (long long)placement->expected_us, target->load.running,
+	    target->load.waiting, target->slots, target->load.slowness_pct,
 	    target->load_at_us == 0 ? -1LL
 				    : (long long)(now_us - target->load_at_us),
 	    target->in_flight, target->failure_rate);
--- a/lib/gateway/connections.c
+++ b/lib/gateway/connections.c
@@ -187,8 +187,15 @@
 	uint32_t crashes;
 
 	connections->suspect_fingerprint = 0;
-	if (fingerprint == 0 || end != H1_END_CONNECT_FAILED)
+	if (fingerprint == 0)
 		return;
+	if (end != H1_END_CONNECT_FAILED) {
+		cs_log(CS_LOG_CRASH_DISMISSED,
+		    "target=%s fingerprint=%llx end=%s",
+		    connections->target->id, (unsigned long long)fingerprint,
+		    h1_end_text(end));
+		return;
+	}
 	crashes = bl_poison_crashed(&gw->poison, fingerprint, cs_now_us());
 	cs_log(CS_LOG_TARGET_CRASHED, "target=%s fingerprint=%llx crashes=%u",
 	    connections->target->id, (unsigned long long)fingerprint, crashes);
@@ -221,6 +228,19 @@
 		pool->gw->callbacks->probe_ended(pool, target);
 }
 
+static void
+check_for_crash(struct gw_target_connections *connections,
+    const struct gw_call *call, enum h1_end end)
+{
+	int error = gw_probe(connections->gw, connections->target);
+
+	cs_log(CS_LOG_CRASH_SUSPECTED,
+	    "request=%s target=%s fingerprint=%llx end=%s check=%s", call->id,
+	    connections->target->id, (unsigned long long)call->fingerprint,
+	    h1_end_text(end),
+	    error == CS_OK ? "started" : cs_error_text(error));
+}
+
 static void
 on_end(struct h1_client_conn *h1, enum h1_end end)
 {
@@ -242,7 +262,7 @@
 		connection->h1 = NULL;
 		if (connection->owner->suspect_fingerprint != 0 &&
 		    !target->draining)
-			gw_probe(connection->owner->gw, target);
+			check_for_crash(connection->owner, call, end);
 		drop_connection(connection);
 		call->gw->callbacks->attempt_ended(call, outcome, NULL);
 	} else {
--- a/lib/gateway/gateway.c
+++ b/lib/gateway/gateway.c
@@ -226,7 +226,11 @@
 void
 gw_add_suspect_request(struct gw *gw, uint64_t fingerprint)
 {
-	bl_poison_crashed(&gw->poison, fingerprint, cs_now_us());
+	uint32_t crashes =
+	    bl_poison_crashed(&gw->poison, fingerprint, cs_now_us());
+
+	cs_log(CS_LOG_CRASH_REPORTED, "fingerprint=%llx crashes=%u",
+	    (unsigned long long)fingerprint, crashes);
 }
 
 void
