--- a/tests/unit/gateway_rig.c
+++ b/tests/unit/gateway_rig.c
@@ -8,7 +8,9 @@
 
 #define TEXT_BYTES_MAX (1024 * 1024)
 #define LOOP_ITERATIONS_MAX \
-	200000 /* of the loop, before a test counts as stuck */
+	200000		     /* of the loop, before a test counts as stuck */
+#define SETTLE_ITERATIONS 40 /* each ends on an event or the wake-up timer */
+#define SLOTS_DEFAULT 4
 
 /* Holds in every build, unlike assert(). */
 static void
@@ -22,18 +24,30 @@
 	uv_tcp_t tcp;
 	struct rig *rig;
 	struct h1_bytes in;
+	uint32_t target; /* number of its target */
 	uint32_t script; /* of the request being read */
 	bool answered;
 	bool open;
 	struct connection *next;
 };
 
+struct listener {
+	uv_tcp_t tcp; /* must be first: handles are cast to listeners */
+	struct rig *rig;
+	uint32_t number; /* of the target */
+};
+
 struct rig {
 	uv_loop_t loop;
 	struct rig_params params;
 	struct bl_topology topology;
 	struct gw *gw;
-	uv_tcp_t listeners[RIG_TARGETS_MAX];
+	struct listener *listeners[RIG_TARGETS_MAX];
+	struct sockaddr_in addresses[RIG_TARGETS_MAX];
+	uint64_t process_starts[RIG_TARGETS_MAX];
+	uint32_t crashes;
+	uint64_t reported_fingerprint;
+	bool held_caller_open;
 	struct connection *target_connections;
 	uv_tcp_t caller, held_caller;
 	uv_connect_t connecting;
@@ -135,6 +149,35 @@
 	close_connection(connection);
 }
 
+static void listen_target(struct rig *rig, uint32_t number);
+
+static bool
+is_crashing(const struct connection *connection)
+{
+	const char *line_end = strstr(connection->in.data, "\r\n");
+	const char *at = strstr(connection->in.data, "crash");
+
+	return at != NULL && line_end != NULL && at < line_end;
+}
+
+static void
+crash_target(struct rig *rig, struct connection *crashing)
+{
+	uint32_t number = crashing->target;
+	struct connection *connection;
+
+	rig->crashes++;
+	uv_close((uv_handle_t *)&rig->listeners[number]->tcp, NULL);
+	reset_connection(crashing);
+	for (connection = rig->target_connections; connection != NULL;
+	     connection = connection->next) {
+		if (connection->target == number)
+			reset_connection(connection);
+	}
+	if (rig->params.restart_at_once)
+		listen_target(rig, number);
+}
+
 static const struct rig_script *
 script_at(const struct rig *rig, uint32_t number)
 {
@@ -204,6 +247,10 @@
 		return;
 	h1_bytes_add(&rig->last, connection->in.data, connection->in.length);
 	h1_bytes_add(&rig->last, "", 1);
+	if (is_crashing(connection)) {
+		crash_target(rig, connection);
+		return;
+	}
 	run_script(connection, script_at(rig, connection->script));
 	connection->in.length = 0;
 	connection->answered = false;
@@ -228,11 +275,13 @@
 static void
 on_accept(uv_stream_t *listener, int status)
 {
-	struct rig *rig = listener->data;
+	const struct listener *target = (const struct listener *)listener;
+	struct rig *rig = target->rig;
 	struct connection *connection = calloc(1, sizeof(*connection));
 
 	require(status == 0 && connection != NULL);
 	connection->rig = rig;
+	connection->target = target->number;
 	connection->open = true;
 	connection->next = rig->target_connections;
 	rig->target_connections = connection;
@@ -356,6 +405,71 @@
 	}
 }
 
+void
+rig_send_late(struct rig *rig)
+{
+	send_late_bytes(rig);
+}
+
+void
+rig_begin(struct rig *rig, const char *bytes, size_t length)
+{
+	rig->responses_wanted = 1;
+	connect_caller(rig, bytes, length);
+}
+
+const char *
+rig_finish(struct rig *rig)
+{
+	uint32_t iterations = 0;
+
+	while (!rig->caller_done)
+		run_once(rig, &iterations);
+	close_caller(rig);
+	return rig->got.data == NULL || rig->got.length == 0 ? ""
+							     : rig->got.data;
+}
+
+static void
+count_waiting(void *arg, const struct bl_pool *pool, uint32_t waiting)
+{
+	(void)pool;
+	*(uint32_t *)arg += waiting;
+}
+
+void
+rig_await_waiting(struct rig *rig, uint32_t calls)
+{
+	uint32_t iterations = 0, waiting = 0;
+
+	while (waiting < calls) {
+		run_once(rig, &iterations);
+		waiting = 0;
+		gw_for_each_pool(rig->gw, count_waiting, &waiting);
+	}
+}
+
+void
+rig_settle(struct rig *rig)
+{
+	uint32_t iterations = 0;
+
+	while (iterations < SETTLE_ITERATIONS)
+		run_once(rig, &iterations);
+}
+
+uint32_t
+rig_crashes(const struct rig *rig)
+{
+	return rig->crashes;
+}
+
+uint64_t
+rig_reported_fingerprint(const struct rig *rig)
+{
+	return rig->reported_fingerprint;
+}
+
 const char *
 rig_ask(struct rig *rig, const char *bytes, size_t length)
 {
@@ -399,11 +513,23 @@
 	    (uv_stream_t *)&rig->held_caller, rig->sent.data, rig->sent.length);
 }
 
+static void
+on_held_closed(uv_handle_t *handle)
+{
+	((struct rig *)handle->data)->held_caller_open = false;
+}
+
 void
 rig_hold(struct rig *rig, const char *bytes, size_t length)
 {
 	uint32_t iterations = 0, before = rig->requests;
 
+	if (rig->held_caller_open)
+		uv_close((uv_handle_t *)&rig->held_caller, on_held_closed);
+	while (rig->held_caller_open)
+		run_once(rig, &iterations);
+	rig->held_caller.data = rig;
+	rig->held_caller_open = true;
 	rig->sent.length = 0;
 	h1_bytes_add(&rig->sent, bytes, length);
 	uv_tcp_init(&rig->loop, &rig->held_caller);
@@ -449,6 +575,8 @@
 		const char *prefix;
 		enum rt_kind kind;
 	} routes[] = {{"/safe/", RT_IDEMPOTENT}, {"/once/", RT_NON_IDEMPOTENT}};
+	struct rt_pool pool = {
+	    .name = "p", .connections_max = rig->params.connections_max};
 	struct rt_table *table = rt_table_create(1);
 	size_t i;
 
@@ -458,10 +586,9 @@
 	    .head_timeout_ms = 60000,
 	    .idle_timeout_ms = 60000,
 	};
-	rt_table_add_pool(
-	    table, &(struct rt_pool){.name = "p",
-		       .health_path = "/health",
-		       .connections_max = rig->params.connections_max});
+	if (!rig->params.no_health_path)
+		strcpy(pool.health_path, "/health");
+	rt_table_add_pool(table, &pool);
 	for (i = 0; i < 2; i++) {
 		struct rt_route route = {
 		    .host = "h",
@@ -489,35 +616,57 @@
 	return ids[number];
 }
 
+static void
+listen_target(struct rig *rig, uint32_t number)
+{
+	struct listener *listener = calloc(1, sizeof(*listener));
+
+	require(listener != NULL);
+	*listener = (struct listener){.rig = rig, .number = number};
+	rig->listeners[number] = listener;
+	uv_tcp_init(&rig->loop, &listener->tcp);
+	require(uv_tcp_bind(&listener->tcp,
+		    (const struct sockaddr *)&rig->addresses[number], 0) == 0);
+	rig->addresses[number] = bound_address(&listener->tcp);
+	if (!rig->params.dead_target || number != 0)
+		require(uv_listen(
+			    (uv_stream_t *)&listener->tcp, 64, on_accept) == 0);
+}
+
+static void
+register_target(struct rig *rig, uint32_t number)
+{
+	gw_update_target(
+	    rig->gw, &(struct gw_target_info){
+			 .id = rig_target_id(number),
+			 .pool = "p",
+			 .address = rig->addresses[number],
+			 .slots = rig->params.slots == 0 ? SLOTS_DEFAULT
+							 : rig->params.slots,
+			 .process_start_ms = ++rig->process_starts[number],
+		     });
+}
+
 static void
 add_target(struct rig *rig, uint32_t number)
 {
-	struct sockaddr_in address;
-	bool dead = rig->params.dead_target && number == 0;
-
-	uv_tcp_init(&rig->loop, &rig->listeners[number]);
-	rig->listeners[number].data = rig;
-	address = loopback(0);
-	uv_tcp_bind(
-	    &rig->listeners[number], (const struct sockaddr *)&address, 0);
-	address = bound_address(&rig->listeners[number]);
-	if (!dead)
-		uv_listen(
-		    (uv_stream_t *)&rig->listeners[number], 64, on_accept);
-	gw_update_target(rig->gw, &(struct gw_target_info){
-				      .id = rig_target_id(number),
-				      .pool = "p",
-				      .address = address,
-				      .slots = 4,
-				      .process_start_ms = 1,
-				  });
+	rig->addresses[number] = loopback(0);
+	listen_target(rig, number);
+	register_target(rig, number);
+}
+
+void
+rig_restart_target(struct rig *rig, uint32_t number)
+{
+	if (!rig->params.restart_at_once)
+		listen_target(rig, number);
+	register_target(rig, number);
 }
 
 static void
 on_crash(void *user, uint64_t fingerprint)
 {
-	(void)user;
-	(void)fingerprint;
+	((struct rig *)user)->reported_fingerprint = fingerprint;
 }
 
 static void
--- a/tests/unit/gateway_rig.h
+++ b/tests/unit/gateway_rig.h
@@ -38,6 +38,10 @@
 	uint32_t timeout_ms;
 	uint32_t attempts_max;
 	uint32_t connections_max; /* per target; 0: unlimited */
+	uint32_t slots;		  /* per target; 0: 4 */
+	bool no_health_path;
+	/* A crashed target listens again at once. */
+	bool restart_at_once;
 };
 
 struct rig;
@@ -59,6 +63,25 @@
 void rig_leave(struct rig *rig, const char *bytes, size_t length);
 /* rig_hold(rig, bytes): as rig_leave, but keeps the connection open. */
 void rig_hold(struct rig *rig, const char *bytes, size_t length);
+/* rig_begin(rig, bytes): as rig_ask, but returns once it is sent. */
+void rig_begin(struct rig *rig, const char *bytes, size_t length);
+/* rig_finish(rig): runs until the response to rig_begin() has arrived. */
+const char *rig_finish(struct rig *rig);
+/* rig_send_late(rig): sends the later bytes of the targets' scripts. */
+void rig_send_late(struct rig *rig);
+/* rig_await_waiting(rig, calls): runs until so many calls wait for room. */
+void rig_await_waiting(struct rig *rig, uint32_t calls);
+/*
+ * A request with "crash" in its path crashes its target: all connections of the
+ * target are reset, first that of the request, and nothing listens there until
+ * rig_restart_target(), which also registers the new process.
+ */
+void rig_restart_target(struct rig *rig, uint32_t number);
+uint32_t rig_crashes(const struct rig *rig);
+/* rig_settle(rig): runs until nothing is left that could happen at once. */
+void rig_settle(struct rig *rig);
+/* The last crash that the gateway reported, or 0. */
+uint64_t rig_reported_fingerprint(const struct rig *rig);
 /* Runs until targets have seen this number of closed connections. */
 void rig_await_closes(struct rig *rig, uint32_t closes);
 uint32_t rig_requests(const struct rig *rig);
--- /dev/null
+++ b/tests/unit/test_crashing_requests.c
@@ -0,0 +1,206 @@
+/*
+ * A request that crashes its targets is stopped, whatever the crash leaves of
+ * the connections, of other requests and of the target's registration.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "gateway_rig.h"
+
+#define COMPLETE_RESPONSE                              \
+	"HTTP/1.1 200 OK\r\nChervilshelf-Attempt-Id: " \
+	"%I\r\nChervilshelf-Response-Seal: s\r\nContent-Length: 2\r\n\r\nok"
+#define REQUEST(method, path, id)                    \
+	method " " path " HTTP/1.1\r\nHost: h\r\n"   \
+	       "Chervilshelf-Attempt-Id: " id "\r\n" \
+	       "Content-Length: 0\r\n\r\n"
+
+static const char crashing_request[] =
+    REQUEST("POST", "/once/crash", "crashing");
+static const char ordinary_request[] =
+    REQUEST("POST", "/once/ordinary", "ordinary");
+/* Each is lost in one crash only. */
+static const char *const held_requests[] = {
+    REQUEST("POST", "/once/held-0", "first"),
+    REQUEST("POST", "/once/held-1", "first"),
+};
+
+static const struct rig_script answering = {
+    COMPLETE_RESPONSE, RIG_KEEP, NULL, false};
+static const struct rig_script silent = {NULL, RIG_SILENT, NULL, false};
+
+static int
+ask(struct rig *rig, const char *request)
+{
+	const char *response = rig_ask(rig, request, strlen(request));
+
+	return response[0] == '\0' ? 0 : atoi(response + strlen("HTTP/1.1 "));
+}
+
+static void
+assert_crashing_request_is_refused(struct rig *rig)
+{
+	uint32_t crashes = rig_crashes(rig);
+
+	assert_int_equal(ask(rig, crashing_request), 503);
+	assert_int_equal(rig_crashes(rig), crashes);
+}
+
+/* The crash resets idle connections, too, before the gateway looks at them. */
+static void
+test_crash_is_noticed_despite_idle_connections(void **state)
+{
+	/* Answered after the next request, so that two connections are idle. */
+	const struct rig_script held = {
+	    NULL, RIG_SILENT, COMPLETE_RESPONSE, false};
+	const struct rig_script scripts[] = {
+	    held, answering, answering, held, answering, answering};
+	struct rig *rig = rig_create(&(struct rig_params){
+	    .scripts = scripts,
+	    .script_count = 6,
+	    .target_count = 1,
+	    .with_table = true,
+	    .timeout_ms = 30000,
+	    .attempts_max = 1,
+	});
+	int i;
+
+	(void)state;
+	for (i = 0; i < 2; i++) {
+		rig_hold(rig, held_requests[i], strlen(held_requests[i]));
+		assert_int_equal(ask(rig, ordinary_request), 200);
+		rig_settle(rig);
+		assert_int_equal(ask(rig, crashing_request), 502);
+		rig_settle(rig);
+		rig_restart_target(rig, 0);
+	}
+	assert_crashing_request_is_refused(rig);
+	rig_free(rig);
+}
+
+/* A crash loses all requests at the target, the crashing one first. */
+static void
+test_crash_counts_for_each_request_that_it_lost(void **state)
+{
+	const struct rig_script scripts[] = {
+	    silent, answering, silent, answering};
+	struct rig *rig = rig_create(&(struct rig_params){
+	    .scripts = scripts,
+	    .script_count = 4,
+	    .target_count = 1,
+	    .with_table = true,
+	    .timeout_ms = 30000,
+	    .attempts_max = 1,
+	});
+	int i;
+
+	(void)state;
+	for (i = 0; i < 2; i++) {
+		rig_hold(rig, held_requests[i], strlen(held_requests[i]));
+		assert_int_equal(ask(rig, crashing_request), 502);
+		rig_settle(rig);
+		rig_restart_target(rig, 0);
+	}
+	assert_crashing_request_is_refused(rig);
+	assert_int_equal(ask(rig, ordinary_request), 200);
+	rig_free(rig);
+}
+
+static void
+crash_twice(const struct rig_params *params)
+{
+	struct rig *rig = rig_create(params);
+	int i;
+
+	for (i = 0; i < 2; i++) {
+		assert_int_equal(ask(rig, crashing_request), 502);
+		rig_settle(rig);
+		rig_restart_target(rig, 0);
+	}
+	assert_crashing_request_is_refused(rig);
+	rig_free(rig);
+}
+
+static void
+test_crash_is_noticed_without_a_health_path(void **state)
+{
+	(void)state;
+	crash_twice(&(struct rig_params){
+	    .scripts = &answering,
+	    .script_count = 1,
+	    .target_count = 1,
+	    .with_table = true,
+	    .timeout_ms = 30000,
+	    .attempts_max = 1,
+	    .no_health_path = true,
+	});
+}
+
+/* Only the registration of a new process tells of the crash. */
+static void
+test_crash_of_a_target_that_is_back_at_once_is_noticed(void **state)
+{
+	(void)state;
+	crash_twice(&(struct rig_params){
+	    .scripts = &answering,
+	    .script_count = 1,
+	    .target_count = 1,
+	    .with_table = true,
+	    .timeout_ms = 30000,
+	    .attempts_max = 1,
+	    .restart_at_once = true,
+	});
+}
+
+/* A call waits for room while another VM reports the second crash. */
+static void
+test_waiting_request_is_refused_once_it_is_known_to_crash(void **state)
+{
+	const struct rig_script held = {
+	    NULL, RIG_SILENT, COMPLETE_RESPONSE, false};
+	const struct rig_script scripts[] = {answering, held, answering};
+	struct rig *rig = rig_create(&(struct rig_params){
+	    .scripts = scripts,
+	    .script_count = 3,
+	    .target_count = 1,
+	    .with_table = true,
+	    .timeout_ms = 30000,
+	    .attempts_max = 1,
+	    .slots = 1,
+	});
+
+	(void)state;
+	assert_int_equal(ask(rig, crashing_request), 502);
+	rig_settle(rig);
+	assert_int_not_equal(rig_reported_fingerprint(rig), 0);
+	rig_restart_target(rig, 0);
+	rig_hold(rig, held_requests[0], strlen(held_requests[0]));
+	rig_begin(rig, crashing_request, strlen(crashing_request));
+	rig_await_waiting(rig, 1);
+	gw_add_suspect_request(rig_gateway(rig), rig_reported_fingerprint(rig));
+	rig_send_late(rig);
+	assert_memory_equal(rig_finish(rig), "HTTP/1.1 503", 12);
+	assert_int_equal(rig_crashes(rig), 1);
+	rig_free(rig);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_crash_is_noticed_despite_idle_connections),
+	    cmocka_unit_test(test_crash_counts_for_each_request_that_it_lost),
+	    cmocka_unit_test(test_crash_is_noticed_without_a_health_path),
+	    cmocka_unit_test(
+		test_crash_of_a_target_that_is_back_at_once_is_noticed),
+	    cmocka_unit_test(
+		test_waiting_request_is_refused_once_it_is_known_to_crash),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
