--- a/lib/gateway/call.c
+++ b/lib/gateway/call.c
@@ -291,6 +291,8 @@
 const struct gw_callbacks gw_call_callbacks = {
     .attempt_ended = attempt_ended,
     .probe_ended = probe_ended,
+    .request_lost = gw_suspect_crash,
+    .check_ended = gw_crash_check_ended,
     .place = place_call,
     .resume_held = route_call,
     .dispatch_waiting = dispatch_waiting,
--- a/lib/gateway/connections.c
+++ b/lib/gateway/connections.c
@@ -175,34 +175,6 @@
 				   : on_call_response(connection, response);
 }
 
-/*
- * Records a crash. A target is taken to have crashed when it refuses
- * connections right after it lost a request.
- */
-static void
-record_crash(struct gw_target_connections *connections, enum h1_end end)
-{
-	struct gw *gw = connections->gw;
-	uint64_t fingerprint = connections->suspect_fingerprint;
-	uint32_t crashes;
-
-	connections->suspect_fingerprint = 0;
-	if (fingerprint == 0)
-		return;
-	if (end != H1_END_CONNECT_FAILED) {
-		cs_log(CS_LOG_CRASH_DISMISSED,
-		    "target=%s fingerprint=%llx end=%s",
-		    connections->target->id, (unsigned long long)fingerprint,
-		    h1_end_text(end));
-		return;
-	}
-	crashes = bl_poison_crashed(&gw->poison, fingerprint, cs_now_us());
-	cs_log(CS_LOG_TARGET_CRASHED, "target=%s fingerprint=%llx crashes=%u",
-	    connections->target->id, (unsigned long long)fingerprint, crashes);
-	if (crashes > 0)
-		gw->params.events->on_crash(gw->params.user, fingerprint);
-}
-
 static enum bl_outcome
 outcome_of_end(const struct gw_connection *connection, enum h1_end end)
 {
@@ -220,7 +192,6 @@
 
 	connection->owner->probe = NULL;
 	target->probing = false;
-	record_crash(connection->owner, end);
 	bl_request_started(target, cs_now_us());
 	bl_request_ended(
 	    target, outcome_of_end(connection, end), 0, cs_now_us());
@@ -228,19 +199,6 @@
 		pool->gw->callbacks->probe_ended(pool, target);
 }
 
-static void
-check_for_crash(struct gw_target_connections *connections,
-    const struct gw_call *call, enum h1_end end)
-{
-	int error = gw_probe(connections->gw, connections->target);
-
-	cs_log(CS_LOG_CRASH_SUSPECTED,
-	    "request=%s target=%s fingerprint=%llx end=%s check=%s", call->id,
-	    connections->target->id, (unsigned long long)call->fingerprint,
-	    h1_end_text(end),
-	    error == CS_OK ? "started" : cs_error_text(error));
-}
-
 static void
 on_end(struct h1_client_conn *h1, enum h1_end end)
 {
@@ -250,19 +208,20 @@
 
 	cs_ref_take(&target->ref);
 	remove_from_idle(connection);
+	if (connection->checking)
+		connection->owner->gw->callbacks->check_ended(
+		    connection->owner, end);
 	if (connection->probing)
 		finish_probe(connection, end);
 	if (call != NULL) {
 		enum bl_outcome outcome = outcome_of_end(connection, end);
 
-		if (outcome == BL_LOST && end != H1_END_TRUNCATED)
-			connection->owner->suspect_fingerprint =
-			    call->fingerprint;
 		call->connection = NULL;
 		connection->h1 = NULL;
-		if (connection->owner->suspect_fingerprint != 0 &&
+		if (outcome == BL_LOST && end != H1_END_TRUNCATED &&
 		    !target->draining)
-			check_for_crash(connection->owner, call, end);
+			call->gw->callbacks->request_lost(
+			    connection->owner, call, end);
 		drop_connection(connection);
 		call->gw->callbacks->attempt_ended(call, outcome, NULL);
 	} else {
@@ -272,7 +231,28 @@
 	bl_target_unref(target);
 }
 
+/* A connection that was opened for a check serves requests afterwards. */
+static void
+on_connect(struct h1_client_conn *h1)
+{
+	struct gw_connection *connection = h1_client_conn_owner(h1);
+	struct gw_target_connections *owner = connection->owner;
+
+	if (!connection->checking)
+		return;
+	owner->gw->callbacks->check_ended(owner, H1_END_EOF);
+	if (owner->target->draining) {
+		drop_connection(connection);
+		return;
+	}
+	connection->last_used_us = cs_now_us();
+	connection->idle_limit_us = GW_IDLE_DEFAULT_US;
+	connection->next_idle = owner->idle;
+	owner->idle = connection;
+}
+
 static const struct h1_client_conn_events events = {
+    .on_connect = on_connect,
     .on_response = on_response,
     .on_end = on_end,
 };
@@ -401,6 +381,16 @@
 	return CS_OK;
 }
 
+struct gw_connection *
+gw_open_check(struct gw_target_connections *connections)
+{
+	struct gw_connection *connection = open_connection(connections);
+
+	if (connection != NULL)
+		connection->checking = true;
+	return connection;
+}
+
 void
 gw_cancel(struct gw_call *call)
 {
@@ -454,6 +444,16 @@
 	drop_connection(connection);
 }
 
+/* Ends a check without a result: the target may be cut off. */
+static void
+abort_check(struct gw_target_connections *connections)
+{
+	struct gw_connection *connection = connections->check;
+
+	connections->gw->callbacks->check_ended(connections, H1_END_RESET);
+	drop_connection(connection);
+}
+
 void
 gw_target_connections_sweep(
     struct gw_target_connections *connections, int64_t now_us)
@@ -465,6 +465,11 @@
 		abort_probe(connections);
 		return;
 	}
+	if (connections->check != NULL &&
+	    now_us - connections->check_started_us > PROBE_TIMEOUT_US) {
+		abort_check(connections);
+		return;
+	}
 
 	for (; connection != NULL; connection = next) {
 		next = connection->next_idle;
@@ -477,15 +482,14 @@
 void
 gw_target_connections_close(struct gw_target_connections *connections)
 {
-	struct bl_target *target = connections->target;
 	struct gw_connection *connection, *next;
 
+	connections->open_count++; /* prevents connections from being freed */
 	if (connections->probe != NULL)
 		abort_probe(connections);
-	if (target->connections == NULL)
-		return;
+	if (connections->check != NULL)
+		abort_check(connections);
 	connection = connections->idle;
-	connections->open_count++; /* prevents connections from being freed */
 	for (; connection != NULL; connection = next) {
 		next = connection->next_idle;
 		drop_connection(connection);
--- a/lib/gateway/exchange.c
+++ b/lib/gateway/exchange.c
@@ -11,8 +11,7 @@
 
 #include "gateway_internal.h"
 
-#define IDLE_DEFAULT_US 4000000 /* if the target states no timeout */
-#define IDLE_MARGIN_US 1500000	/* closed this long before the target does */
+#define IDLE_MARGIN_US 1500000 /* closed this long before the target does */
 /* Part of a long id that is kept; leaves room for the hash. */
 #define ID_BYTES_KEPT 100
 
@@ -25,7 +24,7 @@
 	int64_t limit_us;
 
 	if (timeout == NULL)
-		return IDLE_DEFAULT_US;
+		return GW_IDLE_DEFAULT_US;
 	limit_us = strtol(timeout + strlen("timeout="), NULL, 10) * 1000000L;
 	return limit_us > 2 * IDLE_MARGIN_US ? limit_us - IDLE_MARGIN_US
 					     : limit_us / 2;
--- a/lib/gateway/gateway_internal.h
+++ b/lib/gateway/gateway_internal.h
@@ -30,9 +30,11 @@
 	uint32_t open_count;
 	/*
 	 * Fingerprint of a lost request, counted as a crash if the target then
-	 * refuses a probe; or 0.
+	 * refuses a connection; or 0.
 	 */
 	uint64_t suspect_fingerprint;
+	struct gw_connection *check; /* NULL: no check for a crash is pending */
+	int64_t check_started_us;
 };
 
 #define GW_ID_BYTES_MAX 128 /* of a request, see gw_shorten_id() */
@@ -42,8 +44,9 @@
 	struct h1_client_conn *h1;
 	struct gw_target_connections *owner;
 	struct gw_connection *next_idle;
-	struct gw_call *call; /* NULL: idle or a probe */
+	struct gw_call *call; /* NULL: idle, a probe or a check */
 	bool probing;
+	bool checking; /* shows whether the target still listens */
 	int64_t last_used_us;
 	int64_t idle_limit_us;
 	char previous_id[GW_ID_BYTES_MAX]; /* of the previous request */
@@ -142,6 +145,12 @@
 	void (*attempt_ended)(struct gw_call *call, enum bl_outcome outcome,
 	    const struct h1_message *response);
 	void (*probe_ended)(struct gw_pool *pool, struct bl_target *target);
+	/* The connection of a call ended without a response. */
+	void (*request_lost)(struct gw_target_connections *connections,
+	    const struct gw_call *call, enum h1_end end);
+	/* end is H1_END_EOF if the target accepted the connection. */
+	void (*check_ended)(
+	    struct gw_target_connections *connections, enum h1_end end);
 	void (*place)(struct gw_call *call); /* its wait for probes is over */
 	void (*resume_held)(struct gw_call *call);
 	/* A target of the pool may have room. */
@@ -228,6 +237,7 @@
 void gw_attempt_drop(struct gw_call *call, enum bl_outcome outcome);
 
 /* connections.c: connections to targets */
+#define GW_IDLE_DEFAULT_US 4000000 /* if the target states no timeout */
 int gw_send(struct gw_call *call, struct bl_target *target);
 /* gw_cancel(call): closes the connection of the pending attempt. */
 void gw_cancel(struct gw_call *call);
@@ -236,10 +246,28 @@
  * a probe is pending already, or the target has no pool or health path.
  */
 int gw_probe(struct gw *gw, struct bl_target *target);
+/*
+ * gw_open_check(connections): connects to the target and reports the end to
+ * check_ended(). Returns NULL if that cannot be started.
+ */
+struct gw_connection *gw_open_check(struct gw_target_connections *connections);
 void gw_target_connections_sweep(
     struct gw_target_connections *connections, int64_t now_us);
 void gw_target_connections_close(struct gw_target_connections *connections);
 
+/* crash.c: requests that crash targets */
+/*
+ * gw_suspect_crash(connections, call, end): the call was lost at the target.
+ * Checks whether the target has crashed.
+ */
+void gw_suspect_crash(struct gw_target_connections *connections,
+    const struct gw_call *call, enum h1_end end);
+/*
+ * gw_crash_check_ended(connections, end): H1_END_CONNECT_FAILED shows a crash.
+ */
+void gw_crash_check_ended(
+    struct gw_target_connections *connections, enum h1_end end);
+
 /* exchange.c: requests to targets and classification of their responses */
 enum gw_match {
 	GW_MATCH_CURRENT,
