--- a/lib/gateway/gateway_internal.h
+++ b/lib/gateway/gateway_internal.h
@@ -21,6 +21,8 @@
 	int64_t probe_tokens_at_us;
 };
 
+#define GW_SUSPECTS_MAX 32 /* lost in one crash; targets run far fewer */
+
 /* The connections to one target. */
 struct gw_target_connections {
 	struct gw *gw;
@@ -29,10 +31,12 @@
 	struct gw_connection *probe; /* NULL: no probe is pending */
 	uint32_t open_count;
 	/*
-	 * Fingerprint of a lost request, counted as a crash if the target then
-	 * refuses a connection; or 0.
+	 * Fingerprints of requests that were lost here. All of them count as
+	 * having crashed the target if it then refuses a connection: which one
+	 * of them did is not known.
 	 */
-	uint64_t suspect_fingerprint;
+	uint64_t suspects[GW_SUSPECTS_MAX];
+	uint32_t suspect_count;
 	struct gw_connection *check; /* NULL: no check for a crash is pending */
 	int64_t check_started_us;
 };
