--- a/lib/balance/balance.h
+++ b/lib/balance/balance.h
@@ -285,26 +285,42 @@
  */
 #define BL_POISON_SUSPECTS_MAX 256
 #define BL_POISON_SERVED_MAX 4096
+#define BL_POISON_CRASHES_MAX                          \
+	6 /* of one request; further ones count as one \
+	   */
+
+struct bl_crash {
+	uint64_t fingerprint;
+	uint64_t target_process; /* that crashed, see bl_target_process() */
+};
+
 struct bl_poison {
 	/* Fingerprints of requests that a target served, hashed by position. */
 	uint64_t served[BL_POISON_SERVED_MAX];
-	struct {
+	struct bl_suspect {
 		uint64_t fingerprint;
+		/* The target processes that it crashed. */
+		uint64_t crashed[BL_POISON_CRASHES_MAX];
 		uint32_t crashes;
-		int64_t seen_us;
+		int64_t seen_us; /* the last crash */
 	} suspects[BL_POISON_SUSPECTS_MAX];
 };
 
+/* bl_target_process(target): identifies the process of the target. */
+uint64_t bl_target_process(const struct bl_target *target);
 /* bl_poison_served(poison, fingerprint): records that a target served it. */
 void bl_poison_served(struct bl_poison *poison, uint64_t fingerprint);
 /*
- * bl_poison_crashed(poison, ...): records a crash of a target that ran the
- * request and returns the number of such crashes. Returns 0 and records nothing
- * for a request that was served before, because the crash is then a
- * coincidence.
+ * bl_poison_crashed(poison, crash, now_us): records a crash of a target that
+ * ran the request and returns the number of such crashes. The same crash counts
+ * once, whoever reports it how often. Returns 0 and records nothing for a
+ * request that was served before, because the crash is then a coincidence.
  */
 uint32_t bl_poison_crashed(
-    struct bl_poison *poison, uint64_t fingerprint, int64_t now_us);
+    struct bl_poison *poison, const struct bl_crash *crash, int64_t now_us);
+/* bl_poison_knows(poison, crash): the crash was recorded before. */
+bool bl_poison_knows(
+    const struct bl_poison *poison, const struct bl_crash *crash);
 /* bl_is_poison(poison, ...): the request must not be sent to another target. */
 bool bl_is_poison(
     const struct bl_poison *poison, uint64_t fingerprint, int64_t now_us);
--- a/lib/balance/poison.c
+++ b/lib/balance/poison.c
@@ -3,56 +3,107 @@
  * by their callers. A request that has crashed two targets is sent to no
  * further one until SUSPECT_TTL_US after its last crash. A request that was
  * served before is never blamed when targets crash while they run it.
+ *
+ * What is known of a request is the set of target processes that it crashed, so
+ * reports of VMs may arrive twice and in any order.
  */
+#include <string.h>
+
 #include "balance_internal.h"
 
 #define CRASH_THRESHOLD 2
+
 /* A caller that repeats such a request does so within this time. */
 #define SUSPECT_TTL_US 60000000
 
+uint64_t
+bl_target_process(const struct bl_target *target)
+{
+	return cs_hash_seeded(
+	    target->id, strlen(target->id), target->process_start_ms);
+}
+
 void
 bl_poison_served(struct bl_poison *poison, uint64_t fingerprint)
 {
 	poison->served[fingerprint % BL_POISON_SERVED_MAX] = fingerprint;
 }
 
-uint32_t
-bl_poison_crashed(
-    struct bl_poison *poison, uint64_t fingerprint, int64_t now_us)
+static const struct bl_suspect *
+find_suspect(const struct bl_poison *poison, uint64_t fingerprint)
 {
-	uint32_t i, entry = 0;
-
-	if (poison->served[fingerprint % BL_POISON_SERVED_MAX] == fingerprint)
-		return 0;
+	uint32_t i;
 
 	for (i = 0; i < BL_POISON_SUSPECTS_MAX; i++) {
-		if (poison->suspects[i].fingerprint == fingerprint) {
-			entry = i;
-			break;
-		}
-		if (poison->suspects[i].seen_us <
-		    poison->suspects[entry].seen_us)
-			entry = i;
+		if (poison->suspects[i].crashes > 0 &&
+		    poison->suspects[i].fingerprint == fingerprint)
+			return &poison->suspects[i];
 	}
-	if (poison->suspects[entry].fingerprint != fingerprint) {
-		poison->suspects[entry].fingerprint = fingerprint;
-		poison->suspects[entry].crashes = 0;
-	}
-	poison->suspects[entry].seen_us = now_us;
-	return ++poison->suspects[entry].crashes;
+	return NULL;
 }
 
-bool
-bl_is_poison(
-    const struct bl_poison *poison, uint64_t fingerprint, int64_t now_us)
+/* Returns the entry of the request, or the oldest one, emptied for it. */
+static struct bl_suspect *
+take_suspect(struct bl_poison *poison, uint64_t fingerprint)
 {
+	struct bl_suspect *oldest = &poison->suspects[0];
 	uint32_t i;
 
 	for (i = 0; i < BL_POISON_SUSPECTS_MAX; i++) {
 		if (poison->suspects[i].fingerprint == fingerprint)
-			return poison->suspects[i].crashes >= CRASH_THRESHOLD &&
-			       now_us - poison->suspects[i].seen_us <
-				   SUSPECT_TTL_US;
+			return &poison->suspects[i];
+		if (poison->suspects[i].seen_us < oldest->seen_us)
+			oldest = &poison->suspects[i];
+	}
+	*oldest = (struct bl_suspect){.fingerprint = fingerprint};
+	return oldest;
+}
+
+static bool
+has_crashed(const struct bl_suspect *suspect, uint64_t target_process)
+{
+	uint32_t i;
+
+	for (i = 0; i < suspect->crashes; i++) {
+		if (suspect->crashed[i] == target_process)
+			return true;
 	}
 	return false;
 }
+
+bool
+bl_poison_knows(const struct bl_poison *poison, const struct bl_crash *crash)
+{
+	const struct bl_suspect *suspect =
+	    find_suspect(poison, crash->fingerprint);
+
+	return suspect != NULL && has_crashed(suspect, crash->target_process);
+}
+
+uint32_t
+bl_poison_crashed(
+    struct bl_poison *poison, const struct bl_crash *crash, int64_t now_us)
+{
+	uint64_t fingerprint = crash->fingerprint;
+	struct bl_suspect *suspect;
+
+	if (poison->served[fingerprint % BL_POISON_SERVED_MAX] == fingerprint)
+		return 0;
+	suspect = take_suspect(poison, fingerprint);
+	if (has_crashed(suspect, crash->target_process))
+		return suspect->crashes;
+	suspect->seen_us = now_us;
+	if (suspect->crashes < BL_POISON_CRASHES_MAX)
+		suspect->crashed[suspect->crashes++] = crash->target_process;
+	return suspect->crashes;
+}
+
+bool
+bl_is_poison(
+    const struct bl_poison *poison, uint64_t fingerprint, int64_t now_us)
+{
+	const struct bl_suspect *suspect = find_suspect(poison, fingerprint);
+
+	return suspect != NULL && suspect->crashes >= CRASH_THRESHOLD &&
+	       now_us - suspect->seen_us < SUSPECT_TTL_US;
+}
--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -114,17 +114,15 @@
 
 static void
 send_suspect_request(
-    struct fleet *fleet, uint64_t fingerprint, bool same_region_only)
+    struct fleet *fleet, const struct fl_frame *frame, bool same_region_only)
 {
-	struct fl_frame frame = {.type = FL_FRAME_SUSPECT_REQUEST,
-	    .as.suspect_request.fingerprint = fingerprint};
 	uint32_t i;
 
 	for (i = 0; i < fleet->membership.count; i++) {
 		const struct fl_node *node = &fleet->membership.nodes[i];
 
 		if (node->same_region || !same_region_only)
-			fl_send_datagram(fleet, &frame, &node->fleet);
+			fl_send_datagram(fleet, frame, &node->fleet);
 	}
 }
 
@@ -132,13 +130,12 @@
 on_suspect_request(struct fleet *fleet, const struct fl_frame *frame,
     const struct sockaddr_in *from)
 {
-	uint64_t fingerprint = frame->as.suspect_request.fingerprint;
-
-	fleet->params.events->on_suspect_request(
-	    fleet->params.user, fingerprint);
+	fleet->params.events->on_suspect_request(fleet->params.user,
+	    frame->as.suspect_request.fingerprint,
+	    frame->as.suspect_request.target_process);
 	/* The nodes of other regions know only some of this region. */
 	if (!fl_membership_is_same_region(&fleet->membership, from))
-		send_suspect_request(fleet, fingerprint, true);
+		send_suspect_request(fleet, frame, true);
 }
 
 static void
@@ -191,9 +188,13 @@
 }
 
 void
-fl_broadcast_suspect_request(struct fleet *fleet, uint64_t fingerprint)
+fl_broadcast_suspect_request(
+    struct fleet *fleet, uint64_t fingerprint, uint64_t target_process)
 {
-	send_suspect_request(fleet, fingerprint, false);
+	struct fl_frame frame = {.type = FL_FRAME_SUSPECT_REQUEST,
+	    .as.suspect_request = {fingerprint, target_process}};
+
+	send_suspect_request(fleet, &frame, false);
 }
 
 bool
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -199,6 +199,7 @@
 		} heartbeat;
 		struct {
 			uint64_t fingerprint;
+			uint64_t target_process; /* that it crashed */
 		} suspect_request;
 		struct {
 			uint64_t revisions[OS_KINDS_MAX];
@@ -229,7 +230,9 @@
 	    void *user, enum fl_role role, const struct fl_node *leader);
 	/* The leader sent an update; it is valid during the call only. */
 	void (*on_update)(void *user, const struct fl_update *update);
-	void (*on_suspect_request)(void *user, uint64_t fingerprint);
+	/* Another node saw a request crash the process of a target. */
+	void (*on_suspect_request)(
+	    void *user, uint64_t fingerprint, uint64_t target_process);
 	void (*on_node)(
 	    void *user, const struct fl_node *node, const char *what);
 };
@@ -265,11 +268,12 @@
  */
 void fl_send_update(struct fleet *fleet, const struct fl_update *update);
 /*
- * fl_broadcast_suspect_request(fleet, fingerprint): tells all known nodes of a
- * request that crashed a target. Nodes of other regions tell the nodes of
- * theirs.
+ * fl_broadcast_suspect_request(fleet, ...): tells all known nodes of a request
+ * that crashed the process of a target. Nodes of other regions tell the nodes
+ * of theirs.
  */
-void fl_broadcast_suspect_request(struct fleet *fleet, uint64_t fingerprint);
+void fl_broadcast_suspect_request(
+    struct fleet *fleet, uint64_t fingerprint, uint64_t target_process);
 /* fl_is_discovery_due(fleet): see fl_membership_is_discovery_due(). */
 bool fl_is_discovery_due(struct fleet *fleet);
 void fl_set_ready(struct fleet *fleet, bool ready);
--- a/lib/fleet/frames.c
+++ b/lib/fleet/frames.c
@@ -106,10 +106,12 @@
 		pack_heartbeat(&packer, frame);
 		break;
 	case FL_FRAME_SUSPECT_REQUEST:
-		msgpack_pack_array(&packer, 2);
+		msgpack_pack_array(&packer, 3);
 		msgpack_pack_int(&packer, frame->type);
 		msgpack_pack_uint64(
 		    &packer, frame->as.suspect_request.fingerprint);
+		msgpack_pack_uint64(
+		    &packer, frame->as.suspect_request.target_process);
 		break;
 	case FL_FRAME_SUBSCRIBE:
 		msgpack_pack_array(&packer, 1 + OS_KINDS_MAX);
@@ -337,6 +339,7 @@
 		break;
 	case FL_FRAME_SUSPECT_REQUEST:
 		out->as.suspect_request.fingerprint = read_number(cursor);
+		out->as.suspect_request.target_process = read_number(cursor);
 		break;
 	case FL_FRAME_SUBSCRIBE:
 		for (i = 0; i < OS_KINDS_MAX; i++)
--- a/lib/gateway/crash.c
+++ b/lib/gateway/crash.c
@@ -7,58 +7,94 @@
  */
 #include "gateway_internal.h"
 
+/* Targets register at least so long after their start. */
+#define REGISTRATION_DELAY_MAX_US 10000000
+
 static void
-record_crash(struct gw_target_connections *connections, uint64_t fingerprint)
+record_crash(
+    struct gw_target_connections *connections, const struct bl_crash *crash)
 {
 	struct gw *gw = connections->gw;
-	uint32_t crashes =
-	    bl_poison_crashed(&gw->poison, fingerprint, cs_now_us());
+	uint32_t crashes = bl_poison_crashed(&gw->poison, crash, cs_now_us());
 
 	cs_log(CS_LOG_TARGET_CRASHED, "target=%s fingerprint=%llx crashes=%u",
-	    connections->target->id, (unsigned long long)fingerprint, crashes);
+	    connections->target->id, (unsigned long long)crash->fingerprint,
+	    crashes);
 	if (crashes > 0)
-		gw->params.events->on_crash(gw->params.user, fingerprint);
+		gw->params.events->on_crash(gw->params.user, crash);
 }
 
 static void
 record_crashes(struct gw_target_connections *connections)
 {
 	struct bl_target *target = connections->target;
-	int64_t now_us = cs_now_us();
 	uint32_t i;
 
-	bl_request_started(target, now_us);
-	bl_request_ended(target, BL_UNREACHED, 0, now_us);
 	for (i = 0; i < connections->suspect_count; i++)
-		record_crash(connections, connections->suspects[i]);
+		record_crash(connections,
+		    &(struct bl_crash){
+			.fingerprint = connections->suspects[i].fingerprint,
+			.target_process = bl_target_process(target),
+		    });
+	connections->suspect_count = 0;
+}
+
+static void
+forget_suspects(struct gw_target_connections *connections, int64_t before_us)
+{
+	uint32_t i = 0;
+
+	while (i < connections->suspect_count) {
+		if (connections->suspects[i].lost_us < before_us)
+			connections->suspects[i] =
+			    connections->suspects[--connections->suspect_count];
+		else
+			i++;
+	}
+}
+
+void
+gw_target_replaced(struct gw_target_connections *connections)
+{
+	forget_suspects(connections, cs_now_us() - REGISTRATION_DELAY_MAX_US);
+	record_crashes(connections);
 }
 
 void
 gw_crash_check_ended(struct gw_target_connections *connections, enum h1_end end)
 {
+	struct bl_target *target = connections->target;
+	int64_t now_us = cs_now_us();
+
 	connections->check->checking = false;
 	connections->check = NULL;
-	if (end == H1_END_CONNECT_FAILED)
+	if (end == H1_END_CONNECT_FAILED) {
+		bl_request_started(target, now_us);
+		bl_request_ended(target, BL_UNREACHED, 0, now_us);
 		record_crashes(connections);
-	else
+	} else {
 		cs_log(CS_LOG_CRASH_DISMISSED, "target=%s suspects=%u end=%s",
-		    connections->target->id, connections->suspect_count,
-		    h1_end_text(end));
-	connections->suspect_count = 0;
+		    target->id, connections->suspect_count, h1_end_text(end));
+	}
 }
 
 static void
 add_suspect(struct gw_target_connections *connections, uint64_t fingerprint)
 {
+	int64_t now_us = cs_now_us();
 	uint32_t i;
 
+	forget_suspects(connections, now_us - REGISTRATION_DELAY_MAX_US);
 	for (i = 0; i < connections->suspect_count; i++) {
-		if (connections->suspects[i] == fingerprint)
-			return;
+		if (connections->suspects[i].fingerprint == fingerprint)
+			break;
 	}
-	if (connections->suspect_count < GW_SUSPECTS_MAX)
-		connections->suspects[connections->suspect_count++] =
-		    fingerprint;
+	if (i == GW_SUSPECTS_MAX)
+		return;
+	connections->suspects[i].fingerprint = fingerprint;
+	connections->suspects[i].lost_us = now_us;
+	if (i == connections->suspect_count)
+		connections->suspect_count++;
 }
 
 void
--- a/lib/gateway/gateway.c
+++ b/lib/gateway/gateway.c
@@ -179,6 +179,8 @@
 	bool is_new = target == NULL;
 
 	if (target != NULL && is_other_process(target, info)) {
+		if (target->connections != NULL && !target->draining)
+			gw_target_replaced(target->connections);
 		remove_target(gw, target);
 		target = NULL;
 	}
@@ -223,14 +225,17 @@
 	gw->params.budget.node_count = node_count;
 }
 
-void
-gw_add_suspect_request(struct gw *gw, uint64_t fingerprint)
+bool
+gw_add_crash(struct gw *gw, const struct bl_crash *crash)
 {
-	uint32_t crashes =
-	    bl_poison_crashed(&gw->poison, fingerprint, cs_now_us());
+	bool is_known = bl_poison_knows(&gw->poison, crash);
+	uint32_t crashes = bl_poison_crashed(&gw->poison, crash, cs_now_us());
 
+	if (is_known)
+		return false;
 	cs_log(CS_LOG_CRASH_REPORTED, "fingerprint=%llx crashes=%u",
-	    (unsigned long long)fingerprint, crashes);
+	    (unsigned long long)crash->fingerprint, crashes);
+	return true;
 }
 
 void
--- a/lib/gateway/gateway.h
+++ b/lib/gateway/gateway.h
@@ -71,7 +71,7 @@
 struct gw_events {
 	void (*on_call_ended)(void *user, const struct gw_call_result *ended);
 	/* A request crashed a target. The other VMs should be told. */
-	void (*on_crash)(void *user, uint64_t fingerprint);
+	void (*on_crash)(void *user, const struct bl_crash *crash);
 };
 
 struct gw_params {
@@ -129,10 +129,10 @@
 void gw_remove_target(struct gw *gw, const char *id);
 void gw_set_node_count(struct gw *gw, uint32_t node_count);
 /*
- * gw_add_suspect_request(gw, fingerprint): another VM saw the request crash a
- * target.
+ * gw_add_crash(gw, crash): another VM saw a request crash a target. Returns
+ * true if this VM did not know of that crash.
  */
-void gw_add_suspect_request(struct gw *gw, uint64_t fingerprint);
+bool gw_add_crash(struct gw *gw, const struct bl_crash *crash);
 /*
  * gw_stop(gw, until): from now on each response closes its connection, and
  * calls that could last beyond until are refused. gw_is_drained() returns true
--- a/lib/gateway/gateway_internal.h
+++ b/lib/gateway/gateway_internal.h
@@ -32,10 +32,13 @@
 	uint32_t open_count;
 	/*
 	 * Fingerprints of requests that were lost here. All of them count as
-	 * having crashed the target if it then refuses a connection: which one
-	 * of them did is not known.
+	 * having crashed the target if it then refuses a connection, or a new
+	 * process takes its place: which one of them did is not known.
 	 */
-	uint64_t suspects[GW_SUSPECTS_MAX];
+	struct {
+		uint64_t fingerprint;
+		int64_t lost_us;
+	} suspects[GW_SUSPECTS_MAX];
 	uint32_t suspect_count;
 	struct gw_connection *check; /* NULL: no check for a crash is pending */
 	int64_t check_started_us;
@@ -272,6 +275,12 @@
 void gw_crash_check_ended(
     struct gw_target_connections *connections, enum h1_end end);
 
+/*
+ * gw_target_replaced(connections): a new process has registered in place of the
+ * target, which confirms what a check could not show.
+ */
+void gw_target_replaced(struct gw_target_connections *connections);
+
 /* exchange.c: requests to targets and classification of their responses */
 enum gw_match {
 	GW_MATCH_CURRENT,
--- a/programs/gateway.c
+++ b/programs/gateway.c
@@ -89,11 +89,12 @@
 }
 
 static void
-on_crash(void *user, uint64_t fingerprint)
+on_crash(void *user, const struct bl_crash *crash)
 {
 	struct ga_app *app = user;
 
-	fl_broadcast_suspect_request(app->fleet, fingerprint);
+	fl_broadcast_suspect_request(
+	    app->fleet, crash->fingerprint, crash->target_process);
 }
 
 /*
--- a/programs/gateway_updates.c
+++ b/programs/gateway_updates.c
@@ -259,11 +259,11 @@
 }
 
 static void
-on_suspect_request(void *user, uint64_t fingerprint)
+on_suspect_request(void *user, uint64_t fingerprint, uint64_t target_process)
 {
 	struct ga_app *app = user;
 
-	gw_add_suspect_request(app->gw, fingerprint);
+	gw_add_crash(app->gw, &(struct bl_crash){fingerprint, target_process});
 }
 
 /*
--- a/tests/unit/gateway_rig.c
+++ b/tests/unit/gateway_rig.c
@@ -664,9 +664,9 @@
 }
 
 static void
-on_crash(void *user, uint64_t fingerprint)
+on_crash(void *user, const struct bl_crash *crash)
 {
-	((struct rig *)user)->reported_fingerprint = fingerprint;
+	((struct rig *)user)->reported_fingerprint = crash->fingerprint;
 }
 
 static void
--- a/tests/unit/test_balance.c
+++ b/tests/unit/test_balance.c
@@ -301,6 +301,14 @@
 		bl_pool_free(pools[vm]);
 }
 
+static uint32_t
+crash(struct bl_poison *poison, uint64_t fingerprint, uint64_t process,
+    int64_t now_us)
+{
+	return bl_poison_crashed(
+	    poison, &(struct bl_crash){fingerprint, process}, now_us);
+}
+
 static void
 test_request_is_poison_after_two_crashes(void **state)
 {
@@ -310,28 +318,46 @@
 
 	(void)state;
 	assert_false(bl_is_poison(&poison, 7, now_us));
-	bl_poison_crashed(&poison, 7, now_us);
+	crash(&poison, 7, 1, now_us);
 	assert_false(bl_is_poison(&poison, 7, now_us));
-	bl_poison_crashed(&poison, 7, now_us);
+	crash(&poison, 7, 2, now_us);
 	assert_true(bl_is_poison(&poison, 7, now_us));
 	assert_false(bl_is_poison(&poison, 8, now_us));
 	for (i = 100; i < 100 + BL_POISON_SUSPECTS_MAX - 1; i++)
-		bl_poison_crashed(&poison, i, now_us + 1);
+		crash(&poison, i, 1, now_us + 1);
 	assert_true(bl_is_poison(&poison, 7, now_us));
 	assert_false(bl_is_poison(&poison, 7, now_us + 61000 * MS));
 }
 
+/* Reports arrive more than once, from several VMs, and out of order. */
+static void
+test_crash_reported_again_counts_once(void **state)
+{
+	static struct bl_poison poison;
+	int i;
+
+	(void)state;
+	assert_false(bl_poison_knows(&poison, &(struct bl_crash){7, 1}));
+	for (i = 0; i < 5; i++)
+		assert_int_equal(crash(&poison, 7, 1, START_US + i), 1);
+	assert_true(bl_poison_knows(&poison, &(struct bl_crash){7, 1}));
+	assert_false(bl_is_poison(&poison, 7, START_US));
+	assert_int_equal(crash(&poison, 7, 2, START_US), 2);
+	assert_int_equal(crash(&poison, 7, 1, START_US), 2);
+	assert_true(bl_is_poison(&poison, 7, START_US));
+}
+
 /* Crashes do not count against a request that was served before. */
 static void
 test_served_request_is_never_poison(void **state)
 {
 	static struct bl_poison poison;
-	int i;
+	uint64_t i;
 
 	(void)state;
 	bl_poison_served(&poison, 7);
 	for (i = 0; i < 5; i++)
-		assert_int_equal(bl_poison_crashed(&poison, 7, START_US), 0);
+		assert_int_equal(crash(&poison, 7, i, START_US), 0);
 	assert_false(bl_is_poison(&poison, 7, START_US));
 }
 
@@ -481,6 +507,7 @@
 	    cmocka_unit_test(test_full_pool_queues_requests_then_refuses),
 	    cmocka_unit_test(test_retries_stay_within_the_shared_budget),
 	    cmocka_unit_test(test_request_is_poison_after_two_crashes),
+	    cmocka_unit_test(test_crash_reported_again_counts_once),
 	    cmocka_unit_test(test_served_request_is_never_poison),
 	    cmocka_unit_test(test_backends_are_picked_by_weight),
 	    cmocka_unit_test(
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -473,11 +473,12 @@
 };
 
 static void
-on_live_suspect(void *user, uint64_t fingerprint)
+on_live_suspect(void *user, uint64_t fingerprint, uint64_t target_process)
 {
 	struct live_user *self = user;
 
 	assert_int_equal(fingerprint, 77);
+	assert_int_equal(target_process, 5);
 	self->live->suspects_received[self->number]++;
 }
 
@@ -582,7 +583,7 @@
 	while (fl_get_membership(live.fleets[0])->count == 0 ||
 	       fl_get_membership(live.fleets[0])->nodes[0].heard_us == 0)
 		uv_run(&live.loop, UV_RUN_ONCE);
-	fl_broadcast_suspect_request(live.fleets[0], 77);
+	fl_broadcast_suspect_request(live.fleets[0], 77, 5);
 	while (!live.timed_out && (live.suspects_received[1] == 0 ||
 				      live.suspects_received[2] == 0))
 		uv_run(&live.loop, UV_RUN_ONCE);
