--- a/lib/balance/poison.c
+++ b/lib/balance/poison.c
@@ -1,8 +1,9 @@
 /*
  * Detects requests that crash every target that runs them, sent again and again
  * by their callers. A request that has crashed two targets is sent to no
- * further one until SUSPECT_TTL_US after its last crash. A request that was
- * served before is never blamed when targets crash while they run it.
+ * further one for some time after its last crash, which grows with each crash.
+ * A request that was served before is never blamed when targets crash while
+ * they run it.
  *
  * What is known of a request is the set of target processes that it crashed, so
  * reports of VMs may arrive twice and in any order.
@@ -13,8 +14,13 @@
 
 #define CRASH_THRESHOLD 2
 
-/* A caller that repeats such a request does so within this time. */
-#define SUSPECT_TTL_US 60000000
+/*
+ * How long a request is refused after its last crash, by the number of crashes.
+ * A target may have been repaired meanwhile, but each trial costs the work of
+ * all other requests at its target.
+ */
+static const int64_t refused_us[BL_POISON_CRASHES_MAX + 1] = {
+    0, 0, 60000000LL, 600000000LL, 3600000000LL, 86400000000LL, 86400000000LL};
 
 uint64_t
 bl_target_process(const struct bl_target *target)
@@ -105,5 +111,5 @@
 	const struct bl_suspect *suspect = find_suspect(poison, fingerprint);
 
 	return suspect != NULL && suspect->crashes >= CRASH_THRESHOLD &&
-	       now_us - suspect->seen_us < SUSPECT_TTL_US;
+	       now_us - suspect->seen_us < refused_us[suspect->crashes];
 }
--- a/tests/unit/test_balance.c
+++ b/tests/unit/test_balance.c
@@ -347,6 +347,31 @@
 	assert_true(bl_is_poison(&poison, 7, START_US));
 }
 
+/*
+ * The request is sent again without end, at the earliest moment that is
+ * allowed: no more than three times in a day after its third crash.
+ */
+static void
+test_crashing_request_is_tried_three_times_at_most(void **state)
+{
+	static struct bl_poison poison;
+	int64_t now_us, third_us = 0;
+	uint32_t crashes = 0, late = 0;
+
+	(void)state;
+	for (now_us = START_US;
+	     third_us == 0 || now_us < third_us + 86400000LL * MS;
+	     now_us += 1000 * MS) {
+		if (bl_is_poison(&poison, 7, now_us))
+			continue;
+		crash(&poison, 7, ++crashes, now_us);
+		if (crashes == 3)
+			third_us = now_us;
+		late += crashes > 3;
+	}
+	assert_true(late <= 3);
+}
+
 /* Crashes do not count against a request that was served before. */
 static void
 test_served_request_is_never_poison(void **state)
@@ -508,6 +533,8 @@
 	    cmocka_unit_test(test_retries_stay_within_the_shared_budget),
 	    cmocka_unit_test(test_request_is_poison_after_two_crashes),
 	    cmocka_unit_test(test_crash_reported_again_counts_once),
+	    cmocka_unit_test(
+		test_crashing_request_is_tried_three_times_at_most),
 	    cmocka_unit_test(test_served_request_is_never_poison),
 	    cmocka_unit_test(test_backends_are_picked_by_weight),
 	    cmocka_unit_test(
