--- a/lib/gateway/call.c
+++ b/lib/gateway/call.c
@@ -53,11 +53,24 @@
 	dispatch_waiting(pool);
 }
 
+/* Refuses a call that is known to crash targets. Returns true if it did. */
+static bool
+refuse_suspect(struct gw_call *call)
+{
+	if (!bl_is_poison(&call->gw->poison, call->fingerprint, cs_now_us()))
+		return false;
+	gw_respond_error(call, 503, GW_SUSPECT, RETRY_AFTER_SUSPECT_US);
+	return true;
+}
+
 static void
 apply_placement(struct gw_call *call, const struct bl_placement *placement)
 {
 	switch (placement->verdict) {
 	case BL_SEND:
+		/* It may have become known while the call waited. */
+		if (refuse_suspect(call))
+			break;
 		if (gw_attempt_start(call, placement) != CS_OK)
 			attempt_ended(call, BL_UNREACHED, NULL);
 		break;
@@ -212,11 +225,7 @@
 		    call, 503, GW_STOPPING, RETRY_AFTER_STOPPING_US);
 		return true;
 	}
-	if (bl_is_poison(&gw->poison, call->fingerprint, cs_now_us())) {
-		gw_respond_error(call, 503, GW_SUSPECT, RETRY_AFTER_SUSPECT_US);
-		return true;
-	}
-	return false;
+	return refuse_suspect(call);
 }
 
 static void
