--- a/lib/balance/balance.h
+++ b/lib/balance/balance.h
@@ -302,6 +302,7 @@
 		/* The target processes that it crashed. */
 		uint64_t crashed[BL_POISON_CRASHES_MAX];
 		uint32_t crashes;
+		bool seen_here;	 /* this VM saw one of the crashes */
 		int64_t seen_us; /* the last crash */
 	} suspects[BL_POISON_SUSPECTS_MAX];
 };
@@ -321,6 +322,11 @@
 /* bl_poison_knows(poison, crash): the crash was recorded before. */
 bool bl_poison_knows(
     const struct bl_poison *poison, const struct bl_crash *crash);
+/* bl_poison_find(poison, fingerprint): what is known of it, or NULL. */
+const struct bl_suspect *bl_poison_find(
+    const struct bl_poison *poison, uint64_t fingerprint);
+/* bl_poison_seen_here(poison, fingerprint): this VM saw one of its crashes. */
+void bl_poison_seen_here(struct bl_poison *poison, uint64_t fingerprint);
 /* bl_is_poison(poison, ...): the request must not be sent to another target. */
 bool bl_is_poison(
     const struct bl_poison *poison, uint64_t fingerprint, int64_t now_us);
--- a/lib/balance/poison.c
+++ b/lib/balance/poison.c
@@ -35,8 +35,8 @@
 	poison->served[fingerprint % BL_POISON_SERVED_MAX] = fingerprint;
 }
 
-static const struct bl_suspect *
-find_suspect(const struct bl_poison *poison, uint64_t fingerprint)
+const struct bl_suspect *
+bl_poison_find(const struct bl_poison *poison, uint64_t fingerprint)
 {
 	uint32_t i;
 
@@ -81,7 +81,7 @@
 bl_poison_knows(const struct bl_poison *poison, const struct bl_crash *crash)
 {
 	const struct bl_suspect *suspect =
-	    find_suspect(poison, crash->fingerprint);
+	    bl_poison_find(poison, crash->fingerprint);
 
 	return suspect != NULL && has_crashed(suspect, crash->target_process);
 }
@@ -104,11 +104,18 @@
 	return suspect->crashes;
 }
 
+void
+bl_poison_seen_here(struct bl_poison *poison, uint64_t fingerprint)
+{
+	if (bl_poison_find(poison, fingerprint) != NULL)
+		take_suspect(poison, fingerprint)->seen_here = true;
+}
+
 bool
 bl_is_poison(
     const struct bl_poison *poison, uint64_t fingerprint, int64_t now_us)
 {
-	const struct bl_suspect *suspect = find_suspect(poison, fingerprint);
+	const struct bl_suspect *suspect = bl_poison_find(poison, fingerprint);
 
 	return suspect != NULL && suspect->crashes >= CRASH_THRESHOLD &&
 	       now_us - suspect->seen_us < refused_us[suspect->crashes];
--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -112,16 +112,17 @@
 		update_role(fleet);
 }
 
+/* Sends a frame to the known nodes of this region, or to those of others. */
 static void
-send_suspect_request(
-    struct fleet *fleet, const struct fl_frame *frame, bool same_region_only)
+send_to_nodes(
+    struct fleet *fleet, const struct fl_frame *frame, bool same_region)
 {
 	uint32_t i;
 
 	for (i = 0; i < fleet->membership.count; i++) {
 		const struct fl_node *node = &fleet->membership.nodes[i];
 
-		if (node->same_region || !same_region_only)
+		if (node->same_region == same_region)
 			fl_send_datagram(fleet, frame, &node->fleet);
 	}
 }
@@ -130,12 +131,13 @@
 on_suspect_request(struct fleet *fleet, const struct fl_frame *frame,
     const struct sockaddr_in *from)
 {
-	fleet->params.events->on_suspect_request(fleet->params.user,
-	    frame->as.suspect_request.fingerprint,
-	    frame->as.suspect_request.target_process);
-	/* The nodes of other regions know only some of this region. */
+	bool is_news = fleet->params.events->on_suspect_request(
+	    fleet->params.user, &frame->as.suspect_request);
+
 	if (!fl_membership_is_same_region(&fleet->membership, from))
-		send_suspect_request(fleet, frame, true);
+		send_to_nodes(fleet, frame, true);
+	else if (is_news && fleet->membership.self.current)
+		send_to_nodes(fleet, frame, false);
 }
 
 static void
@@ -183,18 +185,29 @@
 {
 	struct fl_node *known = fl_membership_add(&fleet->membership, node);
 
-	if (known != NULL && known->heard_us == 0 && known->same_region)
+	if (known != NULL && known->heard_us == 0)
 		fl_send_hello(fleet, &known->fleet);
 }
 
 void
 fl_broadcast_suspect_request(
-    struct fleet *fleet, uint64_t fingerprint, uint64_t target_process)
+    struct fleet *fleet, const struct fl_suspect_request *suspect)
+{
+	struct fl_frame frame = {
+	    .type = FL_FRAME_SUSPECT_REQUEST, .as.suspect_request = *suspect};
+
+	send_to_nodes(fleet, &frame, true);
+	send_to_nodes(fleet, &frame, false);
+}
+
+void
+fl_send_suspect_request(struct fleet *fleet, const struct fl_node *node,
+    const struct fl_suspect_request *suspect)
 {
-	struct fl_frame frame = {.type = FL_FRAME_SUSPECT_REQUEST,
-	    .as.suspect_request = {fingerprint, target_process}};
+	struct fl_frame frame = {
+	    .type = FL_FRAME_SUSPECT_REQUEST, .as.suspect_request = *suspect};
 
-	send_suspect_request(fleet, &frame, false);
+	fl_send_datagram(fleet, &frame, &node->fleet);
 }
 
 bool
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -178,6 +178,12 @@
 	struct os_batch batch;
 };
 
+/* A request that crashed the process of a target. */
+struct fl_suspect_request {
+	uint64_t fingerprint;
+	uint64_t target_process;
+};
+
 #define FL_PEERS_MAX 32 /* addresses of other nodes in one hello */
 
 struct fl_frame {
@@ -197,10 +203,7 @@
 			bool ready, stopping, current;
 			uint64_t revision_sum;
 		} heartbeat;
-		struct {
-			uint64_t fingerprint;
-			uint64_t target_process; /* that it crashed */
-		} suspect_request;
+		struct fl_suspect_request suspect_request;
 		struct {
 			uint64_t revisions[OS_KINDS_MAX];
 		} subscribe;
@@ -230,9 +233,9 @@
 	    void *user, enum fl_role role, const struct fl_node *leader);
 	/* The leader sent an update; it is valid during the call only. */
 	void (*on_update)(void *user, const struct fl_update *update);
-	/* Another node saw a request crash the process of a target. */
-	void (*on_suspect_request)(
-	    void *user, uint64_t fingerprint, uint64_t target_process);
+	/* Returns true if this node did not know of the crash. */
+	bool (*on_suspect_request)(
+	    void *user, const struct fl_suspect_request *suspect);
 	void (*on_node)(
 	    void *user, const struct fl_node *node, const char *what);
 };
@@ -268,12 +271,15 @@
  */
 void fl_send_update(struct fleet *fleet, const struct fl_update *update);
 /*
- * fl_broadcast_suspect_request(fleet, ...): tells all known nodes of a request
- * that crashed the process of a target. Nodes of other regions tell the nodes
- * of theirs.
+ * fl_broadcast_suspect_request(fleet, suspect): tells all known nodes of a
+ * request that crashed a target. Few nodes know nodes of other regions: the
+ * leader passes reports on to those, and they to their own region.
  */
 void fl_broadcast_suspect_request(
-    struct fleet *fleet, uint64_t fingerprint, uint64_t target_process);
+    struct fleet *fleet, const struct fl_suspect_request *suspect);
+/* fl_send_suspect_request(fleet, node, suspect): tells one node. */
+void fl_send_suspect_request(struct fleet *fleet, const struct fl_node *node,
+    const struct fl_suspect_request *suspect);
 /* fl_is_discovery_due(fleet): see fl_membership_is_discovery_due(). */
 bool fl_is_discovery_due(struct fleet *fleet);
 void fl_set_ready(struct fleet *fleet, bool ready);
--- a/lib/gateway/crash.c
+++ b/lib/gateway/crash.c
@@ -10,6 +10,45 @@
 /* Targets register at least so long after their start. */
 #define REGISTRATION_DELAY_MAX_US 10000000
 
+static void
+visit_crashes(const struct bl_suspect *suspect,
+    void (*visit)(void *arg, const struct bl_crash *crash), void *arg)
+{
+	uint32_t i;
+
+	for (i = 0; i < suspect->crashes; i++)
+		visit(arg, &(struct bl_crash){
+			       .fingerprint = suspect->fingerprint,
+			       .target_process = suspect->crashed[i],
+			   });
+}
+
+static void
+announce_poison(void *arg, const struct bl_crash *crash)
+{
+	struct gw *gw = arg;
+
+	gw->params.events->on_crash(gw->params.user, crash, true);
+}
+
+/*
+ * Tells the other VMs of a new crash. A VM that saw only one of several crashes
+ * tells of all, since others may have missed the first report.
+ */
+static void
+announce(struct gw *gw, const struct bl_crash *crash)
+{
+	const struct bl_suspect *suspect =
+	    bl_poison_find(&gw->poison, crash->fingerprint);
+
+	if (suspect == NULL || !suspect->seen_here)
+		return;
+	if (bl_is_poison(&gw->poison, crash->fingerprint, cs_now_us()))
+		visit_crashes(suspect, announce_poison, gw);
+	else
+		gw->params.events->on_crash(gw->params.user, crash, false);
+}
+
 static void
 record_crash(
     struct gw_target_connections *connections, const struct bl_crash *crash)
@@ -20,8 +59,39 @@
 	cs_log(CS_LOG_TARGET_CRASHED, "target=%s fingerprint=%llx crashes=%u",
 	    connections->target->id, (unsigned long long)crash->fingerprint,
 	    crashes);
-	if (crashes > 0)
-		gw->params.events->on_crash(gw->params.user, crash);
+	bl_poison_seen_here(&gw->poison, crash->fingerprint);
+	announce(gw, crash);
+}
+
+bool
+gw_add_crash(struct gw *gw, const struct bl_crash *crash)
+{
+	uint32_t crashes;
+
+	if (bl_poison_knows(&gw->poison, crash))
+		return false;
+	crashes = bl_poison_crashed(&gw->poison, crash, cs_now_us());
+	cs_log(CS_LOG_CRASH_REPORTED, "fingerprint=%llx crashes=%u",
+	    (unsigned long long)crash->fingerprint, crashes);
+	if (crashes > 1)
+		announce(gw, crash);
+	return true;
+}
+
+void
+gw_for_each_poison(const struct gw *gw,
+    void (*visit)(void *arg, const struct bl_crash *crash), void *arg)
+{
+	uint32_t i;
+
+	for (i = 0; i < BL_POISON_SUSPECTS_MAX; i++) {
+		const struct bl_suspect *suspect = &gw->poison.suspects[i];
+
+		if (suspect->crashes > 0 &&
+		    bl_is_poison(
+			&gw->poison, suspect->fingerprint, cs_now_us()))
+			visit_crashes(suspect, visit, arg);
+	}
 }
 
 static void
--- a/lib/gateway/gateway.c
+++ b/lib/gateway/gateway.c
@@ -225,19 +225,6 @@
 	gw->params.budget.node_count = node_count;
 }
 
-bool
-gw_add_crash(struct gw *gw, const struct bl_crash *crash)
-{
-	bool is_known = bl_poison_knows(&gw->poison, crash);
-	uint32_t crashes = bl_poison_crashed(&gw->poison, crash, cs_now_us());
-
-	if (is_known)
-		return false;
-	cs_log(CS_LOG_CRASH_REPORTED, "fingerprint=%llx crashes=%u",
-	    (unsigned long long)crash->fingerprint, crashes);
-	return true;
-}
-
 void
 gw_stop(struct gw *gw, int64_t until_us)
 {
--- a/lib/gateway/gateway.h
+++ b/lib/gateway/gateway.h
@@ -70,8 +70,12 @@
 
 struct gw_events {
 	void (*on_call_ended)(void *user, const struct gw_call_result *ended);
-	/* A request crashed a target. The other VMs should be told. */
-	void (*on_crash)(void *user, const struct bl_crash *crash);
+	/*
+	 * A request crashed a target. The other VMs should be told, repeatedly
+	 * where is_poison says that it crashed several.
+	 */
+	void (*on_crash)(
+	    void *user, const struct bl_crash *crash, bool is_poison);
 };
 
 struct gw_params {
@@ -133,6 +137,12 @@
  * true if this VM did not know of that crash.
  */
 bool gw_add_crash(struct gw *gw, const struct bl_crash *crash);
+/*
+ * gw_for_each_poison(gw, visit, arg): calls visit for each crash of each
+ * request that is refused for its crashes.
+ */
+void gw_for_each_poison(const struct gw *gw,
+    void (*visit)(void *arg, const struct bl_crash *crash), void *arg);
 /*
  * gw_stop(gw, until): from now on each response closes its connection, and
  * calls that could last beyond until are refused. gw_is_drained() returns true
--- a/programs/gateway.c
+++ b/programs/gateway.c
@@ -88,15 +88,6 @@
 	app->region_count = count_regions(topology);
 }
 
-static void
-on_crash(void *user, const struct bl_crash *crash)
-{
-	struct ga_app *app = user;
-
-	fl_broadcast_suspect_request(
-	    app->fleet, crash->fingerprint, crash->target_process);
-}
-
 /*
  * The platform sets a latency for each route but no share of requests within
  * it.
@@ -137,7 +128,7 @@
 }
 
 static const struct gw_events gateway_events = {
-    .on_call_ended = on_call_ended, .on_crash = on_crash};
+    .on_call_ended = on_call_ended, .on_crash = ga_on_crash};
 
 static struct bl_budget_params
 budget_params(const struct pl_settings *settings, uint32_t node_count)
@@ -287,6 +278,7 @@
 	ga_publish_state(app);
 	ga_discover_nodes(app);
 	ga_update_budget_share(app);
+	ga_repeat_crash_reports(app);
 
 	if (++app->tick_count % RELOAD_INTERVAL_TICKS == 0)
 		reload_settings(app, false);
--- a/programs/gateway.h
+++ b/programs/gateway.h
@@ -10,6 +10,8 @@
 
 enum ga_kind { GA_CONFIG, GA_TARGETS, GA_KINDS };
 
+#define GA_CRASH_REPORTS_MAX 32
+
 struct ga_app {
 	uv_loop_t loop;
 	const char *settings_path;
@@ -38,6 +40,13 @@
 	int64_t stop_started_us;
 	uint32_t region_count;
 
+	/* Reports of crashes that are sent again, the latest ones. */
+	struct {
+		struct fl_suspect_request suspect;
+		uint32_t repeats_left;
+	} crash_reports[GA_CRASH_REPORTS_MAX];
+	uint32_t crash_report_count; /* in all; the index wraps around */
+
 	bool registered; /* in the store, since it was current */
 	bool targets_loaded;
 	enum fl_role role;
@@ -71,6 +80,19 @@
  */
 void ga_publish_state(struct ga_app *app);
 
+/* gateway_crashes.c: reports of requests that crash targets */
+void ga_on_crash(void *user, const struct bl_crash *crash, bool is_poison);
+/* ga_on_suspect_request(): as on_suspect_request() of struct fl_events. */
+bool ga_on_suspect_request(
+    void *user, const struct fl_suspect_request *suspect);
+/*
+ * ga_repeat_crash_reports(app): sends recent reports again, as datagrams get
+ * lost. Call it on every tick.
+ */
+void ga_repeat_crash_reports(struct ga_app *app);
+/* ga_tell_crashes(app, node): tells a node that has just started. */
+void ga_tell_crashes(struct ga_app *app, const struct fl_node *node);
+
 /* gateway_serve.c: directory, readiness and metrics */
 int ga_start_servers(struct ga_app *app);
 void ga_sweep_servers(struct ga_app *app);
--- a/programs/gateway_updates.c
+++ b/programs/gateway_updates.c
@@ -258,14 +258,6 @@
 	ga_apply_update(app, update->kind, &update->batch, update->snapshot);
 }
 
-static void
-on_suspect_request(void *user, uint64_t fingerprint, uint64_t target_process)
-{
-	struct ga_app *app = user;
-
-	gw_add_crash(app->gw, &(struct bl_crash){fingerprint, target_process});
-}
-
 /*
  * Regions share the fleet's budget evenly, and so do the VMs of a region: the
  * node count of this region times the number of regions.
@@ -289,13 +281,14 @@
 
 	cs_log(CS_LOG_NODE_CHANGED, "member=%s what=%s boot=%llx", node->name,
 	    what, (unsigned long long)node->boot);
+	ga_tell_crashes(app, node);
 	ga_update_budget_share(app);
 }
 
 const struct fl_events ga_fleet_events = {
     .on_role = on_role,
     .on_update = on_update,
-    .on_suspect_request = on_suspect_request,
+    .on_suspect_request = ga_on_suspect_request,
     .on_node = on_node,
 };
 
@@ -305,15 +298,15 @@
 	struct fl_node node = {.ready = false};
 	struct pl_node stored;
 
-	if (pl_read_node(change->name, change->text, &stored) != CS_OK ||
-	    strcmp(stored.region, app->settings.region) != 0)
+	if (pl_read_node(change->name, change->text, &stored) != CS_OK)
 		return;
 	cs_copy_text(node.name, sizeof(node.name), stored.name);
 	cs_copy_text(
 	    node.data_centre, sizeof(node.data_centre), stored.data_centre);
 	node.fleet = stored.fleet;
-	node.same_region = true;
-	node.region = fl_get_membership(app->fleet)->self.region;
+	node.region = cs_hash(stored.region, strlen(stored.region));
+	node.same_region =
+	    node.region == fl_get_membership(app->fleet)->self.region;
 	fl_add_node(app->fleet, &node);
 }
 
--- a/tests/unit/gateway_rig.c
+++ b/tests/unit/gateway_rig.c
@@ -664,8 +664,9 @@
 }
 
 static void
-on_crash(void *user, const struct bl_crash *crash)
+on_crash(void *user, const struct bl_crash *crash, bool is_poison)
 {
+	(void)is_poison;
 	((struct rig *)user)->reported_fingerprint = crash->fingerprint;
 }
 
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -472,14 +472,14 @@
 	uint32_t number;
 };
 
-static void
-on_live_suspect(void *user, uint64_t fingerprint, uint64_t target_process)
+static bool
+on_live_suspect(void *user, const struct fl_suspect_request *suspect)
 {
 	struct live_user *self = user;
 
-	assert_int_equal(fingerprint, 77);
-	assert_int_equal(target_process, 5);
-	self->live->suspects_received[self->number]++;
+	assert_int_equal(suspect->fingerprint, 77);
+	assert_int_equal(suspect->target_process, 5);
+	return self->live->suspects_received[self->number]++ == 0;
 }
 
 static void
@@ -583,7 +583,8 @@
 	while (fl_get_membership(live.fleets[0])->count == 0 ||
 	       fl_get_membership(live.fleets[0])->nodes[0].heard_us == 0)
 		uv_run(&live.loop, UV_RUN_ONCE);
-	fl_broadcast_suspect_request(live.fleets[0], 77, 5);
+	fl_broadcast_suspect_request(
+	    live.fleets[0], &(struct fl_suspect_request){77, 5});
 	while (!live.timed_out && (live.suspects_received[1] == 0 ||
 				      live.suspects_received[2] == 0))
 		uv_run(&live.loop, UV_RUN_ONCE);
@@ -591,6 +592,37 @@
 	assert_int_equal(live.suspects_received[2], 1);
 }
 
+/* Only the leader of a region knows nodes of other regions for certain. */
+static void
+test_leader_passes_suspect_requests_to_other_regions(void **state)
+{
+	static struct live live;
+	struct live_user users[3] = {{&live, 0}, {&live, 1}, {&live, 2}};
+	struct sockaddr_in addresses[3] = {
+	    free_address(), free_address(), free_address()};
+	const struct fl_membership *leader;
+	uv_timer_t watchdog;
+
+	(void)state;
+	start_loop(&live, &watchdog);
+	start_live(&live, &users[1], "there", &addresses[1], &addresses[1]);
+	start_live(&live, &users[0], "here", &addresses[0], &addresses[1]);
+	fl_set_current(live.fleets[0], true);
+	leader = fl_get_membership(live.fleets[0]);
+	while (leader->count == 0 || leader->nodes[0].heard_us == 0)
+		uv_run(&live.loop, UV_RUN_ONCE);
+	start_live(&live, &users[2], "here", &addresses[2], &addresses[0]);
+	while (fl_membership_count_alive(
+		   fl_get_membership(live.fleets[2]), cs_now_us()) < 2)
+		uv_run(&live.loop, UV_RUN_ONCE);
+	assert_int_equal(fl_get_membership(live.fleets[2])->count, 1);
+	fl_broadcast_suspect_request(
+	    live.fleets[2], &(struct fl_suspect_request){77, 5});
+	while (!live.timed_out && live.suspects_received[1] == 0)
+		uv_run(&live.loop, UV_RUN_ONCE);
+	assert_int_equal(live.suspects_received[1], 1);
+}
+
 /* Asks a VM as one that knows so many others; how many addresses it tells. */
 static uint32_t
 request_peer_count(
@@ -821,6 +853,8 @@
 	    cmocka_unit_test(test_directory_lists_no_silent_or_stopping_nodes),
 	    cmocka_unit_test(test_directory_is_the_same_from_every_node),
 	    cmocka_unit_test(test_suspect_requests_reach_other_regions),
+	    cmocka_unit_test(
+		test_leader_passes_suspect_requests_to_other_regions),
 	    cmocka_unit_test(test_peers_are_sent_only_to_nodes_that_know_fewer),
 	    cmocka_unit_test(
 		test_snapshot_does_not_bring_back_an_object_that_left),
