platform: reads the limit that a target names; gateway: logs and counts it

What a target says of itself is decoded in one place into struct bl_report, strictly: a limit that is no plain decimal number, huge, or given twice is counted (invalid_fields) and changes nothing. 2210 target_limited, the gauge targets{state=limited}. No decision uses it yet. test_platform: 15 rows of limits; the rows of the load header are kept.

--- a/lib/balance/balance.h
+++ b/lib/balance/balance.h
@@ -55,6 +55,19 @@
 	uint32_t slowness_pct; /* 100: as fast as usual; 0: unknown */
 };
 
+/* What a target says of itself in a response. */
+struct bl_report {
+	bool has_load;
+	struct bl_load load;
+	bool has_limit;
+	/* Requests per second that it accepts from all VMs together. */
+	double limit_per_s;
+	uint32_t invalid_fields; /* present, but not valid; ignored */
+};
+
+/* Limits above this many requests per second are not valid. */
+#define BL_LIMIT_PER_S_MAX 1e9
+
 struct bl_pool;
 
 struct bl_target {
@@ -75,6 +88,10 @@
 	/* Requests of other VMs at the time of that report. */
 	uint32_t other_requests;
 
+	bool has_limit;
+	double limit_per_s; /* with has_limit; see struct bl_report */
+	int64_t limit_at_us;
+
 	uint32_t in_flight; /* requests of this VM */
 	/* Ratio of observed to expected latency, 1 when as expected. */
 	double slowness;
--- a/lib/gateway/connections.c
+++ b/lib/gateway/connections.c
@@ -90,17 +90,36 @@
 }
 
 static void
-update_load(struct gw_connection *connection, const struct h1_message *response)
+record_limit(
+    struct gw *gw, struct bl_target *target, const struct bl_report *report)
 {
-	const struct gw_header_names *header_names =
-	    connection->owner->gw->params.header_names;
-	const char *text = h1_find_header(response, header_names->load);
-	struct bl_load load;
+	if (report->has_limit == target->has_limit &&
+	    report->limit_per_s == target->limit_per_s)
+		return;
+	cs_log(CS_LOG_TARGET_LIMITED, "target=%s limited=%d per_s=%g was=%g",
+	    target->id, report->has_limit, report->limit_per_s,
+	    target->limit_per_s);
+	gw->counters.limits_heard++;
+	target->has_limit = report->has_limit;
+	target->limit_per_s = report->limit_per_s;
+	target->limit_at_us = cs_now_us();
+}
 
-	if (text != NULL && header_names->parse_load(text, &load))
-		bl_load_reported(connection->owner->target, &load, cs_now_us());
-	else
-		bl_load_reported(connection->owner->target, NULL, cs_now_us());
+/* Records what the target says of itself. */
+static void
+record_report(
+    struct gw_connection *connection, const struct h1_message *response)
+{
+	struct gw *gw = connection->owner->gw;
+	struct bl_target *target = connection->owner->target;
+	struct bl_report report;
+
+	gw->params.header_names->read_report(response, &report);
+	gw->counters.invalid_fields += report.invalid_fields;
+	bl_load_reported(
+	    target, report.has_load ? &report.load : NULL, cs_now_us());
+	if (report.invalid_fields == 0)
+		record_limit(gw, target, &report);
 }
 
 static enum h1_keep
@@ -116,7 +135,7 @@
 	if (h1_find_header(response, header_names->request_id) != NULL)
 		/* Late response to the previous request. */
 		return H1_AWAIT_NEXT;
-	update_load(connection, response);
+	record_report(connection, response);
 	connection->owner->probe = NULL;
 	target->probing = false;
 	/* The target is unhealthy; ignores the speed that it reports. */
@@ -159,7 +178,7 @@
 		break;
 	}
 	outcome = gw_classify_response(header_names, response);
-	update_load(connection, response);
+	record_report(connection, response);
 	call->connection = NULL;
 	keep = release_connection(connection, response);
 	call->gw->callbacks->attempt_ended(call, outcome, response);
--- a/lib/gateway/gateway.h
+++ b/lib/gateway/gateway.h
@@ -15,18 +15,18 @@
 #include "../h1/h1.h"
 #include "../routes/routes.h"
 
-/* Names of the headers, and a parser for the load header. */
+/* Names of the headers, and a parser for what targets say of themselves. */
 struct gw_header_names {
 	const char *request_id; /* one attempt of a caller */
 	/* Milliseconds left until the deadline. */
 	const char *deadline;
 	const char *expected_target; /* only this target may run the request */
-	const char *load;	     /* load report of a target */
 	/* The target states that it did not run the request. */
 	const char *not_run;
 	/* A 2xx response without it is invalid. */
 	const char *response_marker;
-	bool (*parse_load)(const char *text, struct bl_load *out);
+	void (*read_report)(
+	    const struct h1_message *response, struct bl_report *out);
 };
 
 /* Why a call ended. The reasons are documented in docs/EVENTS.md. */
@@ -52,6 +52,8 @@
 	uint64_t probes;
 	uint64_t connections_opened;
 	uint64_t callers_gone;
+	uint64_t limits_heard;	 /* changes of the limits of targets */
+	uint64_t invalid_fields; /* of what targets say of themselves */
 	/* Whole time of calls with a relayed response below 500. */
 	struct cs_histogram answered;
 	/* Time from arrival to the first attempt. */
--- a/programs/gateway_serve.c
+++ b/programs/gateway_serve.c
@@ -93,23 +93,25 @@
 print_pool(void *arg, const struct bl_pool *pool, uint32_t waiting)
 {
 	struct h1_bytes *out = arg;
-	uint32_t i, draining = 0, backing_off = 0, in_flight = 0;
+	uint32_t i, draining = 0, backing_off = 0, in_flight = 0, limited = 0;
 
 	for (i = 0; i < pool->count; i++) {
 		draining += pool->targets[i]->draining;
 		backing_off += pool->targets[i]->backoff_until_us > cs_now_us();
 		in_flight += pool->targets[i]->in_flight;
+		limited += pool->targets[i]->has_limit;
 	}
 	h1_bytes_print(out,
 	    "chervilshelf_targets{pool=\"%s\",state=\"known\"} %u\n"
 	    "chervilshelf_targets{pool=\"%s\",state=\"leaving\"} %u\n"
 	    "chervilshelf_targets{pool=\"%s\",state=\"unreached\"} %u\n"
+	    "chervilshelf_targets{pool=\"%s\",state=\"limited\"} %u\n"
 	    "chervilshelf_in_flight{pool=\"%s\"} %u\n"
 	    "chervilshelf_waiting{pool=\"%s\"} %u\n"
 	    "chervilshelf_work_seconds{pool=\"%s\"} %.6f\n",
 	    pool->name, pool->count, pool->name, draining, pool->name,
-	    backing_off, pool->name, in_flight, pool->name, waiting, pool->name,
-	    pool->service_time_us / 1e6);
+	    backing_off, pool->name, limited, pool->name, in_flight, pool->name,
+	    waiting, pool->name, pool->service_time_us / 1e6);
 }
 
 static void
@@ -144,6 +146,8 @@
 	print_counter(out, "retries", counters->retries);
 	print_counter(out, "probes", counters->probes);
 	print_counter(out, "channels_opened", counters->connections_opened);
+	print_counter(out, "limits_heard", counters->limits_heard);
+	print_counter(out, "invalid_fields", counters->invalid_fields);
 }
 
 static void
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -278,19 +278,84 @@
 	assert_int_equal(pl_duration_ms("1min", &ms), CS_E_INVALID);
 }
 
+/* Reads what a target says of itself in a response with these headers. */
+static struct bl_report
+read_report(const char *headers)
+{
+	struct h1_reader reader;
+	struct bl_report report;
+	char text[1024];
+	size_t used;
+	int length = snprintf(text, sizeof(text),
+	    "HTTP/1.1 200 OK\r\n%sContent-Length: 0\r\n\r\n", headers);
+
+	h1_reader_init(&reader, HTTP_RESPONSE, (struct h1_limits){4096, 4096});
+	assert_int_equal(h1_reader_feed(&reader, text, (size_t)length, &used),
+	    H1_READ_COMPLETE);
+	pl_header_names.read_report(&reader.message, &report);
+	h1_reader_free(&reader);
+	return report;
+}
+
+#define LOAD "Chervilshelf-Server-Load: "
+
 static void
 test_load_header_needs_three_numbers(void **state)
 {
-	struct bl_load load;
+	struct bl_report report;
+
+	(void)state;
+	report = read_report(LOAD "3,1,8\r\n");
+	assert_true(report.has_load);
+	assert_int_equal(report.load.slowness_pct, 100);
+	report = read_report(LOAD "3,1,8,250\r\n");
+	assert_true(report.has_load);
+	assert_int_equal(report.load.slowness_pct, 250);
+	assert_int_equal(report.load.waiting, 1);
+	report = read_report(LOAD "3,1\r\n");
+	assert_false(report.has_load);
+	assert_int_equal(report.invalid_fields, 1);
+	assert_false(read_report(LOAD "busy\r\n").has_load);
+	assert_false(read_report("").has_load);
+	assert_int_equal(read_report("").invalid_fields, 0);
+}
+
+static void
+test_limit_header_is_a_decimal_number(void **state)
+{
+	static const struct {
+		const char *headers;
+		bool has_limit;
+		double limit_per_s;
+		uint32_t invalid_fields;
+	} rows[] = {
+	    {"", false, 0, 0},
+	    {"Server-Limit: 3.7\r\n", true, 3.7, 0},
+	    {"Chervilshelf-Server-Limit: 12\r\n", true, 12, 0},
+	    {"Server-Limit: 0\r\n", true, 0, 0},
+	    {"Server-Limit: 0.25\r\n", true, 0.25, 0},
+	    {"Server-Limit: \r\n", false, 0, 1},
+	    {"Server-Limit: .\r\n", false, 0, 1},
+	    {"Server-Limit: -1\r\n", false, 0, 1},
+	    {"Server-Limit: nan\r\n", false, 0, 1},
+	    {"Server-Limit: inf\r\n", false, 0, 1},
+	    {"Server-Limit: 1e400\r\n", false, 0, 1},
+	    {"Server-Limit: 0x10\r\n", false, 0, 1},
+	    {"Server-Limit: 3.7 a second\r\n", false, 0, 1},
+	    {"Server-Limit: 99999999999999999999\r\n", false, 0, 1},
+	    {"Server-Limit: 3\r\nServer-Limit: 9\r\n", false, 0, 1},
+	};
+	size_t i;
 
 	(void)state;
-	assert_true(pl_header_names.parse_load("3,1,8", &load));
-	assert_int_equal(load.slowness_pct, 100);
-	assert_true(pl_header_names.parse_load("3,1,8,250", &load));
-	assert_int_equal(load.slowness_pct, 250);
-	assert_int_equal(load.waiting, 1);
-	assert_false(pl_header_names.parse_load("3,1", &load));
-	assert_false(pl_header_names.parse_load("busy", &load));
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		struct bl_report report = read_report(rows[i].headers);
+
+		assert_int_equal(report.has_limit, rows[i].has_limit);
+		assert_int_equal(report.invalid_fields, rows[i].invalid_fields);
+		if (rows[i].has_limit)
+			assert_true(report.limit_per_s == rows[i].limit_per_s);
+	}
 }
 
 static void
@@ -322,6 +387,7 @@
 	    cmocka_unit_test(test_settings_need_each_required_field),
 	    cmocka_unit_test(test_durations_need_a_unit),
 	    cmocka_unit_test(test_load_header_needs_three_numbers),
+	    cmocka_unit_test(test_limit_header_is_a_decimal_number),
 	    cmocka_unit_test(test_node_round_trips_through_object),
 	};
 
