gateway: keeps the limit that a target names for all VMs together (LIMIT)

Cause: what they name was read by nobody. Reading it in each VM would not do: the limit is for all VMs together, and a share for each needs their number to be right.

One VM of the target's region, chosen by rendezvous hashing over the live nodes, gives out permits for single requests, valid for .5 s, at nine tenths of the limit; a burst of at most four. VMs of other regions ask through any node of the target's region that they know. Retries, calls that wait and fallbacks go by the same question, bl_limit_may_send(); a target with a limit is not probed. A call waits for a permit that comes in time; otherwise it is refused at once (reason limited), with a Retry-After. Whoever hears another limit tells the others, the leader tells nodes that start. A higher value counts only when the lower one has not been heard for a second, so responses out of order do no harm.

--- a/lib/balance/balance.h
+++ b/lib/balance/balance.h
@@ -8,6 +8,7 @@
  * bl_place(): selects a target, or tells to wait or to refuse (place.c)
  * bl_request_started(): a request is being sent to a target (pool.c)
  * bl_request_ended(): the outcome of that request (pool.c)
+ * bl_limit_ask() and so on: limits that targets name (limit.c)
  * bl_next_step(): relays the response, retries or fails (outcome.c)
  * bl_take_retry(): the retry budget (budget.c)
  * bl_is_poison(): requests that crash targets (poison.c)
@@ -65,6 +66,49 @@
 	uint32_t invalid_fields; /* present, but not valid; ignored */
 };
 
+/* A limit, or that there is none, as heard from a target at some time. */
+struct bl_limit_report {
+	bool has_limit;
+	double per_s;
+	int64_t heard_us;
+};
+
+/* What is known of the limit of a target, see limit.c. */
+struct bl_limit {
+	bool in_force;
+	double per_s;
+	int64_t heard_us; /* the value in force was last heard */
+	int64_t told_us;  /* this VM last told the others */
+
+	/* Permits of this VM. */
+	uint32_t permits;
+	int64_t permits_from_us;
+	int64_t asked_us; /* the question is not answered; 0: none */
+	int64_t ask_again_us;
+
+	/* As the owner of the target: the next permit, and VMs without one. */
+	int64_t next_permit_us;
+	double refused;
+	int64_t refused_at_us;
+};
+
+/* A question to the owner of a target. */
+struct bl_ask {
+	uint64_t target_process; /* see bl_target_process() */
+	struct bl_limit_report limit;
+	uint32_t count;	     /* permits, at most */
+	int64_t wait_max_us; /* later permits are of no use */
+};
+
+/* The owner's answer. Times are relative to its arrival. */
+struct bl_permit {
+	uint64_t target_process;
+	struct bl_limit_report limit;
+	uint32_t count;	      /* 0: none */
+	int64_t wait_us;      /* until they are valid */
+	int64_t ask_again_us; /* without permits: when to ask again */
+};
+
 /* Limits above this many requests per second are not valid. */
 #define BL_LIMIT_PER_S_MAX 1e9
 
@@ -79,6 +123,7 @@
 	uint32_t slots;
 	/* Start of the target's process, wall-clock time. */
 	uint64_t process_start_ms;
+	uint64_t process; /* see bl_target_process() */
 	int64_t warm_up_until_us;
 	bool draining; /* receives no new requests */
 
@@ -88,9 +133,7 @@
 	/* Requests of other VMs at the time of that report. */
 	uint32_t other_requests;
 
-	bool has_limit;
-	double limit_per_s; /* with has_limit; see struct bl_report */
-	int64_t limit_at_us;
+	struct bl_limit limit;
 
 	uint32_t in_flight; /* requests of this VM */
 	/* Ratio of observed to expected latency, 1 when as expected. */
@@ -152,6 +195,10 @@
 
 struct bl_target *bl_target_create(const char *id);
 void bl_target_unref(struct bl_target *target);
+/* bl_target_process(target): identifies the process of the target. */
+uint64_t bl_target_process(const struct bl_target *target);
+/* bl_target_set_process(target, start_ms): the process that has its id now. */
+void bl_target_set_process(struct bl_target *target, uint64_t start_ms);
 /*
  * bl_target_restarted(target): resets what is known of the target, because a
  * new process uses its id.
@@ -167,6 +214,46 @@
     struct bl_target *target, const struct bl_load *load, int64_t now_us);
 void bl_request_started(struct bl_target *target, int64_t now_us);
 
+/*
+ * bl_limit_heard(target, report): takes what the target said of its limit, to
+ * this VM or to another. Returns true if the limit in force has changed.
+ */
+bool bl_limit_heard(
+    struct bl_target *target, const struct bl_limit_report *report);
+void bl_limit_reset(struct bl_target *target);
+/* bl_limit_may_send(target, now_us): there is no limit, or a valid permit. */
+bool bl_limit_may_send(const struct bl_target *target, int64_t now_us);
+/*
+ * bl_limit_expected_permits(target, now_us): returns the number of permits that
+ * this VM has or has asked for.
+ */
+uint32_t bl_limit_expected_permits(
+    const struct bl_target *target, int64_t now_us);
+/* bl_limit_may_ask(target, now_us): a permit may be asked for now. */
+bool bl_limit_may_ask(const struct bl_target *target, int64_t now_us);
+/*
+ * bl_limit_wait_us(target, now_us): returns the time until there may be a
+ * permit.
+ */
+int64_t bl_limit_wait_us(const struct bl_target *target, int64_t now_us);
+/*
+ * bl_limit_ask(target, wait_max_us, now_us, out): writes the question to the
+ * owner for permits that are valid within wait_max_us.
+ */
+void bl_limit_ask(struct bl_target *target, int64_t wait_max_us, int64_t now_us,
+    struct bl_ask *out);
+/* bl_limit_grant(target, ask, now_us, out): answers as the owner. */
+void bl_limit_grant(struct bl_target *target, const struct bl_ask *ask,
+    int64_t now_us, struct bl_permit *out);
+/*
+ * bl_limit_granted(target, permit, now_us): takes the owner's answer. Returns
+ * true if the limit in force has changed.
+ */
+bool bl_limit_granted(
+    struct bl_target *target, const struct bl_permit *permit, int64_t now_us);
+/* bl_limit_sent(target): a request is sent with one of the permits. */
+void bl_limit_sent(struct bl_target *target);
+
 /* The outcome of one request at a target. */
 enum bl_outcome {
 	BL_SERVED, /* any other valid response */
@@ -238,6 +325,9 @@
 	/* Probes sent for this request are not answered yet. */
 	bool probes_pending;
 	bool may_wait;
+	/* Calls of this VM that wait for the pool, and those that go first. */
+	uint32_t waiting_calls;
+	uint32_t calls_ahead;
 	const struct bl_target *tried[BL_TRIED_MAX];
 	uint32_t tried_count;
 	uint64_t tie_breaker; /* random, decides between equal targets */
@@ -250,6 +340,9 @@
 	int64_t expected_us;
 	uint32_t probe_count;
 	struct bl_target *probes[BL_PROBES_MAX];
+	/* A permit is to be asked for this target; NULL: none. */
+	struct bl_target *ask;
+	int64_t ask_wait_max_us;
 	int64_t retry_after_us; /* only with BL_REFUSE */
 	const char *reason;	/* static string */
 };
@@ -324,8 +417,6 @@
 	} suspects[BL_POISON_SUSPECTS_MAX];
 };
 
-/* bl_target_process(target): identifies the process of the target. */
-uint64_t bl_target_process(const struct bl_target *target);
 /* bl_poison_served(poison, fingerprint): records that a target served it. */
 void bl_poison_served(struct bl_poison *poison, uint64_t fingerprint);
 /*
--- a/lib/balance/place.c
+++ b/lib/balance/place.c
@@ -100,6 +100,16 @@
 	 */
 	uint32_t usable_count;
 	int64_t min_expected_us;
+	/*
+	 * Targets that have named a limit and for which there is no permit: the
+	 * best of those that may be asked for, the permits that are expected,
+	 * and the time until there may be one.
+	 */
+	struct candidate best_to_ask;
+	uint32_t limited_count;
+	uint32_t expected_permits;
+	int64_t min_permit_wait_us;
+	int64_t min_limited_expected_us;
 };
 
 int64_t
@@ -228,6 +238,9 @@
 {
 	uint32_t at = list->count;
 
+	/* A probe would count as a request. */
+	if (candidate->target->limit.in_force)
+		return;
 	if (candidate->fresh ||
 	    (!candidate->target->probing &&
 		request->now_us - candidate->target->probe_sent_us <
@@ -245,6 +258,25 @@
 		list->count++;
 }
 
+static void
+add_limited(struct selection *selection, const struct candidate *candidate,
+    const struct bl_request *request)
+{
+	const struct bl_target *target = candidate->target;
+	int64_t wait_us = bl_limit_wait_us(target, request->now_us);
+
+	selection->limited_count++;
+	selection->expected_permits +=
+	    bl_limit_expected_permits(target, request->now_us);
+	if (wait_us < selection->min_permit_wait_us)
+		selection->min_permit_wait_us = wait_us;
+	if (candidate->expected_us < selection->min_limited_expected_us)
+		selection->min_limited_expected_us = candidate->expected_us;
+	if (bl_limit_may_ask(target, request->now_us) && !candidate->full &&
+	    is_better(candidate, &selection->best_to_ask, request->tie_breaker))
+		selection->best_to_ask = *candidate;
+}
+
 static void
 scan_targets(const struct bl_topology *topology, struct bl_pool *pool,
     const struct bl_request *request, bool include_backoff,
@@ -252,7 +284,11 @@
 {
 	uint32_t i;
 
-	*selection = (struct selection){.min_expected_us = RETRY_AFTER_MAX_US};
+	*selection = (struct selection){
+	    .min_expected_us = RETRY_AFTER_MAX_US,
+	    .min_permit_wait_us = RETRY_AFTER_MAX_US,
+	    .min_limited_expected_us = INT64_MAX / 2,
+	};
 	for (i = 0; i < pool->count; i++) {
 		struct bl_target *target = pool->targets[i];
 		struct candidate candidate;
@@ -262,10 +298,14 @@
 		    (!include_backoff &&
 			request->now_us < target->backoff_until_us))
 			continue;
+		candidate = assess(topology, target, request);
+		if (!bl_limit_may_send(target, request->now_us)) {
+			add_limited(selection, &candidate, request);
+			continue;
+		}
 		selection->usable_count++;
 		same_region =
 		    topology->data_centres[target->data_centre].same_region;
-		candidate = assess(topology, target, request);
 		if (candidate.expected_us < selection->min_expected_us)
 			selection->min_expected_us = candidate.expected_us;
 		if (same_region &&
@@ -331,23 +371,28 @@
 }
 
 static void
-refuse(const struct selection *selection, const struct bl_request *request,
-    const char *reason, struct bl_placement *out)
+refuse_for(
+    int64_t wait_us, const struct bl_request *request, struct bl_placement *out)
 {
-	int64_t wait_us = selection->min_expected_us;
-
 	if (wait_us < RETRY_AFTER_MIN_US)
 		wait_us = RETRY_AFTER_MIN_US;
 	/* Adds jitter so that refused callers do not all return at once. */
 	wait_us += (int64_t)(request->tie_breaker % 1000) * wait_us / 2000;
 	out->verdict = BL_REFUSE;
+	out->retry_after_us = wait_us;
+}
+
+static void
+refuse(const struct selection *selection, const struct bl_request *request,
+    const char *reason, struct bl_placement *out)
+{
+	refuse_for(selection->min_expected_us, request, out);
 	out->target = selection->best.target != NULL
 			  ? selection->best.target
 			  : selection->best_in_region.target;
 	out->expected_us = selection->best.target != NULL
 			       ? selection->best.expected_us
 			       : selection->best_in_region.expected_us;
-	out->retry_after_us = wait_us;
 	out->reason = reason;
 }
 
@@ -377,32 +422,84 @@
 	}
 }
 
-void
-bl_place(const struct bl_topology *topology, struct bl_pool *pool,
+/*
+ * Asks for a permit where the target would be the best choice, or calls wait
+ * for more permits than are expected.
+ */
+static void
+ask_for_permit(const struct selection *selection,
+    const struct bl_request *request, struct bl_placement *out)
+{
+	const struct candidate *wanted = &selection->best_to_ask;
+
+	if (wanted->target == NULL)
+		return;
+	if (selection->best.target != NULL
+		? is_better(wanted, &selection->best, request->tie_breaker)
+		: selection->expected_permits <= request->waiting_calls) {
+		out->ask = wanted->target;
+		out->ask_wait_max_us = request->deadline_us - request->now_us -
+				       wanted->expected_us;
+	}
+}
+
+/* A call that no target can take now waits for a permit that is expected. */
+static void
+wait_for_permit(const struct selection *selection,
+    const struct bl_request *request, struct bl_placement *out)
+{
+	if (out->verdict != BL_REFUSE || selection->limited_count == 0)
+		return;
+	if (request->may_wait &&
+	    request->now_us + selection->min_permit_wait_us +
+		    selection->min_limited_expected_us <=
+		request->deadline_us &&
+	    (out->ask != NULL ||
+		selection->expected_permits > request->calls_ahead)) {
+		out->verdict = BL_WAIT;
+		out->reason = "limited";
+	} else if (selection->usable_count == 0) {
+		refuse_for(selection->min_permit_wait_us, request, out);
+		out->reason = "limited";
+	}
+}
+
+static void
+place(const struct bl_topology *topology, const struct selection *selection,
     const struct bl_request *request, struct bl_placement *out)
 {
 	const struct stale_list *list;
-	struct selection selection;
 
-	*out = (struct bl_placement){.verdict = BL_REFUSE};
-	scan_targets(topology, pool, request, false, &selection);
-	/* Without any other target, those in backoff are used as well. */
-	if (selection.usable_count == 0)
-		scan_targets(topology, pool, request, true, &selection);
-	if (selection.usable_count == 0) {
-		refuse(&selection, request, "no_target", out);
+	if (selection->usable_count == 0) {
+		refuse(selection, request, "no_target", out);
 		return;
 	}
-	if (!is_fast(topology, &selection.best, request->now_us)) {
+	if (!is_fast(topology, &selection->best, request->now_us)) {
 		if (request->probes_pending) {
 			out->verdict = BL_PROBE;
 			return;
 		}
-		list = list_to_probe(&selection, request);
+		list = list_to_probe(selection, request);
 		if (list != NULL) {
 			request_probes(list, out);
 			return;
 		}
 	}
-	decide_without_probes(&selection, request, out);
+	decide_without_probes(selection, request, out);
+}
+
+void
+bl_place(const struct bl_topology *topology, struct bl_pool *pool,
+    const struct bl_request *request, struct bl_placement *out)
+{
+	struct selection selection;
+
+	*out = (struct bl_placement){.verdict = BL_REFUSE};
+	scan_targets(topology, pool, request, false, &selection);
+	/* Without any other target, those in backoff are used as well. */
+	if (selection.usable_count == 0)
+		scan_targets(topology, pool, request, true, &selection);
+	place(topology, &selection, request, out);
+	ask_for_permit(&selection, request, out);
+	wait_for_permit(&selection, request, out);
 }
--- a/lib/balance/poison.c
+++ b/lib/balance/poison.c
@@ -8,8 +8,6 @@
  * What is known of a request is the set of target processes that it crashed, so
  * reports of VMs may arrive twice and in any order.
  */
-#include <string.h>
-
 #include "balance_internal.h"
 
 #define CRASH_THRESHOLD 2
@@ -22,13 +20,6 @@
 static const int64_t refused_us[BL_POISON_CRASHES_MAX + 1] = {
     0, 0, 60000000LL, 600000000LL, 3600000000LL, 86400000000LL, 86400000000LL};
 
-uint64_t
-bl_target_process(const struct bl_target *target)
-{
-	return cs_hash_seeded(
-	    target->id, strlen(target->id), target->process_start_ms);
-}
-
 void
 bl_poison_served(struct bl_poison *poison, uint64_t fingerprint)
 {
--- a/lib/balance/pool.c
+++ b/lib/balance/pool.c
@@ -119,6 +119,20 @@
 	}
 }
 
+uint64_t
+bl_target_process(const struct bl_target *target)
+{
+	return target->process;
+}
+
+void
+bl_target_set_process(struct bl_target *target, uint64_t start_ms)
+{
+	target->process_start_ms = start_ms;
+	target->process =
+	    cs_hash_seeded(target->id, strlen(target->id), start_ms);
+}
+
 void
 bl_target_restarted(struct bl_target *target)
 {
@@ -129,6 +143,7 @@
 	target->connect_failures = 0;
 	target->backoff_until_us = 0;
 	target->draining = false;
+	bl_limit_reset(target);
 }
 
 static double
@@ -171,6 +186,7 @@
 {
 	(void)now_us;
 	target->in_flight++;
+	bl_limit_sent(target);
 }
 
 static void
--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -127,13 +127,11 @@
 	}
 }
 
+/* Passes on what another node broadcasts. */
 static void
-on_suspect_request(struct fleet *fleet, const struct fl_frame *frame,
+pass_on(struct fleet *fleet, const struct fl_frame *frame, bool is_news,
     const struct sockaddr_in *from)
 {
-	bool is_news = fleet->params.events->on_suspect_request(
-	    fleet->params.user, &frame->as.suspect_request);
-
 	if (!fl_membership_is_same_region(&fleet->membership, from))
 		send_to_nodes(fleet, frame, true);
 	else if (is_news && fleet->membership.self.current)
@@ -145,6 +143,8 @@
     const struct sockaddr *from, unsigned flags)
 {
 	struct fleet *fleet = udp->data;
+	const struct fl_events *events = fleet->params.events;
+	void *user = fleet->params.user;
 	struct fl_frame frame;
 
 	(void)flags;
@@ -159,8 +159,21 @@
 		on_heartbeat(fleet, &frame, (const struct sockaddr_in *)from);
 		break;
 	case FL_FRAME_SUSPECT_REQUEST:
-		on_suspect_request(
-		    fleet, &frame, (const struct sockaddr_in *)from);
+		pass_on(fleet, &frame,
+		    events->on_suspect_request(user, &frame.as.suspect_request),
+		    (const struct sockaddr_in *)from);
+		break;
+	case FL_FRAME_LIMIT:
+		pass_on(fleet, &frame, events->on_limit(user, &frame.as.limit),
+		    (const struct sockaddr_in *)from);
+		break;
+	case FL_FRAME_ASK:
+		if (!frame.as.ask.passed_on)
+			frame.as.ask.asker = *(const struct sockaddr_in *)from;
+		events->on_ask(user, &frame.as.ask);
+		break;
+	case FL_FRAME_PERMIT:
+		events->on_permit(user, &frame.as.permit);
 		break;
 	case FL_FRAME_UPDATE: /* valid on links only */
 		os_batch_free(&frame.as.update.batch);
@@ -210,6 +223,52 @@
 	fl_send_datagram(fleet, &frame, &node->fleet);
 }
 
+void
+fl_broadcast_limit(struct fleet *fleet, const struct fl_limit *limit)
+{
+	struct fl_frame frame = {.type = FL_FRAME_LIMIT, .as.limit = *limit};
+
+	send_to_nodes(fleet, &frame, true);
+	send_to_nodes(fleet, &frame, false);
+}
+
+void
+fl_send_limit(struct fleet *fleet, const struct fl_node *node,
+    const struct fl_limit *limit)
+{
+	struct fl_frame frame = {.type = FL_FRAME_LIMIT, .as.limit = *limit};
+
+	fl_send_datagram(fleet, &frame, &node->fleet);
+}
+
+void
+fl_send_ask(
+    struct fleet *fleet, const struct fl_node *node, const struct fl_ask *ask)
+{
+	struct fl_frame frame = {.type = FL_FRAME_ASK, .as.ask = *ask};
+
+	fl_send_datagram(fleet, &frame, &node->fleet);
+}
+
+void
+fl_pass_on_ask(
+    struct fleet *fleet, const struct fl_node *owner, const struct fl_ask *ask)
+{
+	struct fl_frame frame = {.type = FL_FRAME_ASK, .as.ask = *ask};
+
+	frame.as.ask.passed_on = true;
+	fl_send_datagram(fleet, &frame, &owner->fleet);
+}
+
+void
+fl_send_permit(struct fleet *fleet, const struct sockaddr_in *asker,
+    const struct fl_permit *permit)
+{
+	struct fl_frame frame = {.type = FL_FRAME_PERMIT, .as.permit = *permit};
+
+	fl_send_datagram(fleet, &frame, asker);
+}
+
 bool
 fl_is_discovery_due(struct fleet *fleet)
 {
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -162,6 +162,21 @@
     int64_t now_us, const struct fl_directory_query *query,
     struct sockaddr_in *out, uint32_t max);
 
+/*
+ * fl_membership_find_owner(membership, key, now_us): returns the node of the
+ * region that owns the key, by rendezvous hashing over the live nodes, or NULL
+ * for this node itself.
+ */
+const struct fl_node *fl_membership_find_owner(
+    const struct fl_membership *membership, uint64_t key, int64_t now_us);
+/*
+ * fl_membership_find_relay(membership, region, turn): returns a known node of
+ * another region, or NULL. Whether it is alive is not known: successive turns
+ * return different ones.
+ */
+const struct fl_node *fl_membership_find_relay(
+    const struct fl_membership *membership, uint64_t region, uint64_t turn);
+
 /* Frames between nodes, encoded with msgpack. */
 enum fl_frame_type {
 	FL_FRAME_HELLO = 1,	      /* the sender's whole record */
@@ -169,6 +184,10 @@
 	FL_FRAME_SUBSCRIBE = 3,	      /* the revisions that a follower has */
 	FL_FRAME_UPDATE = 4,	      /* objects of the store */
 	FL_FRAME_HEARTBEAT = 5,	      /* the part of the record that changes */
+	/* 6: a compressed frame, see frames.c */
+	FL_FRAME_LIMIT = 7,  /* the limit that a target names */
+	FL_FRAME_ASK = 8,    /* a question for permits */
+	FL_FRAME_PERMIT = 9, /* the owner's answer */
 };
 
 /* Changed objects of one kind, or a snapshot of the kind. */
@@ -184,6 +203,30 @@
 	uint64_t target_process;
 };
 
+/* The limit that the process of a target names, or that it names none. */
+struct fl_limit {
+	uint64_t target_process;
+	bool has_limit;
+	double per_s;
+	int64_t age_us; /* since it was heard */
+};
+
+/* A question to the owner of a target for permits to send requests to it. */
+struct fl_ask {
+	struct fl_limit limit; /* as the asker knows it */
+	uint32_t count;
+	int64_t wait_max_us; /* later permits are of no use */
+	bool passed_on;
+	struct sockaddr_in asker; /* where the answer goes */
+};
+
+struct fl_permit {
+	struct fl_limit limit; /* as the owner knows it */
+	uint32_t count;
+	int64_t wait_us;
+	int64_t ask_again_us;
+};
+
 #define FL_PEERS_MAX 32 /* addresses of other nodes in one hello */
 
 struct fl_frame {
@@ -204,6 +247,9 @@
 			uint64_t revision_sum;
 		} heartbeat;
 		struct fl_suspect_request suspect_request;
+		struct fl_limit limit;
+		struct fl_ask ask;
+		struct fl_permit permit;
 		struct {
 			uint64_t revisions[OS_KINDS_MAX];
 		} subscribe;
@@ -236,6 +282,10 @@
 	/* Returns true if this node did not know of the crash. */
 	bool (*on_suspect_request)(
 	    void *user, const struct fl_suspect_request *suspect);
+	/* Returns true if it is news to this node. */
+	bool (*on_limit)(void *user, const struct fl_limit *limit);
+	void (*on_ask)(void *user, const struct fl_ask *ask);
+	void (*on_permit)(void *user, const struct fl_permit *permit);
 	void (*on_node)(
 	    void *user, const struct fl_node *node, const char *what);
 };
@@ -280,6 +330,21 @@
 /* fl_send_suspect_request(fleet, node, suspect): tells one node. */
 void fl_send_suspect_request(struct fleet *fleet, const struct fl_node *node,
     const struct fl_suspect_request *suspect);
+/*
+ * fl_broadcast_limit(fleet, limit): as fl_broadcast_suspect_request(), with the
+ * limit of a target.
+ */
+void fl_broadcast_limit(struct fleet *fleet, const struct fl_limit *limit);
+void fl_send_limit(struct fleet *fleet, const struct fl_node *node,
+    const struct fl_limit *limit);
+/* fl_send_ask(fleet, node, ask): sends a question of this node. */
+void fl_send_ask(
+    struct fleet *fleet, const struct fl_node *node, const struct fl_ask *ask);
+/* fl_pass_on_ask(fleet, owner, ask): passes on that of another node. */
+void fl_pass_on_ask(
+    struct fleet *fleet, const struct fl_node *owner, const struct fl_ask *ask);
+void fl_send_permit(struct fleet *fleet, const struct sockaddr_in *asker,
+    const struct fl_permit *permit);
 /* fl_is_discovery_due(fleet): see fl_membership_is_discovery_due(). */
 bool fl_is_discovery_due(struct fleet *fleet);
 void fl_set_ready(struct fleet *fleet, bool ready);
--- a/lib/fleet/frames.c
+++ b/lib/fleet/frames.c
@@ -84,6 +84,43 @@
 	}
 }
 
+/* Limits are sent as whole numbers of millionths. */
+#define LIMIT_UNIT 1e6
+#define DURATION_US_MAX 86400000000ULL /* a day */
+
+static void
+pack_limit(msgpack_packer *packer, const struct fl_limit *limit)
+{
+	msgpack_pack_uint64(packer, limit->target_process);
+	msgpack_pack_int(packer, limit->has_limit);
+	msgpack_pack_uint64(packer, (uint64_t)(limit->per_s * LIMIT_UNIT));
+	msgpack_pack_uint64(
+	    packer, limit->age_us < 0 ? 0 : (uint64_t)limit->age_us);
+}
+
+static void
+pack_ask(msgpack_packer *packer, const struct fl_ask *ask)
+{
+	msgpack_pack_array(packer, 9);
+	msgpack_pack_int(packer, FL_FRAME_ASK);
+	pack_limit(packer, &ask->limit);
+	msgpack_pack_uint32(packer, ask->count);
+	msgpack_pack_uint64(packer, (uint64_t)ask->wait_max_us);
+	msgpack_pack_int(packer, ask->passed_on);
+	pack_address(packer, &ask->asker);
+}
+
+static void
+pack_permit(msgpack_packer *packer, const struct fl_permit *permit)
+{
+	msgpack_pack_array(packer, 8);
+	msgpack_pack_int(packer, FL_FRAME_PERMIT);
+	pack_limit(packer, &permit->limit);
+	msgpack_pack_uint32(packer, permit->count);
+	msgpack_pack_uint64(packer, (uint64_t)permit->wait_us);
+	msgpack_pack_uint64(packer, (uint64_t)permit->ask_again_us);
+}
+
 /* The type of a frame that holds another one, compressed with zlib. */
 #define COMPRESSED_TYPE 6
 #define COMPRESS_MIN_BYTES 600 /* smaller frames hardly shrink */
@@ -123,6 +160,17 @@
 	case FL_FRAME_UPDATE:
 		pack_update(&packer, &frame->as.update);
 		break;
+	case FL_FRAME_LIMIT:
+		msgpack_pack_array(&packer, 5);
+		msgpack_pack_int(&packer, frame->type);
+		pack_limit(&packer, &frame->as.limit);
+		break;
+	case FL_FRAME_ASK:
+		pack_ask(&packer, &frame->as.ask);
+		break;
+	case FL_FRAME_PERMIT:
+		pack_permit(&packer, &frame->as.permit);
+		break;
 	}
 	out->data = buffer.data;
 	out->length = buffer.size;
@@ -322,6 +370,45 @@
 	return CS_OK;
 }
 
+/* Reads a duration; one that cannot be true makes the frame invalid. */
+static int64_t
+read_duration_us(struct cursor *cursor)
+{
+	uint64_t number = read_number(cursor);
+
+	if (number > DURATION_US_MAX)
+		cursor->failed = true;
+	return (int64_t)number;
+}
+
+static void
+read_limit(struct cursor *cursor, struct fl_limit *limit)
+{
+	limit->target_process = read_number(cursor);
+	limit->has_limit = read_number(cursor) != 0;
+	limit->per_s = (double)read_number(cursor) / LIMIT_UNIT;
+	limit->age_us = read_duration_us(cursor);
+}
+
+static void
+read_ask(struct cursor *cursor, struct fl_ask *ask)
+{
+	read_limit(cursor, &ask->limit);
+	ask->count = (uint32_t)read_number(cursor);
+	ask->wait_max_us = read_duration_us(cursor);
+	ask->passed_on = read_number(cursor) != 0;
+	ask->asker = read_address(cursor);
+}
+
+static void
+read_permit(struct cursor *cursor, struct fl_permit *permit)
+{
+	read_limit(cursor, &permit->limit);
+	permit->count = (uint32_t)read_number(cursor);
+	permit->wait_us = read_duration_us(cursor);
+	permit->ask_again_us = read_duration_us(cursor);
+}
+
 static int
 read_frame(struct cursor *cursor, struct fl_frame *out)
 {
@@ -350,6 +437,15 @@
 		if (error != CS_OK || cursor->failed)
 			os_batch_free(&out->as.update.batch);
 		break;
+	case FL_FRAME_LIMIT:
+		read_limit(cursor, &out->as.limit);
+		break;
+	case FL_FRAME_ASK:
+		read_ask(cursor, &out->as.ask);
+		break;
+	case FL_FRAME_PERMIT:
+		read_permit(cursor, &out->as.permit);
+		break;
 	default:
 		return CS_E_INVALID;
 	}
--- a/lib/fleet/membership.c
+++ b/lib/fleet/membership.c
@@ -371,6 +371,57 @@
 	return false;
 }
 
+static uint64_t
+rendezvous_weight(uint64_t key, const struct fl_node *node)
+{
+	return cs_hash_pair(key, cs_hash(node->name, strlen(node->name)));
+}
+
+const struct fl_node *
+fl_membership_find_owner(
+    const struct fl_membership *membership, uint64_t key, int64_t now_us)
+{
+	uint64_t best_weight = membership->self.stopping
+				   ? 0
+				   : rendezvous_weight(key, &membership->self);
+	const struct fl_node *best = NULL;
+	uint32_t i;
+
+	for (i = 0; i < membership->count; i++) {
+		const struct fl_node *node = &membership->nodes[i];
+		uint64_t weight;
+
+		if (!node->same_region || node->stopping ||
+		    !fl_node_is_alive(node, now_us))
+			continue;
+		weight = rendezvous_weight(key, node);
+		if (weight > best_weight) {
+			best = node;
+			best_weight = weight;
+		}
+	}
+	return best;
+}
+
+const struct fl_node *
+fl_membership_find_relay(
+    const struct fl_membership *membership, uint64_t region, uint64_t turn)
+{
+	uint32_t i, first;
+
+	if (membership->count == 0)
+		return NULL;
+	first = (uint32_t)(turn % membership->count);
+	for (i = 0; i < membership->count; i++) {
+		const struct fl_node *node =
+		    &membership->nodes[(first + i) % membership->count];
+
+		if (node->region == region && node->heard_us != 0)
+			return node;
+	}
+	return NULL;
+}
+
 /* A node that may be listed, and its rank for the query. */
 struct directory_entry {
 	bool same_data_centre; /* as the query */
--- a/lib/gateway/call.c
+++ b/lib/gateway/call.c
@@ -63,6 +63,15 @@
 	return true;
 }
 
+static enum gw_reason
+reason_of_refusal(const struct bl_placement *placement)
+{
+	if (strcmp(placement->reason, "no_target") == 0)
+		return GW_NO_TARGET;
+	return strcmp(placement->reason, "limited") == 0 ? GW_LIMITED
+							 : GW_NO_ROOM;
+}
+
 static void
 apply_placement(struct gw_call *call, const struct bl_placement *placement)
 {
@@ -83,9 +92,7 @@
 		break;
 	case BL_REFUSE:
 		gw_log_refusal(call, placement);
-		gw_respond_error(call, 503,
-		    strcmp(placement->reason, "no_target") == 0 ? GW_NO_TARGET
-								: GW_NO_ROOM,
+		gw_respond_error(call, 503, reason_of_refusal(placement),
 		    placement->retry_after_us);
 		break;
 	}
--- a/lib/gateway/connections.c
+++ b/lib/gateway/connections.c
@@ -89,22 +89,6 @@
 	return H1_KEEP;
 }
 
-static void
-record_limit(
-    struct gw *gw, struct bl_target *target, const struct bl_report *report)
-{
-	if (report->has_limit == target->has_limit &&
-	    report->limit_per_s == target->limit_per_s)
-		return;
-	cs_log(CS_LOG_TARGET_LIMITED, "target=%s limited=%d per_s=%g was=%g",
-	    target->id, report->has_limit, report->limit_per_s,
-	    target->limit_per_s);
-	gw->counters.limits_heard++;
-	target->has_limit = report->has_limit;
-	target->limit_per_s = report->limit_per_s;
-	target->limit_at_us = cs_now_us();
-}
-
 /* Records what the target says of itself. */
 static void
 record_report(
@@ -119,7 +103,7 @@
 	bl_load_reported(
 	    target, report.has_load ? &report.load : NULL, cs_now_us());
 	if (report.invalid_fields == 0)
-		record_limit(gw, target, &report);
+		gw_hear_limit(gw, target, report.has_limit, report.limit_per_s);
 }
 
 static enum h1_keep
--- a/lib/gateway/gateway.c
+++ b/lib/gateway/gateway.c
@@ -78,6 +78,7 @@
 	}
 	gw->pools = g_hash_table_new(g_str_hash, g_str_equal);
 	gw->targets = g_hash_table_new(g_str_hash, g_str_equal);
+	gw->processes = g_hash_table_new(g_int64_hash, g_int64_equal);
 	cs_random_seed(&gw->random, params->seed);
 	gw->next_number = cs_random_next(&gw->random) >> 32;
 
@@ -140,6 +141,7 @@
 
 	cs_ref_take(&target->ref);
 	g_hash_table_remove(gw->targets, target->id);
+	g_hash_table_remove(gw->processes, &target->process);
 	bl_pool_remove(pool->balance, target);
 	if (target->connections != NULL)
 		gw_target_connections_close(target->connections);
@@ -157,7 +159,9 @@
 		bl_target_unref(target);
 		return NULL;
 	}
+	bl_target_set_process(target, info->process_start_ms);
 	g_hash_table_insert(gw->targets, target->id, target);
+	g_hash_table_insert(gw->processes, &target->process, target);
 	return target;
 }
 
@@ -196,7 +200,6 @@
 		    (unsigned long long)info->process_start_ms);
 	target->address = info->address;
 	target->data_centre = info->data_centre;
-	target->process_start_ms = info->process_start_ms;
 	if (info->slots > 0)
 		target->slots = info->slots;
 	target->draining = info->draining;
--- a/lib/gateway/gateway.h
+++ b/lib/gateway/gateway.h
@@ -52,7 +52,9 @@
 	uint64_t probes;
 	uint64_t connections_opened;
 	uint64_t callers_gone;
-	uint64_t limits_heard;	 /* changes of the limits of targets */
+	uint64_t limits_heard; /* changes of the limits of targets */
+	uint64_t permits_asked, permits_granted;
+	uint64_t permits_given;	 /* as the owner of targets */
 	uint64_t invalid_fields; /* of what targets say of themselves */
 	/* Whole time of calls with a relayed response below 500. */
 	struct cs_histogram answered;
@@ -78,6 +80,15 @@
 	 */
 	void (*on_crash)(
 	    void *user, const struct bl_crash *crash, bool is_poison);
+	/* A target said of its limit. The other VMs should be told. */
+	void (*on_limit)(
+	    void *user, uint64_t process, const struct bl_limit_report *report);
+	/*
+	 * The owner of a target in this data centre is asked for permits. The
+	 * answer goes to gw_add_permit(), also during this call.
+	 */
+	void (*on_ask)(
+	    void *user, const struct bl_ask *ask, uint32_t data_centre);
 };
 
 struct gw_params {
@@ -139,6 +150,25 @@
  * true if this VM did not know of that crash.
  */
 bool gw_add_crash(struct gw *gw, const struct bl_crash *crash);
+/*
+ * gw_add_limit(gw, process, report): another VM heard a target say so. Returns
+ * true if the limit in force has changed.
+ */
+bool gw_add_limit(
+    struct gw *gw, uint64_t process, const struct bl_limit_report *report);
+/* gw_for_each_limit(gw, visit, arg): calls visit for each limit in force. */
+void gw_for_each_limit(const struct gw *gw,
+    void (*visit)(
+	void *arg, uint64_t process, const struct bl_limit_report *limit),
+    void *arg);
+/*
+ * gw_answer_ask(gw, ask, out): answers as the owner of the target. Returns
+ * CS_E_MISSING if there is no such target.
+ */
+int gw_answer_ask(
+    struct gw *gw, const struct bl_ask *ask, struct bl_permit *out);
+/* gw_add_permit(gw, permit): takes the answer of an owner. */
+void gw_add_permit(struct gw *gw, const struct bl_permit *permit);
 /*
  * gw_for_each_poison(gw, visit, arg): calls visit for each crash of each
  * request that is refused for its crashes.
--- a/lib/gateway/gateway_internal.h
+++ b/lib/gateway/gateway_internal.h
@@ -115,8 +115,9 @@
 	struct h1_server *server;
 	struct h1_body_budget response_budget;
 	struct rt_table *table;
-	GHashTable *pools;   /* by name */
-	GHashTable *targets; /* by id, without removed ones */
+	GHashTable *pools;     /* by name */
+	GHashTable *targets;   /* by id, without removed ones */
+	GHashTable *processes; /* the same, by process */
 	struct gw_call *free_calls;
 	struct bl_poison poison;
 	struct cs_random random;
@@ -194,7 +195,8 @@
 
 /* placement.c: selection of a target, probes, and the wait queue */
 /*
- * gw_place(call, out): asks lib/balance for a placement without acting on it.
+ * gw_place(call, out): asks lib/balance for a placement, and for the permit
+ * that it wants. The verdict is not acted on.
  */
 void gw_place(struct gw_call *call, struct bl_placement *out);
 /*
@@ -221,6 +223,8 @@
  */
 bool gw_must_queue(const struct gw_call *call);
 void gw_enqueue(struct gw_call *call);
+/* gw_dispatch_after(pool, ms): places the waiting calls again by then. */
+void gw_dispatch_after(struct gw_pool *pool, uint64_t ms);
 /* gw_schedule_dispatch(pool): places the waiting calls again in a few ms. */
 void gw_schedule_dispatch(struct gw_pool *pool);
 /*
@@ -281,6 +285,14 @@
  */
 void gw_target_replaced(struct gw_target_connections *connections);
 
+/* limits.c: limits that targets name */
+/* gw_hear_limit(gw, target, ...): a response of the target says so. */
+void gw_hear_limit(struct gw *gw, struct bl_target *target, bool has_limit,
+    double limit_per_s);
+/* gw_ask_permit(gw, target, wait_max_us): see bl_limit_ask(). */
+void gw_ask_permit(
+    struct gw *gw, struct bl_target *target, int64_t wait_max_us);
+
 /* exchange.c: requests to targets and classification of their responses */
 enum gw_match {
 	GW_MATCH_CURRENT,
--- a/lib/gateway/placement.c
+++ b/lib/gateway/placement.c
@@ -110,13 +110,19 @@
 	pool->gw->callbacks->dispatch_waiting(pool);
 }
 
+void
+gw_dispatch_after(struct gw_pool *pool, uint64_t ms)
+{
+	if (!uv_is_active((uv_handle_t *)&pool->dispatch_timer) ||
+	    uv_timer_get_due_in(&pool->dispatch_timer) > ms)
+		uv_timer_start(&pool->dispatch_timer, on_dispatch_due, ms, 0);
+}
+
 void
 gw_schedule_dispatch(struct gw_pool *pool)
 {
-	if (pool->waiting != NULL &&
-	    !uv_is_active((uv_handle_t *)&pool->dispatch_timer))
-		uv_timer_start(&pool->dispatch_timer, on_dispatch_due,
-		    DISPATCH_INTERVAL_MS, 0);
+	if (pool->waiting != NULL)
+		gw_dispatch_after(pool, DISPATCH_INTERVAL_MS);
 }
 
 static bool
@@ -176,6 +182,10 @@
 	    .may_probe = call->probe_rounds<PROBE_ROUNDS_MAX,
 		.probes_pending = call->probes_pending> 0,
 	    .may_wait = call->pool->waiting_count < WAITING_MAX,
+	    .waiting_calls = call->pool->waiting_count,
+	    .calls_ahead = call->state == GW_CALL_WAITING
+			       ? 0 /* only the first is placed */
+			       : call->pool->waiting_count,
 	    .tie_breaker = cs_hash_pair(call->number, call->attempts),
 	};
 	uint32_t i;
@@ -184,6 +194,8 @@
 		request.tried[i] = call->tried[i];
 	request.tried_count = call->tried_count;
 	bl_place(call->gw->params.topology, call->pool->balance, &request, out);
+	if (out->ask != NULL)
+		gw_ask_permit(call->gw, out->ask, out->ask_wait_max_us);
 }
 
 bool
--- a/programs/gateway.c
+++ b/programs/gateway.c
@@ -127,8 +127,10 @@
 	    cs_now_us());
 }
 
-static const struct gw_events gateway_events = {
-    .on_call_ended = on_call_ended, .on_crash = ga_on_crash};
+static const struct gw_events gateway_events = {.on_call_ended = on_call_ended,
+    .on_crash = ga_on_crash,
+    .on_limit = ga_on_limit,
+    .on_ask = ga_on_ask};
 
 static struct bl_budget_params
 budget_params(const struct pl_settings *settings, uint32_t node_count)
--- a/programs/gateway.h
+++ b/programs/gateway.h
@@ -47,6 +47,8 @@
 	} crash_reports[GA_CRASH_REPORTS_MAX];
 	uint32_t crash_report_count; /* in all; the index wraps around */
 
+	uint64_t asks; /* for permits, of owners in other regions */
+
 	bool registered; /* in the store, since it was current */
 	bool targets_loaded;
 	enum fl_role role;
@@ -93,6 +95,17 @@
 /* ga_tell_crashes(app, node): tells a node that has just started. */
 void ga_tell_crashes(struct ga_app *app, const struct fl_node *node);
 
+/* gateway_limits.c: limits that targets name, and permits of their owners */
+void ga_on_limit(
+    void *user, uint64_t process, const struct bl_limit_report *report);
+void ga_on_ask(void *user, const struct bl_ask *ask, uint32_t data_centre);
+/* Events of the fleet, see struct fl_events. */
+bool ga_on_fleet_limit(void *user, const struct fl_limit *limit);
+void ga_on_fleet_ask(void *user, const struct fl_ask *ask);
+void ga_on_fleet_permit(void *user, const struct fl_permit *permit);
+/* ga_tell_limits(app, node): the leader tells a node that has just started. */
+void ga_tell_limits(struct ga_app *app, const struct fl_node *node);
+
 /* gateway_serve.c: directory, readiness and metrics */
 int ga_start_servers(struct ga_app *app);
 void ga_sweep_servers(struct ga_app *app);
--- a/programs/gateway_serve.c
+++ b/programs/gateway_serve.c
@@ -99,7 +99,7 @@
 		draining += pool->targets[i]->draining;
 		backing_off += pool->targets[i]->backoff_until_us > cs_now_us();
 		in_flight += pool->targets[i]->in_flight;
-		limited += pool->targets[i]->has_limit;
+		limited += pool->targets[i]->limit.in_force;
 	}
 	h1_bytes_print(out,
 	    "chervilshelf_targets{pool=\"%s\",state=\"known\"} %u\n"
@@ -147,6 +147,9 @@
 	print_counter(out, "probes", counters->probes);
 	print_counter(out, "channels_opened", counters->connections_opened);
 	print_counter(out, "limits_heard", counters->limits_heard);
+	print_counter(out, "permits_asked", counters->permits_asked);
+	print_counter(out, "permits_granted", counters->permits_granted);
+	print_counter(out, "permits_given", counters->permits_given);
 	print_counter(out, "invalid_fields", counters->invalid_fields);
 }
 
--- a/tests/unit/gateway_rig.c
+++ b/tests/unit/gateway_rig.c
@@ -670,6 +670,26 @@
 	((struct rig *)user)->reported_fingerprint = crash->fingerprint;
 }
 
+static void
+on_limit(void *user, uint64_t process, const struct bl_limit_report *report)
+{
+	(void)user;
+	(void)process;
+	(void)report;
+}
+
+/* The only VM owns all targets. */
+static void
+on_ask(void *user, const struct bl_ask *ask, uint32_t data_centre)
+{
+	struct rig *rig = user;
+	struct bl_permit permit;
+
+	(void)data_centre;
+	if (gw_answer_ask(rig->gw, ask, &permit) == CS_OK)
+		gw_add_permit(rig->gw, &permit);
+}
+
 static void
 on_call_ended(void *user, const struct gw_call_result *ended)
 {
@@ -694,8 +714,10 @@
 struct rig *
 rig_create(const struct rig_params *params)
 {
-	static const struct gw_events events = {
-	    .on_call_ended = on_call_ended, .on_crash = on_crash};
+	static const struct gw_events events = {.on_call_ended = on_call_ended,
+	    .on_crash = on_crash,
+	    .on_limit = on_limit,
+	    .on_ask = on_ask};
 	struct rig *rig = calloc(1, sizeof(*rig));
 	struct gw_params gateway = {
 	    .header_names = &pl_header_names,
