platform: an entry that cannot be parsed costs that entry only (DRAIN)

Callers saw requests go to a target that had left, and lost there: after one odd entry of another writer (deep nesting, a number out of range, a lone surrogate, a zero byte) no change of any target arrived, and a VM that was restarted never got ready. Cause: the whole response of the store was parsed at once, and rejected for one value; the list was then read again, without end.

One that cannot be parsed keeps its name and revision and names no target, so a target that it was before is removed. Bodies carry their length, since they may hold zero bytes. Class: one reader for values of several writers.

--- a/lib/store/call.c
+++ b/lib/store/call.c
@@ -45,12 +45,12 @@
 	call->exchange = NULL;
 	call->done(call,
 	    response->error == CS_OK ? response->status : OS_NO_RESPONSE,
-	    response->body);
+	    &(struct os_text){response->body, response->body_length});
 }
 
 void
 os_call_init(struct os_call *call, struct os_client *client,
-    void (*done)(struct os_call *, int, const char *))
+    void (*done)(struct os_call *, int, const struct os_text *))
 {
 	*call = (struct os_call){.client = client, .done = done};
 }
--- a/lib/store/client.c
+++ b/lib/store/client.c
@@ -26,7 +26,8 @@
 }
 
 static void
-on_health_check_done(struct os_call *call, int status, const char *body)
+on_health_check_done(
+    struct os_call *call, int status, const struct os_text *body)
 {
 	struct os_client *client = call->client;
 	uint32_t i;
@@ -93,7 +94,8 @@
 }
 
 static void
-on_announce_response(struct os_call *call, int status, const char *body)
+on_announce_response(
+    struct os_call *call, int status, const struct os_text *body)
 {
 	struct os_client *client = call->client;
 	struct os_batch batch = {.count = 0};
--- a/lib/store/follow.c
+++ b/lib/store/follow.c
@@ -129,7 +129,7 @@
 }
 
 static void
-on_list_page(struct os_follow *follow, const char *body)
+on_list_page(struct os_follow *follow, const struct os_text *body)
 {
 	struct os_client *client = follow->call.client;
 	struct os_batch page = {.count = 0};
@@ -167,7 +167,7 @@
 }
 
 static void
-on_events(struct os_follow *follow, const char *body)
+on_events(struct os_follow *follow, const struct os_text *body)
 {
 	struct os_client *client = follow->call.client;
 	struct os_batch batch = {.count = 0};
@@ -192,7 +192,7 @@
 }
 
 static void
-on_response(struct os_call *call, int status, const char *body)
+on_response(struct os_call *call, int status, const struct os_text *body)
 {
 	struct os_follow *follow = (struct os_follow *)call;
 
@@ -203,7 +203,7 @@
 	    "kind=%s call=%s status=%d known_revision=%llu bytes=%zu",
 	    call->client->params.kinds[follow->kind],
 	    follow->listing ? "list" : "watch", status,
-	    (unsigned long long)follow->revision, strlen(body));
+	    (unsigned long long)follow->revision, body->length);
 	if (status == STATUS_HISTORY_EXPIRED) {
 		follow->revision = 0;
 		os_follow_start(follow);
--- a/lib/store/objects.c
+++ b/lib/store/objects.c
@@ -136,7 +136,7 @@
 }
 
 static void
-handle_events(struct op *op, const char *body)
+handle_events(struct op *op, const struct os_text *body)
 {
 	struct os_batch events = {.count = 0};
 	const struct os_change *latest;
@@ -159,7 +159,7 @@
 }
 
 static void
-handle_object(struct op *op, const char *body)
+handle_object(struct op *op, const struct os_text *body)
 {
 	struct os_change object;
 
@@ -193,7 +193,7 @@
 }
 
 static void
-handle_page(struct op *op, const char *body)
+handle_page(struct op *op, const struct os_text *body)
 {
 	struct os_batch page = {.count = 0};
 	bool more;
@@ -218,7 +218,7 @@
 }
 
 static void
-handle_response(struct op *op, const char *body)
+handle_response(struct op *op, const struct os_text *body)
 {
 	switch (op->type) {
 	case OP_READ:
@@ -246,7 +246,8 @@
 	int error = error_from_response(response);
 
 	if (error == CS_OK) {
-		handle_response(op, response->body);
+		handle_response(op,
+		    &(struct os_text){response->body, response->body_length});
 	} else if (op->type == OP_WATCH &&
 		   response->status == STATUS_HISTORY_EXPIRED) {
 		op->type = OP_READ;
--- a/lib/store/store.h
+++ b/lib/store/store.h
@@ -38,6 +38,12 @@
 
 void os_batch_free(struct os_batch *batch);
 
+/* The body of a response; it may hold zero bytes. */
+struct os_text {
+	const char *data;
+	size_t length;
+};
+
 struct os_codec {
 	/* Functions *_path() write a path and return CS_OK or CS_E_FULL. */
 	int (*list_path)(
@@ -48,13 +54,16 @@
 	int (*check_path)(
 	    char out[OS_PATH_BYTES_MAX], const char *kind, const char *name);
 	int (*kind_path)(char out[OS_PATH_BYTES_MAX], const char *kind);
-	/* Both return CS_E_INVALID for a malformed body. */
-	int (*parse_list)(const char *body, struct os_batch *out);
-	int (*parse_events)(const char *body, struct os_batch *out);
+	/*
+	 * Both return CS_E_INVALID for a malformed body. An object that cannot
+	 * be parsed has a text that is no object.
+	 */
+	int (*parse_list)(const struct os_text *body, struct os_batch *out);
+	int (*parse_events)(const struct os_text *body, struct os_batch *out);
 	int (*object_path)(
 	    char out[OS_PATH_BYTES_MAX], const char *kind, const char *name);
 	/* Parses one object; the caller frees its text. */
-	int (*parse_object)(const char *body, struct os_change *out);
+	int (*parse_object)(const struct os_text *body, struct os_change *out);
 	/* Returns the value of an object, to be freed with free(). */
 	char *(*read_value)(const char *object_text);
 	/*
--- a/lib/store/store_internal.h
+++ b/lib/store/store_internal.h
@@ -10,7 +10,8 @@
 	struct os_client *client;
 	struct h1_exchange *exchange; /* NULL: none pending */
 	/* With OS_NO_RESPONSE the call may or may not have had an effect. */
-	void (*done)(struct os_call *call, int status, const char *body);
+	void (*done)(
+	    struct os_call *call, int status, const struct os_text *body);
 };
 
 struct os_follow {
@@ -50,7 +51,7 @@
 void os_set_reachable(
     struct os_client *client, bool reachable, const char *reason);
 void os_call_init(struct os_call *call, struct os_client *client,
-    void (*done)(struct os_call *, int, const char *));
+    void (*done)(struct os_call *, int, const struct os_text *));
 /*
  * os_call_send(call, ...): body may be NULL. done is called once, later, but
  * not when memory for the request runs out.
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -278,6 +278,124 @@
 	assert_int_equal(pl_duration_ms("1min", &ms), CS_E_INVALID);
 }
 
+#define GOOD_OBJECT(name)                                                     \
+	"{\"metadata\":{\"name\":\"" name "\",\"revision\":5},\"spec\":{"     \
+	"\"address\":\"10.0.0.1:80\",\"born\":1,\"info\":{\"service\":\"s\"," \
+	"\"zone\":\"z1\",\"slots\":4}},\"status\":{\"state\":\"ready\","      \
+	"\"warmup_left\":\"0ms\"}}"
+#define ODD_OBJECT(address, slots, more)                                      \
+	"{\"metadata\":{\"name\":\"odd\",\"revision\":6},\"spec\":{"          \
+	"\"address\":\"" address "\",\"born\":1,\"info\":{\"service\":\"s\"," \
+	"\"zone\":\"z1\",\"slots\":" slots "}},\"status\":{\"state\":"        \
+	"\"ready\",\"warmup_left\":\"0ms\"}" more "}"
+#define NESTING 100000
+
+/* One change that a list or a watch has reported, by the name of its object. */
+static const struct os_change *
+find_change(const struct os_batch *batch, const char *name)
+{
+	uint32_t i;
+
+	for (i = 0; i < batch->count; i++) {
+		if (strcmp(batch->changes[i].name, name) == 0)
+			return &batch->changes[i];
+	}
+	return NULL;
+}
+
+static bool
+names_a_target(const struct os_change *change)
+{
+	char error_text[PL_TEXT_BYTES_MAX];
+	struct pl_target target;
+
+	return change != NULL && pl_read_target(change->name, change->text,
+				     &target, error_text) == CS_OK;
+}
+
+/* The odd entry names no target, also where it was one before. */
+static void
+check_odd_entry(const struct os_batch *batch)
+{
+	assert_int_equal(batch->revision, 9);
+	assert_true(names_a_target(find_change(batch, "first")));
+	assert_true(names_a_target(find_change(batch, "last")));
+	assert_non_null(find_change(batch, "odd"));
+	assert_false(names_a_target(find_change(batch, "odd")));
+}
+
+static void
+check_list_and_watch(const char *odd, size_t odd_length)
+{
+	static const char list[] =
+	    "{\"store_revision\":9,\"more\":false,\"items\":[";
+	static const char watch[] = "{\"store_revision\":9,\"events\":["
+				    "{\"deleted\":false,\"object\":";
+	struct h1_bytes body = {.data = NULL};
+	struct os_batch batch;
+
+	h1_bytes_print(&body, "%s%s,", list, GOOD_OBJECT("first"));
+	h1_bytes_add(&body, odd, odd_length);
+	h1_bytes_print(&body, ",%s]}", GOOD_OBJECT("last"));
+	assert_int_equal(pl_codec.parse_list(
+			     &(struct os_text){body.data, body.length}, &batch),
+	    CS_OK);
+	check_odd_entry(&batch);
+	os_batch_free(&batch);
+
+	body.length = 0;
+	h1_bytes_print(
+	    &body, "%s%s},{\"object\":", watch, GOOD_OBJECT("first"));
+	h1_bytes_add(&body, odd, odd_length);
+	h1_bytes_print(&body, ",\"deleted\":false},{\"object\":%s}]}",
+	    GOOD_OBJECT("last"));
+	assert_int_equal(pl_codec.parse_events(
+			     &(struct os_text){body.data, body.length}, &batch),
+	    CS_OK);
+	check_odd_entry(&batch);
+	os_batch_free(&batch);
+	h1_bytes_free(&body);
+}
+
+/* An entry of another writer costs that entry only. */
+static void
+test_odd_entry_leaves_the_others(void **state)
+{
+	static const char zero_byte[] =
+	    ODD_OBJECT("10.0.0.1:80", "4", ",\"x\":\"a\0b\"");
+	static const char *const rows[] = {
+	    ODD_OBJECT("10.0.0.1:80", "18446744073709551616", ""),
+	    ODD_OBJECT("10.0.0.1:80", "-1", ""),
+	    ODD_OBJECT("10.0.0.1:80", "1e400", ""),
+	    ODD_OBJECT("10.0.0.1:80", "4", ",\"x\":1e400"),
+	    ODD_OBJECT("10.0.0.1:80", "4", ",\"x\":99999999999999999999"),
+	    ODD_OBJECT("10.0.0.1:80", "4", ",\"x\":\"\\ud800\""),
+	    ODD_OBJECT("10.0.0.1:80", "4", ",\"x\":\"\\u0000\""),
+	    ODD_OBJECT("10.0.0.1:80", "4", ",\"x\":\"\xff\xfe\""),
+	    ODD_OBJECT("10.0.0.1:80", "4", ",\"x\":\"\\\"]},\\\\\",\"y\":nul"),
+	    ODD_OBJECT("10.0.0.1:70000", "4", ""),
+	    ODD_OBJECT("10.0.0.1:-1", "4", ""),
+	    ODD_OBJECT("10.0.0.1:99999999999999999999", "4", ""),
+	    ODD_OBJECT("10.0.0.1:0", "4", ""),
+	};
+	struct h1_bytes nested = {.data = NULL};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++)
+		check_list_and_watch(rows[i], strlen(rows[i]));
+	check_list_and_watch(zero_byte, sizeof(zero_byte) - 1);
+
+	h1_bytes_print(&nested, "{\"metadata\":{\"name\":\"odd\"},\"spec\":");
+	for (i = 0; i < NESTING; i++)
+		h1_bytes_add(&nested, "[", 1);
+	for (i = 0; i < NESTING; i++)
+		h1_bytes_add(&nested, "]", 1);
+	h1_bytes_add(&nested, "}", 1);
+	check_list_and_watch(nested.data, nested.length);
+	h1_bytes_free(&nested);
+}
+
 /* Reads what a target says of itself in a response with these headers. */
 static struct bl_report
 read_report(const char *headers)
@@ -386,6 +504,7 @@
 	    cmocka_unit_test(test_read_table_fills_fields),
 	    cmocka_unit_test(test_settings_need_each_required_field),
 	    cmocka_unit_test(test_durations_need_a_unit),
+	    cmocka_unit_test(test_odd_entry_leaves_the_others),
 	    cmocka_unit_test(test_load_header_needs_three_numbers),
 	    cmocka_unit_test(test_limit_header_is_a_decimal_number),
 	    cmocka_unit_test(test_node_round_trips_through_object),
