gateway: a waiting call does not wait for probes that may not be sent

With the budget of probes spent nothing was sent, and the call waited until its deadline: 503 after 30 s, the target idle. Where no probe is pending the call is now placed by what is known. test_waiting_call_is_placed_without_probes failed before and passes.

--- a/lib/gateway/call.c
+++ b/lib/gateway/call.c
@@ -119,13 +119,14 @@
 		struct bl_placement placement;
 
 		gw_place(call, &placement);
-		if (placement.verdict == BL_WAIT)
-			break;
 		/* The call keeps its position in the queue. */
-		if (placement.verdict == BL_PROBE) {
-			gw_probe_for_pool(pool, &placement);
+		if (placement.verdict == BL_PROBE &&
+		    gw_probe_for_pool(pool, &placement))
+			break;
+		if (placement.verdict == BL_PROBE)
+			gw_place_without_probes(call, &placement);
+		if (placement.verdict == BL_WAIT)
 			break;
-		}
 		gw_dequeue(call);
 		apply_placement(call, &placement);
 	}
--- a/lib/gateway/gateway_internal.h
+++ b/lib/gateway/gateway_internal.h
@@ -207,10 +207,15 @@
     struct gw_call *call, const struct bl_placement *placement);
 /*
  * gw_probe_for_pool(pool, placement): as gw_probe_for_call(), but no call waits
- * for the probes.
+ * for the probes. Returns false if none is pending.
  */
-void gw_probe_for_pool(
+bool gw_probe_for_pool(
     struct gw_pool *pool, const struct bl_placement *placement);
+/*
+ * gw_place_without_probes(call, out): as gw_place(), but by what is known of
+ * the targets now.
+ */
+void gw_place_without_probes(struct gw_call *call, struct bl_placement *out);
 /*
  * gw_probe_settled(call, target, out): a probe of the target has ended. Returns
  * true if the call is to be placed now, as out says.
--- a/lib/gateway/placement.c
+++ b/lib/gateway/placement.c
@@ -207,15 +207,26 @@
 	       is_more_urgent(first, call);
 }
 
-void
+bool
 gw_probe_for_pool(struct gw_pool *pool, const struct bl_placement *placement)
 {
+	bool pending = false;
 	uint32_t i;
 
 	for (i = 0; i < placement->probe_count; i++) {
-		if (may_probe(pool))
-			gw_probe(pool->gw, placement->probes[i]);
+		if (placement->probes[i]->probing ||
+		    (may_probe(pool) &&
+			gw_probe(pool->gw, placement->probes[i]) == CS_OK))
+			pending = true;
 	}
+	return pending;
+}
+
+void
+gw_place_without_probes(struct gw_call *call, struct bl_placement *out)
+{
+	call->probe_rounds = PROBE_ROUNDS_MAX;
+	gw_place(call, out);
 }
 
 bool
--- a/tests/unit/test_gateway.c
+++ b/tests/unit/test_gateway.c
@@ -218,6 +218,35 @@
 	rig_free(rig);
 }
 
+/*
+ * The target counts as full after a refusal, and no probe may be sent that
+ * would show otherwise: a call that waits is placed by what is known.
+ */
+static void
+test_waiting_call_is_placed_without_probes(void **state)
+{
+	const struct rig_script scripts[] = {
+	    {NOT_RUN_RESPONSE, RIG_KEEP, NULL, false},
+	    {COMPLETE_RESPONSE, RIG_KEEP, NULL, false}};
+	struct rig *rig = rig_create(&(struct rig_params){
+	    .scripts = scripts,
+	    .script_count = 2,
+	    .target_count = 1,
+	    .with_table = true,
+	    .timeout_ms = 5000,
+	    .attempts_max = 1,
+	});
+
+	(void)state;
+	assert_int_equal(status_of(rig_ask(rig, IDEMPOTENT_REQUEST,
+			     strlen(IDEMPOTENT_REQUEST))),
+	    503);
+	assert_int_equal(
+	    status_of(rig_ask(rig, SECOND_REQUEST, strlen(SECOND_REQUEST))),
+	    200);
+	rig_free(rig);
+}
+
 /* Bytes on an idle connection are dropped and the connection closed. */
 static void
 test_bytes_on_an_idle_connection_close_it(void **state)
@@ -843,6 +872,7 @@
 	    cmocka_unit_test(
 		test_response_without_length_ends_with_the_connection),
 	    cmocka_unit_test(test_late_duplicate_response_is_discarded),
+	    cmocka_unit_test(test_waiting_call_is_placed_without_probes),
 	    cmocka_unit_test(test_bytes_on_an_idle_connection_close_it),
 	    cmocka_unit_test(
 		test_connection_is_not_reused_after_an_early_response),
