gateway: requests that cannot be matched by id get connections of their own (REFUSED)

Three forms are ruled out by the new test (repeated refusal with the previous id: discarded; without an id, or with an older one: 502, nothing runs twice); they passed before the change.

Two forms could happen: a request without an id took a late response without an id for its own, and a request that bears the id of the previous one on its connection took a copy of that one's response. Such requests now use a new connection, which is closed after them. Class: an identity that is assumed to be there and unique. test_requests_that_cannot_be_matched_get_connections_of_their_own: failed before in 4 of 4 rows (one connection for two requests), passes.

--- a/lib/gateway/connections.c
+++ b/lib/gateway/connections.c
@@ -74,7 +74,8 @@
 
 	connection->call = NULL;
 	connection->probing = false;
-	if (!response->keep_alive || owner->target->draining) {
+	if (!response->keep_alive || owner->target->draining ||
+	    connection->unmatchable) {
 		connection->h1 = NULL;
 		drop_connection(connection);
 		return H1_CLOSE;
@@ -340,32 +341,67 @@
 	return connection;
 }
 
+/* Returns the idle connection that was used last, if it may be used. */
 static struct gw_connection *
-acquire_connection(struct gw_target_connections *connections, bool idempotent)
+take_idle(struct gw_target_connections *connections, int64_t idle_max_us)
 {
-	int64_t now_us = cs_now_us();
 	struct gw_connection *connection = connections->idle;
-	int64_t idle_us =
-	    connection == NULL ? 0 : now_us - connection->last_used_us;
-
-	if (connection != NULL && idle_us < connection->idle_limit_us &&
-	    (idempotent || idle_us < IDLE_NOT_IDEMPOTENT_MAX_US)) {
-		connections->idle = connection->next_idle;
-		connection->next_idle = NULL;
-		return connection;
-	}
+	int64_t idle_us;
+
+	if (connection == NULL)
+		return NULL;
+	idle_us = cs_now_us() - connection->last_used_us;
+	if (idle_us >= connection->idle_limit_us || idle_us >= idle_max_us)
+		return NULL;
+	connections->idle = connection->next_idle;
+	connection->next_idle = NULL;
+	return connection;
+}
+
+static struct gw_connection *
+open_if_room(struct gw_target_connections *connections)
+{
 	return has_room(connections) ? open_connection(connections) : NULL;
 }
 
+/*
+ * A late response to an earlier request is known by its id. A request without
+ * one, or with that of the previous request, gets a connection of its own.
+ */
+static bool
+needs_own_connection(
+    const struct gw_target_connections *connections, const struct gw_call *call)
+{
+	return call->id[0] == '\0' ||
+	       (connections->idle != NULL &&
+		   strcmp(connections->idle->previous_id, call->id) == 0);
+}
+
+static struct gw_connection *
+acquire_connection(
+    struct gw_target_connections *connections, const struct gw_call *call)
+{
+	int64_t idle_max_us = call->route->kind == RT_IDEMPOTENT
+				  ? INT64_MAX
+				  : IDLE_NOT_IDEMPOTENT_MAX_US;
+	bool own = needs_own_connection(connections, call);
+	struct gw_connection *connection =
+	    own ? NULL : take_idle(connections, idle_max_us);
+
+	if (connection == NULL)
+		connection = open_if_room(connections);
+	if (connection != NULL)
+		connection->unmatchable = own;
+	return connection;
+}
+
 int
 gw_send(struct gw_call *call, struct bl_target *target)
 {
 	struct gw_target_connections *connections =
 	    connections_of(call->gw, target);
 	struct gw_connection *connection =
-	    connections == NULL ? NULL
-				: acquire_connection(connections,
-				      call->route->kind == RT_IDEMPOTENT);
+	    connections == NULL ? NULL : acquire_connection(connections, call);
 
 	if (connection == NULL)
 		return CS_E_SYSTEM;
@@ -417,7 +453,9 @@
 		return CS_E_CONFLICT;
 	connections = connections_of(gw, target);
 	connection =
-	    connections == NULL ? NULL : acquire_connection(connections, true);
+	    connections == NULL ? NULL : take_idle(connections, INT64_MAX);
+	if (connection == NULL && connections != NULL)
+		connection = open_if_room(connections);
 	if (connection == NULL)
 		return CS_E_SYSTEM;
 	connection->id[0] = '\0';
--- a/lib/gateway/exchange.c
+++ b/lib/gateway/exchange.c
@@ -86,8 +86,9 @@
 	const char *echo = h1_find_header(response, header_names->request_id);
 	char shortened[GW_ID_BYTES_MAX];
 
-	if (connection->id[0] == '\0' && echo == NULL)
-		return GW_MATCH_CURRENT; /* the caller gave no id */
+	/* The caller gave no id: a response with one is not to its request. */
+	if (connection->id[0] == '\0')
+		return echo == NULL ? GW_MATCH_CURRENT : GW_MATCH_PREVIOUS;
 	if (echo == NULL)
 		return !connection->reused && h1_find_header(response,
 						  header_names->not_run) != NULL
--- a/lib/gateway/gateway_internal.h
+++ b/lib/gateway/gateway_internal.h
@@ -59,6 +59,8 @@
 	char previous_id[GW_ID_BYTES_MAX]; /* of the previous request */
 	char id[GW_ID_BYTES_MAX];
 	bool reused;
+	/* A late response to its request could not be told from another. */
+	bool unmatchable;
 };
 
 enum gw_call_state {
--- a/tests/unit/test_gateway.c
+++ b/tests/unit/test_gateway.c
@@ -218,6 +218,90 @@
 	rig_free(rig);
 }
 
+#define REFUSAL_OF(id_line)                                  \
+	"HTTP/1.1 503 Service Unavailable\r\n" id_line       \
+	"Chervilshelf-Not-Executed: 1\r\nRetry-After: 1\r\n" \
+	"Content-Length: 0\r\n\r\n"
+#define OTHER_ONCE_REQUEST                     \
+	"POST /once/y HTTP/1.1\r\nHost: h\r\n" \
+	"Chervilshelf-Attempt-Id: second\r\n"  \
+	"Content-Length: 4\r\n\r\nbody"
+#define REQUEST_WITHOUT_ID                     \
+	"POST /once/z HTTP/1.1\r\nHost: h\r\n" \
+	"Content-Length: 4\r\n\r\nbody"
+
+/*
+ * A target refuses one request and writes that refusal once more while it runs
+ * the next one on the same connection: it says nothing of the next one, which
+ * must neither be refused nor run again.
+ */
+static void
+test_repeated_refusal_is_no_refusal_of_the_next_request(void **state)
+{
+	static const struct {
+		const char *repeated;
+		const char *request;
+		int status;
+	} rows[] = {
+	    {REFUSAL_OF("Chervilshelf-Attempt-Id: first\r\n"),
+		OTHER_ONCE_REQUEST, 200},
+	    {REFUSAL_OF(""), OTHER_ONCE_REQUEST, 502},
+	    {REFUSAL_OF("Chervilshelf-Attempt-Id: older\r\n"),
+		OTHER_ONCE_REQUEST, 502},
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		char bytes[1024];
+		struct rig_script scripts[] = {
+		    {NOT_RUN_RESPONSE, RIG_KEEP, NULL, false},
+		    {bytes, RIG_KEEP, NULL, false},
+		    {COMPLETE_RESPONSE, RIG_KEEP, NULL, false},
+		};
+		struct rig *rig = make_rig(scripts, 3, 1);
+
+		snprintf(bytes, sizeof(bytes), "%s%s", rows[i].repeated,
+		    COMPLETE_RESPONSE);
+		assert_int_equal(status_of(rig_ask(rig, NON_IDEMPOTENT_REQUEST,
+				     strlen(NON_IDEMPOTENT_REQUEST))),
+		    503);
+		assert_int_equal(status_of(rig_ask(rig, rows[i].request,
+				     strlen(rows[i].request))),
+		    rows[i].status);
+		assert_int_equal(rig_requests(rig), 2);
+		assert_int_equal(rig_connections(rig), 1);
+		rig_free(rig);
+	}
+}
+
+/* Responses to these cannot be told from late ones to earlier requests. */
+static void
+test_requests_that_cannot_be_matched_get_connections_of_their_own(void **state)
+{
+	static const char *const rows[][2] = {
+	    {OTHER_ONCE_REQUEST, OTHER_ONCE_REQUEST},
+	    {OTHER_ONCE_REQUEST, REQUEST_WITHOUT_ID},
+	    {REQUEST_WITHOUT_ID, OTHER_ONCE_REQUEST},
+	    {REQUEST_WITHOUT_ID, REQUEST_WITHOUT_ID},
+	};
+	const struct rig_script script = {
+	    COMPLETE_RESPONSE, RIG_KEEP, NULL, false};
+	size_t i;
+	int k;
+
+	(void)state;
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		struct rig *rig = make_rig(&script, 1, 1);
+
+		for (k = 0; k < 2; k++)
+			rig_ask(rig, rows[i][k], strlen(rows[i][k]));
+		assert_int_equal(rig_requests(rig), 2);
+		assert_int_equal(rig_connections(rig), 2);
+		rig_free(rig);
+	}
+}
+
 /*
  * The target counts as full after a refusal, and no probe may be sent that
  * would show otherwise: a call that waits is placed by what is known.
@@ -872,6 +956,10 @@
 	    cmocka_unit_test(
 		test_response_without_length_ends_with_the_connection),
 	    cmocka_unit_test(test_late_duplicate_response_is_discarded),
+	    cmocka_unit_test(
+		test_repeated_refusal_is_no_refusal_of_the_next_request),
+	    cmocka_unit_test(
+		test_requests_that_cannot_be_matched_get_connections_of_their_own),
 	    cmocka_unit_test(test_waiting_call_is_placed_without_probes),
 	    cmocka_unit_test(test_bytes_on_an_idle_connection_close_it),
 	    cmocka_unit_test(
