--- a/tests/unit/test_gateway.c
+++ b/tests/unit/test_gateway.c
@@ -302,6 +302,34 @@
 	}
 }
 
+/* A response that ends at any byte before its last is never relayed as one. */
+static void
+test_response_cut_at_any_byte_is_not_relayed(void **state)
+{
+	static const char whole[] =
+	    "HTTP/1.1 200 OK\r\nChervilshelf-Attempt-Id: "
+	    "first\r\n" RESPONSE_SEAL "Content-Length: 5\r\n\r\nwhole";
+	static const enum rig_end ends[] = {RIG_CLOSE, RIG_RESET};
+	size_t length, i;
+
+	(void)state;
+	for (i = 0; i < 2; i++) {
+		for (length = 0; length < strlen(whole); length++) {
+			char cut[sizeof(whole)] = "";
+			struct rig_script script = {cut, ends[i], NULL, false};
+			struct rig *rig = make_rig(&script, 1, 1);
+
+			memcpy(cut, whole, length);
+			assert_int_equal(
+			    status_of(rig_ask(rig, NON_IDEMPOTENT_REQUEST,
+				strlen(NON_IDEMPOTENT_REQUEST))),
+			    502);
+			assert_int_equal(rig_requests(rig), 1);
+			rig_free(rig);
+		}
+	}
+}
+
 /*
  * The target counts as full after a refusal, and no probe may be sent that
  * would show otherwise: a call that waits is placed by what is known.
@@ -960,6 +988,7 @@
 		test_repeated_refusal_is_no_refusal_of_the_next_request),
 	    cmocka_unit_test(
 		test_requests_that_cannot_be_matched_get_connections_of_their_own),
+	    cmocka_unit_test(test_response_cut_at_any_byte_is_not_relayed),
 	    cmocka_unit_test(test_waiting_call_is_placed_without_probes),
 	    cmocka_unit_test(test_bytes_on_an_idle_connection_close_it),
 	    cmocka_unit_test(
