--- a/lib/gateway/exchange.c
+++ b/lib/gateway/exchange.c
@@ -88,7 +88,8 @@
 
 	/* The caller gave no id: a response with one is not to its request. */
 	if (connection->id[0] == '\0')
-		return echo == NULL ? GW_MATCH_CURRENT : GW_MATCH_PREVIOUS;
+		return echo == NULL || echo[0] == '\0' ? GW_MATCH_CURRENT
+						       : GW_MATCH_PREVIOUS;
 	if (echo == NULL)
 		return !connection->reused && h1_find_header(response,
 						  header_names->not_run) != NULL
