gateway: targets that leave or pause get no requests (DRAIN, BUDGET)

What a target says is decoded with its load and limit, kept with the process that said it, and asked at every placement by one question, bl_wait_us(): may this VM send now, and if not, when. It holds for first attempts, retries, waiting calls and the last target left; the store's entry does not undo it, a new process does. Other VMs are told that a target leaves, the leader tells nodes that start. A 421 or a late response counts for leaving only. A call that no target may take is refused at once with a Retry-After that is not before the end of the pause. Dates, signs, words, huge and repeated values are counted and change nothing.

--- a/lib/balance/balance.h
+++ b/lib/balance/balance.h
@@ -63,9 +63,15 @@
 	bool has_limit;
 	/* Requests per second that it accepts from all VMs together. */
 	double limit_per_s;
+	bool leaving; /* it accepts no new requests */
+	/* With a refusal: it accepts none from this VM for so long; 0: none. */
+	int64_t pause_us;
 	uint32_t invalid_fields; /* present, but not valid; ignored */
 };
 
+/* A longer pause is not valid. */
+#define BL_PAUSE_US_MAX INT64_C(86400000000)
+
 /* A limit, or that there is none, as heard from a target at some time. */
 struct bl_limit_report {
 	bool has_limit;
@@ -126,6 +132,9 @@
 	uint64_t process; /* see bl_target_process() */
 	int64_t warm_up_until_us;
 	bool draining; /* receives no new requests */
+	bool leaving;  /* its process said so; holds until that ends */
+	/* It asked this VM to send nothing until then. */
+	int64_t paused_until_us;
 
 	struct bl_load load;
 	/* Time of the last load report, 0 if there is none. */
@@ -205,6 +214,27 @@
  */
 void bl_target_restarted(struct bl_target *target);
 
+/*
+ * bl_set_draining(target, draining): takes the state of its registration, which
+ * does not undo what the process said itself.
+ */
+void bl_set_draining(struct bl_target *target, bool draining);
+/* bl_set_leaving(target): returns true if that is news. */
+bool bl_set_leaving(struct bl_target *target);
+/* bl_pause(target, pause_us, now_us): returns true if the pause gets longer. */
+bool bl_pause(struct bl_target *target, int64_t pause_us, int64_t now_us);
+/*
+ * bl_wait_us(target, now_us): whether this VM may send a request to the target
+ * now: 0, else the time until it may, or INT64_MAX if it never may. Every send
+ * goes by this, whatever the reason for it.
+ */
+int64_t bl_wait_us(const struct bl_target *target, int64_t now_us);
+/*
+ * bl_pool_wait_us(pool, now_us): returns the shortest of these times of the
+ * targets that are in the pool.
+ */
+int64_t bl_pool_wait_us(const struct bl_pool *pool, int64_t now_us);
+
 /*
  * bl_load_reported(target, load, now): records a load report. A NULL load means
  * a response without a report, which only shows that the target is alive. Both
--- a/lib/balance/place.c
+++ b/lib/balance/place.c
@@ -101,14 +101,16 @@
 	uint32_t usable_count;
 	int64_t min_expected_us;
 	/*
-	 * Targets that have named a limit and for which there is no permit: the
-	 * best of those that may be asked for, the permits that are expected,
-	 * and the time until there may be one.
+	 * Targets to which this VM must not send now, since they paused it or
+	 * named a limit for which there is no permit: the best of those whose
+	 * permits may be asked for, the permits that are expected, and the time
+	 * until one of the targets may be used.
 	 */
 	struct candidate best_to_ask;
+	uint32_t held_back_count;
 	uint32_t limited_count;
 	uint32_t expected_permits;
-	int64_t min_permit_wait_us;
+	int64_t min_wait_us;
 	int64_t min_limited_expected_us;
 };
 
@@ -259,17 +261,20 @@
 }
 
 static void
-add_limited(struct selection *selection, const struct candidate *candidate,
+add_held_back(struct selection *selection, const struct candidate *candidate,
     const struct bl_request *request)
 {
 	const struct bl_target *target = candidate->target;
-	int64_t wait_us = bl_limit_wait_us(target, request->now_us);
+	int64_t wait_us = bl_wait_us(target, request->now_us);
 
+	selection->held_back_count++;
+	if (wait_us < selection->min_wait_us)
+		selection->min_wait_us = wait_us;
+	if (request->now_us < target->paused_until_us)
+		return;
 	selection->limited_count++;
 	selection->expected_permits +=
 	    bl_limit_expected_permits(target, request->now_us);
-	if (wait_us < selection->min_permit_wait_us)
-		selection->min_permit_wait_us = wait_us;
 	if (candidate->expected_us < selection->min_limited_expected_us)
 		selection->min_limited_expected_us = candidate->expected_us;
 	if (bl_limit_may_ask(target, request->now_us) && !candidate->full &&
@@ -286,7 +291,7 @@
 
 	*selection = (struct selection){
 	    .min_expected_us = RETRY_AFTER_MAX_US,
-	    .min_permit_wait_us = RETRY_AFTER_MAX_US,
+	    .min_wait_us = INT64_MAX / 2,
 	    .min_limited_expected_us = INT64_MAX / 2,
 	};
 	for (i = 0; i < pool->count; i++) {
@@ -299,8 +304,8 @@
 			request->now_us < target->backoff_until_us))
 			continue;
 		candidate = assess(topology, target, request);
-		if (!bl_limit_may_send(target, request->now_us)) {
-			add_limited(selection, &candidate, request);
+		if (bl_wait_us(target, request->now_us) > 0) {
+			add_held_back(selection, &candidate, request);
 			continue;
 		}
 		selection->usable_count++;
@@ -443,15 +448,18 @@
 	}
 }
 
-/* A call that no target can take now waits for a permit that is expected. */
+/*
+ * A call that no target can take now waits for a permit that is expected, or is
+ * refused until one of the targets may be used.
+ */
 static void
-wait_for_permit(const struct selection *selection,
+wait_or_refuse(const struct selection *selection,
     const struct bl_request *request, struct bl_placement *out)
 {
-	if (out->verdict != BL_REFUSE || selection->limited_count == 0)
+	if (out->verdict != BL_REFUSE || selection->held_back_count == 0)
 		return;
 	if (request->may_wait &&
-	    request->now_us + selection->min_permit_wait_us +
+	    request->now_us + selection->min_wait_us +
 		    selection->min_limited_expected_us <=
 		request->deadline_us &&
 	    (out->ask != NULL ||
@@ -459,19 +467,32 @@
 		out->verdict = BL_WAIT;
 		out->reason = "limited";
 	} else if (selection->usable_count == 0) {
-		refuse_for(selection->min_permit_wait_us, request, out);
-		out->reason = "limited";
+		refuse_for(selection->min_wait_us, request, out);
+		out->reason =
+		    selection->limited_count > 0 ? "limited" : "paused";
 	}
 }
 
+/* Returns when a caller that is refused for want of a target may come back. */
+static int64_t
+wait_for_target_us(const struct bl_pool *pool, int64_t now_us)
+{
+	int64_t wait_us = bl_pool_wait_us(pool, now_us);
+
+	return wait_us == INT64_MAX ? RETRY_AFTER_MAX_US : wait_us;
+}
+
 static void
-place(const struct bl_topology *topology, const struct selection *selection,
-    const struct bl_request *request, struct bl_placement *out)
+place(const struct bl_topology *topology, const struct bl_pool *pool,
+    const struct selection *selection, const struct bl_request *request,
+    struct bl_placement *out)
 {
 	const struct stale_list *list;
 
 	if (selection->usable_count == 0) {
-		refuse(selection, request, "no_target", out);
+		refuse_for(
+		    wait_for_target_us(pool, request->now_us), request, out);
+		out->reason = "no_target";
 		return;
 	}
 	if (!is_fast(topology, &selection->best, request->now_us)) {
@@ -499,7 +520,7 @@
 	/* Without any other target, those in backoff are used as well. */
 	if (selection.usable_count == 0)
 		scan_targets(topology, pool, request, true, &selection);
-	place(topology, &selection, request, out);
+	place(topology, pool, &selection, request, out);
 	ask_for_permit(&selection, request, out);
-	wait_for_permit(&selection, request, out);
+	wait_or_refuse(&selection, request, out);
 }
--- a/lib/balance/pool.c
+++ b/lib/balance/pool.c
@@ -142,10 +142,65 @@
 	target->failure_rate = 0.0;
 	target->connect_failures = 0;
 	target->backoff_until_us = 0;
-	target->draining = false;
+	target->draining = target->leaving = false;
+	target->paused_until_us = 0;
 	bl_limit_reset(target);
 }
 
+void
+bl_set_draining(struct bl_target *target, bool draining)
+{
+	target->draining = draining || target->leaving;
+}
+
+bool
+bl_set_leaving(struct bl_target *target)
+{
+	bool is_news = !target->leaving;
+
+	target->leaving = target->draining = true;
+	return is_news;
+}
+
+bool
+bl_pause(struct bl_target *target, int64_t pause_us, int64_t now_us)
+{
+	if (now_us + pause_us <= target->paused_until_us)
+		return false;
+	target->paused_until_us = now_us + pause_us;
+	return true;
+}
+
+int64_t
+bl_wait_us(const struct bl_target *target, int64_t now_us)
+{
+	int64_t pause_us = target->paused_until_us - now_us;
+	int64_t permit_us = bl_limit_wait_us(target, now_us);
+
+	if (target->draining)
+		return INT64_MAX;
+	/* A permit may be asked for now, but there is none yet. */
+	if (permit_us == 0 && !bl_limit_may_send(target, now_us))
+		permit_us = 1;
+	if (pause_us < 0)
+		pause_us = 0;
+	return pause_us > permit_us ? pause_us : permit_us;
+}
+
+int64_t
+bl_pool_wait_us(const struct bl_pool *pool, int64_t now_us)
+{
+	int64_t min_us = INT64_MAX, wait_us;
+	uint32_t i;
+
+	for (i = 0; i < pool->count; i++) {
+		wait_us = bl_wait_us(pool->targets[i], now_us);
+		if (wait_us < min_us)
+			min_us = wait_us;
+	}
+	return min_us;
+}
+
 static double
 decay(int64_t age_us, double time_us)
 {
--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -163,6 +163,11 @@
 		    events->on_suspect_request(user, &frame.as.suspect_request),
 		    (const struct sockaddr_in *)from);
 		break;
+	case FL_FRAME_LEAVING:
+		pass_on(fleet, &frame,
+		    events->on_leaving(user, frame.as.leaving.target_process),
+		    (const struct sockaddr_in *)from);
+		break;
 	case FL_FRAME_LIMIT:
 		pass_on(fleet, &frame, events->on_limit(user, &frame.as.limit),
 		    (const struct sockaddr_in *)from);
@@ -223,6 +228,26 @@
 	fl_send_datagram(fleet, &frame, &node->fleet);
 }
 
+void
+fl_broadcast_leaving(struct fleet *fleet, uint64_t target_process)
+{
+	struct fl_frame frame = {
+	    .type = FL_FRAME_LEAVING, .as.leaving = {target_process}};
+
+	send_to_nodes(fleet, &frame, true);
+	send_to_nodes(fleet, &frame, false);
+}
+
+void
+fl_send_leaving(
+    struct fleet *fleet, const struct fl_node *node, uint64_t target_process)
+{
+	struct fl_frame frame = {
+	    .type = FL_FRAME_LEAVING, .as.leaving = {target_process}};
+
+	fl_send_datagram(fleet, &frame, &node->fleet);
+}
+
 void
 fl_broadcast_limit(struct fleet *fleet, const struct fl_limit *limit)
 {
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -185,9 +185,10 @@
 	FL_FRAME_UPDATE = 4,	      /* objects of the store */
 	FL_FRAME_HEARTBEAT = 5,	      /* the part of the record that changes */
 	/* 6: a compressed frame, see frames.c */
-	FL_FRAME_LIMIT = 7,  /* the limit that a target names */
-	FL_FRAME_ASK = 8,    /* a question for permits */
-	FL_FRAME_PERMIT = 9, /* the owner's answer */
+	FL_FRAME_LIMIT = 7,    /* the limit that a target names */
+	FL_FRAME_ASK = 8,      /* a question for permits */
+	FL_FRAME_PERMIT = 9,   /* the owner's answer */
+	FL_FRAME_LEAVING = 10, /* a target says that it leaves */
 };
 
 /* Changed objects of one kind, or a snapshot of the kind. */
@@ -247,6 +248,9 @@
 			uint64_t revision_sum;
 		} heartbeat;
 		struct fl_suspect_request suspect_request;
+		struct {
+			uint64_t target_process;
+		} leaving;
 		struct fl_limit limit;
 		struct fl_ask ask;
 		struct fl_permit permit;
@@ -282,7 +286,8 @@
 	/* Returns true if this node did not know of the crash. */
 	bool (*on_suspect_request)(
 	    void *user, const struct fl_suspect_request *suspect);
-	/* Returns true if it is news to this node. */
+	/* These two return true if it is news to this node. */
+	bool (*on_leaving)(void *user, uint64_t target_process);
 	bool (*on_limit)(void *user, const struct fl_limit *limit);
 	void (*on_ask)(void *user, const struct fl_ask *ask);
 	void (*on_permit)(void *user, const struct fl_permit *permit);
@@ -330,6 +335,13 @@
 /* fl_send_suspect_request(fleet, node, suspect): tells one node. */
 void fl_send_suspect_request(struct fleet *fleet, const struct fl_node *node,
     const struct fl_suspect_request *suspect);
+/*
+ * fl_broadcast_leaving(fleet, process): as fl_broadcast_suspect_request(), with
+ * a target that says that it leaves.
+ */
+void fl_broadcast_leaving(struct fleet *fleet, uint64_t target_process);
+void fl_send_leaving(
+    struct fleet *fleet, const struct fl_node *node, uint64_t target_process);
 /*
  * fl_broadcast_limit(fleet, limit): as fl_broadcast_suspect_request(), with the
  * limit of a target.
--- a/lib/fleet/frames.c
+++ b/lib/fleet/frames.c
@@ -160,6 +160,11 @@
 	case FL_FRAME_UPDATE:
 		pack_update(&packer, &frame->as.update);
 		break;
+	case FL_FRAME_LEAVING:
+		msgpack_pack_array(&packer, 2);
+		msgpack_pack_int(&packer, frame->type);
+		msgpack_pack_uint64(&packer, frame->as.leaving.target_process);
+		break;
 	case FL_FRAME_LIMIT:
 		msgpack_pack_array(&packer, 5);
 		msgpack_pack_int(&packer, frame->type);
@@ -437,6 +442,9 @@
 		if (error != CS_OK || cursor->failed)
 			os_batch_free(&out->as.update.batch);
 		break;
+	case FL_FRAME_LEAVING:
+		out->as.leaving.target_process = read_number(cursor);
+		break;
 	case FL_FRAME_LIMIT:
 		read_limit(cursor, &out->as.limit);
 		break;
--- a/lib/gateway/call.c
+++ b/lib/gateway/call.c
@@ -68,6 +68,8 @@
 {
 	if (strcmp(placement->reason, "no_target") == 0)
 		return GW_NO_TARGET;
+	if (strcmp(placement->reason, "paused") == 0)
+		return GW_PAUSED;
 	return strcmp(placement->reason, "limited") == 0 ? GW_LIMITED
 							 : GW_NO_ROOM;
 }
@@ -152,6 +154,18 @@
 	dispatch_waiting(pool);
 }
 
+static void
+heard(struct gw_target_connections *connections,
+    const struct h1_message *response, enum bl_outcome outcome)
+{
+	struct gw *gw = connections->gw;
+
+	if (outcome == BL_MISPLACED || outcome == BL_GARBLED)
+		gw_hear_leaving(gw, connections->target, response);
+	else
+		gw_hear(gw, connections->target, response);
+}
+
 void
 gw_call_abandon(struct gw_call *call)
 {
@@ -308,6 +322,7 @@
 const struct gw_callbacks gw_call_callbacks = {
     .attempt_ended = attempt_ended,
     .probe_ended = probe_ended,
+    .heard = heard,
     .request_lost = gw_suspect_crash,
     .check_ended = gw_crash_check_ended,
     .place = place_call,
--- a/lib/gateway/connections.c
+++ b/lib/gateway/connections.c
@@ -90,23 +90,6 @@
 	return H1_KEEP;
 }
 
-/* Records what the target says of itself. */
-static void
-record_report(
-    struct gw_connection *connection, const struct h1_message *response)
-{
-	struct gw *gw = connection->owner->gw;
-	struct bl_target *target = connection->owner->target;
-	struct bl_report report;
-
-	gw->params.header_names->read_report(response, &report);
-	gw->counters.invalid_fields += report.invalid_fields;
-	bl_load_reported(
-	    target, report.has_load ? &report.load : NULL, cs_now_us());
-	if (report.invalid_fields == 0)
-		gw_hear_limit(gw, target, report.has_limit, report.limit_per_s);
-}
-
 static enum h1_keep
 on_probe_response(
     struct gw_connection *connection, const struct h1_message *response)
@@ -117,10 +100,14 @@
 	struct gw_pool *pool = gw_pool_of_target(target);
 	enum h1_keep keep;
 
-	if (h1_find_header(response, header_names->request_id) != NULL)
+	if (h1_find_header(response, header_names->request_id) != NULL) {
 		/* Late response to the previous request. */
+		connection->owner->gw->callbacks->heard(
+		    connection->owner, response, BL_GARBLED);
 		return H1_AWAIT_NEXT;
-	record_report(connection, response);
+	}
+	connection->owner->gw->callbacks->heard(
+	    connection->owner, response, BL_SERVED);
 	connection->owner->probe = NULL;
 	target->probing = false;
 	/* The target is unhealthy; ignores the speed that it reports. */
@@ -152,6 +139,8 @@
 
 	switch (gw_match_response(connection, response)) {
 	case GW_MATCH_PREVIOUS:
+		call->gw->callbacks->heard(
+		    connection->owner, response, BL_GARBLED);
 		return H1_AWAIT_NEXT;
 	case GW_MATCH_NONE:
 		call->connection = NULL;
@@ -163,7 +152,7 @@
 		break;
 	}
 	outcome = gw_classify_response(header_names, response);
-	record_report(connection, response);
+	call->gw->callbacks->heard(connection->owner, response, outcome);
 	call->connection = NULL;
 	keep = release_connection(connection, response);
 	call->gw->callbacks->attempt_ended(call, outcome, response);
--- a/lib/gateway/gateway.c
+++ b/lib/gateway/gateway.c
@@ -202,7 +202,7 @@
 	target->data_centre = info->data_centre;
 	if (info->slots > 0)
 		target->slots = info->slots;
-	target->draining = info->draining;
+	bl_set_draining(target, info->draining);
 	target->warm_up_until_us =
 	    info->warm_up_left_ms > 0
 		? cs_now_us() + info->warm_up_left_ms * 1000
--- a/lib/gateway/gateway.h
+++ b/lib/gateway/gateway.h
@@ -53,6 +53,7 @@
 	uint64_t connections_opened;
 	uint64_t callers_gone;
 	uint64_t limits_heard; /* changes of the limits of targets */
+	uint64_t leaving_heard, pauses_heard;
 	uint64_t permits_asked, permits_granted;
 	uint64_t permits_given;	 /* as the owner of targets */
 	uint64_t invalid_fields; /* of what targets say of themselves */
@@ -80,6 +81,8 @@
 	 */
 	void (*on_crash)(
 	    void *user, const struct bl_crash *crash, bool is_poison);
+	/* A target said that it leaves. The other VMs should be told. */
+	void (*on_leaving)(void *user, uint64_t process);
 	/* A target said of its limit. The other VMs should be told. */
 	void (*on_limit)(
 	    void *user, uint64_t process, const struct bl_limit_report *report);
@@ -150,6 +153,14 @@
  * true if this VM did not know of that crash.
  */
 bool gw_add_crash(struct gw *gw, const struct bl_crash *crash);
+/*
+ * gw_add_leaving(gw, process): another VM heard a target say that it leaves.
+ * Returns true if that is news.
+ */
+bool gw_add_leaving(struct gw *gw, uint64_t process);
+/* gw_for_each_leaving(gw, visit, arg): calls visit for each such target. */
+void gw_for_each_leaving(
+    const struct gw *gw, void (*visit)(void *arg, uint64_t process), void *arg);
 /*
  * gw_add_limit(gw, process, report): another VM heard a target say so. Returns
  * true if the limit in force has changed.
--- a/lib/gateway/gateway_internal.h
+++ b/lib/gateway/gateway_internal.h
@@ -155,6 +155,9 @@
 	void (*attempt_ended)(struct gw_call *call, enum bl_outcome outcome,
 	    const struct h1_message *response);
 	void (*probe_ended)(struct gw_pool *pool, struct bl_target *target);
+	/* A response has arrived; BL_GARBLED: to an earlier request. */
+	void (*heard)(struct gw_target_connections *connections,
+	    const struct h1_message *response, enum bl_outcome outcome);
 	/* The connection of a call ended without a response. */
 	void (*request_lost)(struct gw_target_connections *connections,
 	    const struct gw_call *call, enum h1_end end);
@@ -292,6 +295,17 @@
  */
 void gw_target_replaced(struct gw_target_connections *connections);
 
+/* notices.c: what targets say of themselves */
+/* gw_hear(gw, target, response): takes what a response of the target says. */
+void gw_hear(
+    struct gw *gw, struct bl_target *target, const struct h1_message *response);
+/*
+ * gw_hear_leaving(gw, target, response): the same for a response of another
+ * target at this address, or a late one: only that the target leaves counts.
+ */
+void gw_hear_leaving(struct gw *gw, const struct bl_target *target,
+    const struct h1_message *response);
+
 /* limits.c: limits that targets name */
 /* gw_hear_limit(gw, target, ...): a response of the target says so. */
 void gw_hear_limit(struct gw *gw, struct bl_target *target, bool has_limit,
--- a/lib/gateway/response.c
+++ b/lib/gateway/response.c
@@ -203,6 +203,17 @@
 		relay_response(call, response);
 }
 
+/* Returns when a call that all targets refused may come back. */
+static int64_t
+retry_after_us(const struct gw_call *call)
+{
+	int64_t wait_us = bl_pool_wait_us(call->pool->balance, cs_now_us());
+
+	return wait_us == INT64_MAX || wait_us < RETRY_AFTER_REFUSED_US
+		   ? RETRY_AFTER_REFUSED_US
+		   : wait_us;
+}
+
 void
 gw_respond(struct gw_call *call, enum bl_step step, enum bl_outcome outcome,
     const struct h1_message *response)
@@ -213,7 +224,7 @@
 		break;
 	case BL_FAIL_NOT_RUN:
 		gw_respond_error(
-		    call, 503, reason_of(outcome), RETRY_AFTER_REFUSED_US);
+		    call, 503, reason_of(outcome), retry_after_us(call));
 		break;
 	case BL_FAIL_UNKNOWN:
 		gw_respond_error(call, 502, reason_of(outcome), 0);
--- a/programs/gateway.c
+++ b/programs/gateway.c
@@ -129,6 +129,7 @@
 
 static const struct gw_events gateway_events = {.on_call_ended = on_call_ended,
     .on_crash = ga_on_crash,
+    .on_leaving = ga_on_leaving,
     .on_limit = ga_on_limit,
     .on_ask = ga_on_ask};
 
--- a/programs/gateway.h
+++ b/programs/gateway.h
@@ -95,16 +95,18 @@
 /* ga_tell_crashes(app, node): tells a node that has just started. */
 void ga_tell_crashes(struct ga_app *app, const struct fl_node *node);
 
-/* gateway_limits.c: limits that targets name, and permits of their owners */
+/* gateway_notices.c: what targets say of themselves, and permits of owners */
 void ga_on_limit(
     void *user, uint64_t process, const struct bl_limit_report *report);
+void ga_on_leaving(void *user, uint64_t process);
 void ga_on_ask(void *user, const struct bl_ask *ask, uint32_t data_centre);
 /* Events of the fleet, see struct fl_events. */
+bool ga_on_fleet_leaving(void *user, uint64_t target_process);
 bool ga_on_fleet_limit(void *user, const struct fl_limit *limit);
 void ga_on_fleet_ask(void *user, const struct fl_ask *ask);
 void ga_on_fleet_permit(void *user, const struct fl_permit *permit);
-/* ga_tell_limits(app, node): the leader tells a node that has just started. */
-void ga_tell_limits(struct ga_app *app, const struct fl_node *node);
+/* ga_tell_notices(app, node): the leader tells a node that has just started. */
+void ga_tell_notices(struct ga_app *app, const struct fl_node *node);
 
 /* gateway_serve.c: directory, readiness and metrics */
 int ga_start_servers(struct ga_app *app);
--- a/programs/gateway_limits.c
+++ b/programs/gateway_notices.c
@@ -1,6 +1,7 @@
 /*
- * Limits that targets name: tells the other VMs, finds the owners of targets,
- * and carries questions for permits and their answers.
+ * What targets say of themselves: tells the other VMs that one leaves or names
+ * a limit, finds the owners of targets, and carries questions for permits and
+ * their answers.
  */
 #include <string.h>
 
@@ -59,13 +60,39 @@
 	fl_send_limit(telling->fleet, telling->node, &limit);
 }
 
+static void
+tell_leaving(void *arg, uint64_t process)
+{
+	const struct telling *telling = arg;
+
+	fl_send_leaving(telling->fleet, telling->node, process);
+}
+
 void
-ga_tell_limits(struct ga_app *app, const struct fl_node *node)
+ga_tell_notices(struct ga_app *app, const struct fl_node *node)
 {
 	struct telling telling = {.fleet = app->fleet, .node = node};
 
-	if (fl_get_membership(app->fleet)->self.current)
-		gw_for_each_limit(app->gw, tell_limit, &telling);
+	if (!fl_get_membership(app->fleet)->self.current)
+		return;
+	gw_for_each_limit(app->gw, tell_limit, &telling);
+	gw_for_each_leaving(app->gw, tell_leaving, &telling);
+}
+
+void
+ga_on_leaving(void *user, uint64_t process)
+{
+	struct ga_app *app = user;
+
+	fl_broadcast_leaving(app->fleet, process);
+}
+
+bool
+ga_on_fleet_leaving(void *user, uint64_t target_process)
+{
+	struct ga_app *app = user;
+
+	return gw_add_leaving(app->gw, target_process);
 }
 
 /* Answers a question as the owner. Returns false if the target is unknown. */
--- a/programs/gateway_serve.c
+++ b/programs/gateway_serve.c
@@ -93,12 +93,14 @@
 print_pool(void *arg, const struct bl_pool *pool, uint32_t waiting)
 {
 	struct h1_bytes *out = arg;
-	uint32_t i, draining = 0, backing_off = 0, in_flight = 0, limited = 0;
+	uint32_t i, draining = 0, backing_off = 0, in_flight = 0, limited = 0,
+		    paused = 0;
 
 	for (i = 0; i < pool->count; i++) {
 		draining += pool->targets[i]->draining;
 		backing_off += pool->targets[i]->backoff_until_us > cs_now_us();
 		in_flight += pool->targets[i]->in_flight;
+		paused += pool->targets[i]->paused_until_us > cs_now_us();
 		limited += pool->targets[i]->limit.in_force;
 	}
 	h1_bytes_print(out,
@@ -106,12 +108,14 @@
 	    "chervilshelf_targets{pool=\"%s\",state=\"leaving\"} %u\n"
 	    "chervilshelf_targets{pool=\"%s\",state=\"unreached\"} %u\n"
 	    "chervilshelf_targets{pool=\"%s\",state=\"limited\"} %u\n"
+	    "chervilshelf_targets{pool=\"%s\",state=\"paused\"} %u\n"
 	    "chervilshelf_in_flight{pool=\"%s\"} %u\n"
 	    "chervilshelf_waiting{pool=\"%s\"} %u\n"
 	    "chervilshelf_work_seconds{pool=\"%s\"} %.6f\n",
 	    pool->name, pool->count, pool->name, draining, pool->name,
-	    backing_off, pool->name, limited, pool->name, in_flight, pool->name,
-	    waiting, pool->name, pool->service_time_us / 1e6);
+	    backing_off, pool->name, limited, pool->name, paused, pool->name,
+	    in_flight, pool->name, waiting, pool->name,
+	    pool->service_time_us / 1e6);
 }
 
 static void
@@ -147,6 +151,8 @@
 	print_counter(out, "probes", counters->probes);
 	print_counter(out, "channels_opened", counters->connections_opened);
 	print_counter(out, "limits_heard", counters->limits_heard);
+	print_counter(out, "leaving_heard", counters->leaving_heard);
+	print_counter(out, "pauses_heard", counters->pauses_heard);
 	print_counter(out, "permits_asked", counters->permits_asked);
 	print_counter(out, "permits_granted", counters->permits_granted);
 	print_counter(out, "permits_given", counters->permits_given);
--- a/programs/gateway_updates.c
+++ b/programs/gateway_updates.c
@@ -282,7 +282,7 @@
 	cs_log(CS_LOG_NODE_CHANGED, "member=%s what=%s boot=%llx", node->name,
 	    what, (unsigned long long)node->boot);
 	ga_tell_crashes(app, node);
-	ga_tell_limits(app, node);
+	ga_tell_notices(app, node);
 	ga_update_budget_share(app);
 }
 
@@ -290,6 +290,7 @@
     .on_role = on_role,
     .on_update = on_update,
     .on_suspect_request = ga_on_suspect_request,
+    .on_leaving = ga_on_fleet_leaving,
     .on_limit = ga_on_fleet_limit,
     .on_ask = ga_on_fleet_ask,
     .on_permit = ga_on_fleet_permit,
--- a/tests/unit/gateway_rig.c
+++ b/tests/unit/gateway_rig.c
@@ -670,6 +670,13 @@
 	((struct rig *)user)->reported_fingerprint = crash->fingerprint;
 }
 
+static void
+on_leaving(void *user, uint64_t process)
+{
+	(void)user;
+	(void)process;
+}
+
 static void
 on_limit(void *user, uint64_t process, const struct bl_limit_report *report)
 {
@@ -716,6 +723,7 @@
 {
 	static const struct gw_events events = {.on_call_ended = on_call_ended,
 	    .on_crash = on_crash,
+	    .on_leaving = on_leaving,
 	    .on_limit = on_limit,
 	    .on_ask = on_ask};
 	struct rig *rig = calloc(1, sizeof(*rig));
--- a/tests/unit/test_balance.c
+++ b/tests/unit/test_balance.c
@@ -301,6 +301,112 @@
 		bl_pool_free(pools[vm]);
 }
 
+enum notice_event {
+	TIME, /* passes */
+	SAYS_LEAVING,
+	PAUSES, /* for so many ms */
+	REGISTERED_READY,
+	REGISTERED_DRAINING,
+	RESTARTED,
+};
+
+struct notice_step {
+	enum notice_event event;
+	int64_t ms;
+};
+
+static void
+apply_notice(
+    struct bl_target *target, const struct notice_step *step, int64_t *now_us)
+{
+	switch (step->event) {
+	case SAYS_LEAVING:
+		bl_set_leaving(target);
+		break;
+	case PAUSES:
+		bl_pause(target, step->ms * MS, *now_us);
+		break;
+	case REGISTERED_READY:
+		bl_set_draining(target, false);
+		break;
+	case REGISTERED_DRAINING:
+		bl_set_draining(target, true);
+		break;
+	case RESTARTED:
+		bl_target_restarted(target);
+		break;
+	case TIME:
+		*now_us += step->ms * MS;
+		break;
+	}
+}
+
+/*
+ * What a target says of itself, in any order with its registration and with its
+ * end: whether a request may be sent to it, also as the last target left.
+ */
+static void
+test_target_notices_bind_every_placement(void **state)
+{
+	static const struct {
+		struct notice_step steps[4];
+		int64_t wait_ms; /* -1: for ever */
+		const char *reason;
+	} rows[] = {
+	    {{{TIME, 1}}, 0, NULL},
+	    {{{SAYS_LEAVING, 0}}, -1, "no_target"},
+	    {{{SAYS_LEAVING, 0}, {REGISTERED_READY, 0}}, -1, "no_target"},
+	    {{{SAYS_LEAVING, 0}, {TIME, 3600000}}, -1, "no_target"},
+	    {{{SAYS_LEAVING, 0}, {RESTARTED, 0}}, 0, NULL},
+	    {{{REGISTERED_DRAINING, 0}, {SAYS_LEAVING, 0},
+		 {REGISTERED_READY, 0}},
+		-1, "no_target"},
+	    {{{REGISTERED_DRAINING, 0}, {REGISTERED_READY, 0}}, 0, NULL},
+	    {{{PAUSES, 3000}}, 3000, "paused"},
+	    {{{PAUSES, 3000}, {TIME, 2999}}, 1, "paused"},
+	    {{{PAUSES, 3000}, {TIME, 3000}}, 0, NULL},
+	    {{{PAUSES, 3000}, {TIME, 1000}, {PAUSES, 500}}, 2000, "paused"},
+	    {{{PAUSES, 1000}, {PAUSES, 4000}}, 4000, "paused"},
+	    {{{PAUSES, 3000}, {REGISTERED_READY, 0}}, 3000, "paused"},
+	    {{{PAUSES, 3000}, {RESTARTED, 0}}, 0, NULL},
+	    {{{PAUSES, 3000}, {SAYS_LEAVING, 0}}, -1, "no_target"},
+	};
+	size_t i, k;
+
+	(void)state;
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		struct bl_topology one = {.count = 1};
+		struct bl_pool *pool = bl_pool_create("p");
+		struct bl_target *target = bl_target_create("t");
+		struct bl_placement placement;
+		int64_t now_us = START_US, wait_us;
+
+		one.data_centres[0].same_region = true;
+		assert_int_equal(bl_pool_add(pool, target), CS_OK);
+		for (k = 0; k < 4; k++)
+			apply_notice(target, &rows[i].steps[k], &now_us);
+		wait_us = bl_wait_us(target, now_us);
+		assert_int_equal(wait_us,
+		    rows[i].wait_ms < 0 ? INT64_MAX : rows[i].wait_ms * MS);
+		bl_place(&one, pool,
+		    &(struct bl_request){.now_us = now_us,
+			.objective_us = now_us + 10000 * MS,
+			.deadline_us = now_us + 10000 * MS,
+			.may_wait = true},
+		    &placement);
+		if (rows[i].reason == NULL) {
+			assert_int_equal(placement.verdict, BL_SEND);
+		} else {
+			assert_int_equal(placement.verdict, BL_REFUSE);
+			assert_string_equal(placement.reason, rows[i].reason);
+			/* When the caller comes back there is room. */
+			assert_true(rows[i].wait_ms < 0 ||
+				    placement.retry_after_us >= wait_us);
+		}
+		bl_pool_free(pool);
+	}
+}
+
 static uint32_t
 crash(struct bl_poison *poison, uint64_t fingerprint, uint64_t process,
     int64_t now_us)
@@ -531,6 +637,7 @@
 	    cmocka_unit_test(test_target_with_unanswered_probe_is_avoided),
 	    cmocka_unit_test(test_full_pool_queues_requests_then_refuses),
 	    cmocka_unit_test(test_retries_stay_within_the_shared_budget),
+	    cmocka_unit_test(test_target_notices_bind_every_placement),
 	    cmocka_unit_test(test_request_is_poison_after_two_crashes),
 	    cmocka_unit_test(test_crash_reported_again_counts_once),
 	    cmocka_unit_test(
--- a/tests/unit/test_gateway.c
+++ b/tests/unit/test_gateway.c
@@ -359,6 +359,51 @@
 	rig_free(rig);
 }
 
+/* The only target says that it leaves, or pauses: callers are refused at once.
+ */
+static void
+test_notices_of_the_last_target_refuse_calls_at_once(void **state)
+{
+	static const struct {
+		const char *response;
+		int status;
+	} rows[] = {
+	    {"HTTP/1.1 200 OK\r\n" ATTEMPT_ID RESPONSE_SEAL
+	     "Server-Leaving: 1\r\nContent-Length: 5\r\n\r\nwhole",
+		200},
+	    {"HTTP/1.1 500 Internal Server Error\r\n" ATTEMPT_ID
+	     "Server-Leaving: 1\r\nContent-Length: 0\r\n\r\n",
+		500},
+	    {"HTTP/1.1 421 Misdirected Request\r\n" ATTEMPT_ID
+	     "Server-Leaving: 1\r\nContent-Length: 0\r\n\r\n",
+		503},
+	    {"HTTP/1.1 503 Service Unavailable\r\n" ATTEMPT_ID
+	     "Chervilshelf-Not-Executed: 1\r\nRetry-After: 60\r\n"
+	     "Content-Length: 0\r\n\r\n",
+		503},
+	    {"HTTP/1.1 503 Service Unavailable\r\n" ATTEMPT_ID
+	     "Retry-After: 60\r\nContent-Length: 0\r\n\r\n",
+		502},
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		struct rig_script script = {
+		    rows[i].response, RIG_KEEP, NULL, false};
+		struct rig *rig = make_rig(&script, 1, 1);
+
+		assert_int_equal(status_of(rig_ask(rig, NON_IDEMPOTENT_REQUEST,
+				     strlen(NON_IDEMPOTENT_REQUEST))),
+		    rows[i].status);
+		assert_int_equal(status_of(rig_ask(rig, SECOND_REQUEST,
+				     strlen(SECOND_REQUEST))),
+		    503);
+		assert_int_equal(rig_requests(rig), 1);
+		rig_free(rig);
+	}
+}
+
 /* Bytes on an idle connection are dropped and the connection closed. */
 static void
 test_bytes_on_an_idle_connection_close_it(void **state)
@@ -990,6 +1035,8 @@
 		test_requests_that_cannot_be_matched_get_connections_of_their_own),
 	    cmocka_unit_test(test_response_cut_at_any_byte_is_not_relayed),
 	    cmocka_unit_test(test_waiting_call_is_placed_without_probes),
+	    cmocka_unit_test(
+		test_notices_of_the_last_target_refuse_calls_at_once),
 	    cmocka_unit_test(test_bytes_on_an_idle_connection_close_it),
 	    cmocka_unit_test(
 		test_connection_is_not_reused_after_an_early_response),
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -398,14 +398,15 @@
 
 /* Reads what a target says of itself in a response with these headers. */
 static struct bl_report
-read_report(const char *headers)
+read_report_of(int status, const char *headers)
 {
 	struct h1_reader reader;
 	struct bl_report report;
 	char text[1024];
 	size_t used;
 	int length = snprintf(text, sizeof(text),
-	    "HTTP/1.1 200 OK\r\n%sContent-Length: 0\r\n\r\n", headers);
+	    "HTTP/1.1 %d Status\r\n%sContent-Length: 0\r\n\r\n", status,
+	    headers);
 
 	h1_reader_init(&reader, HTTP_RESPONSE, (struct h1_limits){4096, 4096});
 	assert_int_equal(h1_reader_feed(&reader, text, (size_t)length, &used),
@@ -415,6 +416,12 @@
 	return report;
 }
 
+static struct bl_report
+read_report(const char *headers)
+{
+	return read_report_of(200, headers);
+}
+
 #define LOAD "Chervilshelf-Server-Load: "
 
 static void
@@ -476,6 +483,50 @@
 	}
 }
 
+static void
+test_leaving_and_pause_are_read_strictly(void **state)
+{
+	static const struct {
+		int status;
+		const char *headers;
+		bool leaving;
+		int64_t pause_us;
+		uint32_t invalid_fields;
+	} rows[] = {
+	    {200, "", false, 0, 0},
+	    {200, "Server-Leaving: 1\r\n", true, 0, 0},
+	    {200, "Chervilshelf-Server-Leaving: 1\r\n", true, 0, 0},
+	    {503, "Server-Leaving: 1\r\nRetry-After: 2\r\n", true, 2000000, 0},
+	    {421, "Server-Leaving: 1\r\n", true, 0, 0},
+	    {200, "Server-Leaving: 0\r\n", false, 0, 0},
+	    {200, "Server-Leaving: yes\r\n", false, 0, 1},
+	    {200, "Server-Leaving: \r\n", false, 0, 1},
+	    {200, "Server-Leaving: 1\r\nServer-Leaving: 1\r\n", false, 0, 1},
+	    {503, "Retry-After: 1.5\r\n", false, 1500000, 0},
+	    {503, "Retry-After: 0\r\n", false, 0, 0},
+	    {200, "Retry-After: 3\r\n", false, 0, 0},
+	    {429, "Retry-After: 3\r\n", false, 0, 0},
+	    {503, "Retry-After: -1\r\n", false, 0, 1},
+	    {503, "Retry-After: \r\n", false, 0, 1},
+	    {503, "Retry-After: soon\r\n", false, 0, 1},
+	    {503, "Retry-After: 99999999999\r\n", false, 0, 1},
+	    {503, "Retry-After: Sat, 05 Dec 2026 10:00:00 GMT\r\n", false, 0,
+		1},
+	    {503, "Retry-After: 1\r\nRetry-After: 9\r\n", false, 0, 1},
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		struct bl_report report =
+		    read_report_of(rows[i].status, rows[i].headers);
+
+		assert_int_equal(report.leaving, rows[i].leaving);
+		assert_int_equal(report.pause_us, rows[i].pause_us);
+		assert_int_equal(report.invalid_fields, rows[i].invalid_fields);
+	}
+}
+
 static void
 test_node_round_trips_through_object(void **state)
 {
@@ -507,6 +558,7 @@
 	    cmocka_unit_test(test_odd_entry_leaves_the_others),
 	    cmocka_unit_test(test_load_header_needs_three_numbers),
 	    cmocka_unit_test(test_limit_header_is_a_decimal_number),
+	    cmocka_unit_test(test_leaving_and_pause_are_read_strictly),
 	    cmocka_unit_test(test_node_round_trips_through_object),
 	};
 
