--- a/lib/h1/conn.c
+++ b/lib/h1/conn.c
@@ -55,8 +55,11 @@
 static void
 on_shutdown(uv_shutdown_t *request, int status)
 {
-	(void)request;
-	(void)status; /* h1_server_sweep() closes lingering connections */
+	struct h1_conn *conn = (struct h1_conn *)request->handle;
+
+	/* The time for the client to close begins; see h1_server_sweep(). */
+	if (status == 0)
+		conn->timeout_start_us = cs_now_us();
 }
 
 void
--- a/lib/h1/h1_internal.h
+++ b/lib/h1/h1_internal.h
@@ -24,6 +24,7 @@
 	enum h1_conn_state state;
 	int64_t opened_us;
 	int64_t timeout_start_us; /* when the current timeout began */
+	size_t unsent_bytes;	  /* at the last check, while lingering */
 	uint64_t reserved_bytes;  /* for the body of the request */
 	bool continue_sent;
 	bool closing;
--- a/lib/h1/server.c
+++ b/lib/h1/server.c
@@ -13,7 +13,7 @@
 #define BACKLOG_MAX 1024		/* all clients may reconnect at once */
 #define READ_BYTES_MAX (64 * 1024)	/* the size that libuv suggests */
 #define PIPELINED_BYTES_MAX (64 * 1024) /* buffered input of a connection */
-#define LINGER_MS 1000 /* for the last response to arrive before the close */
+#define LINGER_MS 1000 /* for the client to close, from the last byte on */
 
 static void process_input(
     struct h1_conn *conn, const char *data, size_t length);
@@ -297,11 +297,26 @@
 	case CONN_RESPONDING:
 		return false;
 	case CONN_LINGERING:
-		return age_ms > LINGER_MS;
+		return age_ms > (h1_conn_unsent(conn) > 0
+					? params->idle_timeout_ms
+					: LINGER_MS);
 	}
 	return false;
 }
 
+/* A client that reads its last response slowly gets all of it. */
+static void
+restart_timeout_on_progress(struct h1_conn *conn, int64_t now_us)
+{
+	size_t unsent_bytes = h1_conn_unsent(conn);
+
+	if (conn->state != CONN_LINGERING)
+		return;
+	if (unsent_bytes > 0 && unsent_bytes != conn->unsent_bytes)
+		conn->timeout_start_us = now_us;
+	conn->unsent_bytes = unsent_bytes;
+}
+
 void
 h1_server_sweep(struct h1_server *server, int64_t now_us)
 {
@@ -309,6 +324,7 @@
 
 	for (conn = server->conns; conn != NULL; conn = next) {
 		next = conn->next;
+		restart_timeout_on_progress(conn, now_us);
 		if (!has_timed_out(conn, now_us))
 			continue;
 		if (conn->state == CONN_READING && conn->reader.started)
--- /dev/null
+++ b/tests/unit/test_server.c
@@ -0,0 +1,199 @@
+/*
+ * How the listener ends connections whose last response is not written yet: a
+ * client that reads slowly gets all of it, and a response without a length that
+ * is cut off ends with a reset, never like a complete one.
+ */
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#include "../../lib/h1/h1.h"
+
+#define BODY_BYTES (8 * 1024 * 1024) /* more than sockets buffer */
+#define IDLE_TIMEOUT_MS 60000
+/* Far longer than the listener waits for the client's close. */
+#define LATER_US 20000000
+#define ITERATIONS 50
+
+struct fixture {
+	uv_loop_t loop;
+	struct h1_server *server;
+	bool unframed;
+	int fd; /* the client's socket */
+	char *body;
+};
+
+static void
+on_request(struct h1_conn *conn, const struct h1_message *request)
+{
+	const struct fixture *fixture = h1_conn_user(conn);
+
+	(void)request;
+	h1_conn_send_response(conn, &(struct h1_response){
+					.status = 200,
+					.headers = "",
+					.body = fixture->body,
+					.body_length = BODY_BYTES,
+					.close = true,
+					.unframed = fixture->unframed,
+				    });
+}
+
+static void
+on_disconnect(struct h1_conn *conn)
+{
+	(void)conn;
+}
+
+static void
+run(struct fixture *fixture)
+{
+	int i;
+
+	for (i = 0; i < ITERATIONS; i++) {
+		uv_run(&fixture->loop, UV_RUN_NOWAIT);
+		usleep(1000);
+	}
+}
+
+/* Sends one request and leaves its response unread. */
+static void
+begin(struct fixture *fixture, bool unframed)
+{
+	static const struct h1_server_events events = {
+	    .on_request = on_request, .on_disconnect = on_disconnect};
+	static const char request[] = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+	struct sockaddr_in address = {.sin_family = AF_INET};
+	struct h1_server_params params = {
+	    .loop = &fixture->loop,
+	    .limits = {4096, 4096},
+	    .head_timeout_ms = IDLE_TIMEOUT_MS,
+	    .idle_timeout_ms = IDLE_TIMEOUT_MS,
+	    .connections_max = 10,
+	    .bodies_bytes_max = 4096,
+	    .events = &events,
+	    .user = fixture,
+	};
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	params.address = address;
+	uv_loop_init(&fixture->loop);
+	fixture->unframed = unframed;
+	fixture->body = malloc(BODY_BYTES);
+	memset(fixture->body, 'b', BODY_BYTES);
+	assert_int_equal(h1_server_create(&params, &fixture->server), CS_OK);
+	address.sin_port = htons(h1_server_port(fixture->server));
+	fixture->fd = socket(AF_INET, SOCK_STREAM, 0);
+	assert_int_equal(
+	    connect(fixture->fd, (struct sockaddr *)&address, sizeof(address)),
+	    0);
+	assert_int_equal(
+	    write(fixture->fd, request, strlen(request)), strlen(request));
+	fcntl(fixture->fd, F_SETFL, O_NONBLOCK);
+	run(fixture);
+	assert_int_equal(h1_server_unsent(fixture->server), 1);
+}
+
+/* Reads to the end; returns the bytes read, and how the connection ended. */
+static size_t
+read_to_end(struct fixture *fixture, int *error)
+{
+	static char buffer[256 * 1024];
+	size_t total = 0;
+	ssize_t length;
+
+	for (;;) {
+		length = read(fixture->fd, buffer, sizeof(buffer));
+		if (length > 0) {
+			total += (size_t)length;
+		} else if (length < 0 && errno == EAGAIN) {
+			uv_run(&fixture->loop, UV_RUN_NOWAIT);
+		} else {
+			*error = length < 0 ? errno : 0;
+			return total;
+		}
+	}
+}
+
+static void
+end(struct fixture *fixture)
+{
+	close(fixture->fd);
+	h1_server_stop(fixture->server);
+	run(fixture);
+	free(fixture->body);
+}
+
+static void
+test_slow_reader_gets_the_whole_response(void **state)
+{
+	int i, error;
+
+	(void)state;
+	for (i = 0; i < 2; i++) {
+		struct fixture fixture;
+
+		begin(&fixture, i == 1);
+		h1_server_sweep(fixture.server, cs_now_us() + LATER_US);
+		assert_true(read_to_end(&fixture, &error) > BODY_BYTES);
+		assert_int_equal(error, 0);
+		end(&fixture);
+	}
+}
+
+/* A client that reads nothing at all does not hold its response for ever. */
+static void
+test_stalled_reader_is_closed(void **state)
+{
+	struct fixture fixture;
+	int error;
+
+	(void)state;
+	begin(&fixture, true);
+	h1_server_sweep(fixture.server, cs_now_us());
+	h1_server_sweep(
+	    fixture.server, cs_now_us() + 2 * IDLE_TIMEOUT_MS * 1000);
+	run(&fixture);
+	assert_int_equal(h1_server_connections(fixture.server), 0);
+	read_to_end(&fixture, &error);
+	assert_int_equal(error, ECONNRESET);
+	end(&fixture);
+}
+
+/* As when the process ends while it writes. */
+static void
+test_cut_response_without_length_ends_with_a_reset(void **state)
+{
+	struct fixture fixture;
+	int error;
+
+	(void)state;
+	begin(&fixture, true);
+	h1_server_close_connections(fixture.server);
+	run(&fixture);
+	assert_true(read_to_end(&fixture, &error) < BODY_BYTES);
+	assert_int_equal(error, ECONNRESET);
+	end(&fixture);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_slow_reader_gets_the_whole_response),
+	    cmocka_unit_test(test_stalled_reader_is_closed),
+	    cmocka_unit_test(
+		test_cut_response_without_length_ends_with_a_reset),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
