--- a/lib/h1/conn.c
+++ b/lib/h1/conn.c
@@ -52,14 +52,26 @@
 	uv_close((uv_handle_t *)&conn->tcp, on_closed);
 }
 
+void
+h1_conn_reset_on_close(struct h1_conn *conn, bool on)
+{
+	struct linger linger = {.l_onoff = on, .l_linger = 0};
+	uv_os_fd_t fd;
+
+	if (uv_fileno((uv_handle_t *)&conn->tcp, &fd) == 0)
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &linger, sizeof(linger));
+}
+
 static void
 on_shutdown(uv_shutdown_t *request, int status)
 {
 	struct h1_conn *conn = (struct h1_conn *)request->handle;
 
 	/* The time for the client to close begins; see h1_server_sweep(). */
-	if (status == 0)
-		conn->timeout_start_us = cs_now_us();
+	if (status != 0)
+		return;
+	conn->timeout_start_us = cs_now_us();
+	h1_conn_reset_on_close(conn, false);
 }
 
 void
--- a/lib/h1/h1_internal.h
+++ b/lib/h1/h1_internal.h
@@ -60,6 +60,12 @@
  * closes or the time to linger is over.
  */
 void h1_conn_linger(struct h1_conn *conn);
+/*
+ * h1_conn_reset_on_close(conn, on): whether a close, also by the end of the
+ * process, resets the connection. Without a length or chunks, an orderly close
+ * would look like the end of a complete response.
+ */
+void h1_conn_reset_on_close(struct h1_conn *conn, bool on);
 void h1_conn_release_body(struct h1_conn *conn);
 /*
  * h1_conn_write(conn, data, length): writes as much as the socket accepts and
--- a/lib/h1/response.c
+++ b/lib/h1/response.c
@@ -6,21 +6,6 @@
 #include "../base/base.h"
 #include "h1_internal.h"
 
-/*
- * Makes the close reset the connection: without a length or chunks, an orderly
- * close would look like the end of a complete response.
- */
-static void
-set_reset_on_close(struct h1_conn *conn)
-{
-	struct linger zero_linger = {.l_onoff = 1, .l_linger = 0};
-	uv_os_fd_t fd;
-
-	if (uv_fileno((uv_handle_t *)&conn->tcp, &fd) == 0)
-		setsockopt(fd, SOL_SOCKET, SO_LINGER, &zero_linger,
-		    sizeof(zero_linger));
-}
-
 /*
  * The response is written or queued: closes the connection or reads its next
  * request.
@@ -86,6 +71,8 @@
 		end_response(conn, true);
 		return;
 	}
+	if (response->unframed)
+		h1_conn_reset_on_close(conn, true);
 	h1_conn_write(conn, out->data, out->length);
 	end_response(conn, close);
 }
@@ -113,6 +100,8 @@
 	error |= h1_bytes_print(out, "%s%s\r\n",
 	    conn->chunked ? "Transfer-Encoding: chunked\r\n" : "",
 	    conn->close_after ? "Connection: close\r\n" : "");
+	if (conn->close_delimited)
+		h1_conn_reset_on_close(conn, true);
 	if (error == CS_OK)
 		h1_conn_write(conn, out->data, out->length);
 	else
@@ -158,8 +147,6 @@
 		conn->server->active_requests--;
 	conn->state = CONN_READING; /* prevents on_disconnect() */
 	conn->call = NULL;
-	if (conn->close_delimited)
-		set_reset_on_close(conn);
 	h1_conn_close(conn);
 }
 
