--- a/lib/gateway/call.c
+++ b/lib/gateway/call.c
@@ -236,6 +236,23 @@
 	call->pool = gw_pool_of(call->gw, route->backends[backend].pool_name);
 }
 
+void
+gw_refuse_stopping(struct gw_call *call)
+{
+	gw_respond_error(call, 503, GW_STOPPING, RETRY_AFTER_STOPPING_US);
+}
+
+void
+gw_end_call(struct gw_call *call)
+{
+	if (call->state == GW_CALL_SENT) {
+		gw_cancel(call);
+		gw_attempt_drop(call, BL_CANCELLED);
+		call->may_have_run = true;
+	}
+	gw_refuse_stopping(call);
+}
+
 /* Refuses a call that must not reach any target. Returns true if it did. */
 static bool
 refuse_early(struct gw_call *call)
@@ -243,8 +260,7 @@
 	struct gw *gw = call->gw;
 
 	if (gw->stopping && call->deadline_us > gw->stop_us) {
-		gw_respond_error(
-		    call, 503, GW_STOPPING, RETRY_AFTER_STOPPING_US);
+		gw_refuse_stopping(call);
 		return true;
 	}
 	return refuse_suspect(call);
--- a/lib/gateway/gateway.c
+++ b/lib/gateway/gateway.c
@@ -236,6 +236,47 @@
 	h1_server_drain(gw->server);
 }
 
+static void
+end_waiting_list(struct gw_call *call, int64_t received_before_us)
+{
+	struct gw_call *next;
+
+	for (; call != NULL; call = next) {
+		next = call->next;
+		if (call->received_us < received_before_us)
+			gw_refuse_stopping(call);
+	}
+}
+
+void
+gw_end_waiting(struct gw *gw, int64_t received_before_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	end_waiting_list(gw->held, received_before_us);
+	g_hash_table_iter_init(&iter, gw->pools);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct gw_pool *pool = value;
+
+		end_waiting_list(pool->waiting, received_before_us);
+		end_waiting_list(pool->awaiting_probes, received_before_us);
+	}
+}
+
+static void
+end_call(void *call, void *arg)
+{
+	(void)arg;
+	gw_end_call(call);
+}
+
+void
+gw_end_calls(struct gw *gw)
+{
+	h1_server_for_each_call(gw->server, end_call, NULL);
+}
+
 void
 gw_close_idle(struct gw *gw)
 {
--- a/lib/gateway/gateway.h
+++ b/lib/gateway/gateway.h
@@ -192,6 +192,16 @@
  * when no connection is open.
  */
 void gw_stop(struct gw *gw, int64_t until_us);
+/*
+ * gw_end_waiting(gw, received_before_us): refuses the calls received before
+ * then that no target has yet; they did not run, and another VM may serve them.
+ */
+void gw_end_waiting(struct gw *gw, int64_t received_before_us);
+/*
+ * gw_end_calls(gw): answers all calls that are still open, just before the
+ * process ends. Those at a target may have run.
+ */
+void gw_end_calls(struct gw *gw);
 void gw_close_idle(struct gw *gw);
 bool gw_is_drained(const struct gw *gw);
 const struct gw_counters *gw_get_counters(const struct gw *gw);
--- a/lib/gateway/gateway_internal.h
+++ b/lib/gateway/gateway_internal.h
@@ -179,6 +179,11 @@
 /* gw_release_held_calls(gw): continues the calls that waited for objects. */
 void gw_release_held_calls(struct gw *gw);
 
+/* gw_refuse_stopping(call): answers that this VM stops; it did not run. */
+void gw_refuse_stopping(struct gw_call *call);
+/* gw_end_call(call): the same for a call that a target may have. */
+void gw_end_call(struct gw_call *call);
+
 /* start.c: calls at a VM that has not loaded its objects yet */
 /*
  * gw_hold(call): holds the call if bl_hold_at_start() says so. Otherwise it
--- a/lib/h1/h1.h
+++ b/lib/h1/h1.h
@@ -317,6 +317,12 @@
 void h1_server_sweep(struct h1_server *server, int64_t now_us);
 uint32_t h1_server_connections(const struct h1_server *server);
 uint32_t h1_server_active_requests(const struct h1_server *server);
+/*
+ * h1_server_for_each_call(server, visit, arg): calls visit with the call of
+ * each request that is not answered yet. visit may answer it.
+ */
+void h1_server_for_each_call(
+    struct h1_server *server, void (*visit)(void *call, void *arg), void *arg);
 /* h1_server_unsent(server): number of connections with unsent output. */
 uint32_t h1_server_unsent(const struct h1_server *server);
 /* h1_server_close_connections(server): closes all connections at once. */
--- a/lib/h1/server.c
+++ b/lib/h1/server.c
@@ -346,6 +346,19 @@
 	return server->active_requests;
 }
 
+void
+h1_server_for_each_call(
+    struct h1_server *server, void (*visit)(void *call, void *arg), void *arg)
+{
+	struct h1_conn *conn, *next;
+
+	for (conn = server->conns; conn != NULL; conn = next) {
+		next = conn->next;
+		if (conn->state == CONN_RESPONDING && conn->call != NULL)
+			visit(conn->call, arg);
+	}
+}
+
 uint32_t
 h1_server_unsent(const struct h1_server *server)
 {
--- a/programs/gateway.c
+++ b/programs/gateway.c
@@ -31,6 +31,13 @@
 #define DIRECTORY_EXPIRY_US 4300000
 /* The VM exits this long before the platform kills it. */
 #define STOP_BEFORE_KILL_US 300000
+/*
+ * Calls that wait for longer at a VM that stops are refused, so that their
+ * callers have time to turn to another VM.
+ */
+#define WAIT_MAX_AT_STOP_US 1000000
+/* Open calls are answered this long before the platform kills the VM. */
+#define END_CALLS_BEFORE_KILL_US 600000
 /* Idle connections are closed this long before the platform kills the VM. */
 #define CLOSE_IDLE_BEFORE_KILL_US 1100000
 
@@ -315,6 +322,9 @@
 	int64_t grace_us = app->settings.grace_ms * 1000;
 	int64_t elapsed_us = cs_now_us() - app->stop_started_us;
 
+	gw_end_waiting(app->gw, cs_now_us() - WAIT_MAX_AT_STOP_US);
+	if (elapsed_us > grace_us - END_CALLS_BEFORE_KILL_US)
+		gw_end_calls(app->gw);
 	if (elapsed_us > grace_us - CLOSE_IDLE_BEFORE_KILL_US ||
 	    elapsed_us > DIRECTORY_EXPIRY_US)
 		gw_close_idle(app->gw);
--- a/tests/unit/gateway_rig.c
+++ b/tests/unit/gateway_rig.c
@@ -449,6 +449,15 @@
 	}
 }
 
+void
+rig_await_requests(struct rig *rig, uint32_t requests)
+{
+	uint32_t iterations = 0;
+
+	while (rig->requests < requests)
+		run_once(rig, &iterations);
+}
+
 void
 rig_settle(struct rig *rig)
 {
--- a/tests/unit/gateway_rig.h
+++ b/tests/unit/gateway_rig.h
@@ -69,6 +69,8 @@
 const char *rig_finish(struct rig *rig);
 /* rig_send_late(rig): sends the later bytes of the targets' scripts. */
 void rig_send_late(struct rig *rig);
+/* rig_await_requests(rig, requests): runs until targets have so many. */
+void rig_await_requests(struct rig *rig, uint32_t requests);
 /* rig_await_waiting(rig, calls): runs until so many calls wait for room. */
 void rig_await_waiting(struct rig *rig, uint32_t calls);
 /*
--- a/tests/unit/test_gateway.c
+++ b/tests/unit/test_gateway.c
@@ -404,6 +404,56 @@
 	}
 }
 
+/*
+ * A call waits for room at a VM that is stopped, and could outlast it: its
+ * caller is told in time that it did not run.
+ */
+static void
+test_waiting_call_at_a_vm_that_stops_is_answered(void **state)
+{
+	const struct rig_script script = {NULL, RIG_SILENT, NULL, false};
+	struct rig *rig = rig_create(&(struct rig_params){
+	    .scripts = &script,
+	    .script_count = 1,
+	    .target_count = 1,
+	    .with_table = true,
+	    .timeout_ms = 30000,
+	    .attempts_max = 1,
+	    .slots = 1,
+	});
+	const char *response;
+
+	(void)state;
+	rig_hold(rig, NON_IDEMPOTENT_REQUEST, strlen(NON_IDEMPOTENT_REQUEST));
+	rig_begin(rig, SECOND_REQUEST, strlen(SECOND_REQUEST));
+	rig_await_waiting(rig, 1);
+	gw_stop(rig_gateway(rig), cs_now_us() + 1000000);
+	gw_end_waiting(rig_gateway(rig), INT64_MAX);
+	response = rig_finish(rig);
+	assert_int_equal(status_of(response), 503);
+	assert_non_null(strstr(response, "Retry-After"));
+	assert_non_null(strstr(response, "stopping"));
+	assert_int_equal(rig_requests(rig), 1);
+	rig_free(rig);
+}
+
+/* A target has the call when the VM ends: no answer says that it did not run.
+ */
+static void
+test_call_at_a_target_is_answered_when_the_vm_ends(void **state)
+{
+	const struct rig_script script = {NULL, RIG_SILENT, NULL, false};
+	struct rig *rig = make_rig(&script, 1, 1);
+
+	(void)state;
+	rig_begin(rig, NON_IDEMPOTENT_REQUEST, strlen(NON_IDEMPOTENT_REQUEST));
+	rig_await_requests(rig, 1);
+	gw_stop(rig_gateway(rig), cs_now_us() + 1000000);
+	gw_end_calls(rig_gateway(rig));
+	assert_int_equal(status_of(rig_finish(rig)), 502);
+	rig_free(rig);
+}
+
 /* Bytes on an idle connection are dropped and the connection closed. */
 static void
 test_bytes_on_an_idle_connection_close_it(void **state)
@@ -1037,6 +1087,9 @@
 	    cmocka_unit_test(test_waiting_call_is_placed_without_probes),
 	    cmocka_unit_test(
 		test_notices_of_the_last_target_refuse_calls_at_once),
+	    cmocka_unit_test(test_waiting_call_at_a_vm_that_stops_is_answered),
+	    cmocka_unit_test(
+		test_call_at_a_target_is_answered_when_the_vm_ends),
 	    cmocka_unit_test(test_bytes_on_an_idle_connection_close_it),
 	    cmocka_unit_test(
 		test_connection_is_not_reused_after_an_early_response),
