store: a removal that was ignored is learned from the next leader (DRAIN)

A list or changes without their removals no longer advance the revision, so the next leader sends what was left out. test_removal_that_was_ignored_comes_from_the_next_leader fails with the revision of the list, as it was, and passes.

--- a/lib/store/cache.c
+++ b/lib/store/cache.c
@@ -252,6 +252,23 @@
 	return CS_OK;
 }
 
+int
+os_cache_without_removals(const struct os_cache *cache, uint32_t kind,
+    const struct os_batch *batch, struct os_batch *out)
+{
+	uint32_t i;
+
+	*out = (struct os_batch){.revision = os_cache_revision(cache, kind)};
+	out->changes = calloc(batch->count + 1, sizeof(*out->changes));
+	if (out->changes == NULL)
+		return CS_E_SYSTEM;
+	for (i = 0; i < batch->count; i++) {
+		if (!batch->changes[i].deleted)
+			out->changes[out->count++] = batch->changes[i];
+	}
+	return CS_OK;
+}
+
 int
 os_cache_changes_since(const struct os_cache *cache, uint32_t kind_index,
     uint64_t revision, struct os_batch *out, bool *is_snapshot)
--- a/lib/store/cache.h
+++ b/lib/store/cache.h
@@ -25,6 +25,14 @@
     const struct os_batch *batch, struct os_batch *out);
 int os_cache_apply_changes(struct os_cache *cache, uint32_t kind,
     const struct os_batch *batch, struct os_batch *out);
+/*
+ * os_cache_without_removals(cache, kind, batch, out): copies a list or changes
+ * without the removals in them. out keeps the revision that the cache has: what
+ * is left out is still to come, from whoever knows it. The texts belong to
+ * batch; the caller frees the array.
+ */
+int os_cache_without_removals(const struct os_cache *cache, uint32_t kind,
+    const struct os_batch *batch, struct os_batch *out);
 /* os_cache_revision(cache, kind): the latest known revision; 0: none. */
 uint64_t os_cache_revision(const struct os_cache *cache, uint32_t kind);
 /*
--- a/programs/gateway_updates.c
+++ b/programs/gateway_updates.c
@@ -124,26 +124,6 @@
 	ga_publish_state(app);
 }
 
-/* Returns the batch without removals; free its array with free(). */
-static struct os_batch
-copy_without_removals(const struct os_batch *batch)
-{
-	struct os_batch remaining = {.revision = batch->revision};
-	uint32_t i;
-
-	remaining.changes =
-	    calloc(batch->count + 1, sizeof(*remaining.changes));
-	for (i = 0; remaining.changes != NULL && i < batch->count; i++) {
-		if (batch->changes[i].deleted)
-			cs_log(CS_LOG_TARGET_MISSING, "target=%s",
-			    batch->changes[i].name);
-		else
-			remaining.changes[remaining.count++] =
-			    batch->changes[i];
-	}
-	return remaining;
-}
-
 static bool
 ignores_removals(const struct ga_app *app)
 {
@@ -154,9 +134,16 @@
 apply_without_removals(
     struct ga_app *app, uint32_t kind, const struct os_batch *batch)
 {
-	struct os_batch remaining = copy_without_removals(batch);
+	struct os_batch remaining;
+	uint32_t i;
 
-	if (remaining.changes != NULL)
+	for (i = 0; i < batch->count; i++) {
+		if (batch->changes[i].deleted)
+			cs_log(CS_LOG_TARGET_MISSING, "target=%s",
+			    batch->changes[i].name);
+	}
+	if (os_cache_without_removals(app->cache, kind, batch, &remaining) ==
+	    CS_OK)
 		ga_apply_update(app, kind, &remaining, false);
 	free(remaining.changes);
 }
--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -564,6 +564,54 @@
 	os_cache_free(cache);
 }
 
+/*
+ * A node that lists after an outage takes no removals for a while. If it stops
+ * watching meanwhile, its next leader tells it of them.
+ */
+static void
+test_removal_that_was_ignored_comes_from_the_next_leader(void **state)
+{
+	struct os_cache *former = os_cache_create(),
+			*leader = os_cache_create();
+	struct os_change objects[] = {
+	    make_change("a", 3, false), make_change("b", 4, false)};
+	struct os_change remaining[] = {make_change("a", 3, false)};
+	struct os_change removal[] = {make_change("b", 8, true)};
+	struct os_batch before = {
+	    .revision = 5, .count = 2, .changes = objects};
+	struct os_batch list = {
+	    .revision = 9, .count = 1, .changes = remaining};
+	struct os_batch removals = {
+	    .revision = 8, .count = 1, .changes = removal};
+	struct os_batch out, update;
+	bool is_snapshot;
+
+	(void)state;
+	os_cache_apply_snapshot(former, 0, &before, &out);
+	free(out.changes);
+	os_cache_apply_snapshot(leader, 0, &before, &out);
+	free(out.changes);
+
+	assert_int_equal(
+	    os_cache_without_removals(former, 0, &list, &update), CS_OK);
+	os_cache_apply_changes(former, 0, &update, &out);
+	free(update.changes);
+	free(out.changes);
+	os_cache_apply_changes(leader, 0, &removals, &out);
+	free(out.changes);
+
+	assert_int_equal(
+	    os_cache_changes_since(
+		leader, 0, os_cache_revision(former, 0), &update, &is_snapshot),
+	    CS_OK);
+	assert_int_equal(update.count, 1);
+	assert_string_equal(update.changes[0].name, "b");
+	assert_true(update.changes[0].deleted);
+	free(update.changes);
+	os_cache_free(former);
+	os_cache_free(leader);
+}
+
 int
 main(void)
 {
@@ -574,6 +622,8 @@
 	    cmocka_unit_test(test_overlong_object_name_is_rejected_unsent),
 	    cmocka_unit_test(test_cache_applies_only_newer_revisions),
 	    cmocka_unit_test(test_cache_keeps_recreated_object),
+	    cmocka_unit_test(
+		test_removal_that_was_ignored_comes_from_the_next_leader),
 	    cmocka_unit_test(
 		test_cache_reports_the_last_of_several_changes_of_an_object),
 	};
