--- a/lib/gateway/exchange.c
+++ b/lib/gateway/exchange.c
@@ -12,6 +12,7 @@
 #include "gateway_internal.h"
 
 #define IDLE_MARGIN_US 1500000 /* closed this long before the target does */
+#define IDLE_S_MAX 86400       /* a longer timeout is not believed */
 /* Part of a long id that is kept; leaves room for the hash. */
 #define ID_BYTES_KEPT 100
 
@@ -22,10 +23,14 @@
 	const char *timeout =
 	    keep == NULL ? NULL : strcasestr(keep, "timeout=");
 	int64_t limit_us;
+	long timeout_s;
 
 	if (timeout == NULL)
 		return GW_IDLE_DEFAULT_US;
-	limit_us = strtol(timeout + strlen("timeout="), NULL, 10) * 1000000L;
+	timeout_s = strtol(timeout + strlen("timeout="), NULL, 10);
+	if (timeout_s < 0 || timeout_s > IDLE_S_MAX)
+		return GW_IDLE_DEFAULT_US;
+	limit_us = timeout_s * 1000000L;
 	return limit_us > 2 * IDLE_MARGIN_US ? limit_us - IDLE_MARGIN_US
 					     : limit_us / 2;
 }
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -276,6 +276,12 @@
 	assert_int_equal(pl_duration_ms("s", &ms), CS_E_INVALID);
 	assert_int_equal(pl_duration_ms("-1s", &ms), CS_E_INVALID);
 	assert_int_equal(pl_duration_ms("1min", &ms), CS_E_INVALID);
+	assert_int_equal(pl_duration_ms("1e300s", &ms), CS_E_INVALID);
+	assert_int_equal(pl_duration_ms("nans", &ms), CS_E_INVALID);
+	assert_int_equal(pl_duration_ms("infms", &ms), CS_E_INVALID);
+	assert_int_equal(pl_duration_ms("0x10s", &ms), CS_E_INVALID);
+	assert_int_equal(
+	    pl_duration_ms("99999999999999999999s", &ms), CS_E_INVALID);
 }
 
 #define GOOD_OBJECT(name)                                                     \
@@ -441,6 +447,13 @@
 	assert_false(report.has_load);
 	assert_int_equal(report.invalid_fields, 1);
 	assert_false(read_report(LOAD "busy\r\n").has_load);
+	assert_false(read_report(LOAD "-1,0,8\r\n").has_load);
+	assert_false(read_report(LOAD "3,-1,8,100\r\n").has_load);
+	assert_false(read_report(LOAD "3,1,8,-100\r\n").has_load);
+	assert_false(read_report(LOAD "4294967297,0,8\r\n").has_load);
+	assert_false(read_report(LOAD "3,1,99999999999999999999\r\n").has_load);
+	assert_true(read_report(LOAD "3, 1, 8, 100\r\n").has_load);
+	assert_true(read_report(LOAD "3,1,8,100,further\r\n").has_load);
 	assert_false(read_report("").has_load);
 	assert_int_equal(read_report("").invalid_fields, 0);
 }
