--- a/lib/h1/message.c
+++ b/lib/h1/message.c
@@ -279,6 +279,8 @@
 	       status == 304;
 }
 
+#define STATUS_MIN 100
+
 static int
 on_head_complete(http_parser *parser)
 {
@@ -289,6 +291,8 @@
 	terminate_text(reader);
 	reader->head_complete = true;
 	message->status = (uint16_t)parser->status_code;
+	if (parser->type == HTTP_RESPONSE && parser->status_code < STATUS_MIN)
+		return -1; /* http_parser takes fewer than three digits */
 	message->method =
 	    parser->type == HTTP_REQUEST
 		? http_method_str((enum http_method)parser->method)
--- a/tests/unit/test_gateway.c
+++ b/tests/unit/test_gateway.c
@@ -90,6 +90,16 @@
 	{"HTTP/1.1 200 OK\r\n" ATTEMPT_ID RESPONSE_SEAL "\r\nwho", RIG_RESET,
 	    NULL, false},
 	200, 2, 502, 1},
+    {"a status of two digits",
+	{"HTTP/1.1 20 OK\r\n" ATTEMPT_ID RESPONSE_SEAL
+	 "Content-Length: 5\r\n\r\nwhole",
+	    RIG_KEEP, NULL, false},
+	200, 2, 502, 1},
+    {"a status of 0",
+	{"HTTP/1.1 000 OK\r\n" ATTEMPT_ID RESPONSE_SEAL
+	 "Content-Length: 5\r\n\r\nwhole",
+	    RIG_KEEP, NULL, false},
+	200, 2, 502, 1},
     {"no HTTP", {"HELLO\r\n\r\n", RIG_CLOSE, NULL, false}, 200, 2, 502, 1},
     {"encoded",
 	{"HTTP/1.1 200 OK\r\n" ATTEMPT_ID RESPONSE_SEAL
