--- a/lib/h1/conn.c
+++ b/lib/h1/conn.c
@@ -78,6 +78,7 @@
 h1_conn_linger(struct h1_conn *conn)
 {
 	conn->state = CONN_LINGERING;
+	conn->server->resume_reading(conn);
 	conn->timeout_start_us = cs_now_us();
 	h1_conn_release_body(conn);
 	h1_bytes_free(&conn->reader.message.body);
--- a/lib/h1/h1_internal.h
+++ b/lib/h1/h1_internal.h
@@ -27,6 +27,7 @@
 	size_t unsent_bytes;	  /* at the last check, while lingering */
 	uint64_t reserved_bytes;  /* for the body of the request */
 	bool continue_sent;
+	bool paused; /* not read, see server.c */
 	bool closing;
 	/* State of a streamed response. */
 	bool streaming;
@@ -41,6 +42,8 @@
 	struct h1_server_params params;
 	/* Called when a response is complete and the connection is kept. */
 	void (*start_next_request)(struct h1_conn *conn);
+	/* Called before a connection lingers: its input is discarded. */
+	void (*resume_reading)(struct h1_conn *conn);
 	struct h1_conn *conns;
 	uint32_t connection_count;
 	uint32_t active_requests;
--- a/lib/h1/server.c
+++ b/lib/h1/server.c
@@ -17,6 +17,29 @@
 
 static void process_input(
     struct h1_conn *conn, const char *data, size_t length);
+static void on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer);
+static void on_read(
+    uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer);
+
+/*
+ * A client that sends so many requests ahead is not read until they are
+ * processed; meanwhile its disconnect is not noticed.
+ */
+static void
+pause_reading(struct h1_conn *conn)
+{
+	conn->paused = true;
+	uv_read_stop((uv_stream_t *)&conn->tcp);
+}
+
+static void
+resume_reading(struct h1_conn *conn)
+{
+	if (!conn->paused || conn->closing)
+		return;
+	conn->paused = false;
+	uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
+}
 
 /* Resets the request's state and processes input that is buffered. */
 static void
@@ -34,6 +57,8 @@
 	if (buffered.length > 0)
 		process_input(conn, buffered.data, buffered.length);
 	h1_bytes_free(&buffered);
+	if (conn->pipelined.length <= PIPELINED_BYTES_MAX)
+		resume_reading(conn);
 }
 
 static void
@@ -176,11 +201,11 @@
 			process_input(conn, buffer->base, (size_t)length);
 		return;
 	case CONN_RESPONDING:
-		if (conn->pipelined.length + (size_t)length >
-			PIPELINED_BYTES_MAX ||
-		    h1_bytes_add(
+		if (h1_bytes_add(
 			&conn->pipelined, buffer->base, (size_t)length) != 0)
 			h1_conn_close(conn);
+		else if (conn->pipelined.length > PIPELINED_BYTES_MAX)
+			pause_reading(conn);
 		return;
 	case CONN_LINGERING:
 		return; /* discarded: unread input would cause a reset */
@@ -232,6 +257,7 @@
 		return CS_E_SYSTEM;
 	server->params = *params;
 	server->start_next_request = start_next_request;
+	server->resume_reading = resume_reading;
 	if (uv_tcp_init(params->loop, &server->tcp) != 0) {
 		free(server);
 		return CS_E_SYSTEM;
--- a/tests/unit/test_gateway.c
+++ b/tests/unit/test_gateway.c
@@ -464,6 +464,34 @@
 	rig_free(rig);
 }
 
+/* More bytes of requests arrive than the listener buffers: it stops reading. */
+static void
+test_many_pipelined_requests_are_all_answered(void **state)
+{
+	enum { REQUESTS = 60, PADDING = 3500 };
+	const struct rig_script script = {
+	    COMPLETE_RESPONSE, RIG_KEEP, NULL, false};
+	struct rig *rig = make_rig(&script, 1, 3);
+	struct h1_bytes bytes = {.data = NULL};
+	const char *at;
+	uint32_t i, count = 0;
+
+	(void)state;
+	for (i = 0; i < REQUESTS; i++)
+		h1_bytes_print(&bytes,
+		    "GET /safe/x HTTP/1.1\r\nHost: h\r\n"
+		    "Chervilshelf-Attempt-Id: p-%u\r\nX-Padding: %0*d\r\n\r\n",
+		    i, PADDING, 0);
+	at = rig_ask_all(rig, bytes.data, bytes.length, REQUESTS);
+	while ((at = strstr(at, "HTTP/1.1 200 OK")) != NULL) {
+		at++;
+		count++;
+	}
+	assert_int_equal(count, REQUESTS);
+	h1_bytes_free(&bytes);
+	rig_free(rig);
+}
+
 /* Bytes on an idle connection are dropped and the connection closed. */
 static void
 test_bytes_on_an_idle_connection_close_it(void **state)
@@ -1100,6 +1128,7 @@
 	    cmocka_unit_test(test_waiting_call_at_a_vm_that_stops_is_answered),
 	    cmocka_unit_test(
 		test_call_at_a_target_is_answered_when_the_vm_ends),
+	    cmocka_unit_test(test_many_pipelined_requests_are_all_answered),
 	    cmocka_unit_test(test_bytes_on_an_idle_connection_close_it),
 	    cmocka_unit_test(
 		test_connection_is_not_reused_after_an_early_response),
