--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -9,6 +9,7 @@
 """
 import argparse
 import asyncio
+import json
 import os
 import random
 import shutil
@@ -21,6 +22,12 @@
 
 BINARY = os.path.join(os.environ.get("BUILD_DIR", "build"), "chervilshelf")
 RECOVERY_MAX_S = 15  # the users' bound for recovery after the last fault
+# What targets say of themselves: from so long after it on, and in this window.
+NOTICE_S, WINDOW_S = 3.5, 4.0
+LIMIT_PER_S = 5.0
+LIMIT_ALLOWED = 1.5 * LIMIT_PER_S * WINDOW_S + 5
+# A request may crash three targets, and reach targets in three retries later.
+CRASHES_MAX = 6
 
 
 class Soak:
@@ -32,6 +39,7 @@
         self.events = []
         self.seen_versions = {}  # by (vm, boot): newest version in use
         self.recovery_calls = 0
+        self.judged = 0  # notices of targets, checked against some VM
 
     def log_event(self, description):
         self.events.append("%.2f %s" % (time.time() - self.began, description))
@@ -129,6 +137,69 @@
         await target.start()
         self.log_event("%s is back" % target.id)
 
+    async def put_odd_entry(self):
+        """Another writer's entry, one that no parser should accept whole."""
+        odd = self.random.choice([
+            {"slots": 10 ** 25}, {"x": "\ud800"}, {"x": "a\0b"},
+            {"address": "10.0.0.1:70000"}, {"x": json.loads("[" * 900 + "]" * 900)}])
+        name = "odd-%d" % self.random.randrange(3)
+        self.log_event("odd entry " + name)
+        self.cluster.store.put("servers", name, odd)
+
+    def requests_after_notice(self, target):
+        """Times of requests from VMs that were not disturbed since then."""
+        calm = {vm.host for vm in self.cluster.vms
+                if vm.disturbed_until < target.noticed_at}
+        times = [at for at, host in target.arrivals
+                 if host in calm and at > target.noticed_at + NOTICE_S]
+        self.judged += len(calm) > 0
+        return times
+
+    async def say_leaving(self):
+        target = self.random.choice(self.cluster.targets)
+        if target.server is None or target.notices or target.drain_acked_at:
+            return
+        self.log_event("%s says that it leaves" % target.id)
+        target.notices = {"Server-Leaving": "1"}
+        await asyncio.sleep(self.random.uniform(4, 7))
+        late = self.requests_after_notice(target) if target.noticed_at else []
+        if late:
+            self.cluster.violations.append(
+                "%s: %d requests after it said that it leaves" % (
+                    target.id, len(late)))
+        await target.stop()
+        await asyncio.sleep(0.5)
+        await target.start()
+
+    async def name_limit(self):
+        target = self.random.choice(self.cluster.targets)
+        if target.server is None or target.notices or target.drain_acked_at:
+            return
+        self.log_event("%s names a limit" % target.id)
+        target.notices = {"Server-Limit": "%.1f" % LIMIT_PER_S}
+        await asyncio.sleep(self.random.uniform(5, 9))
+        times = self.requests_after_notice(target) if target.noticed_at else []
+        worst = max((sum(start <= at < start + WINDOW_S for at in times)
+                     for start in times), default=0)
+        if worst > LIMIT_ALLOWED:
+            self.cluster.violations.append(
+                "%s: %d requests in a window, allowed %.0f" % (
+                    target.id, worst, LIMIT_ALLOWED))
+        if target.notices and "Server-Limit" in target.notices:
+            target.notices, target.noticed_at, target.arrivals = {}, None, []
+
+    async def send_crashing_request(self):
+        """Its caller sends it again and again, to any VM."""
+        self.log_event("a request that crashes targets")
+        for _ in range(3):
+            vm = self.random.choice(self.cluster.vms)
+            await self.cluster.call(vm.host, "/write/crash", "once")
+            await asyncio.sleep(self.random.uniform(0.5, 2))
+            for target in self.cluster.targets:
+                if target.server is None and any(
+                        name == target.id for _, name in self.cluster.crashes):
+                    await target.start()
+
     async def change_config(self):
         version = self.cluster.version + 1
         routes = [r for r in self.cluster.routes
@@ -180,7 +251,8 @@
     async def inject_faults(self):
         fault_kinds = [self.disturb_store, self.discard_store_history, self.disturb_store_connection,
                  self.disturb_target_connection, self.pause_vm, self.restart_vm, self.reload_settings,
-                 self.crash_target,
+                 self.crash_target, self.put_odd_entry, self.say_leaving,
+                 self.name_limit, self.send_crashing_request,
                  self.replace_target, self.change_config, self.change_config]
         tasks = []
         end = time.time() + self.seconds
@@ -217,6 +289,9 @@
                 self.recovered, RECOVERY_MAX_S, "every VM serves every route again")
             self.stop.set()
             await asyncio.gather(*background_tasks)
+            if len(self.cluster.crashes) > CRASHES_MAX:
+                self.cluster.violations.append(
+                    "one request crashed %d targets" % len(self.cluster.crashes))
         except AssertionError as violation:
             self.cluster.violations.append(str(violation))
         finally:
@@ -227,8 +302,10 @@
 
 def report(soak, violations):
     statuses = list(soak.cluster.statuses.values())
-    print("seed %d: %d calls, %d served, %d faults" % (
-        soak.seed, len(statuses), statuses.count(200), len(violations)),
+    print("seed %d: %d calls, %d served, %d notices judged, %d crashes, "
+          "%d faults" % (soak.seed, len(statuses), statuses.count(200),
+                         soak.judged, len(soak.cluster.crashes),
+                         len(violations)),
         flush=True)
     if not violations:
         return
--- a/tests/standins/cluster.py
+++ b/tests/standins/cluster.py
@@ -144,11 +144,19 @@
         self.running = 0
         self.drain_acked_at = None  # time when the store acked its draining
         self.server = None
+        self.started = False
+        self.notices = {}  # headers of its responses, by name
+        self.noticed_at = None  # time of the first response with them
+        self.arrivals = []  # requests since then: time, host of the VM
         self.proxy = Proxy(self.host, 8081, (self.host, 8080))
 
     async def start(self):
+        if self.started:  # by another fault that overlaps
+            return
+        self.started = True
         self.started_at_ms = int(time.time() * 1000)
         self.drain_acked_at = None
+        self.notices, self.noticed_at, self.arrivals = {}, None, []
         self.server = await asyncio.start_server(self.serve, self.host, 8080)
         await self.proxy.start()
         self.register("ready")
@@ -170,6 +178,7 @@
             self.proxy.server.close()
             self.server.close()
             self.server = None
+            self.started = False
         for writer in list(self.cluster.connections.get(self.id, ())):
             writer.transport.abort()
 
@@ -179,6 +188,10 @@
 
     async def run(self, first, headers, body):
         attempt = headers.get(ATTEMPT_ID_HEADER, "")
+        if "/crash" in first:
+            self.cluster.crashes.append((time.time(), self.id))
+            await self.stop()
+            raise ConnectionError("crashed")
         if headers.get("chervilshelf-expected-instance") != self.id:
             return format_message("HTTP/1.1 421 X", {ATTEMPT_ID_HEADER: attempt})
         if self.running >= self.slots * 2:
@@ -190,9 +203,11 @@
             await asyncio.sleep(self.work_s)
         finally:
             self.running -= 1
+        if self.notices and self.noticed_at is None:
+            self.noticed_at = time.time()
         return format_message("HTTP/1.1 200 OK", {
             ATTEMPT_ID_HEADER: attempt, "Chervilshelf-Response-Seal": "seal-" + attempt,
-            **self.load_headers()}, answer_body(attempt))
+            **self.load_headers(), **self.notices}, answer_body(attempt))
 
     async def serve(self, reader, writer):
         connections = self.cluster.connections.setdefault(self.id, set())
@@ -338,6 +353,8 @@
         self.store = Store()
         self.connections = {}
         self.run_counts = {}  # by attempt: number of runs
+        self.hosts = {}  # by attempt: the VM that it was sent to
+        self.crashes = []  # of targets, by a request: time and target
         self.statuses = {}  # by attempt: status at the caller
         self.violations = []
         self.version = 0
@@ -374,6 +391,8 @@
         self.run_counts[attempt] = self.run_counts.get(attempt, 0) + 1
         if attempt.startswith("once") and self.run_counts[attempt] > 1:
             self.violations.append("%s ran twice" % attempt)
+        if target.noticed_at is not None:
+            target.arrivals.append((time.time(), self.hosts.get(attempt)))
         elapsed_s = target.drain_acked_at is not None and time.time() - target.drain_acked_at
         if elapsed_s and elapsed_s > 2.5 and time.time() > self.store.disturbed_until and \
                 not any(time.time() < vm.disturbed_until for vm in self.vms):
@@ -393,6 +412,7 @@
         """Sends one attempt to one VM; returns the status, or 0 without one."""
         attempt = attempt or "%s-%d" % (kind, len(self.statuses))
         self.statuses[attempt] = 0
+        self.hosts[attempt] = host
         method, body = ("GET", b"") if kind == "safe" else ("POST", b"work")
         try:
             reader, writer = await asyncio.wait_for(
