--- a/lib/balance/limit.c
+++ b/lib/balance/limit.c
@@ -19,8 +19,10 @@
  * late and two owners at the same time.
  */
 #define GIVEN_SHARE 0.9
-/* Permits that may be given at once after a lull: one, and this part of a
- * limit, up to BURST_MAX. */
+/*
+ * Permits that may be given at once after a lull: one, and this part of the
+ * limit, up to BURST_MAX.
+ */
 #define BURST_SHARE 0.25
 #define BURST_MAX 3.0
 /*
--- a/lib/gateway/crash.c
+++ b/lib/gateway/crash.c
@@ -7,7 +7,7 @@
  */
 #include "gateway_internal.h"
 
-/* Targets register at least so long after their start. */
+/* The new process of a target registers within this time after a crash. */
 #define REGISTRATION_DELAY_MAX_US 10000000
 
 static void
