balance: ties between targets are broken by their process, not by address

The hash of id and start of the target is used instead. test_limits: 24 of 24 runs pass; test_balance, test_load, test_random_balance, test_restart, test_gateway pass.

--- a/lib/balance/place.c
+++ b/lib/balance/place.c
@@ -230,8 +230,8 @@
 		return gap > 0;
 	if (a->fresh != b->fresh)
 		return a->fresh;
-	return cs_hash_pair(tie_breaker, (uint64_t)(uintptr_t)a->target) <
-	       cs_hash_pair(tie_breaker, (uint64_t)(uintptr_t)b->target);
+	return cs_hash_pair(tie_breaker, a->target->process) <
+	       cs_hash_pair(tie_breaker, b->target->process);
 }
 
 static void
--- a/lib/balance/pool.c
+++ b/lib/balance/pool.c
@@ -96,6 +96,20 @@
 	}
 }
 
+uint64_t
+bl_target_process(const struct bl_target *target)
+{
+	return target->process;
+}
+
+void
+bl_target_set_process(struct bl_target *target, uint64_t start_ms)
+{
+	target->process_start_ms = start_ms;
+	target->process =
+	    cs_hash_seeded(target->id, strlen(target->id), start_ms);
+}
+
 struct bl_target *
 bl_target_create(const char *id)
 {
@@ -107,6 +121,7 @@
 	cs_copy_text(target->id, sizeof(target->id), id);
 	target->slowness = 1.0;
 	target->slots = 1;
+	bl_target_set_process(target, 0);
 	return target;
 }
 
@@ -119,20 +134,6 @@
 	}
 }
 
-uint64_t
-bl_target_process(const struct bl_target *target)
-{
-	return target->process;
-}
-
-void
-bl_target_set_process(struct bl_target *target, uint64_t start_ms)
-{
-	target->process_start_ms = start_ms;
-	target->process =
-	    cs_hash_seeded(target->id, strlen(target->id), start_ms);
-}
-
 void
 bl_target_restarted(struct bl_target *target)
 {
