balance: an owner that knows of the end of a limit tells the askers (LIMIT)

After the end of a limit a VM could go on sending nothing to the target: it had heard the limit less than a second before the owner had learned of the end, took the owner's word for out of order, and got no permits, as the owner knew of no limit. It asked again and again until the owner itself sent requests there. The owner's answer now ends the limit at once, unless the asker knows better: the owner has waited for that second already.

--- a/lib/balance/limit.c
+++ b/lib/balance/limit.c
@@ -243,8 +243,16 @@
     struct bl_target *target, const struct bl_permit *permit, int64_t now_us)
 {
 	struct bl_limit *limit = &target->limit;
-	bool changed = bl_limit_heard(target, &permit->limit);
+	bool changed;
 
+	/* The owner has waited for RISE_DELAY_US before it believed the end. */
+	if (limit->in_force && !permit->limit.has_limit &&
+	    permit->limit.heard_us >= limit->heard_us) {
+		bl_limit_reset(target);
+		limit->heard_us = permit->limit.heard_us;
+		return true;
+	}
+	changed = bl_limit_heard(target, &permit->limit);
 	limit->asked_us = 0;
 	limit->ask_again_us = now_us + permit->ask_again_us;
 	limit->permits = permit->count;
--- a/tests/unit/test_limits.c
+++ b/tests/unit/test_limits.c
@@ -837,6 +837,37 @@
 	assert_true(count >= 0.9 * 60 * 5);
 }
 
+/*
+ * The owner has learned of the end less than a second after the asker heard the
+ * limit for the last time. Its answer ends the limit there as well: the asker
+ * has no other way to learn of it.
+ */
+static void
+test_owner_that_knows_the_end_tells_the_asker(void **state)
+{
+	struct bl_target *owner = bl_target_create("t");
+	struct bl_target *asker = bl_target_create("t");
+	struct bl_limit_report limit = {
+	    .has_limit = true, .per_s = 2, .heard_us = START};
+	struct bl_limit_report none = {
+	    .has_limit = false, .heard_us = START + 1100 * MS};
+	struct bl_permit permit;
+	struct bl_ask ask;
+
+	(void)state;
+	bl_limit_heard(owner, &limit);
+	assert_true(bl_limit_heard(owner, &none));
+	limit.heard_us = START + 500 * MS;
+	bl_limit_heard(asker, &limit);
+
+	bl_limit_ask(asker, SECOND, START + 1200 * MS, &ask);
+	bl_limit_grant(owner, &ask, START + 1200 * MS, &permit);
+	bl_limit_granted(asker, &permit, START + 1200 * MS);
+	assert_true(bl_limit_may_send(asker, START + 1200 * MS));
+	bl_target_unref(owner);
+	bl_target_unref(asker);
+}
+
 int
 main(void)
 {
@@ -844,6 +875,7 @@
 	    cmocka_unit_test(test_limits_hold_for_all_vms_together),
 	    cmocka_unit_test(test_limits_are_used),
 	    cmocka_unit_test(test_end_of_a_limit_is_learned),
+	    cmocka_unit_test(test_owner_that_knows_the_end_tells_the_asker),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
