--- a/lib/balance/balance.h
+++ b/lib/balance/balance.h
@@ -12,6 +12,7 @@
  * bl_next_step(): relays the response, retries or fails (outcome.c)
  * bl_take_retry(): the retry budget (budget.c)
  * bl_is_poison(): requests that crash targets (poison.c)
+ * bl_plan_stop(): the moments of a planned stop (stop.c)
  */
 #ifndef BL_BALANCE_H
 #define BL_BALANCE_H
@@ -469,6 +470,25 @@
 bool bl_is_poison(
     const struct bl_poison *poison, uint64_t fingerprint, int64_t now_us);
 
+/*
+ * The moments of a planned stop, from its signal on, in this order. TTL: of
+ * directory responses, also before a stop.
+ */
+struct bl_stop_plan {
+	int64_t directory_ttl_ms;
+	/* No cached directory response names the VM any more. */
+	int64_t close_idle_us;
+	/* Open calls are answered, whatever their targets do. */
+	int64_t end_calls_us;
+	int64_t exit_us; /* the process ends by itself */
+};
+
+/*
+ * bl_plan_stop(grace_us, out): grace_us is the time from the signal until the
+ * platform kills the process.
+ */
+void bl_plan_stop(int64_t grace_us, struct bl_stop_plan *out);
+
 /*
  * bl_pick_backend(route, count): returns the index of the backend that serves
  * the count-th request. The shares follow the weights closely over any run of
--- a/programs/gateway.c
+++ b/programs/gateway.c
@@ -24,22 +24,12 @@
 #define RESPONSE_MEMORY_DIVISOR 8
 /* All request bodies may take a quarter of the memory, and all responses. */
 #define BODIES_MEMORY_DIVISOR 4
-/*
- * Time after which no cached directory response names a stopping VM: some
- * callers cache a response for three times its TTL.
- */
-#define DIRECTORY_EXPIRY_US 4300000
-/* The VM exits this long before the platform kills it. */
-#define STOP_BEFORE_KILL_US 300000
+#define STOP_TICK_MS 25
 /*
  * Calls that wait for longer at a VM that stops are refused, so that their
  * callers have time to turn to another VM.
  */
 #define WAIT_MAX_AT_STOP_US 1000000
-/* Open calls are answered this long before the platform kills the VM. */
-#define END_CALLS_BEFORE_KILL_US 600000
-/* Idle connections are closed this long before the platform kills the VM. */
-#define CLOSE_IDLE_BEFORE_KILL_US 1100000
 
 static int64_t
 boot_time_us(void)
@@ -319,17 +309,16 @@
 on_stop_tick(uv_timer_t *timer)
 {
 	struct ga_app *app = timer->data;
-	int64_t grace_us = app->settings.grace_ms * 1000;
+	const struct bl_stop_plan *plan = &app->stop_plan;
 	int64_t elapsed_us = cs_now_us() - app->stop_started_us;
 
 	gw_end_waiting(app->gw, cs_now_us() - WAIT_MAX_AT_STOP_US);
-	if (elapsed_us > grace_us - END_CALLS_BEFORE_KILL_US)
+	if (elapsed_us > plan->end_calls_us)
 		gw_end_calls(app->gw);
-	if (elapsed_us > grace_us - CLOSE_IDLE_BEFORE_KILL_US ||
-	    elapsed_us > DIRECTORY_EXPIRY_US)
+	if (elapsed_us > plan->close_idle_us)
 		gw_close_idle(app->gw);
-	if (elapsed_us > grace_us - STOP_BEFORE_KILL_US ||
-	    (elapsed_us > DIRECTORY_EXPIRY_US && gw_is_drained(app->gw)))
+	if (elapsed_us > plan->exit_us ||
+	    (elapsed_us > plan->close_idle_us && gw_is_drained(app->gw)))
 		stop_loop(app);
 }
 
@@ -337,17 +326,17 @@
 on_terminate(uv_signal_t *signal, int number)
 {
 	struct ga_app *app = signal->data;
-	int64_t grace_us = app->settings.grace_ms * 1000;
 
 	if (app->stop_started_us != 0)
 		return;
 	cs_log(CS_LOG_GATEWAY_STOPPING, "signal=%d connections=%u", number,
 	    gw_caller_connections(app->gw));
 	app->stop_started_us = cs_now_us();
+	bl_plan_stop(app->settings.grace_ms * 1000, &app->stop_plan);
 	ga_publish_state(app);
 	fl_leave(app->fleet);
-	gw_stop(app->gw, app->stop_started_us + grace_us - STOP_BEFORE_KILL_US);
-	uv_timer_start(&app->stop, on_stop_tick, TICK_MS / 2, TICK_MS / 2);
+	gw_stop(app->gw, app->stop_started_us + app->stop_plan.exit_us);
+	uv_timer_start(&app->stop, on_stop_tick, STOP_TICK_MS, STOP_TICK_MS);
 }
 
 static void
--- a/programs/gateway.h
+++ b/programs/gateway.h
@@ -38,6 +38,7 @@
 	int64_t store_lost_us;
 	int64_t ignore_removals_until_us; /* removals of targets are ignored */
 	int64_t stop_started_us;
+	struct bl_stop_plan stop_plan; /* fixed when the stop starts */
 	uint32_t region_count;
 
 	/* Reports of crashes that are sent again, the latest ones. */
--- a/programs/gateway_serve.c
+++ b/programs/gateway_serve.c
@@ -7,12 +7,7 @@
 #include "gateway.h"
 
 #define DIRECTORY_ADDRESSES_MAX 64 /* addresses in one response */
-/*
- * TTL of a directory response. Some callers cache it for three times as long;
- * that time must end before a stopping VM has to exit.
- */
-#define DIRECTORY_TTL_MS 1400
-#define METRICS_PORT 9464 /* also in deploy/system.toml */
+#define METRICS_PORT 9464	   /* also in deploy/system.toml */
 #define REPORT_PATH "/report"
 #define CONNECTIONS_MAX 512
 #define REQUEST_BYTES_MAX 8192
@@ -25,20 +20,21 @@
 	struct sockaddr_in addresses[DIRECTORY_ADDRESSES_MAX];
 	struct fl_directory_query query;
 	uint32_t count;
-	int64_t directory_ttl_ms = DIRECTORY_TTL_MS;
+	struct bl_stop_plan plan;
 	char *text;
 
 	pl_read_directory_query(request, &query);
 	count = fl_membership_list_addresses(fl_get_membership(app->fleet),
 	    cs_now_us(), &query, addresses, DIRECTORY_ADDRESSES_MAX);
-	if (directory_ttl_ms > app->settings.directory_ttl_max_ms)
-		directory_ttl_ms = app->settings.directory_ttl_max_ms;
+	bl_plan_stop(app->settings.grace_ms * 1000, &plan);
+	if (plan.directory_ttl_ms > app->settings.directory_ttl_max_ms)
+		plan.directory_ttl_ms = app->settings.directory_ttl_max_ms;
 	if (count == 0) {
 		h1_conn_send_text(
 		    conn, 503, "text/plain", "no entry VM is ready\n");
 		return;
 	}
-	text = pl_write_directory(addresses, count, directory_ttl_ms);
+	text = pl_write_directory(addresses, count, plan.directory_ttl_ms);
 	if (text == NULL)
 		h1_conn_send_text(conn, 503, "text/plain", "out of memory\n");
 	else
