store: a check finds a watch whose connection fell silent (CONFIG)

The check of the store asks for what the pending watch should have reported, each kind in turn, in place of reading this VM's own object. What it finds is applied, and if the next check shows the same, the watch is dead: the kind is listed again.

--- a/lib/store/client.c
+++ b/lib/store/client.c
@@ -15,6 +15,7 @@
 /* A slow store responds in about 270 ms. */
 #define HEALTH_CHECK_TIMEOUT_MS 400
 #define ANNOUNCE_TIMEOUT_MS 2000 /* retried with backoff */
+#define STATUS_HISTORY_EXPIRED 410
 
 static void
 start_follows(struct os_client *client)
@@ -25,6 +26,18 @@
 		os_follow_start(&client->follows[i]);
 }
 
+/* Compares a pending watch with the response to a check. */
+static void
+check_watch(struct os_client *client, int status, const struct os_text *body)
+{
+	struct os_follow *follow = client->checked;
+
+	client->checked = NULL;
+	if (status == 200 && follow != NULL && os_follow_is_waiting(follow) &&
+	    follow->watch_number == client->checked_watch)
+		os_follow_check(follow, body);
+}
+
 static void
 on_health_check_done(
     struct os_call *call, int status, const struct os_text *body)
@@ -32,10 +45,11 @@
 	struct os_client *client = call->client;
 	uint32_t i;
 
-	(void)body;
 	if (!client->following)
 		return;
-	if (status == 200 || status == 404) {
+	if (status == 200 || status == 404 ||
+	    status == STATUS_HISTORY_EXPIRED) {
+		check_watch(client, status, body);
 		start_follows(client);
 		os_set_reachable(client, true, "checked");
 		return;
@@ -50,17 +64,36 @@
 	    status == OS_NO_RESPONSE ? "check_unanswered" : "check_refused");
 }
 
+/*
+ * A check asks for what a pending watch should have reported, each kind in
+ * turn. Without a watch it reads this VM's own object.
+ */
+static int
+write_check_path(struct os_client *client, char path[OS_PATH_BYTES_MAX])
+{
+	const struct os_params *params = &client->params;
+	struct os_follow *follow =
+	    &client->follows[client->next_checked++ % params->kind_count];
+
+	client->checked = NULL;
+	if (!os_follow_is_waiting(follow))
+		return params->codec->check_path(
+		    path, params->own_kind, params->own_name);
+	client->checked = follow;
+	client->checked_watch = follow->watch_number;
+	return params->codec->changes_path(
+	    path, params->kinds[follow->kind], follow->revision);
+}
+
 static void
 on_health_check_due(uv_timer_t *timer)
 {
 	struct os_client *client = timer->data;
-	const struct os_params *params = &client->params;
 	char path[OS_PATH_BYTES_MAX];
 
 	if (os_call_pending(&client->health_check))
 		return;
-	if (params->codec->check_path(
-		path, params->own_kind, params->own_name) == CS_OK)
+	if (write_check_path(client, path) == CS_OK)
 		os_call_send(&client->health_check, "GET", path, NULL,
 		    HEALTH_CHECK_TIMEOUT_MS);
 }
--- a/lib/store/follow.c
+++ b/lib/store/follow.c
@@ -46,6 +46,7 @@
 
 	follow->listing = false;
 	follow->watching = true;
+	follow->watch_number++;
 	if (params->codec->watch_path(path, params->kinds[follow->kind],
 		follow->revision, WATCH_WAIT_MS) == CS_OK)
 		os_call_send(&follow->call, "GET", path, NULL,
@@ -191,6 +192,38 @@
 	os_set_reachable(client, true, "watched");
 }
 
+bool
+os_follow_is_waiting(const struct os_follow *follow)
+{
+	return follow->watching && os_call_pending(&follow->call);
+}
+
+void
+os_follow_check(struct os_follow *follow, const struct os_text *body)
+{
+	struct os_client *client = follow->call.client;
+	struct os_batch missed;
+	bool is_dead = follow->behind_watch == follow->watch_number;
+
+	if (client->params.codec->parse_events(body, &missed) != CS_OK)
+		return; /* the check shows only that the store responds */
+	if (missed.count > 0 && missed.revision > follow->revision) {
+		cs_log(CS_LOG_STORE_WATCH_BEHIND,
+		    "kind=%s known_revision=%llu revision=%llu changes=%u "
+		    "dead=%d",
+		    client->params.kinds[follow->kind],
+		    (unsigned long long)follow->revision,
+		    (unsigned long long)missed.revision, missed.count, is_dead);
+		follow->behind_watch = follow->watch_number;
+		if (is_dead)
+			os_client_relist(client, follow->kind);
+		else
+			client->params.events->on_changes(
+			    client->params.user, follow->kind, &missed);
+	}
+	os_batch_free(&missed);
+}
+
 static void
 on_response(struct os_call *call, int status, const struct os_text *body)
 {
--- a/lib/store/store.h
+++ b/lib/store/store.h
@@ -53,6 +53,9 @@
 	/* For the health check: a cheap read that may return stale data. */
 	int (*check_path)(
 	    char out[OS_PATH_BYTES_MAX], const char *kind, const char *name);
+	/* The same for the changes after a revision, without waiting. */
+	int (*changes_path)(
+	    char out[OS_PATH_BYTES_MAX], const char *kind, uint64_t revision);
 	int (*kind_path)(char out[OS_PATH_BYTES_MAX], const char *kind);
 	/*
 	 * Both return CS_E_INVALID for a malformed body. An object that cannot
--- a/lib/store/store_internal.h
+++ b/lib/store/store_internal.h
@@ -20,6 +20,9 @@
 	uint32_t kind;
 	bool listing;
 	bool watching;
+	uint64_t watch_number; /* of the last watch that was requested */
+	uint64_t
+	    behind_watch; /* the watch that a check found behind; 0: none */
 	uint32_t failures;
 	uint64_t revision;	/* latest known; 0: list first */
 	uint64_t list_revision; /* of the first page */
@@ -32,6 +35,11 @@
 	struct os_follow follows[OS_KINDS_MAX];
 	struct os_call health_check;
 	uv_timer_t health_check_timer;
+	/* The watch that the pending check covers, or NULL; see
+	 * os_follow_check(). */
+	struct os_follow *checked;
+	uint64_t checked_watch; /* its number */
+	uint32_t next_checked;	/* kind */
 	struct os_call announce;
 	uv_timer_t announce_timer;
 	char *announced_value;
@@ -64,6 +72,16 @@
 /* follow.c */
 void os_follow_start(struct os_follow *follow);
 void os_follow_stop(struct os_follow *follow);
+/* os_follow_is_waiting(follow): a watch is pending. */
+bool os_follow_is_waiting(const struct os_follow *follow);
+/*
+ * os_follow_check(follow, body): body tells what has changed after the revision
+ * of the pending watch. If there is anything, the response to the watch may be
+ * in transit: the changes are reported. If the next check shows the same, the
+ * watch is dead, since a connection can fall silent while others work; the kind
+ * is listed again.
+ */
+void os_follow_check(struct os_follow *follow, const struct os_text *body);
 void os_follow_init(
     struct os_follow *follow, struct os_client *client, uint32_t kind);
 void os_follow_close(struct os_follow *follow);
--- a/tests/standins/cluster.py
+++ b/tests/standins/cluster.py
@@ -233,6 +233,14 @@
     return (attempt * 40).encode()
 
 
+class Pair:
+    """The two connections of one proxied client."""
+
+    def __init__(self):
+        self.silent = False  # for good: nothing passes, nothing is closed
+        self.watching = False  # its last request was a watch
+
+
 class Proxy:
     """Proxies the store or a target: passes, delays, holds back or resets."""
 
@@ -240,6 +248,16 @@
         self.host, self.port, self.upstream = host, port, upstream
         self.mode = "pass"  # pass, delay, silent, one_way
         self.writers = set()
+        self.pairs = set()
+
+    def silence(self, only_watches=False):
+        """Open connections fall silent for good; new ones work. Returns how
+        many did."""
+        chosen = [pair for pair in self.pairs if not pair.silent and
+                  (pair.watching or not only_watches)]
+        for pair in chosen:
+            pair.silent = True
+        return len(chosen)
 
     async def start(self):
         self.server = await asyncio.start_server(
@@ -249,15 +267,17 @@
         for writer in list(self.writers):
             writer.transport.abort()
 
-    async def pump(self, reader, writer, to_client):
+    async def pump(self, reader, writer, pair, to_client):
         try:
             while True:
                 data = await reader.read(65536)
                 if not data:
                     break
+                if not to_client:
+                    pair.watching = b"watch=" in data
                 if self.mode == "delay":
                     await asyncio.sleep(0.05)
-                while self.mode == "silent" or \
+                while pair.silent or self.mode == "silent" or \
                         (self.mode == "one_way" and to_client):
                     await asyncio.sleep(0.05)
                 writer.write(data)
@@ -274,11 +294,13 @@
         except (ConnectionError, asyncio.CancelledError):
             writer.close()
             return
-        pair = {writer, up_writer}
-        self.writers |= pair
-        await asyncio.gather(self.pump(reader, up_writer, False),
-                             self.pump(up_reader, writer, True))
-        self.writers -= pair
+        pair, writers = Pair(), {writer, up_writer}
+        self.writers |= writers
+        self.pairs.add(pair)
+        await asyncio.gather(self.pump(reader, up_writer, pair, False),
+                             self.pump(up_reader, writer, pair, True))
+        self.writers -= writers
+        self.pairs.discard(pair)
 
 
 class Gateway:
--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -44,6 +44,8 @@
 	uv_timer_t tick;
 	const struct response *responses;
 	uint32_t response_count;
+	const char *check_body; /* response to each check */
+	uint32_t checks;
 	uint32_t calls;
 	char paths[CALLS_MAX][OS_PATH_BYTES_MAX];
 	struct h1_conn *waiting;
@@ -57,7 +59,9 @@
 	const struct response *response;
 
 	if (strstr(h1_target(request), "allow_stale") != NULL) {
-		h1_conn_send_text(conn, 200, "application/json", "{}");
+		fixture->checks++;
+		h1_conn_send_text(
+		    conn, 200, "application/json", fixture->check_body);
 		return;
 	}
 	if (fixture->calls < CALLS_MAX)
@@ -177,8 +181,9 @@
 	    .seed = 1,
 	};
 
-	*fixture =
-	    (struct fixture){.responses = responses, .response_count = count};
+	*fixture = (struct fixture){.responses = responses,
+	    .response_count = count,
+	    .check_body = "{}"};
 	uv_loop_init(&fixture->loop);
 	uv_timer_init(&fixture->loop, &fixture->tick);
 	uv_timer_start(&fixture->tick, on_tick, 5, 5);
@@ -258,6 +263,68 @@
 	}
 }
 
+/*
+ * The connection of a watch falls silent for good while others work: checks
+ * show what it should have reported. Guards against a configuration that is in
+ * force only when the watch times out (CONFIG).
+ */
+struct check_case {
+	const char *name;
+	const char *check_body;
+	uint32_t checks; /* until then */
+	const char *reported;
+	uint32_t calls;
+	const char *last_path;
+};
+
+static const struct check_case check_cases[] = {
+    {"changes are reported at once, the watch may still respond",
+	EVENTS(CHANGED("a", "10"), "12"), 2, "all@9; new@12 +a; ", 2,
+	"/objects/servers?watch=9&wait_ms=25000"},
+    {"seen twice: the watch is dead, lists again",
+	EVENTS(CHANGED("a", "10"), "12"), 3, "all@9; new@12 +a; all@12 +a; ", 4,
+	"/objects/servers?watch=12&wait_ms=25000"},
+    {"no changes", EVENTS("", "12"), 4, "all@9; ", 2,
+	"/objects/servers?watch=9&wait_ms=25000"},
+    {"stale", EVENTS(CHANGED("a", "7"), "8"), 4, "all@9; ", 2,
+	"/objects/servers?watch=9&wait_ms=25000"},
+    {"not a list of changes", "{}", 4, "all@9; ", 2,
+	"/objects/servers?watch=9&wait_ms=25000"},
+};
+
+static void
+test_checks_find_a_watch_that_is_silent(void **state)
+{
+	static const struct response responses[] = {{200, LIST("", "9")},
+	    {-1, NULL}, {200, LIST(ITEM("a", "10"), "12")}, {-1, NULL}};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(check_cases) / sizeof(check_cases[0]); i++) {
+		const struct check_case *row = &check_cases[i];
+		static struct fixture fixture;
+		uint32_t iterations = 0;
+
+		set_up(&fixture, responses, 4);
+		fixture.check_body = row->check_body;
+		os_client_follow(fixture.client, true);
+		while (fixture.checks < row->checks ||
+		       fixture.calls < row->calls) {
+			if (++iterations > LOOP_ITERATIONS_MAX)
+				fail_msg("%s: hung after %u calls", row->name,
+				    fixture.calls);
+			uv_run(&fixture.loop, UV_RUN_ONCE);
+		}
+		if (strcmp(fixture.reported, row->reported) != 0 ||
+		    fixture.calls != row->calls ||
+		    strcmp(fixture.paths[row->calls - 1], row->last_path) != 0)
+			fail_msg("%s: reported \"%s\", then requested \"%s\"",
+			    row->name, fixture.reported,
+			    fixture.paths[fixture.calls - 1]);
+		os_client_close(fixture.client);
+	}
+}
+
 /* Calls on objects: the responses, the reported result and the paths. */
 struct object_case {
 	const char *name;
@@ -617,6 +684,7 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_follows_store_with_list_and_watch),
+	    cmocka_unit_test(test_checks_find_a_watch_that_is_silent),
 	    cmocka_unit_test(test_object_calls_report_their_result),
 	    cmocka_unit_test(test_unanswered_write_ends_with_unknown_result),
 	    cmocka_unit_test(test_overlong_object_name_is_rejected_unsent),
