fleet: a silent VM keeps its share of the fleet's budgets (BUDGET)

Cause: the slack is shared among the VMs that are heard now. One that hears no other takes a larger share, while those that it does not hear, cut off or frozen for a moment, spend theirs as well. The shares of connections to targets and of liveness checks go by the same number, and are right with it too. A VM that was heard within ten minutes counts, heard now or not: nothing tells one that is gone from one that is cut off. Who may be called still goes by who is heard.

--- a/lib/balance/balance.h
+++ b/lib/balance/balance.h
@@ -391,6 +391,15 @@
 
 void bl_count_request(struct bl_pool *pool,
     const struct bl_budget_params *params, int64_t now_us);
+/* What is left of the budget in the current window. */
+struct bl_budget_view {
+	double requests, retries;
+	double allowed; /* retries */
+};
+
+void bl_view_budget(const struct bl_pool *pool,
+    const struct bl_budget_params *params, int64_t now_us,
+    struct bl_budget_view *out);
 /*
  * bl_take_retry(pool, params, now): returns true and counts one retry if the
  * budget allows it.
--- a/lib/balance/budget.c
+++ b/lib/balance/budget.c
@@ -39,28 +39,38 @@
 	bucket_at(&pool->budget, interval_of(params, now_us))->requests++;
 }
 
-bool
-bl_take_retry(
-    struct bl_pool *pool, const struct bl_budget_params *params, int64_t now_us)
+void
+bl_view_budget(const struct bl_pool *pool,
+    const struct bl_budget_params *params, int64_t now_us,
+    struct bl_budget_view *out)
 {
 	int64_t interval = interval_of(params, now_us);
-	double requests = 0, retries = 0, allowed;
 	uint32_t i,
 	    node_count = params->node_count > 0 ? params->node_count : 1;
 
+	*out = (struct bl_budget_view){.requests = 0};
 	for (i = 0; i < BL_BUDGET_BUCKETS; i++) {
 		const struct bl_budget_bucket *bucket =
 		    &pool->budget.buckets[i];
 
 		if (bucket->interval <= interval - BL_BUDGET_BUCKETS)
 			continue;
-		requests += bucket->requests;
-		retries += bucket->retries;
+		out->requests += bucket->requests;
+		out->retries += bucket->retries;
 	}
-	allowed = SAFETY_SHARE * (params->ratio * requests +
-				     params->slack / (double)node_count);
-	if (retries + 1 > allowed)
+	out->allowed = SAFETY_SHARE * (params->ratio * out->requests +
+					  params->slack / (double)node_count);
+}
+
+bool
+bl_take_retry(
+    struct bl_pool *pool, const struct bl_budget_params *params, int64_t now_us)
+{
+	struct bl_budget_view view;
+
+	bl_view_budget(pool, params, now_us, &view);
+	if (view.retries + 1 > view.allowed)
 		return false;
-	bucket_at(&pool->budget, interval)->retries++;
+	bucket_at(&pool->budget, interval_of(params, now_us))->retries++;
 	return true;
 }
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -124,6 +124,13 @@
 uint32_t fl_membership_count_alive(
     const struct fl_membership *membership, int64_t now_us);
 
+/*
+ * fl_membership_count_sharing(membership, now_us): returns the number of nodes
+ * of the region that may spend a share of what the VMs have in common, this one
+ * included. A node that fell silent may only be cut off and counts for 10 min.
+ */
+uint32_t fl_membership_count_sharing(
+    const struct fl_membership *membership, int64_t now_us);
 /*
  * fl_membership_count_ready(membership, now_us): returns the number of other
  * live nodes of the region that accept requests.
--- a/lib/fleet/membership.c
+++ b/lib/fleet/membership.c
@@ -16,6 +16,8 @@
 #define CURRENT_SILENCE_TIMEOUT_US 1300000
 /* Far longer than the interval of ticks: this process was paused. */
 #define LATE_TICK_US 1000000
+/* How long a silent node counts among those that share budgets. */
+#define SHARING_RETENTION_US INT64_C(600000000)
 /* How long a silent node may still be listed by one that hears no other. */
 #define SILENT_RETENTION_US 30000000
 /*
@@ -343,6 +345,21 @@
 	return count;
 }
 
+uint32_t
+fl_membership_count_sharing(
+    const struct fl_membership *membership, int64_t now_us)
+{
+	uint32_t i, count = 1;
+
+	for (i = 0; i < membership->count; i++) {
+		const struct fl_node *node = &membership->nodes[i];
+
+		count += node->same_region && node->heard_us != 0 &&
+			 now_us - node->heard_us < SHARING_RETENTION_US;
+	}
+	return count;
+}
+
 uint32_t
 fl_membership_count_ready(
     const struct fl_membership *membership, int64_t now_us)
--- a/lib/gateway/attempt.c
+++ b/lib/gateway/attempt.c
@@ -91,6 +91,25 @@
 	       cs_now_us() < call->deadline_us - GW_TIMEOUT_MARGIN_US;
 }
 
+static bool
+take_retry(struct gw_call *call)
+{
+	const struct bl_budget_params *params = &call->gw->params.budget;
+	struct bl_pool *pool = call->pool->balance;
+	int64_t now_us = cs_now_us();
+	struct bl_budget_view view;
+	bool granted;
+
+	bl_view_budget(pool, params, now_us, &view);
+	granted = bl_take_retry(pool, params, now_us);
+	cs_log(CS_LOG_RETRY_DECIDED,
+	    "request=%s granted=%d requests=%.0f retries=%.0f allowed=%.1f "
+	    "nodes=%u",
+	    call->id, granted, view.requests, view.retries, view.allowed,
+	    params->node_count);
+	return granted;
+}
+
 static enum bl_step
 next_step(struct gw_call *call, enum bl_outcome outcome)
 {
@@ -100,8 +119,7 @@
 	if (step != BL_RETRY || !bl_was_delivered(outcome))
 		return step;
 	if (bl_is_poison(&call->gw->poison, call->fingerprint, cs_now_us()) ||
-	    !bl_take_retry(
-		call->pool->balance, &call->gw->params.budget, cs_now_us()))
+	    !take_retry(call))
 		return bl_step_without_retry(outcome);
 	call->gw->counters.retries++;
 	return step;
--- a/programs/gateway_updates.c
+++ b/programs/gateway_updates.c
@@ -246,7 +246,7 @@
 }
 
 /*
- * Regions share the fleet's budget evenly, and so do the VMs of a region: the
+ * Regions share the fleet's budgets evenly, and so do the VMs of a region: the
  * node count of this region times the number of regions.
  */
 void
@@ -254,10 +254,12 @@
 {
 	const struct fl_membership *membership = fl_get_membership(app->fleet);
 	int64_t now_us = cs_now_us();
-	uint32_t node_count = fl_membership_count_alive(membership, now_us);
 
-	gw_set_node_count(app->gw, node_count * app->region_count);
-	gw_set_region(app->gw, node_count - 1,
+	gw_set_node_count(
+	    app->gw, fl_membership_count_sharing(membership, now_us) *
+			 app->region_count);
+	gw_set_region(app->gw,
+	    fl_membership_count_alive(membership, now_us) - 1,
 	    fl_membership_count_ready(membership, now_us));
 }
 
