balance: a restarted VM does not spend the slack of retries again (BUDGET)

Cause: the budget's record ends with the process, so each new one spends a share of the slack that the former one has spent in the same window. A process may spend its share one window after its start. Until then it has what its own requests earn, which no other process can have spent.

--- a/lib/balance/balance.h
+++ b/lib/balance/balance.h
@@ -387,6 +387,11 @@
 	double slack; /* further retries of the whole fleet */
 	int64_t window_us;
 	uint32_t node_count; /* entry VMs that share the slack */
+	/*
+	 * From then on this process may spend its share of the slack. Before,
+	 * a former process of the VM may have spent it.
+	 */
+	int64_t slack_from_us;
 };
 
 void bl_count_request(struct bl_pool *pool,
--- a/lib/balance/budget.c
+++ b/lib/balance/budget.c
@@ -48,6 +48,10 @@
 	uint32_t i,
 	    node_count = params->node_count > 0 ? params->node_count : 1;
 
+	double slack = now_us < params->slack_from_us
+			   ? 0
+			   : params->slack / (double)node_count;
+
 	*out = (struct bl_budget_view){.requests = 0};
 	for (i = 0; i < BL_BUDGET_BUCKETS; i++) {
 		const struct bl_budget_bucket *bucket =
@@ -58,8 +62,7 @@
 		out->requests += bucket->requests;
 		out->retries += bucket->retries;
 	}
-	out->allowed = SAFETY_SHARE * (params->ratio * out->requests +
-					  params->slack / (double)node_count);
+	out->allowed = SAFETY_SHARE * (params->ratio * out->requests + slack);
 }
 
 bool
--- a/programs/gateway.c
+++ b/programs/gateway.c
@@ -133,11 +133,14 @@
 static struct bl_budget_params
 budget_params(const struct pl_settings *settings, uint32_t node_count)
 {
+	int64_t window_us = settings->retry_window_ms * 1000;
+
 	return (struct bl_budget_params){
 	    .ratio = settings->retry_ratio,
 	    .slack = settings->retry_slack,
-	    .window_us = settings->retry_window_ms * 1000,
+	    .window_us = window_us,
 	    .node_count = node_count,
+	    .slack_from_us = cs_now_us() + window_us,
 	};
 }
 
--- a/tests/unit/test_retry_budget.c
+++ b/tests/unit/test_retry_budget.c
@@ -1,8 +1,9 @@
 /*
  * The retry budget of all VMs together, on virtual time, while VMs do not hear
- * each other. Every request fails at its targets and would be repeated. Guards
- * against more retries than the fleet may send (BUDGET): each VM took a larger
- * share of the slack the fewer others it heard.
+ * each other or forget what they have spent. Every request fails at its targets
+ * and would be repeated. Guards against more retries than the fleet may send
+ * (BUDGET): each VM took a larger share of the slack the fewer others it heard,
+ * and each restart brought a new one.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -30,9 +31,10 @@
 
 enum event {
 	NONE,
-	HALVES, /* from 20 to 50 s the halves do not hear each other */
-	ALONE,	/* no VM hears another */
-	FROZEN, /* all but two stop for 3 s, again and again */
+	HALVES,	  /* from 20 to 50 s the halves do not hear each other */
+	ALONE,	  /* no VM hears another */
+	FROZEN,	  /* all but two stop for 3 s, again and again */
+	RESTARTS, /* all restart each 1.5 s */
 };
 
 struct row {
@@ -77,6 +79,7 @@
 	    .ratio = RATIO,
 	    .slack = SLACK,
 	    .window_us = WINDOW_STEPS * STEP_US,
+	    .slack_from_us = now_us + WINDOW_STEPS * STEP_US,
 	};
 }
 
@@ -149,6 +152,17 @@
 	}
 }
 
+static void
+restart_all(struct fleet_run *run, int64_t now_us)
+{
+	uint32_t i;
+
+	for (i = 0; i < run->row->vms; i++) {
+		end_vm(&run->vms[i]);
+		start_vm(&run->vms[i], i, now_us);
+	}
+}
+
 static double
 sum_window(const uint32_t *counts, int end)
 {
@@ -195,6 +209,9 @@
     {"each alone", ALONE, 114, 200},
     {"most are frozen", FROZEN, 16, 60},
     {"most are frozen", FROZEN, 114, 60},
+    {"all restart", RESTARTS, 2, 20},
+    {"all restart", RESTARTS, 16, 20},
+    {"all restart", RESTARTS, 114, 200},
 };
 
 static void
@@ -216,6 +233,9 @@
 		for (vm = 0; vm < rows[i].vms; vm++)
 			start_vm(&run.vms[vm], vm, now_us);
 		for (step = 0; step < STEPS; step++) {
+			if (rows[i].event == RESTARTS && is_disturbed(step) &&
+			    step % (STEPS_PER_S * 3 / 2) == 0)
+				restart_all(&run, now_us);
 			if (step % 8 == 0)
 				exchange_heartbeats(&run, step, now_us);
 			handle_requests(&run, step, now_us);
