store: a silent watch of one object ends within seconds (CONFIG)

Callers of the entry interface would have been served by an older configuration for 22 s: the same cause as a watch of the gateway whose connection fell silent. Here nothing else asks the store, so the watch's own timeout is what shows it; it was 20 s and 2 s for the response, where 8 s is the users' bound on a change in force. It waits for 2 s now. Only one entry VM watches, so this costs one request in 2 s.

--- a/lib/store/store.h
+++ b/lib/store/store.h
@@ -151,7 +151,11 @@
 
 #define OS_MUST_NOT_EXIST 0
 #define OS_ANY_REVISION UINT64_MAX
-#define OS_WAIT_FOR_CHANGE_MS 20000 /* timeout of os_wait_for_change() */
+/*
+ * Timeout of os_wait_for_change(). Only it shows that the connection of a watch
+ * has fallen silent, so it bounds how late a change is learned.
+ */
+#define OS_WAIT_FOR_CHANGE_MS 2000
 
 /* os_objects_create(loop, address, codec): NULL when memory runs out. */
 struct os_objects *os_objects_create(uv_loop_t *loop,
--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -487,6 +487,36 @@
 	os_client_close(fixture.client);
 }
 
+/*
+ * The connection of a watch falls silent for good: nothing but its timeout
+ * shows it, and a change must be in force within the users' bound. Guards
+ * against a configuration that `entry` learned 22 s late (CONFIG).
+ */
+#define IN_FORCE_MS_MAX 8000
+
+static void
+test_silent_watch_of_an_object_ends_within_the_bound(void **state)
+{
+	static const struct response no_response = {-1, NULL};
+	static struct fixture fixture;
+	struct sockaddr_in address;
+	struct os_objects *objects;
+	uint64_t start_ms;
+
+	(void)state;
+	set_up(&fixture, &no_response, 1);
+	uv_ip4_addr("127.0.0.1", h1_server_port(fixture.server), &address);
+	objects = os_objects_create(&fixture.loop, &address, &pl_codec);
+	uv_update_time(&fixture.loop);
+	start_ms = uv_now(&fixture.loop);
+	os_wait_for_change(objects, "k", "x", 4, on_object, &fixture);
+	run_until_reported(&fixture);
+	assert_string_equal(fixture.reported, "-6@0 ");
+	assert_true(uv_now(&fixture.loop) - start_ms < IN_FORCE_MS_MAX);
+	os_objects_close(objects);
+	os_client_close(fixture.client);
+}
+
 /* An overlong name is not truncated to another object's name: nothing is sent.
  */
 static void
@@ -687,6 +717,8 @@
 	    cmocka_unit_test(test_checks_find_a_watch_that_is_silent),
 	    cmocka_unit_test(test_object_calls_report_their_result),
 	    cmocka_unit_test(test_unanswered_write_ends_with_unknown_result),
+	    cmocka_unit_test(
+		test_silent_watch_of_an_object_ends_within_the_bound),
 	    cmocka_unit_test(test_overlong_object_name_is_rejected_unsent),
 	    cmocka_unit_test(test_cache_applies_only_newer_revisions),
 	    cmocka_unit_test(test_cache_keeps_recreated_object),
