gateway: logs and metrics tell which version routed a call, and since when it is known

The record of the users' runs shows calls that an older version allows, but not by which version a VM routed them, from whom it had heard of the newer one, or when it last knew that it had all changes. Line 2401 has the version, 2101 the source, the metric objects_confirmed_age_seconds the time since the store or the leader last confirmed that nothing is missing.

--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -294,6 +294,12 @@
 	fl_send_datagram(fleet, &frame, asker);
 }
 
+int64_t
+fl_confirmed_us(const struct fleet *fleet)
+{
+	return fleet->confirmed_us;
+}
+
 bool
 fl_is_discovery_due(struct fleet *fleet)
 {
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -364,6 +364,11 @@
     struct fleet *fleet, const struct fl_node *owner, const struct fl_ask *ask);
 void fl_send_permit(struct fleet *fleet, const struct sockaddr_in *asker,
     const struct fl_permit *permit);
+/*
+ * fl_confirmed_us(fleet): when the leader last told that this VM has all of its
+ * revisions; 0: never.
+ */
+int64_t fl_confirmed_us(const struct fleet *fleet);
 /* fl_is_discovery_due(fleet): see fl_membership_is_discovery_due(). */
 bool fl_is_discovery_due(struct fleet *fleet);
 void fl_set_ready(struct fleet *fleet, bool ready);
--- a/lib/fleet/fleet_internal.h
+++ b/lib/fleet/fleet_internal.h
@@ -30,6 +30,7 @@
 	uint64_t heartbeat_rounds;
 
 	struct fl_counters counters;
+	int64_t confirmed_us;  /* see fl_confirmed_us() */
 	uint32_t ticks_behind; /* in a row, in which the leader knew more */
 	struct fl_snapshot snapshots[OS_KINDS_MAX];
 };
--- a/lib/fleet/replication.c
+++ b/lib/fleet/replication.c
@@ -90,6 +90,8 @@
 {
 	if (leader == NULL || fleet->leader_link == NULL ||
 	    leader->revision_sum <= fl_revision_sum(fleet)) {
+		if (leader != NULL && fleet->leader_link != NULL)
+			fleet->confirmed_us = leader->heard_us;
 		fleet->ticks_behind = 0;
 		return;
 	}
--- a/lib/gateway/attempt.c
+++ b/lib/gateway/attempt.c
@@ -27,12 +27,13 @@
 
 	cs_log(CS_LOG_CALL_SENT,
 	    "request=%s attempt=%u target=%s data_centre=%s why=%s "
-	    "fingerprint=%llx expected_us=%lld "
+	    "fingerprint=%llx version=%llu expected_us=%lld "
 	    "load=%u/%u/%u slow_pct=%u load_age_us=%lld in_flight=%u "
 	    "failing=%.2f",
 	    call->id, call->attempts, target->id,
 	    call->gw->params.topology->data_centres[target->data_centre].name,
 	    placement->reason, (unsigned long long)call->fingerprint,
+	    (unsigned long long)call->table->version,
 	    (long long)placement->expected_us, target->load.running,
 	    target->load.waiting, target->slots, target->load.slowness_pct,
 	    target->load_at_us == 0 ? -1LL
--- a/lib/store/client.c
+++ b/lib/store/client.c
@@ -264,6 +264,19 @@
 	return client->follows[kind].revision;
 }
 
+int64_t
+os_client_confirmed_us(const struct os_client *client)
+{
+	int64_t oldest_us = INT64_MAX;
+	uint32_t i;
+
+	for (i = 0; i < client->params.kind_count; i++) {
+		if (client->follows[i].confirmed_us < oldest_us)
+			oldest_us = client->follows[i].confirmed_us;
+	}
+	return oldest_us;
+}
+
 uint64_t
 os_client_calls(const struct os_client *client)
 {
--- a/lib/store/follow.c
+++ b/lib/store/follow.c
@@ -157,6 +157,7 @@
 	follow->revision = follow->list_revision;
 	follow->list.revision = follow->list_revision;
 	follow->failures = 0;
+	follow->confirmed_us = cs_now_us();
 	/* Before the callback, so that the VM counts as current in it. */
 	if (!client->list_once)
 		request_watch(follow);
@@ -180,6 +181,7 @@
 	if (batch.revision > follow->revision)
 		follow->revision = batch.revision;
 	follow->failures = 0;
+	follow->confirmed_us = cs_now_us();
 	if (batch.count > 0)
 		client->params.events->on_changes(
 		    client->params.user, follow->kind, &batch);
@@ -220,6 +222,8 @@
 		else
 			client->params.events->on_changes(
 			    client->params.user, follow->kind, &missed);
+	} else {
+		follow->confirmed_us = cs_now_us();
 	}
 	os_batch_free(&missed);
 }
--- a/lib/store/store.h
+++ b/lib/store/store.h
@@ -125,6 +125,11 @@
  */
 void os_client_announce(struct os_client *client, const char *value_json,
     void (*done)(void *user, const struct os_batch *batch));
+/*
+ * os_client_confirmed_us(client): when the store last confirmed that this VM
+ * has all changes of every kind; 0: never.
+ */
+int64_t os_client_confirmed_us(const struct os_client *client);
 uint64_t os_client_calls(const struct os_client *client);
 void os_client_close(struct os_client *client);
 
--- a/lib/store/store_internal.h
+++ b/lib/store/store_internal.h
@@ -26,6 +26,7 @@
 	uint32_t failures;
 	uint64_t revision;	/* latest known; 0: list first */
 	uint64_t list_revision; /* of the first page */
+	int64_t confirmed_us;	/* when all changes were known; 0: never */
 	struct os_batch list;	/* of the pages so far */
 };
 
--- a/programs/gateway.h
+++ b/programs/gateway.h
@@ -52,16 +52,17 @@
 
 	bool registered; /* in the store, since it was current */
 	bool targets_loaded;
+	const char *update_source; /* of the update being applied, for logs */
 	enum fl_role role;
 };
 
 /* gateway_updates.c */
 /*
- * ga_apply_update(app, kind, batch, snapshot): applies an update from the store
- * or from another VM and passes it on.
+ * ga_apply_update(app, kind, batch, snapshot, source): applies an update from
+ * the store or from another VM, as source says, and passes it on.
  */
 void ga_apply_update(struct ga_app *app, uint32_t kind,
-    const struct os_batch *batch, bool snapshot);
+    const struct os_batch *batch, bool snapshot, const char *source);
 /*
  * ga_update_budget_share(app): recomputes this VM's share of the fleet's
  * retries and probes.
--- a/programs/gateway_serve.c
+++ b/programs/gateway_serve.c
@@ -155,6 +155,18 @@
 	print_counter(out, "invalid_fields", counters->invalid_fields);
 }
 
+/* How long ago this VM was last known to have all changes; -1: never. */
+static double
+confirmed_age_s(const struct ga_app *app)
+{
+	int64_t confirmed_us = app->role == FL_ROLE_WATCH_STORE
+				   ? os_client_confirmed_us(app->store)
+				   : fl_confirmed_us(app->fleet);
+
+	return confirmed_us == 0 ? -1
+				 : (double)(cs_now_us() - confirmed_us) / 1e6;
+}
+
 static void
 print_state(struct h1_bytes *out, const struct ga_app *app)
 {
@@ -164,11 +176,13 @@
 	    "chervilshelf_ready %d\nchervilshelf_follows_store %d\n"
 	    "chervilshelf_table_version %llu\n"
 	    "chervilshelf_targets_revision %llu\n"
+	    "chervilshelf_objects_confirmed_age_seconds %.3f\n"
 	    "chervilshelf_members %u\nchervilshelf_store_calls_total %llu\n"
 	    "chervilshelf_caller_connections %u\n",
 	    ga_is_ready(app), app->role == FL_ROLE_WATCH_STORE,
 	    table == NULL ? 0ULL : (unsigned long long)table->version,
 	    (unsigned long long)os_cache_revision(app->cache, GA_TARGETS),
+	    confirmed_age_s(app),
 	    fl_membership_count_alive(
 		fl_get_membership(app->fleet), cs_now_us()),
 	    (unsigned long long)os_client_calls(app->store),
--- a/programs/gateway_updates.c
+++ b/programs/gateway_updates.c
@@ -38,10 +38,10 @@
 	} else {
 		gw_set_table(app->gw, table);
 		cs_log(CS_LOG_TABLE_IN_FORCE,
-		    "version=%llu revision=%llu routes=%u pools=%u",
+		    "version=%llu revision=%llu routes=%u pools=%u from=%s",
 		    (unsigned long long)table->version,
 		    (unsigned long long)change->revision, table->route_count,
-		    table->pool_count);
+		    table->pool_count, app->update_source);
 	}
 	rt_table_unref(table);
 }
@@ -103,15 +103,17 @@
 
 void
 ga_apply_update(struct ga_app *app, uint32_t kind, const struct os_batch *batch,
-    bool snapshot)
+    bool snapshot, const char *source)
 {
 	struct fl_update update = {
 	    .kind = kind, .snapshot = snapshot, .batch = *batch};
 	struct os_batch changed;
-	int error =
-	    snapshot
-		? os_cache_apply_snapshot(app->cache, kind, batch, &changed)
-		: os_cache_apply_changes(app->cache, kind, batch, &changed);
+	int error;
+
+	app->update_source = source;
+	error = snapshot
+		    ? os_cache_apply_snapshot(app->cache, kind, batch, &changed)
+		    : os_cache_apply_changes(app->cache, kind, batch, &changed);
 
 	if (error != CS_OK)
 		return; /* older than the cached objects */
@@ -144,7 +146,7 @@
 	}
 	if (os_cache_without_removals(app->cache, kind, batch, &remaining) ==
 	    CS_OK)
-		ga_apply_update(app, kind, &remaining, false);
+		ga_apply_update(app, kind, &remaining, false, "store");
 	free(remaining.changes);
 }
 
@@ -165,7 +167,7 @@
 	if (kind == GA_TARGETS && ignores_removals(app) && app->targets_loaded)
 		apply_without_removals(app, kind, batch);
 	else
-		ga_apply_update(app, kind, batch, true);
+		ga_apply_update(app, kind, batch, true, "store");
 }
 
 static void
@@ -176,7 +178,7 @@
 	if (kind == GA_TARGETS && ignores_removals(app))
 		apply_without_removals(app, kind, batch);
 	else
-		ga_apply_update(app, kind, batch, false);
+		ga_apply_update(app, kind, batch, false, "store");
 }
 
 static void
@@ -242,7 +244,8 @@
 {
 	struct ga_app *app = user;
 
-	ga_apply_update(app, update->kind, &update->batch, update->snapshot);
+	ga_apply_update(
+	    app, update->kind, &update->batch, update->snapshot, "vm");
 }
 
 /*
--- a/tests/scenario/test_gateway_silent_channels.py
+++ b/tests/scenario/test_gateway_silent_channels.py
@@ -13,6 +13,7 @@
 BINARY = os.path.join(os.environ.get("BUILD_DIR", "build"), "chervilshelf")
 # Well above the bound of a few seconds and below the timeout of a watch.
 BOUND_S = 15
+METRICS_PORT = 9464
 
 
 async def serves(cluster, path):
@@ -22,6 +23,19 @@
     return True
 
 
+async def confirmed_age_s(vm):
+    _, body = await vm.cluster.get(vm.host, METRICS_PORT, "/metrics")
+    for line in body.decode().splitlines():
+        if line.startswith("chervilshelf_objects_confirmed_age_seconds "):
+            return float(line.split(" ")[1])
+    return -1
+
+
+async def all_confirmed(cluster):
+    ages = [await confirmed_age_s(vm) for vm in cluster.vms]
+    return all(0 <= age < BOUND_S for age in ages)
+
+
 async def main():
     cluster = standin.Cluster(BINARY, vm_count=3)
     routes = [("/read/", "safe", "a")]
@@ -41,6 +55,8 @@
                 lambda: serves(cluster, prefix + "x"), BOUND_S,
                 "route %s is served after %d connections fell silent" % (
                     prefix, silenced))
+            await cluster.wait_until(lambda: all_confirmed(cluster), BOUND_S,
+                                     "every VM knows that it has all changes")
     finally:
         await cluster.stop()
     assert not cluster.check_guarantees(), cluster.violations
