gateway: no late attempt for a call that outlasts the stop (LOST)

A caller whose request had not run was told 502, unknown, instead of 503. A further attempt for a call that may outlast the stop is sent only in its first half, three seconds at most; later its caller is told that it did not run.

--- a/lib/balance/balance.h
+++ b/lib/balance/balance.h
@@ -485,11 +485,13 @@
     const struct bl_poison *poison, uint64_t fingerprint, int64_t now_us);
 
 /*
- * The moments of a planned stop, from its signal on, in this order. TTL: of
- * directory responses, also before a stop.
+ * The moments of a planned stop, from its signal on; the last three come in
+ * this order. TTL: of directory responses, also before a stop.
  */
 struct bl_stop_plan {
 	int64_t directory_ttl_ms;
+	/* Attempts of calls that may last beyond end_calls_us are sent. */
+	int64_t long_attempts_until_us;
 	/* No cached directory response names the VM any more. */
 	int64_t close_idle_us;
 	/* Open calls are answered, whatever their targets do. */
--- a/lib/balance/stop.c
+++ b/lib/balance/stop.c
@@ -13,6 +13,12 @@
 #define END_CALLS_BEFORE_KILL_MAX_US 600000
 #define EXIT_DIVISOR 12
 #define EXIT_BEFORE_KILL_MAX_US 300000
+/*
+ * A target that gets a request this early has most of the grace time for it;
+ * the platform's contract names the longer of the two as well.
+ */
+#define LONG_ATTEMPTS_DIVISOR 2
+#define LONG_ATTEMPTS_MAX_US 3000000
 /* Requests that cross the close of an idle connection are still read. */
 #define CLOSE_IDLE_BEFORE_KILL_US 1100000
 /* Some callers cache a directory response for three times its TTL. */
@@ -51,6 +57,8 @@
 	out->close_idle_us =
 	    out->directory_ttl_ms * 1000 * DIRECTORY_CACHE_FACTOR +
 	    DIRECTORY_MARGIN_US;
+	out->long_attempts_until_us =
+	    smaller(grace_us / LONG_ATTEMPTS_DIVISOR, LONG_ATTEMPTS_MAX_US);
 	out->end_calls_us = grace_us - end_before_us;
 	out->exit_us = grace_us - exit_before_us;
 	if (out->close_idle_us > out->end_calls_us)
--- a/lib/gateway/attempt.c
+++ b/lib/gateway/attempt.c
@@ -88,7 +88,7 @@
 may_attempt_again(const struct gw_call *call)
 {
 	return call->delivered_attempts < call->route->attempts_max &&
-	       call->tried_count < BL_TRIED_MAX &&
+	       call->tried_count < BL_TRIED_MAX && gw_may_send(call) &&
 	       cs_now_us() < call->deadline_us - GW_TIMEOUT_MARGIN_US;
 }
 
--- a/lib/gateway/call.c
+++ b/lib/gateway/call.c
@@ -82,6 +82,10 @@
 		/* It may have become known while the call waited. */
 		if (refuse_suspect(call))
 			break;
+		if (!gw_may_send(call)) {
+			gw_refuse_stopping(call);
+			break;
+		}
 		if (gw_attempt_start(call, placement) != CS_OK)
 			attempt_ended(call, BL_UNREACHED, NULL);
 		break;
@@ -256,7 +260,17 @@
 bool
 gw_outlasts_stop(const struct gw_call *call)
 {
-	return call->deadline_us + GW_TIMEOUT_MARGIN_US > call->gw->stop_us;
+	return call->deadline_us + GW_TIMEOUT_MARGIN_US >
+	       call->gw->end_calls_us;
+}
+
+bool
+gw_may_send(const struct gw_call *call)
+{
+	const struct gw *gw = call->gw;
+
+	return !gw->stopping || !gw_outlasts_stop(call) ||
+	       cs_now_us() < gw->long_attempts_until_us;
 }
 
 /* Refuses a call that must not reach any target. Returns true if it did. */
--- a/lib/gateway/gateway.c
+++ b/lib/gateway/gateway.c
@@ -229,10 +229,13 @@
 }
 
 void
-gw_stop(struct gw *gw, int64_t until_us)
+gw_stop(struct gw *gw, const struct bl_stop_plan *plan)
 {
+	int64_t now_us = cs_now_us();
+
 	gw->stopping = true;
-	gw->stop_us = until_us;
+	gw->long_attempts_until_us = now_us + plan->long_attempts_until_us;
+	gw->end_calls_us = now_us + plan->end_calls_us;
 	h1_server_drain(gw->server);
 }
 
--- a/lib/gateway/gateway.h
+++ b/lib/gateway/gateway.h
@@ -187,11 +187,11 @@
 void gw_for_each_poison(const struct gw *gw,
     void (*visit)(void *arg, const struct bl_crash *crash), void *arg);
 /*
- * gw_stop(gw, until): from now on each response closes its connection, and
- * calls whose own deadline does not end them before until, when gw_end_calls()
- * is due, are refused. gw_is_drained() returns true when no connection is open.
+ * gw_stop(gw, plan): a stop starts now. Each response closes its connection,
+ * and calls whose own deadline does not end them before gw_end_calls() is due
+ * are refused. gw_is_drained() returns true when no connection is open.
  */
-void gw_stop(struct gw *gw, int64_t until_us);
+void gw_stop(struct gw *gw, const struct bl_stop_plan *plan);
 /*
  * gw_end_waiting(gw, received_before_us): refuses the calls received before
  * then that no target has yet; they did not run, and another VM may serve them.
--- a/lib/gateway/gateway_internal.h
+++ b/lib/gateway/gateway_internal.h
@@ -135,7 +135,9 @@
 	uint32_t held_count;
 	uint32_t live_nodes, ready_nodes; /* see gw_set_region() */
 	bool stopping;
-	int64_t stop_us;
+	/* See struct bl_stop_plan. */
+	int64_t long_attempts_until_us;
+	int64_t end_calls_us;
 };
 
 /*
@@ -186,6 +188,11 @@
  * calls.
  */
 bool gw_outlasts_stop(const struct gw_call *call);
+/*
+ * gw_may_send(call): false if this VM stops and would probably have to break
+ * off a further attempt.
+ */
+bool gw_may_send(const struct gw_call *call);
 /* gw_end_call(call): the same for a call that a target may have. */
 void gw_end_call(struct gw_call *call);
 
--- a/programs/gateway.c
+++ b/programs/gateway.c
@@ -338,7 +338,7 @@
 	bl_plan_stop(app->settings.grace_ms * 1000, &app->stop_plan);
 	ga_publish_state(app);
 	fl_leave(app->fleet);
-	gw_stop(app->gw, app->stop_started_us + app->stop_plan.end_calls_us);
+	gw_stop(app->gw, &app->stop_plan);
 	uv_timer_start(&app->stop, on_stop_tick, STOP_TICK_MS, STOP_TICK_MS);
 }
 
--- a/tests/unit/test_gateway.c
+++ b/tests/unit/test_gateway.c
@@ -414,6 +414,19 @@
 	}
 }
 
+#define LONG_US INT64_C(1000000000)
+
+static void
+stop_after(
+    struct rig *rig, int64_t long_attempts_until_us, int64_t end_calls_us)
+{
+	gw_stop(rig_gateway(rig),
+	    &(struct bl_stop_plan){
+		.long_attempts_until_us = long_attempts_until_us,
+		.end_calls_us = end_calls_us,
+	    });
+}
+
 /*
  * A call waits for room at a VM that is stopped, and could outlast it: its
  * caller is told in time that it did not run.
@@ -437,7 +450,7 @@
 	rig_hold(rig, NON_IDEMPOTENT_REQUEST, strlen(NON_IDEMPOTENT_REQUEST));
 	rig_begin(rig, SECOND_REQUEST, strlen(SECOND_REQUEST));
 	rig_await_waiting(rig, 1);
-	gw_stop(rig_gateway(rig), cs_now_us() + 1000000);
+	stop_after(rig, 1000000, 1000000);
 	gw_end_waiting(rig_gateway(rig), INT64_MAX);
 	response = rig_finish(rig);
 	assert_int_equal(status_of(response), 503);
@@ -476,9 +489,8 @@
 		    .attempts_max = 1,
 		});
 
-		gw_stop(
-		    rig_gateway(rig), cs_now_us() + 30000000 +
-					  late_cases[i].stop_after_deadline_us);
+		stop_after(rig, 30000000,
+		    30000000 + late_cases[i].stop_after_deadline_us);
 		assert_int_equal(status_of(rig_ask(rig, NON_IDEMPOTENT_REQUEST,
 				     strlen(NON_IDEMPOTENT_REQUEST))),
 		    late_cases[i].status);
@@ -487,6 +499,41 @@
 	}
 }
 
+/*
+ * Late in a stop, no further attempt is made for a call that could outlast it:
+ * its caller is told that it did not run, while there is time for another VM.
+ * Guards against attempts that would be broken off (LOST).
+ */
+static const struct {
+	int64_t long_attempts_until_us, end_calls_us;
+	uint32_t requests; /* at targets */
+} retry_cases[] = {{0, 1000000, 1}, {0, LONG_US, 2}, {LONG_US, 1000000, 2}};
+
+static void
+test_no_late_retry_of_a_call_that_outlasts_the_stop(void **state)
+{
+	const struct rig_script scripts[] = {
+	    {NULL, RIG_SILENT, NOT_RUN_RESPONSE, false},
+	    {COMPLETE_RESPONSE, RIG_KEEP, NULL, false}};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(retry_cases) / sizeof(retry_cases[0]); i++) {
+		struct rig *rig = make_rig(scripts, 2, 2);
+
+		rig_begin(rig, NON_IDEMPOTENT_REQUEST,
+		    strlen(NON_IDEMPOTENT_REQUEST));
+		rig_await_requests(rig, 1);
+		stop_after(rig, retry_cases[i].long_attempts_until_us,
+		    retry_cases[i].end_calls_us);
+		rig_send_late(rig);
+		assert_int_equal(status_of(rig_finish(rig)),
+		    retry_cases[i].requests == 2 ? 200 : 503);
+		assert_int_equal(rig_requests(rig), retry_cases[i].requests);
+		rig_free(rig);
+	}
+}
+
 /* A target has the call when the VM ends: no answer says that it did not run.
  */
 static void
@@ -498,7 +545,7 @@
 	(void)state;
 	rig_begin(rig, NON_IDEMPOTENT_REQUEST, strlen(NON_IDEMPOTENT_REQUEST));
 	rig_await_requests(rig, 1);
-	gw_stop(rig_gateway(rig), cs_now_us() + 1000000);
+	stop_after(rig, 1000000, 1000000);
 	gw_end_calls(rig_gateway(rig));
 	assert_int_equal(status_of(rig_finish(rig)), 502);
 	rig_free(rig);
@@ -648,7 +695,7 @@
 	const char *got;
 
 	(void)state;
-	gw_stop(rig_gateway(rig), INT64_MAX);
+	stop_after(rig, LONG_US, LONG_US);
 	got =
 	    rig_ask_all(rig, pipelined_requests, strlen(pipelined_requests), 3);
 	assert_int_equal(status_of(got), 200);
@@ -819,7 +866,7 @@
 	});
 
 	(void)state;
-	gw_stop(rig_gateway(rig), INT64_MAX);
+	stop_after(rig, LONG_US, LONG_US);
 	assert_int_equal(status_of(rig_ask(rig, NON_IDEMPOTENT_REQUEST,
 			     strlen(NON_IDEMPOTENT_REQUEST))),
 	    503);
@@ -1167,6 +1214,8 @@
 		test_notices_of_the_last_target_refuse_calls_at_once),
 	    cmocka_unit_test(test_waiting_call_at_a_vm_that_stops_is_answered),
 	    cmocka_unit_test(test_request_that_outlasts_the_stop_is_refused),
+	    cmocka_unit_test(
+		test_no_late_retry_of_a_call_that_outlasts_the_stop),
 	    cmocka_unit_test(
 		test_call_at_a_target_is_answered_when_the_vm_ends),
 	    cmocka_unit_test(test_many_pipelined_requests_are_all_answered),
--- a/tests/unit/test_stop.c
+++ b/tests/unit/test_stop.c
@@ -31,6 +31,8 @@
 		bl_plan_stop(graces_ms[i] * MS, &plan);
 		assert_true(plan.directory_ttl_ms > 0);
 		assert_true(plan.close_idle_us > 0);
+		assert_true(plan.long_attempts_until_us > 0);
+		assert_true(plan.long_attempts_until_us < plan.end_calls_us);
 		assert_true(plan.close_idle_us <= plan.end_calls_us);
 		assert_true(plan.end_calls_us < plan.exit_us);
 		assert_true(plan.exit_us < graces_ms[i] * MS);
