balance: permits are asked for so that the waiting call can use them (LIMIT)

What callers saw: with all targets of a service limited, 96 of the 171 requests that the limits allow in 19 s were sent with 473 VMs; the other calls were refused. Cause: the question named the last moment at which the call could be sent. The answer takes a round trip and calls wait in steps of 10 ms, so a permit for that moment came too late; in a large fleet the VM has no other call for it. test_limits asked for half of what the limits allow; it asks for .85 now (owners keep a tenth back, 1 % of the datagrams are lost): 96 of 171 failed. Ruled out: an owner whose permits are all given (it had granted as many as in the fleet of 16).

--- a/lib/balance/place.c
+++ b/lib/balance/place.c
@@ -67,6 +67,12 @@
 #define SAME_REGION_COST 0.1
 #define CROSS_REGION_COST 0.3
 
+/*
+ * A permit is asked for so that the call that waits for it still has this much
+ * time to spare: the answer takes a round trip, and calls wait in steps.
+ */
+#define PERMIT_MARGIN_US 50000
+
 #define RETRY_AFTER_MIN_US 50000
 #define RETRY_AFTER_MAX_US 2000000
 
@@ -496,7 +502,7 @@
 		if (selection->expected_permits > request->waiting_calls)
 			return;
 		out->ask_wait_max_us = request->deadline_us - request->now_us -
-				       wanted->expected_us;
+				       wanted->expected_us - PERMIT_MARGIN_US;
 	} else {
 		if (!is_trial_due(wanted, request) &&
 		    !is_better_on_equal_terms(
--- a/tests/unit/test_limits.c
+++ b/tests/unit/test_limits.c
@@ -874,7 +874,12 @@
 	}
 }
 
-/* Where nothing fails, at least half of what the limits allow is used. */
+/*
+ * Where nothing fails, the calls that wait use what the limits allow, but for
+ * the tenth that owners keep back and for lost datagrams.
+ */
+#define USED_SHARE_MIN 0.85
+
 static void
 test_limits_are_used(void **state)
 {
@@ -891,7 +896,9 @@
 		for (i = 0; i < world.arrival_count; i++)
 			count += world.arrivals[i].at_us >
 				 START + LIMIT_FROM + STABLE_WINDOW;
-		assert_true(count >= 0.5 * 3.0 * TARGETS * seconds);
+		if (count < USED_SHARE_MIN * 3.0 * TARGETS * seconds)
+			fail_msg("%u VMs: %u requests, allowed %.0f",
+			    sizes[size], count, 3.0 * TARGETS * seconds);
 	}
 }
 
