--- a/lib/gateway/call.c
+++ b/lib/gateway/call.c
@@ -257,22 +257,6 @@
 	gw_refuse_stopping(call);
 }
 
-bool
-gw_outlasts_stop(const struct gw_call *call)
-{
-	return call->deadline_us + GW_TIMEOUT_MARGIN_US >
-	       call->gw->end_calls_us;
-}
-
-bool
-gw_may_send(const struct gw_call *call)
-{
-	const struct gw *gw = call->gw;
-
-	return !gw->stopping || !gw_outlasts_stop(call) ||
-	       cs_now_us() < gw->long_attempts_until_us;
-}
-
 /* Refuses a call that must not reach any target. Returns true if it did. */
 static bool
 refuse_early(struct gw_call *call)
--- a/lib/gateway/gateway_internal.h
+++ b/lib/gateway/gateway_internal.h
@@ -183,16 +183,6 @@
 
 /* gw_refuse_stopping(call): answers that this VM stops; it did not run. */
 void gw_refuse_stopping(struct gw_call *call);
-/*
- * gw_outlasts_stop(call): the call may still be open when this VM ends all
- * calls.
- */
-bool gw_outlasts_stop(const struct gw_call *call);
-/*
- * gw_may_send(call): false if this VM stops and would probably have to break
- * off a further attempt.
- */
-bool gw_may_send(const struct gw_call *call);
 /* gw_end_call(call): the same for a call that a target may have. */
 void gw_end_call(struct gw_call *call);
 
@@ -261,6 +251,18 @@
 void gw_log_refusal(
     const struct gw_call *call, const struct bl_placement *placement);
 
+/* stop.c: calls at a VM that stops */
+/*
+ * gw_outlasts_stop(call): the call may still be open when this VM ends all
+ * calls.
+ */
+bool gw_outlasts_stop(const struct gw_call *call);
+/*
+ * gw_may_send(call): false if this VM stops and would probably have to break
+ * off a further attempt.
+ */
+bool gw_may_send(const struct gw_call *call);
+
 /* attempt.c: one attempt at a target */
 /*
  * gw_attempt_start(call, placement): returns CS_E_SYSTEM if the request could
