store: a silent watch is noticed where the history is lost as well (CONFIG)

The check of a watch takes 410 for a sign of life only. A watch that fell silent and whose history the store then dropped would have waited for 28 s all the same. A check that answers 410 while the watch waits counts as one that finds it behind: a living watch is told the same, a second time shows that it is dead. Failed before: test_store (the history is lost, seen twice): listed again after over five checks, when the watch timed out. After: passes, the other rows too.

--- a/lib/balance/stop.c
+++ b/lib/balance/stop.c
@@ -14,8 +14,8 @@
 #define EXIT_DIVISOR 12
 #define EXIT_BEFORE_KILL_MAX_US 300000
 /*
- * A target that gets a request this early has most of the grace time for it;
- * the platform's contract names the longer of the two as well.
+ * Only requests that were sent this early may be broken off at the end; a
+ * target then has had most of the grace time for them.
  */
 #define LONG_ATTEMPTS_DIVISOR 2
 #define LONG_ATTEMPTS_MAX_US 3000000
--- a/lib/store/client.c
+++ b/lib/store/client.c
@@ -15,7 +15,6 @@
 /* A slow store responds in about 270 ms. */
 #define HEALTH_CHECK_TIMEOUT_MS 400
 #define ANNOUNCE_TIMEOUT_MS 2000 /* retried with backoff */
-#define STATUS_HISTORY_EXPIRED 410
 
 static void
 start_follows(struct os_client *client)
@@ -33,9 +32,9 @@
 	struct os_follow *follow = client->checked;
 
 	client->checked = NULL;
-	if (status == 200 && follow != NULL && os_follow_is_waiting(follow) &&
+	if (follow != NULL && os_follow_is_waiting(follow) &&
 	    follow->watch_number == client->checked_watch)
-		os_follow_check(follow, body);
+		os_follow_check(follow, status, body);
 }
 
 static void
@@ -48,7 +47,7 @@
 	if (!client->following)
 		return;
 	if (status == 200 || status == 404 ||
-	    status == STATUS_HISTORY_EXPIRED) {
+	    status == OS_STATUS_HISTORY_EXPIRED) {
 		check_watch(client, status, body);
 		start_follows(client);
 		os_set_reachable(client, true, "checked");
--- a/lib/store/follow.c
+++ b/lib/store/follow.c
@@ -12,7 +12,6 @@
  * any limit on how late a change may arrive.
  */
 #define WATCH_BATCH_DELAY_MS 150
-#define STATUS_HISTORY_EXPIRED 410
 
 void
 os_batch_free(struct os_batch *batch)
@@ -200,31 +199,51 @@
 	return follow->watching && os_call_pending(&follow->call);
 }
 
+/* A check has found the pending watch behind. Returns true if again. */
+static bool
+is_dead(struct os_follow *follow, uint64_t revision, uint32_t changes)
+{
+	struct os_client *client = follow->call.client;
+	bool again = follow->behind_watch == follow->watch_number;
+
+	cs_log(CS_LOG_STORE_WATCH_BEHIND,
+	    "kind=%s known_revision=%llu revision=%llu changes=%u dead=%d",
+	    client->params.kinds[follow->kind],
+	    (unsigned long long)follow->revision, (unsigned long long)revision,
+	    changes, again);
+	follow->behind_watch = follow->watch_number;
+	return again;
+}
+
+/* What the watch should report is lost: it should have been told so. */
+static void
+check_expired(struct os_follow *follow)
+{
+	if (is_dead(follow, 0, 0))
+		os_client_relist(follow->call.client, follow->kind);
+}
+
 void
-os_follow_check(struct os_follow *follow, const struct os_text *body)
+os_follow_check(
+    struct os_follow *follow, int status, const struct os_text *body)
 {
 	struct os_client *client = follow->call.client;
 	struct os_batch missed;
-	bool is_dead = follow->behind_watch == follow->watch_number;
 
-	if (client->params.codec->parse_events(body, &missed) != CS_OK)
+	if (status == OS_STATUS_HISTORY_EXPIRED) {
+		check_expired(follow);
+		return;
+	}
+	if (status != 200 ||
+	    client->params.codec->parse_events(body, &missed) != CS_OK)
 		return; /* the check shows only that the store responds */
-	if (missed.count > 0 && missed.revision > follow->revision) {
-		cs_log(CS_LOG_STORE_WATCH_BEHIND,
-		    "kind=%s known_revision=%llu revision=%llu changes=%u "
-		    "dead=%d",
-		    client->params.kinds[follow->kind],
-		    (unsigned long long)follow->revision,
-		    (unsigned long long)missed.revision, missed.count, is_dead);
-		follow->behind_watch = follow->watch_number;
-		if (is_dead)
-			os_client_relist(client, follow->kind);
-		else
-			client->params.events->on_changes(
-			    client->params.user, follow->kind, &missed);
-	} else {
+	if (missed.count == 0 || missed.revision <= follow->revision)
 		follow->confirmed_us = cs_now_us();
-	}
+	else if (is_dead(follow, missed.revision, missed.count))
+		os_client_relist(client, follow->kind);
+	else
+		client->params.events->on_changes(
+		    client->params.user, follow->kind, &missed);
 	os_batch_free(&missed);
 }
 
@@ -241,7 +260,7 @@
 	    call->client->params.kinds[follow->kind],
 	    follow->listing ? "list" : "watch", status,
 	    (unsigned long long)follow->revision, body->length);
-	if (status == STATUS_HISTORY_EXPIRED) {
+	if (status == OS_STATUS_HISTORY_EXPIRED) {
 		follow->revision = 0;
 		os_follow_start(follow);
 	} else if (status != 200) {
--- a/lib/store/objects.c
+++ b/lib/store/objects.c
@@ -10,7 +10,6 @@
 
 #define CALL_TIMEOUT_MS 2000 /* a slow store responds in about 270 ms */
 #define RESPONSE_BYTES_MAX (4 * 1024 * 1024) /* lists reach about 1 MB */
-#define STATUS_HISTORY_EXPIRED 410
 
 struct os_objects {
 	struct h1_client *http;
@@ -249,7 +248,7 @@
 		handle_response(op,
 		    &(struct os_text){response->body, response->body_length});
 	} else if (op->type == OP_WATCH &&
-		   response->status == STATUS_HISTORY_EXPIRED) {
+		   response->status == OS_STATUS_HISTORY_EXPIRED) {
 		op->type = OP_READ;
 		send_op(op);
 	} else if (op->type == OP_REPLACE && error == CS_E_MISSING) {
--- a/lib/store/store_internal.h
+++ b/lib/store/store_internal.h
@@ -5,6 +5,7 @@
 #include "store.h"
 
 #define OS_NO_RESPONSE 0 /* instead of an HTTP status */
+#define OS_STATUS_HISTORY_EXPIRED 410
 
 struct os_call {
 	struct os_client *client;
@@ -76,13 +77,14 @@
 /* os_follow_is_waiting(follow): a watch is pending. */
 bool os_follow_is_waiting(const struct os_follow *follow);
 /*
- * os_follow_check(follow, body): body tells what has changed after the revision
- * of the pending watch. If there is anything, the response to the watch may be
- * in transit: the changes are reported. If the next check shows the same, the
- * watch is dead, since a connection can fall silent while others work; the kind
- * is listed again.
+ * os_follow_check(follow, status, body): body tells what has changed after the
+ * revision of the pending watch. If there is anything, the response to the
+ * watch may be in transit: the changes are reported. If the next check shows
+ * the same, the watch is dead, since a connection can fall silent while others
+ * work; the kind is listed again.
  */
-void os_follow_check(struct os_follow *follow, const struct os_text *body);
+void os_follow_check(
+    struct os_follow *follow, int status, const struct os_text *body);
 void os_follow_init(
     struct os_follow *follow, struct os_client *client, uint32_t kind);
 void os_follow_close(struct os_follow *follow);
--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -44,7 +44,8 @@
 	uv_timer_t tick;
 	const struct response *responses;
 	uint32_t response_count;
-	const char *check_body; /* response to each check */
+	int check_status; /* of the response to each check */
+	const char *check_body;
 	uint32_t checks;
 	uint32_t calls;
 	char paths[CALLS_MAX][OS_PATH_BYTES_MAX];
@@ -60,8 +61,8 @@
 
 	if (strstr(h1_target(request), "allow_stale") != NULL) {
 		fixture->checks++;
-		h1_conn_send_text(
-		    conn, 200, "application/json", fixture->check_body);
+		h1_conn_send_text(conn, fixture->check_status,
+		    "application/json", fixture->check_body);
 		return;
 	}
 	if (fixture->calls < CALLS_MAX)
@@ -183,6 +184,7 @@
 
 	*fixture = (struct fixture){.responses = responses,
 	    .response_count = count,
+	    .check_status = 200,
 	    .check_body = "{}"};
 	uv_loop_init(&fixture->loop);
 	uv_timer_init(&fixture->loop, &fixture->tick);
@@ -268,8 +270,11 @@
  * show what it should have reported. Guards against a configuration that is in
  * force only when the watch times out (CONFIG).
  */
+#define CHECKS_MAX 5 /* in 2 s, the users' bound for a change in force */
+
 struct check_case {
 	const char *name;
+	int check_status;
 	const char *check_body;
 	uint32_t checks; /* until then */
 	const char *reported;
@@ -278,17 +283,19 @@
 };
 
 static const struct check_case check_cases[] = {
-    {"changes are reported at once, the watch may still respond",
+    {"changes are reported at once, the watch may still respond", 200,
 	EVENTS(CHANGED("a", "10"), "12"), 2, "all@9; new@12 +a; ", 2,
 	"/objects/servers?watch=9&wait_ms=25000"},
-    {"seen twice: the watch is dead, lists again",
+    {"seen twice: the watch is dead, lists again", 200,
 	EVENTS(CHANGED("a", "10"), "12"), 3, "all@9; new@12 +a; all@12 +a; ", 4,
 	"/objects/servers?watch=12&wait_ms=25000"},
-    {"no changes", EVENTS("", "12"), 4, "all@9; ", 2,
+    {"the history is lost, seen twice: lists again", 410, "{}", 3,
+	"all@9; all@12 +a; ", 4, "/objects/servers?watch=12&wait_ms=25000"},
+    {"no changes", 200, EVENTS("", "12"), 4, "all@9; ", 2,
 	"/objects/servers?watch=9&wait_ms=25000"},
-    {"stale", EVENTS(CHANGED("a", "7"), "8"), 4, "all@9; ", 2,
+    {"stale", 200, EVENTS(CHANGED("a", "7"), "8"), 4, "all@9; ", 2,
 	"/objects/servers?watch=9&wait_ms=25000"},
-    {"not a list of changes", "{}", 4, "all@9; ", 2,
+    {"not a list of changes", 200, "{}", 4, "all@9; ", 2,
 	"/objects/servers?watch=9&wait_ms=25000"},
 };
 
@@ -306,6 +313,7 @@
 		uint32_t iterations = 0;
 
 		set_up(&fixture, responses, 4);
+		fixture.check_status = row->check_status;
 		fixture.check_body = row->check_body;
 		os_client_follow(fixture.client, true);
 		while (fixture.checks < row->checks ||
@@ -315,6 +323,9 @@
 				    fixture.calls);
 			uv_run(&fixture.loop, UV_RUN_ONCE);
 		}
+		if (fixture.checks > CHECKS_MAX)
+			fail_msg("%s: only after %u checks", row->name,
+			    fixture.checks);
 		if (strcmp(fixture.reported, row->reported) != 0 ||
 		    fixture.calls != row->calls ||
 		    strcmp(fixture.paths[row->calls - 1], row->last_path) != 0)
