--- a/tests/unit/gateway_rig.c
+++ b/tests/unit/gateway_rig.c
@@ -50,6 +50,7 @@
 	bool held_caller_open;
 	struct connection *target_connections;
 	uv_tcp_t caller, held_caller;
+	uint32_t caller_number;
 	uv_connect_t connecting;
 	uv_timer_t wakeup_timer;
 	struct h1_bytes sent;
@@ -367,6 +368,33 @@
 	}
 }
 
+static struct sockaddr_in
+loopback(uint16_t port)
+{
+	struct sockaddr_in address;
+
+	uv_ip4_addr("127.0.0.1", port, &address);
+	return address;
+}
+
+static void
+bind_caller(struct rig *rig)
+{
+	struct sockaddr_in address = loopback(0);
+
+	if (rig->caller_number == 0)
+		return;
+	address.sin_addr.s_addr = htonl(0x7f000000 | rig->caller_number);
+	require(uv_tcp_bind(
+		    &rig->caller, (const struct sockaddr *)&address, 0) == 0);
+}
+
+void
+rig_set_caller(struct rig *rig, uint32_t number)
+{
+	rig->caller_number = number;
+}
+
 static void
 connect_caller(struct rig *rig, const char *bytes, size_t length)
 {
@@ -376,6 +404,7 @@
 	rig->caller_done = false;
 	rig->caller_open = true;
 	uv_tcp_init(&rig->loop, &rig->caller);
+	bind_caller(rig);
 	rig->caller.data = rig->connecting.data = rig;
 	uv_tcp_connect(&rig->connecting, &rig->caller,
 	    (const struct sockaddr *)&rig->listen_address, on_caller_connected);
@@ -558,15 +587,6 @@
 		run_once(rig, &iterations);
 }
 
-static struct sockaddr_in
-loopback(uint16_t port)
-{
-	struct sockaddr_in address;
-
-	uv_ip4_addr("127.0.0.1", port, &address);
-	return address;
-}
-
 static struct sockaddr_in
 bound_address(const uv_tcp_t *tcp)
 {
--- a/tests/unit/gateway_rig.h
+++ b/tests/unit/gateway_rig.h
@@ -59,6 +59,8 @@
  */
 const char *rig_ask_all(
     struct rig *rig, const char *bytes, size_t length, uint32_t responses);
+/* rig_set_caller(rig, number): later requests come from 127.0.0.number. */
+void rig_set_caller(struct rig *rig, uint32_t number);
 /* rig_leave(rig, bytes): sends, waits until a target has it, closes. */
 void rig_leave(struct rig *rig, const char *bytes, size_t length);
 /* rig_hold(rig, bytes): as rig_leave, but keeps the connection open. */
--- a/tests/unit/test_crashing_requests.c
+++ b/tests/unit/test_crashing_requests.c
@@ -157,6 +157,33 @@
 	});
 }
 
+/* Each request comes from another address. */
+static void
+test_crashing_request_is_the_same_from_any_caller(void **state)
+{
+	struct rig *rig = rig_create(&(struct rig_params){
+	    .scripts = &answering,
+	    .script_count = 1,
+	    .target_count = 1,
+	    .with_table = true,
+	    .timeout_ms = 30000,
+	    .attempts_max = 1,
+	});
+	uint32_t i;
+
+	(void)state;
+	for (i = 0; i < 2; i++) {
+		rig_set_caller(rig, 2 + i);
+		assert_int_equal(ask(rig, crashing_request), 502);
+		rig_settle(rig);
+		rig_restart_target(rig, 0);
+	}
+	rig_set_caller(rig, 4);
+	assert_crashing_request_is_refused(rig);
+	assert_int_equal(ask(rig, ordinary_request), 200);
+	rig_free(rig);
+}
+
 /* A call waits for room while another VM reports the second crash. */
 static void
 test_waiting_request_is_refused_once_it_is_known_to_crash(void **state)
@@ -199,6 +226,7 @@
 	    cmocka_unit_test(test_crash_is_noticed_without_a_health_path),
 	    cmocka_unit_test(
 		test_crash_of_a_target_that_is_back_at_once_is_noticed),
+	    cmocka_unit_test(test_crashing_request_is_the_same_from_any_caller),
 	    cmocka_unit_test(
 		test_waiting_request_is_refused_once_it_is_known_to_crash),
 	};
