--- a/lib/balance/balance.h
+++ b/lib/balance/balance.h
@@ -441,7 +441,7 @@
 
 /*
  * Detection of requests that crash the targets that run them. A fingerprint is
- * a hash of caller, method, path and body of a request.
+ * a hash of host, method, path and body of a request.
  */
 #define BL_POISON_SUSPECTS_MAX 256
 #define BL_POISON_SERVED_MAX 4096
--- a/lib/gateway/call.c
+++ b/lib/gateway/call.c
@@ -200,16 +200,22 @@
 	dispatch_waiting(pool);
 }
 
+/*
+ * Identifies a request and its repetitions. These may come over any connection
+ * and from any address, and each has an id of its own.
+ */
 static uint64_t
-fingerprint_of(const struct h1_conn *conn, const struct h1_message *request)
+fingerprint_of(const struct h1_message *request)
 {
+	const char *host = h1_find_header(request, "host");
 	uint64_t hash = cs_hash(h1_target(request), strlen(h1_target(request)));
 
+	if (host != NULL)
+		hash = cs_hash_seeded(host, strlen(host), hash);
 	hash = cs_hash_seeded(request->method, strlen(request->method), hash);
 	hash =
 	    cs_hash_seeded(request->body.data == NULL ? "" : request->body.data,
 		request->body.length, hash);
-	hash = cs_hash_pair(hash, h1_conn_remote_ipv4(conn));
 	return hash == 0 ? 1 : hash;
 }
 
@@ -289,7 +295,7 @@
 	call->target = NULL;
 	call->connection = NULL;
 	gw_shorten_id(call->id, id == NULL ? "" : id);
-	call->fingerprint = fingerprint_of(conn, request);
+	call->fingerprint = fingerprint_of(request);
 	h1_conn_set_call(conn, call);
 }
 
--- a/lib/h1/h1.h
+++ b/lib/h1/h1.h
@@ -374,10 +374,5 @@
 void *h1_conn_user(const struct h1_conn *conn); /* the server's user */
 void h1_conn_set_call(struct h1_conn *conn, void *call);
 void *h1_conn_call(const struct h1_conn *conn);
-/*
- * h1_conn_remote_ipv4(conn): the client's IPv4 address in host byte order; 0
- * when unknown.
- */
-uint32_t h1_conn_remote_ipv4(const struct h1_conn *conn);
 
 #endif
--- a/lib/h1/server.c
+++ b/lib/h1/server.c
@@ -450,15 +450,3 @@
 {
 	return conn->call;
 }
-
-uint32_t
-h1_conn_remote_ipv4(const struct h1_conn *conn)
-{
-	struct sockaddr_in address = {.sin_port = 0};
-	int length = sizeof(address);
-
-	if (uv_tcp_getpeername(
-		&conn->tcp, (struct sockaddr *)&address, &length) != 0)
-		return 0;
-	return ntohl(address.sin_addr.s_addr);
-}
