--- a/lib/balance/balance.h
+++ b/lib/balance/balance.h
@@ -444,39 +444,63 @@
  * a hash of host, method, path and body of a request.
  */
 #define BL_POISON_SUSPECTS_MAX 256
-#define BL_POISON_SERVED_MAX 4096
-#define BL_POISON_CRASHES_MAX                          \
-	6 /* of one request; further ones count as one \
-	   */
+#define BL_POISON_CRASHES_MAX                                                \
+	16			 /* known of one request; later ones are not \
+				  */
+#define BL_POISON_EXCUSED_MAX 16 /* remembered of one request */
 
 struct bl_crash {
 	uint64_t fingerprint;
 	uint64_t target_process; /* that crashed, see bl_target_process() */
 };
 
+/* A crash that the request did not cause, since it was served later. */
+struct bl_excuse {
+	uint64_t target_process;
+	bool told; /* the other VMs know */
+};
+
 struct bl_poison {
-	/* Fingerprints of requests that a target served, hashed by position. */
-	uint64_t served[BL_POISON_SERVED_MAX];
 	struct bl_suspect {
 		uint64_t fingerprint;
 		/* The target processes that it crashed. */
 		uint64_t crashed[BL_POISON_CRASHES_MAX];
 		uint32_t crashes;
-		bool seen_here;	 /* this VM saw one of the crashes */
-		int64_t seen_us; /* the last crash */
+		uint32_t serves;     /* here, since the last crash */
+		uint64_t all_serves; /* here */
+		bool seen_here;	     /* this VM saw one of the crashes */
+		bool must_tell;	     /* others may lack an excuse */
+		int64_t seen_us;     /* the last crash */
+		struct bl_excuse excused[BL_POISON_EXCUSED_MAX];
+		uint32_t excused_count; /* ever; the ring holds the last */
 	} suspects[BL_POISON_SUSPECTS_MAX];
+	uint32_t suspect_count;
 };
 
-/* bl_poison_served(poison, fingerprint): records that a target served it. */
-void bl_poison_served(struct bl_poison *poison, uint64_t fingerprint);
 /*
  * bl_poison_crashed(poison, crash, now_us): records a crash of a target that
  * ran the request and returns the number of such crashes. The same crash counts
- * once, whoever reports it how often. Returns 0 and records nothing for a
- * request that was served before, because the crash is then a coincidence.
+ * once, whoever reports it how often; one that is excused does not count.
  */
 uint32_t bl_poison_crashed(
     struct bl_poison *poison, const struct bl_crash *crash, int64_t now_us);
+/*
+ * bl_poison_served(poison, fingerprint): a target ran the request to its end,
+ * so the crashes known so far were not its fault. Returns true if the other VMs
+ * should be told of that at once, see bl_poison_tell().
+ */
+bool bl_poison_served(struct bl_poison *poison, uint64_t fingerprint);
+/*
+ * bl_poison_excuse(poison, crash): another VM knows that the request did not
+ * cause the crash. Returns true if that is news.
+ */
+bool bl_poison_excuse(struct bl_poison *poison, const struct bl_crash *crash);
+/*
+ * bl_poison_tell(poison, visit, arg): calls visit for each excuse that the
+ * other VMs should be told, once.
+ */
+void bl_poison_tell(struct bl_poison *poison,
+    void (*visit)(void *arg, const struct bl_crash *crash), void *arg);
 /* bl_poison_knows(poison, crash): the crash was recorded before. */
 bool bl_poison_knows(
     const struct bl_poison *poison, const struct bl_crash *crash);
--- a/lib/balance/poison.c
+++ b/lib/balance/poison.c
@@ -2,11 +2,11 @@
  * Detects requests that crash every target that runs them, sent again and again
  * by their callers. A request that has crashed two targets is sent to no
  * further one for some time after its last crash, which grows with each crash.
- * A request that was served before is never blamed when targets crash while
- * they run it.
  *
  * What is known of a request is the set of target processes that it crashed, so
- * reports of VMs may arrive twice and in any order.
+ * reports of VMs may arrive twice and in any order. A crash loses all requests
+ * at its target, so a crash is excused for a request that is served later, and
+ * it is explained by another request that has crashed more.
  */
 #include "balance_internal.h"
 
@@ -17,43 +17,59 @@
  * A target may have been repaired meanwhile, but each trial costs the work of
  * all other requests at its target.
  */
-static const int64_t refused_us[BL_POISON_CRASHES_MAX + 1] = {
-    0, 0, 60000000LL, 600000000LL, 3600000000LL, 86400000000LL, 86400000000LL};
+static const int64_t refused_us[] = {
+    0, 0, 60000000LL, 600000000LL, 3600000000LL, 86400000000LL};
+#define REFUSED_STEPS (sizeof(refused_us) / sizeof(refused_us[0]))
 
-void
-bl_poison_served(struct bl_poison *poison, uint64_t fingerprint)
-{
-	poison->served[fingerprint % BL_POISON_SERVED_MAX] = fingerprint;
-}
+/*
+ * A request that only some targets survive must be served more often to be
+ * excused: twice as often after each excuse, unless it is served so often for
+ * each of them.
+ */
+#define SERVES_SHIFT_MAX 6
+#define SERVES_PER_EXCUSE 16
 
 const struct bl_suspect *
 bl_poison_find(const struct bl_poison *poison, uint64_t fingerprint)
 {
 	uint32_t i;
 
-	for (i = 0; i < BL_POISON_SUSPECTS_MAX; i++) {
-		if (poison->suspects[i].crashes > 0 &&
-		    poison->suspects[i].fingerprint == fingerprint)
+	for (i = 0; i < poison->suspect_count; i++) {
+		if (poison->suspects[i].fingerprint == fingerprint)
 			return &poison->suspects[i];
 	}
 	return NULL;
 }
 
+static struct bl_suspect *
+find_suspect(struct bl_poison *poison, uint64_t fingerprint)
+{
+	const struct bl_suspect *found = bl_poison_find(poison, fingerprint);
+
+	return found == NULL ? NULL
+			     : &poison->suspects[found - poison->suspects];
+}
+
 /* Returns the entry of the request, or the oldest one, emptied for it. */
 static struct bl_suspect *
 take_suspect(struct bl_poison *poison, uint64_t fingerprint)
 {
-	struct bl_suspect *oldest = &poison->suspects[0];
+	struct bl_suspect *suspect = find_suspect(poison, fingerprint);
 	uint32_t i;
 
-	for (i = 0; i < BL_POISON_SUSPECTS_MAX; i++) {
-		if (poison->suspects[i].fingerprint == fingerprint)
-			return &poison->suspects[i];
-		if (poison->suspects[i].seen_us < oldest->seen_us)
-			oldest = &poison->suspects[i];
+	if (suspect != NULL)
+		return suspect;
+	if (poison->suspect_count < BL_POISON_SUSPECTS_MAX) {
+		suspect = &poison->suspects[poison->suspect_count++];
+	} else {
+		suspect = &poison->suspects[0];
+		for (i = 1; i < poison->suspect_count; i++) {
+			if (poison->suspects[i].seen_us < suspect->seen_us)
+				suspect = &poison->suspects[i];
+		}
 	}
-	*oldest = (struct bl_suspect){.fingerprint = fingerprint};
-	return oldest;
+	*suspect = (struct bl_suspect){.fingerprint = fingerprint};
+	return suspect;
 }
 
 static bool
@@ -68,38 +84,179 @@
 	return false;
 }
 
+static uint32_t
+excused_kept(const struct bl_suspect *suspect)
+{
+	return suspect->excused_count < BL_POISON_EXCUSED_MAX
+		   ? suspect->excused_count
+		   : BL_POISON_EXCUSED_MAX;
+}
+
+static bool
+is_excused(const struct bl_suspect *suspect, uint64_t target_process)
+{
+	uint32_t i;
+
+	for (i = 0; i < excused_kept(suspect); i++) {
+		if (suspect->excused[i].target_process == target_process)
+			return true;
+	}
+	return false;
+}
+
+/* A full set takes no further crash, so that reports of it come to an end. */
+static bool
+knows_crash(const struct bl_suspect *suspect, uint64_t target_process)
+{
+	return suspect->crashes == BL_POISON_CRASHES_MAX ||
+	       has_crashed(suspect, target_process) ||
+	       is_excused(suspect, target_process);
+}
+
 bool
 bl_poison_knows(const struct bl_poison *poison, const struct bl_crash *crash)
 {
 	const struct bl_suspect *suspect =
 	    bl_poison_find(poison, crash->fingerprint);
 
-	return suspect != NULL && has_crashed(suspect, crash->target_process);
+	return suspect != NULL && knows_crash(suspect, crash->target_process);
+}
+
+static void
+excuse(struct bl_suspect *suspect, uint64_t target_process, bool told)
+{
+	suspect->excused[suspect->excused_count++ % BL_POISON_EXCUSED_MAX] =
+	    (struct bl_excuse){.target_process = target_process, .told = told};
+}
+
+static bool
+has_untold_excuses(const struct bl_suspect *suspect)
+{
+	uint32_t i;
+
+	for (i = 0; i < excused_kept(suspect); i++) {
+		if (!suspect->excused[i].told)
+			return true;
+	}
+	return false;
 }
 
 uint32_t
 bl_poison_crashed(
     struct bl_poison *poison, const struct bl_crash *crash, int64_t now_us)
 {
-	uint64_t fingerprint = crash->fingerprint;
-	struct bl_suspect *suspect;
+	struct bl_suspect *suspect = take_suspect(poison, crash->fingerprint);
 
-	if (poison->served[fingerprint % BL_POISON_SERVED_MAX] == fingerprint)
-		return 0;
-	suspect = take_suspect(poison, fingerprint);
-	if (has_crashed(suspect, crash->target_process))
+	if (knows_crash(suspect, crash->target_process))
 		return suspect->crashes;
 	suspect->seen_us = now_us;
-	if (suspect->crashes < BL_POISON_CRASHES_MAX)
-		suspect->crashed[suspect->crashes++] = crash->target_process;
+	suspect->serves = 0;
+	suspect->crashed[suspect->crashes++] = crash->target_process;
+	/* Others may count this crash beside one that is excused here. */
+	suspect->must_tell = has_untold_excuses(suspect);
 	return suspect->crashes;
 }
 
+/* The number of serves since the last crash that excuses a request. */
+static uint32_t
+serves_needed(const struct bl_suspect *suspect)
+{
+	uint64_t earned = suspect->all_serves / SERVES_PER_EXCUSE;
+	uint64_t shift = suspect->excused_count > earned
+			     ? suspect->excused_count - earned
+			     : 0;
+
+	return 1U << (shift < SERVES_SHIFT_MAX ? shift : SERVES_SHIFT_MAX);
+}
+
+bool
+bl_poison_served(struct bl_poison *poison, uint64_t fingerprint)
+{
+	struct bl_suspect *suspect = find_suspect(poison, fingerprint);
+	uint32_t i;
+
+	if (suspect == NULL)
+		return false;
+	suspect->all_serves++;
+	if (suspect->crashes == 0 || ++suspect->serves < serves_needed(suspect))
+		return false;
+	for (i = 0; i < suspect->crashes; i++)
+		excuse(suspect, suspect->crashed[i], false);
+	suspect->must_tell |= suspect->crashes >= CRASH_THRESHOLD;
+	suspect->crashes = 0;
+	return suspect->must_tell;
+}
+
+bool
+bl_poison_excuse(struct bl_poison *poison, const struct bl_crash *crash)
+{
+	struct bl_suspect *suspect = take_suspect(poison, crash->fingerprint);
+	uint32_t i;
+
+	for (i = 0; i < excused_kept(suspect); i++) {
+		if (suspect->excused[i].target_process != crash->target_process)
+			continue;
+		suspect->excused[i].told = true;
+		suspect->must_tell &= has_untold_excuses(suspect);
+		return false;
+	}
+	excuse(suspect, crash->target_process, true);
+	for (i = 0; i < suspect->crashes; i++) {
+		if (suspect->crashed[i] == crash->target_process)
+			suspect->crashed[i] =
+			    suspect->crashed[--suspect->crashes];
+	}
+	return true;
+}
+
+void
+bl_poison_tell(struct bl_poison *poison,
+    void (*visit)(void *arg, const struct bl_crash *crash), void *arg)
+{
+	uint32_t i, k;
+
+	for (i = 0; i < poison->suspect_count; i++) {
+		struct bl_suspect *suspect = &poison->suspects[i];
+
+		if (!suspect->must_tell)
+			continue;
+		suspect->must_tell = false;
+		for (k = 0; k < excused_kept(suspect); k++) {
+			if (suspect->excused[k].told)
+				continue;
+			suspect->excused[k].told = true;
+			visit(arg, &(struct bl_crash){
+				       .fingerprint = suspect->fingerprint,
+				       .target_process =
+					   suspect->excused[k].target_process,
+				   });
+		}
+	}
+}
+
 void
 bl_poison_seen_here(struct bl_poison *poison, uint64_t fingerprint)
 {
-	if (bl_poison_find(poison, fingerprint) != NULL)
-		take_suspect(poison, fingerprint)->seen_here = true;
+	struct bl_suspect *suspect = find_suspect(poison, fingerprint);
+
+	if (suspect != NULL)
+		suspect->seen_here = true;
+}
+
+static bool
+is_explained(const struct bl_poison *poison, const struct bl_suspect *suspect,
+    uint64_t target_process)
+{
+	uint32_t i;
+
+	for (i = 0; i < poison->suspect_count; i++) {
+		const struct bl_suspect *other = &poison->suspects[i];
+
+		if (other->crashes > suspect->crashes &&
+		    has_crashed(other, target_process))
+			return true;
+	}
+	return false;
 }
 
 bool
@@ -107,7 +264,16 @@
     const struct bl_poison *poison, uint64_t fingerprint, int64_t now_us)
 {
 	const struct bl_suspect *suspect = bl_poison_find(poison, fingerprint);
+	uint32_t unexplained = 0, i;
 
-	return suspect != NULL && suspect->crashes >= CRASH_THRESHOLD &&
-	       now_us - suspect->seen_us < refused_us[suspect->crashes];
+	if (suspect == NULL || suspect->crashes < CRASH_THRESHOLD)
+		return false;
+	for (i = 0; i < suspect->crashes; i++)
+		unexplained +=
+		    !is_explained(poison, suspect, suspect->crashed[i]);
+	if (unexplained < CRASH_THRESHOLD)
+		return false;
+	if (unexplained >= REFUSED_STEPS)
+		unexplained = REFUSED_STEPS - 1;
+	return now_us - suspect->seen_us < refused_us[unexplained];
 }
--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -163,6 +163,11 @@
 		    events->on_suspect_request(user, &frame.as.suspect_request),
 		    (const struct sockaddr_in *)from);
 		break;
+	case FL_FRAME_EXCUSE:
+		pass_on(fleet, &frame,
+		    events->on_excuse(user, &frame.as.suspect_request),
+		    (const struct sockaddr_in *)from);
+		break;
 	case FL_FRAME_LEAVING:
 		pass_on(fleet, &frame,
 		    events->on_leaving(user, frame.as.leaving.target_process),
@@ -218,6 +223,17 @@
 	send_to_nodes(fleet, &frame, false);
 }
 
+void
+fl_broadcast_excuse(
+    struct fleet *fleet, const struct fl_suspect_request *excuse)
+{
+	struct fl_frame frame = {
+	    .type = FL_FRAME_EXCUSE, .as.suspect_request = *excuse};
+
+	send_to_nodes(fleet, &frame, true);
+	send_to_nodes(fleet, &frame, false);
+}
+
 void
 fl_send_suspect_request(struct fleet *fleet, const struct fl_node *node,
     const struct fl_suspect_request *suspect)
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -196,6 +196,7 @@
 	FL_FRAME_ASK = 8,      /* a question for permits */
 	FL_FRAME_PERMIT = 9,   /* the owner's answer */
 	FL_FRAME_LEAVING = 10, /* a target says that it leaves */
+	FL_FRAME_EXCUSE = 11,  /* a crash that a request did not cause */
 };
 
 /* Changed objects of one kind, or a snapshot of the kind. */
@@ -254,7 +255,7 @@
 			bool ready, stopping, current;
 			uint64_t revision_sum;
 		} heartbeat;
-		struct fl_suspect_request suspect_request;
+		struct fl_suspect_request suspect_request; /* and excuse */
 		struct {
 			uint64_t target_process;
 		} leaving;
@@ -293,7 +294,8 @@
 	/* Returns true if this node did not know of the crash. */
 	bool (*on_suspect_request)(
 	    void *user, const struct fl_suspect_request *suspect);
-	/* These two return true if it is news to this node. */
+	/* These three return true if it is news to this node. */
+	bool (*on_excuse)(void *user, const struct fl_suspect_request *excuse);
 	bool (*on_leaving)(void *user, uint64_t target_process);
 	bool (*on_limit)(void *user, const struct fl_limit *limit);
 	void (*on_ask)(void *user, const struct fl_ask *ask);
@@ -339,6 +341,12 @@
  */
 void fl_broadcast_suspect_request(
     struct fleet *fleet, const struct fl_suspect_request *suspect);
+/*
+ * fl_broadcast_excuse(fleet, excuse): the same with a crash that the request
+ * did not cause.
+ */
+void fl_broadcast_excuse(
+    struct fleet *fleet, const struct fl_suspect_request *excuse);
 /* fl_send_suspect_request(fleet, node, suspect): tells one node. */
 void fl_send_suspect_request(struct fleet *fleet, const struct fl_node *node,
     const struct fl_suspect_request *suspect);
--- a/lib/fleet/frames.c
+++ b/lib/fleet/frames.c
@@ -143,6 +143,7 @@
 		pack_heartbeat(&packer, frame);
 		break;
 	case FL_FRAME_SUSPECT_REQUEST:
+	case FL_FRAME_EXCUSE:
 		msgpack_pack_array(&packer, 3);
 		msgpack_pack_int(&packer, frame->type);
 		msgpack_pack_uint64(
@@ -430,6 +431,7 @@
 		read_heartbeat(cursor, out);
 		break;
 	case FL_FRAME_SUSPECT_REQUEST:
+	case FL_FRAME_EXCUSE:
 		out->as.suspect_request.fingerprint = read_number(cursor);
 		out->as.suspect_request.target_process = read_number(cursor);
 		break;
--- a/lib/gateway/attempt.c
+++ b/lib/gateway/attempt.c
@@ -135,9 +135,9 @@
 
 	uv_timer_stop(&call->step_timer);
 	cs_histogram_add(&call->gw->counters.at_target, took_us);
-	if (outcome == BL_SERVED)
-		bl_poison_served(&call->gw->poison, call->fingerprint);
-	else
+	if (response != NULL && (outcome == BL_SERVED || outcome == BL_FAILED))
+		gw_excuse(call);
+	if (outcome != BL_SERVED)
 		cs_log(CS_LOG_ATTEMPT_FAILED,
 		    "request=%s attempt=%u target=%s outcome=%s status=%d "
 		    "took_us=%lld expected_us=%lld",
--- a/lib/gateway/crash.c
+++ b/lib/gateway/crash.c
@@ -78,6 +78,40 @@
 	return true;
 }
 
+static void
+tell_excuse(void *arg, const struct bl_crash *crash)
+{
+	struct gw *gw = arg;
+
+	cs_log(CS_LOG_CRASH_EXCUSED, "fingerprint=%llx from=here",
+	    (unsigned long long)crash->fingerprint);
+	gw->params.events->on_excused(gw->params.user, crash);
+}
+
+void
+gw_tell_excuses(struct gw *gw)
+{
+	bl_poison_tell(&gw->poison, tell_excuse, gw);
+}
+
+void
+gw_excuse(struct gw_call *call)
+{
+	if (bl_poison_served(&call->gw->poison, call->fingerprint))
+		gw_tell_excuses(call->gw);
+}
+
+bool
+gw_add_excuse(struct gw *gw, const struct bl_crash *crash)
+{
+	bool is_news = bl_poison_excuse(&gw->poison, crash);
+
+	if (is_news)
+		cs_log(CS_LOG_CRASH_EXCUSED, "fingerprint=%llx from=vm",
+		    (unsigned long long)crash->fingerprint);
+	return is_news;
+}
+
 void
 gw_for_each_poison(const struct gw *gw,
     void (*visit)(void *arg, const struct bl_crash *crash), void *arg)
--- a/lib/gateway/gateway.h
+++ b/lib/gateway/gateway.h
@@ -81,6 +81,9 @@
 	 */
 	void (*on_crash)(
 	    void *user, const struct bl_crash *crash, bool is_poison);
+	/* A crash was not caused by the request. The other VMs should be told.
+	 */
+	void (*on_excused)(void *user, const struct bl_crash *crash);
 	/* A target said that it leaves. The other VMs should be told. */
 	void (*on_leaving)(void *user, uint64_t process);
 	/* A target said of its limit. The other VMs should be told. */
@@ -153,6 +156,17 @@
  * true if this VM did not know of that crash.
  */
 bool gw_add_crash(struct gw *gw, const struct bl_crash *crash);
+/*
+ * gw_add_excuse(gw, crash): another VM knows that the request did not cause the
+ * crash. Returns true if that is news.
+ */
+bool gw_add_excuse(struct gw *gw, const struct bl_crash *crash);
+/*
+ * gw_tell_excuses(gw): tells of requests that are served here while other VMs
+ * may hold a crash against them. Call it several times a second, at a moment
+ * that differs between VMs, so that one of them tells and the others need not.
+ */
+void gw_tell_excuses(struct gw *gw);
 /*
  * gw_add_leaving(gw, process): another VM heard a target say that it leaves.
  * Returns true if that is news.
--- a/lib/gateway/gateway_internal.h
+++ b/lib/gateway/gateway_internal.h
@@ -308,6 +308,8 @@
 void gw_crash_check_ended(
     struct gw_target_connections *connections, enum h1_end end);
 
+/* gw_excuse(call): a target ran the request of the call and responded. */
+void gw_excuse(struct gw_call *call);
 /*
  * gw_target_replaced(connections): a new process has registered in place of the
  * target, which confirms what a check could not show.
--- a/programs/gateway.c
+++ b/programs/gateway.c
@@ -126,6 +126,7 @@
 
 static const struct gw_events gateway_events = {.on_call_ended = on_call_ended,
     .on_crash = ga_on_crash,
+    .on_excused = ga_on_excused,
     .on_leaving = ga_on_leaving,
     .on_limit = ga_on_limit,
     .on_ask = ga_on_ask};
@@ -282,6 +283,7 @@
 	ga_discover_nodes(app);
 	ga_update_budget_share(app);
 	ga_repeat_crash_reports(app);
+	gw_tell_excuses(app->gw);
 
 	if (++app->tick_count % RELOAD_INTERVAL_TICKS == 0)
 		reload_settings(app, false);
--- a/programs/gateway.h
+++ b/programs/gateway.h
@@ -86,6 +86,8 @@
 
 /* gateway_crashes.c: reports of requests that crash targets */
 void ga_on_crash(void *user, const struct bl_crash *crash, bool is_poison);
+void ga_on_excused(void *user, const struct bl_crash *crash);
+bool ga_on_fleet_excuse(void *user, const struct fl_suspect_request *excuse);
 /* ga_on_suspect_request(): as on_suspect_request() of struct fl_events. */
 bool ga_on_suspect_request(
     void *user, const struct fl_suspect_request *suspect);
--- a/programs/gateway_crashes.c
+++ b/programs/gateway_crashes.c
@@ -23,6 +23,30 @@
 	app->crash_report_count++;
 }
 
+void
+ga_on_excused(void *user, const struct bl_crash *crash)
+{
+	struct ga_app *app = user;
+
+	fl_broadcast_excuse(
+	    app->fleet, &(struct fl_suspect_request){
+			    .fingerprint = crash->fingerprint,
+			    .target_process = crash->target_process,
+			});
+}
+
+bool
+ga_on_fleet_excuse(void *user, const struct fl_suspect_request *excuse)
+{
+	struct ga_app *app = user;
+
+	return gw_add_excuse(
+	    app->gw, &(struct bl_crash){
+			 .fingerprint = excuse->fingerprint,
+			 .target_process = excuse->target_process,
+		     });
+}
+
 bool
 ga_on_suspect_request(void *user, const struct fl_suspect_request *suspect)
 {
--- a/tests/unit/gateway_rig.c
+++ b/tests/unit/gateway_rig.c
@@ -45,8 +45,8 @@
 	struct listener *listeners[RIG_TARGETS_MAX];
 	struct sockaddr_in addresses[RIG_TARGETS_MAX];
 	uint64_t process_starts[RIG_TARGETS_MAX];
-	uint32_t crashes;
-	uint64_t reported_fingerprint;
+	uint32_t crashes, crashing_requests;
+	uint64_t reported_fingerprint, excused_fingerprint;
 	bool held_caller_open;
 	struct connection *target_connections;
 	uv_tcp_t caller, held_caller;
@@ -248,7 +248,8 @@
 		return;
 	h1_bytes_add(&rig->last, connection->in.data, connection->in.length);
 	h1_bytes_add(&rig->last, "", 1);
-	if (is_crashing(connection)) {
+	if (is_crashing(connection) &&
+	    rig->crashing_requests++ >= rig->params.harmless_crashes) {
 		crash_target(rig, connection);
 		return;
 	}
@@ -508,6 +509,12 @@
 	return rig->reported_fingerprint;
 }
 
+uint64_t
+rig_excused_fingerprint(const struct rig *rig)
+{
+	return rig->excused_fingerprint;
+}
+
 const char *
 rig_ask(struct rig *rig, const char *bytes, size_t length)
 {
@@ -699,6 +706,12 @@
 	((struct rig *)user)->reported_fingerprint = crash->fingerprint;
 }
 
+static void
+on_excused(void *user, const struct bl_crash *crash)
+{
+	((struct rig *)user)->excused_fingerprint = crash->fingerprint;
+}
+
 static void
 on_leaving(void *user, uint64_t process)
 {
@@ -752,6 +765,7 @@
 {
 	static const struct gw_events events = {.on_call_ended = on_call_ended,
 	    .on_crash = on_crash,
+	    .on_excused = on_excused,
 	    .on_leaving = on_leaving,
 	    .on_limit = on_limit,
 	    .on_ask = on_ask};
--- a/tests/unit/gateway_rig.h
+++ b/tests/unit/gateway_rig.h
@@ -40,6 +40,8 @@
 	uint32_t connections_max; /* per target; 0: unlimited */
 	uint32_t slots;		  /* per target; 0: 4 */
 	bool no_health_path;
+	/* So many crashing requests are answered before they crash targets. */
+	uint32_t harmless_crashes;
 	/* A crashed target listens again at once. */
 	bool restart_at_once;
 };
@@ -86,6 +88,8 @@
 void rig_settle(struct rig *rig);
 /* The last crash that the gateway reported, or 0. */
 uint64_t rig_reported_fingerprint(const struct rig *rig);
+/* The last request that the gateway excused, or 0. */
+uint64_t rig_excused_fingerprint(const struct rig *rig);
 /* Runs until targets have seen this number of closed connections. */
 void rig_await_closes(struct rig *rig, uint32_t closes);
 uint32_t rig_requests(const struct rig *rig);
--- a/tests/unit/test_balance.c
+++ b/tests/unit/test_balance.c
@@ -478,18 +478,126 @@
 	assert_true(late <= 3);
 }
 
-/* Crashes do not count against a request that was served before. */
+/* It begins to crash targets, by a new version of them or other data. */
 static void
-test_served_request_is_never_poison(void **state)
+test_request_that_was_served_before_is_poison_after_two_crashes(void **state)
 {
 	static struct bl_poison poison;
-	uint64_t i;
+	uint32_t i;
 
 	(void)state;
-	bl_poison_served(&poison, 7);
-	for (i = 0; i < 5; i++)
-		assert_int_equal(crash(&poison, 7, i, START_US), 0);
+	for (i = 0; i < 1000; i++)
+		bl_poison_served(&poison, 7);
+	assert_int_equal(crash(&poison, 7, 1, START_US), 1);
+	assert_int_equal(crash(&poison, 7, 2, START_US), 2);
+	assert_true(bl_is_poison(&poison, 7, START_US));
+}
+
+static void
+count_excuse(void *arg, const struct bl_crash *told)
+{
+	assert_int_equal(told->fingerprint, 7);
+	(*(uint32_t *)arg)++;
+}
+
+/* Targets crash for another reason while they run a request of many callers. */
+static void
+test_request_that_is_served_after_each_crash_is_not_blamed(void **state)
+{
+	static struct bl_poison poison;
+	uint32_t told = 0;
+	uint64_t i, k;
+
+	(void)state;
+	for (i = 0; i < 1000; i++) {
+		crash(&poison, 7, i, START_US);
+		assert_false(bl_is_poison(&poison, 7, START_US));
+		for (k = 0; k < 100; k++)
+			bl_poison_served(&poison, 7);
+	}
+	/* Several of them crash at once. */
+	for (; i < 1005; i++)
+		crash(&poison, 7, i, START_US);
+	assert_true(bl_is_poison(&poison, 7, START_US));
+	assert_true(bl_poison_served(&poison, 7));
 	assert_false(bl_is_poison(&poison, 7, START_US));
+	bl_poison_tell(&poison, count_excuse, &told);
+	assert_true(told >= 5);
+	/* Repeated reports of the crashes change nothing. */
+	for (k = i - 5; k < i; k++)
+		crash(&poison, 7, k, START_US);
+	assert_false(bl_is_poison(&poison, 7, START_US));
+}
+
+/* Another VM has served it between two crashes that this one was told of. */
+static void
+test_request_that_another_vm_serves_is_not_blamed(void **state)
+{
+	static struct bl_poison here, there;
+	uint32_t told = 0;
+
+	(void)state;
+	crash(&here, 7, 1, START_US);
+	crash(&there, 7, 1, START_US);
+	assert_false(bl_poison_served(&there, 7));
+	bl_poison_tell(&there, count_excuse, &told);
+	assert_int_equal(told, 0); /* nobody refuses it */
+	crash(&here, 7, 2, START_US);
+	crash(&there, 7, 2, START_US);
+	assert_true(bl_is_poison(&here, 7, START_US));
+	assert_false(bl_is_poison(&there, 7, START_US));
+	bl_poison_tell(&there, count_excuse, &told);
+	assert_int_equal(told, 1);
+	assert_true(bl_poison_excuse(&here, &(struct bl_crash){7, 1}));
+	assert_false(bl_is_poison(&here, 7, START_US));
+	assert_false(bl_poison_excuse(&here, &(struct bl_crash){7, 1}));
+}
+
+/* Every second target survives it: it must not go on for ever. */
+static void
+test_request_that_some_targets_survive_is_poison(void **state)
+{
+	static struct bl_poison poison;
+	uint64_t crashes = 0;
+
+	(void)state;
+	while (!bl_is_poison(&poison, 7, START_US)) {
+		crash(&poison, 7, ++crashes, START_US);
+		bl_poison_served(&poison, 7);
+		assert_true(crashes < 8);
+	}
+}
+
+/* It was lost in the first two of the crashes that another request caused. */
+static void
+test_request_lost_beside_a_crashing_one_is_not_blamed(void **state)
+{
+	static struct bl_poison poison;
+	uint64_t i;
+
+	(void)state;
+	for (i = 0; i < 2; i++) {
+		crash(&poison, 7, i, START_US);
+		crash(&poison, 8, i, START_US);
+	}
+	crash(&poison, 7, 2, START_US);
+	assert_true(bl_is_poison(&poison, 7, START_US));
+	assert_false(bl_is_poison(&poison, 8, START_US));
+}
+
+/* VMs pass on what is news to them: there must be an end to it. */
+static void
+test_reports_of_crashes_come_to_an_end(void **state)
+{
+	static struct bl_poison poison;
+	uint64_t i, known = 0;
+
+	(void)state;
+	for (i = 0; i < 1000; i++)
+		crash(&poison, 7, i, START_US);
+	for (i = 0; i < 1000; i++)
+		known += bl_poison_knows(&poison, &(struct bl_crash){7, i});
+	assert_int_equal(known, 1000);
 }
 
 /* Shares follow the weights also within 100 requests. */
@@ -642,7 +750,15 @@
 	    cmocka_unit_test(test_crash_reported_again_counts_once),
 	    cmocka_unit_test(
 		test_crashing_request_is_tried_three_times_at_most),
-	    cmocka_unit_test(test_served_request_is_never_poison),
+	    cmocka_unit_test(
+		test_request_that_was_served_before_is_poison_after_two_crashes),
+	    cmocka_unit_test(
+		test_request_that_is_served_after_each_crash_is_not_blamed),
+	    cmocka_unit_test(test_request_that_another_vm_serves_is_not_blamed),
+	    cmocka_unit_test(test_request_that_some_targets_survive_is_poison),
+	    cmocka_unit_test(
+		test_request_lost_beside_a_crashing_one_is_not_blamed),
+	    cmocka_unit_test(test_reports_of_crashes_come_to_an_end),
 	    cmocka_unit_test(test_backends_are_picked_by_weight),
 	    cmocka_unit_test(
 		test_failing_target_gets_less_load_until_it_recovers),
--- a/tests/unit/test_crashing_requests.c
+++ b/tests/unit/test_crashing_requests.c
@@ -184,6 +184,33 @@
 	rig_free(rig);
 }
 
+/* It was served before; then its targets changed, or their data. */
+static void
+test_request_that_was_served_before_is_refused_once_it_crashes(void **state)
+{
+	struct rig *rig = rig_create(&(struct rig_params){
+	    .scripts = &answering,
+	    .script_count = 1,
+	    .target_count = 1,
+	    .with_table = true,
+	    .timeout_ms = 30000,
+	    .attempts_max = 1,
+	    .harmless_crashes = 3,
+	});
+	int i;
+
+	(void)state;
+	for (i = 0; i < 3; i++)
+		assert_int_equal(ask(rig, crashing_request), 200);
+	for (i = 0; i < 2; i++) {
+		assert_int_equal(ask(rig, crashing_request), 502);
+		rig_settle(rig);
+		rig_restart_target(rig, 0);
+	}
+	assert_crashing_request_is_refused(rig);
+	rig_free(rig);
+}
+
 /* A call waits for room while another VM reports the second crash. */
 static void
 test_waiting_request_is_refused_once_it_is_known_to_crash(void **state)
@@ -227,6 +254,8 @@
 	    cmocka_unit_test(
 		test_crash_of_a_target_that_is_back_at_once_is_noticed),
 	    cmocka_unit_test(test_crashing_request_is_the_same_from_any_caller),
+	    cmocka_unit_test(
+		test_request_that_was_served_before_is_refused_once_it_crashes),
 	    cmocka_unit_test(
 		test_waiting_request_is_refused_once_it_is_known_to_crash),
 	};
