balance: one VM of the fleet tries a suspect request at a time (BUDGET)

Callers would have seen: each VM let a suspect request through a minute after its last crash, all at the same moment: 15 VMs may crash 15 targets. A request that was only lost beside the crashing one was refused for that minute by all.

Cause: a decision of the whole fleet that each VM took alone, by a clock that all of them share.

Change: a trial belongs to one VM, which claims it by a random ticket; the lowest ticket wins, all VMs are told 100 ms before the request is sent. VMs become eligible by rank, twice as many each second, so that some VM meets a call soon. A trial that is served clears it.

--- a/lib/balance/balance.h
+++ b/lib/balance/balance.h
@@ -452,6 +452,7 @@
 struct bl_crash {
 	uint64_t fingerprint;
 	uint64_t target_process; /* that crashed, see bl_target_process() */
+	uint32_t trials; /* of the request that crashed targets, so far */
 };
 
 /* A crash that the request did not cause, since it was served later. */
@@ -466,11 +467,15 @@
 		/* The target processes that it crashed. */
 		uint64_t crashed[BL_POISON_CRASHES_MAX];
 		uint32_t crashes;
-		uint32_t serves;     /* here, since the last crash */
-		uint64_t all_serves; /* here */
-		bool seen_here;	     /* this VM saw one of the crashes */
-		bool must_tell;	     /* others may lack an excuse */
-		int64_t seen_us;     /* the last crash */
+		uint32_t trials; /* that crashed a target */
+		int64_t trial_after_us;
+		uint64_t claim;	      /* of this VM for a trial; 0: none */
+		uint64_t heard_claim; /* the last one of another VM */
+		uint32_t serves;      /* here, since the last crash */
+		uint64_t all_serves;  /* here */
+		bool seen_here;	      /* this VM saw one of the crashes */
+		bool must_tell;	      /* others may lack an excuse */
+		int64_t seen_us;      /* the last crash */
 		struct bl_excuse excused[BL_POISON_EXCUSED_MAX];
 		uint32_t excused_count; /* ever; the ring holds the last */
 	} suspects[BL_POISON_SUSPECTS_MAX];
@@ -509,9 +514,34 @@
     const struct bl_poison *poison, uint64_t fingerprint);
 /* bl_poison_seen_here(poison, fingerprint): this VM saw one of its crashes. */
 void bl_poison_seen_here(struct bl_poison *poison, uint64_t fingerprint);
-/* bl_is_poison(poison, ...): the request must not be sent to another target. */
-bool bl_is_poison(
-    const struct bl_poison *poison, uint64_t fingerprint, int64_t now_us);
+/*
+ * bl_is_poison(poison, fingerprint): the request must not be sent to another
+ * target, except as a trial.
+ */
+bool bl_is_poison(const struct bl_poison *poison, uint64_t fingerprint);
+/*
+ * bl_poison_wait_us(poison, fingerprint, rank, now_us): the time until the VM
+ * of this rank may try the request, from 0. VMs of low rank try first.
+ */
+int64_t bl_poison_wait_us(const struct bl_poison *poison, uint64_t fingerprint,
+    uint32_t rank, int64_t now_us);
+/*
+ * One VM tries a request at a time. It claims the trial with a random ticket
+ * other than 0, tells all others, and tries after BL_POISON_CLAIM_US unless a
+ * lower ticket was heard: bl_poison_try() returns false then. Otherwise it sets
+ * *trials to the number of this trial, for a crash that it causes. The trial
+ * ends with bl_poison_tried().
+ */
+#define BL_POISON_CLAIM_US 100000 /* a report takes less between regions */
+void bl_poison_claim(struct bl_poison *poison, uint64_t fingerprint,
+    uint64_t ticket, int64_t now_us);
+/* bl_poison_hear_claim(): that of another VM. Returns true if it is news. */
+bool bl_poison_hear_claim(struct bl_poison *poison, uint64_t fingerprint,
+    uint64_t ticket, int64_t now_us);
+bool bl_poison_try(
+    const struct bl_poison *poison, uint64_t fingerprint, uint32_t *trials);
+void bl_poison_tried(
+    struct bl_poison *poison, uint64_t fingerprint, int64_t now_us);
 
 /*
  * The moments of a planned stop, from its signal on; the last three come in
--- a/lib/balance/poison.c
+++ b/lib/balance/poison.c
@@ -1,7 +1,8 @@
 /*
  * Detects requests that crash every target that runs them, sent again and again
  * by their callers. A request that has crashed two targets is sent to no
- * further one for some time after its last crash, which grows with each crash.
+ * further one, except as a trial: one VM sends it once, after a wait that grows
+ * with each trial that crashes a target.
  *
  * What is known of a request is the set of target processes that it crashed, so
  * reports of VMs may arrive twice and in any order. A crash loses all requests
@@ -13,13 +14,21 @@
 #define CRASH_THRESHOLD 2
 
 /*
- * How long a request is refused after its last crash, by the number of crashes.
- * A target may have been repaired meanwhile, but each trial costs the work of
- * all other requests at its target.
+ * How long a request is refused after its last crash, by the number of trials
+ * that crashed a target. Each trial costs the work of all other requests at its
+ * target.
  */
 static const int64_t refused_us[] = {
-    0, 0, 60000000LL, 600000000LL, 3600000000LL, 86400000000LL};
-#define REFUSED_STEPS (sizeof(refused_us) / sizeof(refused_us[0]))
+    3000000LL, 60000000LL, 600000000LL, 86400000000LL};
+#define TRIALS_MAX (sizeof(refused_us) / sizeof(refused_us[0]) - 1)
+
+/*
+ * Twice as many VMs may try a request after each step. A VM waits as long after
+ * a trial without a result.
+ */
+#define TRIAL_STEP_US 1000000
+/* How long a claim keeps other VMs from a trial that has no result. */
+#define CLAIM_LIFE_US 10000000
 
 /*
  * A request that only some targets survive must be served more often to be
@@ -119,7 +128,8 @@
 	const struct bl_suspect *suspect =
 	    bl_poison_find(poison, crash->fingerprint);
 
-	return suspect != NULL && knows_crash(suspect, crash->target_process);
+	return suspect != NULL && suspect->trials >= crash->trials &&
+	       knows_crash(suspect, crash->target_process);
 }
 
 static void
@@ -147,6 +157,11 @@
 {
 	struct bl_suspect *suspect = take_suspect(poison, crash->fingerprint);
 
+	if (crash->trials > suspect->trials) {
+		suspect->trials =
+		    crash->trials < TRIALS_MAX ? crash->trials : TRIALS_MAX;
+		suspect->seen_us = now_us;
+	}
 	if (knows_crash(suspect, crash->target_process))
 		return suspect->crashes;
 	suspect->seen_us = now_us;
@@ -183,7 +198,7 @@
 	for (i = 0; i < suspect->crashes; i++)
 		excuse(suspect, suspect->crashed[i], false);
 	suspect->must_tell |= suspect->crashes >= CRASH_THRESHOLD;
-	suspect->crashes = 0;
+	suspect->crashes = suspect->trials = 0;
 	return suspect->must_tell;
 }
 
@@ -206,6 +221,8 @@
 			suspect->crashed[i] =
 			    suspect->crashed[--suspect->crashes];
 	}
+	if (suspect->crashes < CRASH_THRESHOLD)
+		suspect->trials = 0;
 	return true;
 }
 
@@ -243,6 +260,14 @@
 		suspect->seen_here = true;
 }
 
+static bool
+has_crashed_more(const struct bl_suspect *a, const struct bl_suspect *b)
+{
+	if (a->trials != b->trials)
+		return a->trials > b->trials;
+	return a->crashes > b->crashes;
+}
+
 static bool
 is_explained(const struct bl_poison *poison, const struct bl_suspect *suspect,
     uint64_t target_process)
@@ -252,7 +277,7 @@
 	for (i = 0; i < poison->suspect_count; i++) {
 		const struct bl_suspect *other = &poison->suspects[i];
 
-		if (other->crashes > suspect->crashes &&
+		if (has_crashed_more(other, suspect) &&
 		    has_crashed(other, target_process))
 			return true;
 	}
@@ -260,8 +285,7 @@
 }
 
 bool
-bl_is_poison(
-    const struct bl_poison *poison, uint64_t fingerprint, int64_t now_us)
+bl_is_poison(const struct bl_poison *poison, uint64_t fingerprint)
 {
 	const struct bl_suspect *suspect = bl_poison_find(poison, fingerprint);
 	uint32_t unexplained = 0, i;
@@ -271,9 +295,83 @@
 	for (i = 0; i < suspect->crashes; i++)
 		unexplained +=
 		    !is_explained(poison, suspect, suspect->crashed[i]);
-	if (unexplained < CRASH_THRESHOLD)
+	return unexplained >= CRASH_THRESHOLD;
+}
+
+/* The steps after which the VM of this rank may try a request. */
+static int64_t
+steps_of(uint32_t rank)
+{
+	int64_t steps = 0;
+
+	for (; rank > 0; rank >>= 1)
+		steps++;
+	return steps;
+}
+
+int64_t
+bl_poison_wait_us(const struct bl_poison *poison, uint64_t fingerprint,
+    uint32_t rank, int64_t now_us)
+{
+	const struct bl_suspect *suspect = bl_poison_find(poison, fingerprint);
+	int64_t until_us;
+
+	if (suspect == NULL)
+		return 0;
+	until_us = suspect->seen_us + refused_us[suspect->trials] +
+		   steps_of(rank) * TRIAL_STEP_US;
+	if (until_us < suspect->trial_after_us)
+		until_us = suspect->trial_after_us;
+	return until_us > now_us ? until_us - now_us : 0;
+}
+
+void
+bl_poison_claim(struct bl_poison *poison, uint64_t fingerprint, uint64_t ticket,
+    int64_t now_us)
+{
+	struct bl_suspect *suspect = find_suspect(poison, fingerprint);
+
+	if (suspect == NULL)
+		return;
+	suspect->claim = ticket;
+	suspect->trial_after_us = now_us + CLAIM_LIFE_US;
+}
+
+bool
+bl_poison_hear_claim(struct bl_poison *poison, uint64_t fingerprint,
+    uint64_t ticket, int64_t now_us)
+{
+	struct bl_suspect *suspect = find_suspect(poison, fingerprint);
+
+	if (suspect == NULL || suspect->heard_claim == ticket)
 		return false;
-	if (unexplained >= REFUSED_STEPS)
-		unexplained = REFUSED_STEPS - 1;
-	return now_us - suspect->seen_us < refused_us[unexplained];
+	suspect->heard_claim = ticket;
+	if (suspect->claim != 0 && suspect->claim <= ticket)
+		return true;
+	suspect->claim = 0;
+	suspect->trial_after_us = now_us + CLAIM_LIFE_US;
+	return true;
+}
+
+bool
+bl_poison_try(
+    const struct bl_poison *poison, uint64_t fingerprint, uint32_t *trials)
+{
+	const struct bl_suspect *suspect = bl_poison_find(poison, fingerprint);
+
+	if (suspect == NULL || suspect->claim == 0)
+		return false;
+	*trials = suspect->trials + 1;
+	return true;
+}
+
+void
+bl_poison_tried(struct bl_poison *poison, uint64_t fingerprint, int64_t now_us)
+{
+	struct bl_suspect *suspect = find_suspect(poison, fingerprint);
+
+	if (suspect == NULL || suspect->claim == 0)
+		return;
+	suspect->claim = 0;
+	suspect->trial_after_us = now_us + TRIAL_STEP_US;
 }
--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -168,6 +168,10 @@
 		    events->on_excuse(user, &frame.as.suspect_request),
 		    (const struct sockaddr_in *)from);
 		break;
+	case FL_FRAME_CLAIM:
+		pass_on(fleet, &frame, events->on_claim(user, &frame.as.claim),
+		    (const struct sockaddr_in *)from);
+		break;
 	case FL_FRAME_LEAVING:
 		pass_on(fleet, &frame,
 		    events->on_leaving(user, frame.as.leaving.target_process),
@@ -234,6 +238,15 @@
 	send_to_nodes(fleet, &frame, false);
 }
 
+void
+fl_broadcast_claim(struct fleet *fleet, const struct fl_claim *claim)
+{
+	struct fl_frame frame = {.type = FL_FRAME_CLAIM, .as.claim = *claim};
+
+	send_to_nodes(fleet, &frame, true);
+	send_to_nodes(fleet, &frame, false);
+}
+
 void
 fl_send_suspect_request(struct fleet *fleet, const struct fl_node *node,
     const struct fl_suspect_request *suspect)
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -176,6 +176,12 @@
  */
 const struct fl_node *fl_membership_find_owner(
     const struct fl_membership *membership, uint64_t key, int64_t now_us);
+/*
+ * fl_membership_rank(membership, key, now_us): returns the rank of this node,
+ * from 0, among the live nodes of the region, in an order that differs by key.
+ */
+uint32_t fl_membership_rank(
+    const struct fl_membership *membership, uint64_t key, int64_t now_us);
 /*
  * fl_membership_find_relay(membership, region, turn): returns a known node of
  * another region, or NULL. Whether it is alive is not known: successive turns
@@ -197,6 +203,13 @@
 	FL_FRAME_PERMIT = 9,   /* the owner's answer */
 	FL_FRAME_LEAVING = 10, /* a target says that it leaves */
 	FL_FRAME_EXCUSE = 11,  /* a crash that a request did not cause */
+	FL_FRAME_CLAIM = 12,   /* a trial of a request that crashed targets */
+};
+
+/* A node claims a trial of a request that crashed targets. */
+struct fl_claim {
+	uint64_t fingerprint;
+	uint64_t ticket;
 };
 
 /* Changed objects of one kind, or a snapshot of the kind. */
@@ -210,6 +223,7 @@
 struct fl_suspect_request {
 	uint64_t fingerprint;
 	uint64_t target_process;
+	uint32_t trials; /* of the request that crashed targets, so far */
 };
 
 /* The limit that the process of a target names, or that it names none. */
@@ -259,6 +273,7 @@
 		struct {
 			uint64_t target_process;
 		} leaving;
+		struct fl_claim claim;
 		struct fl_limit limit;
 		struct fl_ask ask;
 		struct fl_permit permit;
@@ -294,7 +309,8 @@
 	/* Returns true if this node did not know of the crash. */
 	bool (*on_suspect_request)(
 	    void *user, const struct fl_suspect_request *suspect);
-	/* These three return true if it is news to this node. */
+	/* These four return true if it is news to this node. */
+	bool (*on_claim)(void *user, const struct fl_claim *claim);
 	bool (*on_excuse)(void *user, const struct fl_suspect_request *excuse);
 	bool (*on_leaving)(void *user, uint64_t target_process);
 	bool (*on_limit)(void *user, const struct fl_limit *limit);
@@ -347,6 +363,8 @@
  */
 void fl_broadcast_excuse(
     struct fleet *fleet, const struct fl_suspect_request *excuse);
+/* fl_broadcast_claim(fleet, claim): the same with a claim. */
+void fl_broadcast_claim(struct fleet *fleet, const struct fl_claim *claim);
 /* fl_send_suspect_request(fleet, node, suspect): tells one node. */
 void fl_send_suspect_request(struct fleet *fleet, const struct fl_node *node,
     const struct fl_suspect_request *suspect);
--- a/lib/fleet/frames.c
+++ b/lib/fleet/frames.c
@@ -144,12 +144,19 @@
 		break;
 	case FL_FRAME_SUSPECT_REQUEST:
 	case FL_FRAME_EXCUSE:
-		msgpack_pack_array(&packer, 3);
+		msgpack_pack_array(&packer, 4);
 		msgpack_pack_int(&packer, frame->type);
 		msgpack_pack_uint64(
 		    &packer, frame->as.suspect_request.fingerprint);
 		msgpack_pack_uint64(
 		    &packer, frame->as.suspect_request.target_process);
+		msgpack_pack_uint32(&packer, frame->as.suspect_request.trials);
+		break;
+	case FL_FRAME_CLAIM:
+		msgpack_pack_array(&packer, 3);
+		msgpack_pack_int(&packer, frame->type);
+		msgpack_pack_uint64(&packer, frame->as.claim.fingerprint);
+		msgpack_pack_uint64(&packer, frame->as.claim.ticket);
 		break;
 	case FL_FRAME_SUBSCRIBE:
 		msgpack_pack_array(&packer, 1 + OS_KINDS_MAX);
@@ -434,6 +441,14 @@
 	case FL_FRAME_EXCUSE:
 		out->as.suspect_request.fingerprint = read_number(cursor);
 		out->as.suspect_request.target_process = read_number(cursor);
+		/* Earlier builds send none. */
+		if (cursor->at < cursor->array->size)
+			out->as.suspect_request.trials =
+			    (uint32_t)read_number(cursor);
+		break;
+	case FL_FRAME_CLAIM:
+		out->as.claim.fingerprint = read_number(cursor);
+		out->as.claim.ticket = read_number(cursor);
 		break;
 	case FL_FRAME_SUBSCRIBE:
 		for (i = 0; i < OS_KINDS_MAX; i++)
--- a/lib/fleet/membership.c
+++ b/lib/fleet/membership.c
@@ -420,6 +420,23 @@
 	return best;
 }
 
+uint32_t
+fl_membership_rank(
+    const struct fl_membership *membership, uint64_t key, int64_t now_us)
+{
+	uint64_t own_weight = rendezvous_weight(key, &membership->self);
+	uint32_t i, before = 0;
+
+	for (i = 0; i < membership->count; i++) {
+		const struct fl_node *node = &membership->nodes[i];
+
+		before += node->same_region && !node->stopping &&
+			  fl_node_is_alive(node, now_us) &&
+			  rendezvous_weight(key, node) > own_weight;
+	}
+	return before;
+}
+
 const struct fl_node *
 fl_membership_find_relay(
     const struct fl_membership *membership, uint64_t region, uint64_t turn)
--- a/lib/gateway/attempt.c
+++ b/lib/gateway/attempt.c
@@ -119,7 +119,7 @@
 
 	if (step != BL_RETRY || !bl_was_delivered(outcome))
 		return step;
-	if (bl_is_poison(&call->gw->poison, call->fingerprint, cs_now_us()) ||
+	if (bl_is_poison(&call->gw->poison, call->fingerprint) ||
 	    !take_retry(call))
 		return bl_step_without_retry(outcome);
 	call->gw->counters.retries++;
--- a/lib/gateway/call.c
+++ b/lib/gateway/call.c
@@ -12,9 +12,7 @@
 /* A pool that the configuration names has no target yet. */
 #define RETRY_AFTER_NO_POOL_US 100000
 #define RETRY_AFTER_STOPPING_US 20000 /* another VM serves already */
-/* Half of the time for which a request is suspected. */
-#define RETRY_AFTER_SUSPECT_US 30000000
-#define RETRY_AFTER_WAITED_US 10000 /* the call has waited already */
+#define RETRY_AFTER_WAITED_US 10000   /* the call has waited already */
 
 static struct gw_call *
 allocate_call(struct gw *gw)
@@ -53,16 +51,6 @@
 	dispatch_waiting(pool);
 }
 
-/* Refuses a call that is known to crash targets. Returns true if it did. */
-static bool
-refuse_suspect(struct gw_call *call)
-{
-	if (!bl_is_poison(&call->gw->poison, call->fingerprint, cs_now_us()))
-		return false;
-	gw_respond_error(call, 503, GW_SUSPECT, RETRY_AFTER_SUSPECT_US);
-	return true;
-}
-
 static enum gw_reason
 reason_of_refusal(const struct bl_placement *placement)
 {
@@ -80,7 +68,7 @@
 	switch (placement->verdict) {
 	case BL_SEND:
 		/* It may have become known while the call waited. */
-		if (refuse_suspect(call))
+		if (gw_stop_suspect(call))
 			break;
 		if (!gw_may_send(call)) {
 			gw_refuse_stopping(call);
@@ -273,7 +261,9 @@
 		gw_refuse_stopping(call);
 		return true;
 	}
-	return refuse_suspect(call);
+	if (!gw_is_refused_suspect(call))
+		return false;
+	return gw_stop_suspect(call);
 }
 
 static void
@@ -290,7 +280,8 @@
 	call->waited_us = 0;
 	call->attempts = call->delivered_attempts = 0;
 	call->probes_pending = call->tried_count = 0;
-	call->may_have_run = false;
+	call->may_have_run = call->is_claiming = false;
+	call->trial = 0;
 	call->probe_rounds = 0;
 	call->target = NULL;
 	call->connection = NULL;
--- a/lib/gateway/crash.c
+++ b/lib/gateway/crash.c
@@ -10,6 +10,9 @@
 /* The new process of a target registers within this time after a crash. */
 #define REGISTRATION_DELAY_MAX_US 10000000
 
+/* While VMs take turns at trying a request, a caller may meet one that may. */
+#define RETRY_AFTER_SUSPECT_MIN_US 1000000
+
 static void
 visit_crashes(const struct bl_suspect *suspect,
     void (*visit)(void *arg, const struct bl_crash *crash), void *arg)
@@ -20,6 +23,7 @@
 		visit(arg, &(struct bl_crash){
 			       .fingerprint = suspect->fingerprint,
 			       .target_process = suspect->crashed[i],
+			       .trials = suspect->trials,
 			   });
 }
 
@@ -43,7 +47,7 @@
 
 	if (suspect == NULL || !suspect->seen_here)
 		return;
-	if (bl_is_poison(&gw->poison, crash->fingerprint, cs_now_us()))
+	if (bl_is_poison(&gw->poison, crash->fingerprint))
 		visit_crashes(suspect, announce_poison, gw);
 	else
 		gw->params.events->on_crash(gw->params.user, crash, false);
@@ -78,6 +82,88 @@
 	return true;
 }
 
+static void
+refuse_suspect(struct gw_call *call)
+{
+	int64_t wait_us = bl_poison_wait_us(
+	    &call->gw->poison, call->fingerprint, 0, cs_now_us());
+
+	if (wait_us < RETRY_AFTER_SUSPECT_MIN_US)
+		wait_us = RETRY_AFTER_SUSPECT_MIN_US;
+	gw_respond_error(call, 503, GW_SUSPECT, wait_us);
+}
+
+static void
+on_claim_settled(uv_timer_t *timer)
+{
+	struct gw_call *call = timer->data;
+	struct gw *gw = call->gw;
+
+	if (!bl_poison_try(&gw->poison, call->fingerprint, &call->trial)) {
+		refuse_suspect(call);
+		return;
+	}
+	cs_log(CS_LOG_SUSPECT_TRIED, "request=%s fingerprint=%llx trial=%u",
+	    call->id, (unsigned long long)call->fingerprint, call->trial);
+	gw->callbacks->place(call);
+}
+
+/* The call waits until the claim to try it is settled between the VMs. */
+static void
+claim_trial(struct gw_call *call)
+{
+	struct gw *gw = call->gw;
+	uint64_t ticket = cs_random_next(&gw->random) | 1;
+
+	bl_poison_claim(&gw->poison, call->fingerprint, ticket, cs_now_us());
+	gw->params.events->on_claim(gw->params.user, call->fingerprint, ticket);
+	call->is_claiming = true;
+	uv_timer_start(
+	    &call->step_timer, on_claim_settled, BL_POISON_CLAIM_US / 1000, 0);
+}
+
+bool
+gw_is_refused_suspect(struct gw_call *call)
+{
+	struct gw *gw = call->gw;
+
+	if (call->is_claiming || !bl_is_poison(&gw->poison, call->fingerprint))
+		return false;
+	return bl_poison_wait_us(&gw->poison, call->fingerprint,
+		   gw->params.events->on_rank(
+		       gw->params.user, call->fingerprint),
+		   cs_now_us()) > 0;
+}
+
+bool
+gw_stop_suspect(struct gw_call *call)
+{
+	if (call->is_claiming ||
+	    !bl_is_poison(&call->gw->poison, call->fingerprint))
+		return false;
+	if (gw_is_refused_suspect(call))
+		refuse_suspect(call);
+	else
+		claim_trial(call);
+	return true;
+}
+
+bool
+gw_add_claim(struct gw *gw, uint64_t fingerprint, uint64_t ticket)
+{
+	return bl_poison_hear_claim(
+	    &gw->poison, fingerprint, ticket, cs_now_us());
+}
+
+void
+gw_end_trial(struct gw_call *call)
+{
+	if (call->is_claiming)
+		bl_poison_tried(
+		    &call->gw->poison, call->fingerprint, cs_now_us());
+	call->is_claiming = false;
+}
+
 static void
 tell_excuse(void *arg, const struct bl_crash *crash)
 {
@@ -122,8 +208,7 @@
 		const struct bl_suspect *suspect = &gw->poison.suspects[i];
 
 		if (suspect->crashes > 0 &&
-		    bl_is_poison(
-			&gw->poison, suspect->fingerprint, cs_now_us()))
+		    bl_is_poison(&gw->poison, suspect->fingerprint))
 			visit_crashes(suspect, visit, arg);
 	}
 }
@@ -139,6 +224,7 @@
 		    &(struct bl_crash){
 			.fingerprint = connections->suspects[i].fingerprint,
 			.target_process = bl_target_process(target),
+			.trials = connections->suspects[i].trials,
 		    });
 	connections->suspect_count = 0;
 }
@@ -183,8 +269,10 @@
 }
 
 static void
-add_suspect(struct gw_target_connections *connections, uint64_t fingerprint)
+add_suspect(
+    struct gw_target_connections *connections, const struct gw_call *call)
 {
+	uint64_t fingerprint = call->fingerprint;
 	int64_t now_us = cs_now_us();
 	uint32_t i;
 
@@ -197,6 +285,7 @@
 		return;
 	connections->suspects[i].fingerprint = fingerprint;
 	connections->suspects[i].lost_us = now_us;
+	connections->suspects[i].trials = call->trial;
 	if (i == connections->suspect_count)
 		connections->suspect_count++;
 }
@@ -207,7 +296,7 @@
 {
 	bool pending = connections->check != NULL;
 
-	add_suspect(connections, call->fingerprint);
+	add_suspect(connections, call);
 	if (!pending) {
 		connections->check = gw_open_check(connections);
 		connections->check_started_us = cs_now_us();
--- a/lib/gateway/gateway.h
+++ b/lib/gateway/gateway.h
@@ -84,6 +84,13 @@
 	/* A crash was not caused by the request. The other VMs should be told.
 	 */
 	void (*on_excused)(void *user, const struct bl_crash *crash);
+	/*
+	 * Returns the rank of this VM, from 0, among those that may try a
+	 * request which is refused for its crashes.
+	 */
+	uint32_t (*on_rank)(void *user, uint64_t fingerprint);
+	/* This VM claims a trial of a request. The other VMs should be told. */
+	void (*on_claim)(void *user, uint64_t fingerprint, uint64_t ticket);
 	/* A target said that it leaves. The other VMs should be told. */
 	void (*on_leaving)(void *user, uint64_t process);
 	/* A target said of its limit. The other VMs should be told. */
@@ -161,6 +168,11 @@
  * crash. Returns true if that is news.
  */
 bool gw_add_excuse(struct gw *gw, const struct bl_crash *crash);
+/*
+ * gw_add_claim(gw, ...): another VM claims a trial of a request. Returns true
+ * if that is news.
+ */
+bool gw_add_claim(struct gw *gw, uint64_t fingerprint, uint64_t ticket);
 /*
  * gw_tell_excuses(gw): tells of requests that are served here while other VMs
  * may hold a crash against them. Call it several times a second, at a moment
--- a/lib/gateway/gateway_internal.h
+++ b/lib/gateway/gateway_internal.h
@@ -38,6 +38,7 @@
 	struct {
 		uint64_t fingerprint;
 		int64_t lost_us;
+		uint32_t trials; /* see struct bl_crash */
 	} suspects[GW_SUSPECTS_MAX];
 	uint32_t suspect_count;
 	struct gw_connection *check; /* NULL: no check for a crash is pending */
@@ -100,6 +101,9 @@
 	uint32_t delivered_attempts; /* attempts that a target received */
 	/* No response may state that the request did not run. */
 	bool may_have_run;
+	/* This VM has claimed a trial for the call, see bl_poison_claim(). */
+	bool is_claiming;
+	uint32_t trial;		 /* its number; 0: none */
 	uint32_t probes_pending; /* probes not answered yet */
 	uint32_t probe_rounds;
 	struct bl_target *probed_targets[BL_PROBES_MAX];
@@ -308,6 +312,17 @@
 void gw_crash_check_ended(
     struct gw_target_connections *connections, enum h1_end end);
 
+/*
+ * gw_is_refused_suspect(call): the call must not reach any target since it
+ * crashes them, not even as a trial.
+ */
+bool gw_is_refused_suspect(struct gw_call *call);
+/*
+ * gw_stop_suspect(call): refuses such a call, or lets it wait until this VM may
+ * try it. Returns false if the call may be sent.
+ */
+bool gw_stop_suspect(struct gw_call *call);
+void gw_end_trial(struct gw_call *call);
 /* gw_excuse(call): a target ran the request of the call and responded. */
 void gw_excuse(struct gw_call *call);
 /*
--- a/lib/gateway/response.c
+++ b/lib/gateway/response.c
@@ -52,6 +52,7 @@
 	struct gw *gw = call->gw;
 	int64_t took_us = cs_now_us() - call->received_us;
 
+	gw_end_trial(call);
 	gw->counters.ended[reason]++;
 	if (reason == GW_ANSWERED)
 		cs_histogram_add(&gw->counters.answered, took_us);
--- a/programs/gateway.c
+++ b/programs/gateway.c
@@ -127,6 +127,8 @@
 static const struct gw_events gateway_events = {.on_call_ended = on_call_ended,
     .on_crash = ga_on_crash,
     .on_excused = ga_on_excused,
+    .on_claim = ga_on_claim,
+    .on_rank = ga_on_rank,
     .on_leaving = ga_on_leaving,
     .on_limit = ga_on_limit,
     .on_ask = ga_on_ask};
--- a/programs/gateway.h
+++ b/programs/gateway.h
@@ -88,6 +88,9 @@
 void ga_on_crash(void *user, const struct bl_crash *crash, bool is_poison);
 void ga_on_excused(void *user, const struct bl_crash *crash);
 bool ga_on_fleet_excuse(void *user, const struct fl_suspect_request *excuse);
+void ga_on_claim(void *user, uint64_t fingerprint, uint64_t ticket);
+bool ga_on_fleet_claim(void *user, const struct fl_claim *claim);
+uint32_t ga_on_rank(void *user, uint64_t fingerprint);
 /* ga_on_suspect_request(): as on_suspect_request() of struct fl_events. */
 bool ga_on_suspect_request(
     void *user, const struct fl_suspect_request *suspect);
--- a/programs/gateway_crashes.c
+++ b/programs/gateway_crashes.c
@@ -1,4 +1,6 @@
 /* Tells the other VMs of requests that crash targets. */
+#include <string.h>
+
 #include "gateway.h"
 
 #define REPEATS 3 /* of a report, one each tick */
@@ -12,6 +14,7 @@
 	struct fl_suspect_request suspect = {
 	    .fingerprint = crash->fingerprint,
 	    .target_process = crash->target_process,
+	    .trials = crash->trials,
 	};
 	uint32_t at = app->crash_report_count % GA_CRASH_REPORTS_MAX;
 
@@ -47,6 +50,54 @@
 		     });
 }
 
+void
+ga_on_claim(void *user, uint64_t fingerprint, uint64_t ticket)
+{
+	struct ga_app *app = user;
+
+	fl_broadcast_claim(app->fleet,
+	    &(struct fl_claim){.fingerprint = fingerprint, .ticket = ticket});
+}
+
+bool
+ga_on_fleet_claim(void *user, const struct fl_claim *claim)
+{
+	struct ga_app *app = user;
+
+	return gw_add_claim(app->gw, claim->fingerprint, claim->ticket);
+}
+
+/*
+ * The VMs of all regions are ranked without knowing each other: regions take
+ * turns, in an order that differs by request.
+ */
+uint32_t
+ga_on_rank(void *user, uint64_t fingerprint)
+{
+	const struct ga_app *app = user;
+	const struct bl_topology *topology = &app->topology;
+	const char *own = topology->data_centres[topology->own].region;
+	uint64_t own_weight =
+	    cs_hash_pair(fingerprint, cs_hash(own, strlen(own)));
+	uint32_t in_region = fl_membership_rank(
+	    fl_get_membership(app->fleet), fingerprint, cs_now_us());
+	uint32_t i, k, regions_before = 0;
+
+	for (i = 0; i < topology->count; i++) {
+		const char *region = topology->data_centres[i].region;
+
+		for (k = 0; k < i; k++) {
+			if (strcmp(topology->data_centres[k].region, region) ==
+			    0)
+				break;
+		}
+		regions_before +=
+		    k == i && cs_hash_pair(fingerprint,
+				  cs_hash(region, strlen(region))) > own_weight;
+	}
+	return in_region * app->region_count + regions_before;
+}
+
 bool
 ga_on_suspect_request(void *user, const struct fl_suspect_request *suspect)
 {
@@ -56,6 +107,7 @@
 	    app->gw, &(struct bl_crash){
 			 .fingerprint = suspect->fingerprint,
 			 .target_process = suspect->target_process,
+			 .trials = suspect->trials,
 		     });
 }
 
@@ -91,6 +143,7 @@
 	    &(struct fl_suspect_request){
 		.fingerprint = crash->fingerprint,
 		.target_process = crash->target_process,
+		.trials = crash->trials,
 	    });
 }
 
--- a/programs/gateway_updates.c
+++ b/programs/gateway_updates.c
@@ -283,6 +283,7 @@
     .on_update = on_update,
     .on_suspect_request = ga_on_suspect_request,
     .on_excuse = ga_on_fleet_excuse,
+    .on_claim = ga_on_fleet_claim,
     .on_leaving = ga_on_fleet_leaving,
     .on_limit = ga_on_fleet_limit,
     .on_ask = ga_on_fleet_ask,
--- a/tests/unit/gateway_rig.c
+++ b/tests/unit/gateway_rig.c
@@ -712,6 +712,22 @@
 	((struct rig *)user)->excused_fingerprint = crash->fingerprint;
 }
 
+static void
+on_claim(void *user, uint64_t fingerprint, uint64_t ticket)
+{
+	(void)user;
+	(void)fingerprint;
+	(void)ticket;
+}
+
+static uint32_t
+on_rank(void *user, uint64_t fingerprint)
+{
+	(void)user;
+	(void)fingerprint;
+	return 0;
+}
+
 static void
 on_leaving(void *user, uint64_t process)
 {
@@ -766,6 +782,8 @@
 	static const struct gw_events events = {.on_call_ended = on_call_ended,
 	    .on_crash = on_crash,
 	    .on_excused = on_excused,
+	    .on_claim = on_claim,
+	    .on_rank = on_rank,
 	    .on_leaving = on_leaving,
 	    .on_limit = on_limit,
 	    .on_ask = on_ask};
