--- a/lib/gateway/call.c
+++ b/lib/gateway/call.c
@@ -12,7 +12,9 @@
 /* A pool that the configuration names has no target yet. */
 #define RETRY_AFTER_NO_POOL_US 100000
 #define RETRY_AFTER_STOPPING_US 20000 /* another VM serves already */
-#define RETRY_AFTER_WAITED_US 10000   /* the call has waited already */
+/* A caller that leaves so late has waited until its own deadline. */
+#define CALLER_TIMEOUT_MARGIN_US 100000
+#define RETRY_AFTER_WAITED_US 10000 /* the call has waited already */
 
 static struct gw_call *
 allocate_call(struct gw *gw)
@@ -152,6 +154,8 @@
 {
 	struct gw *gw = connections->gw;
 
+	if (outcome == BL_MISPLACED)
+		gw_target_replaced(connections);
 	if (outcome == BL_MISPLACED || outcome == BL_GARBLED)
 		gw_hear_leaving(gw, connections->target, response);
 	else
@@ -164,6 +168,8 @@
 	struct gw_pool *pool = call->pool;
 
 	call->gw->counters.callers_gone++;
+	if (cs_now_us() >= call->deadline_us - CALLER_TIMEOUT_MARGIN_US)
+		gw_suspect_silence(call);
 	gw_cancel(call);
 	gw_attempt_drop(call, BL_CANCELLED);
 	gw_call_end(call, 0, GW_CALLER_GONE);
@@ -178,6 +184,7 @@
 	struct gw_pool *pool = call->pool;
 	bool sent = call->state == GW_CALL_SENT;
 
+	gw_suspect_silence(call);
 	gw_cancel(call);
 	gw_attempt_drop(call, BL_CANCELLED);
 	if (sent)
--- a/lib/gateway/connections.c
+++ b/lib/gateway/connections.c
@@ -24,6 +24,16 @@
  */
 #define IDLE_NOT_IDEMPOTENT_MAX_US 1000000
 
+/*
+ * Checks that are pending are looked at so often. One counts as unanswered
+ * after two looks, so that an answer that waits in this process is read between
+ * them.
+ */
+#define CHECK_TICK_MS 40
+#define CHECK_TICKS_MIN 2
+/* Three round trips between regions. */
+#define CHECK_TIMEOUT_US 75000
+
 static void drop_connection(struct gw_connection *connection);
 
 static void
@@ -100,6 +110,7 @@
 	struct gw_pool *pool = gw_pool_of_target(target);
 	enum h1_keep keep;
 
+	connection->owner->heard_us = cs_now_us();
 	if (h1_find_header(response, header_names->request_id) != NULL) {
 		/* Late response to the previous request. */
 		connection->owner->gw->callbacks->heard(
@@ -137,6 +148,7 @@
 	enum bl_outcome outcome;
 	enum h1_keep keep;
 
+	connection->owner->heard_us = cs_now_us();
 	switch (gw_match_response(connection, response)) {
 	case GW_MATCH_PREVIOUS:
 		call->gw->callbacks->heard(
@@ -202,8 +214,9 @@
 	cs_ref_take(&target->ref);
 	remove_from_idle(connection);
 	if (connection->checking)
-		connection->owner->gw->callbacks->check_ended(
-		    connection->owner, end);
+		connection->owner->gw->callbacks->check_ended(connection->owner,
+		    end == H1_END_CONNECT_FAILED ? GW_CHECK_REFUSED
+						 : GW_CHECK_SILENT);
 	if (connection->probing)
 		finish_probe(connection, end);
 	if (call != NULL) {
@@ -211,8 +224,7 @@
 
 		call->connection = NULL;
 		connection->h1 = NULL;
-		if (outcome == BL_LOST && end != H1_END_TRUNCATED &&
-		    !target->draining)
+		if (outcome == BL_LOST && !target->draining && !target->leaving)
 			call->gw->callbacks->request_lost(
 			    connection->owner, call, end);
 		drop_connection(connection);
@@ -233,7 +245,7 @@
 
 	if (!connection->checking)
 		return;
-	owner->gw->callbacks->check_ended(owner, H1_END_EOF);
+	owner->gw->callbacks->check_ended(owner, GW_CHECK_ACCEPTED);
 	if (owner->target->draining) {
 		drop_connection(connection);
 		return;
@@ -409,14 +421,61 @@
 	return CS_OK;
 }
 
-struct gw_connection *
+/* Ends a check that the target has not answered. */
+static void
+abort_check(struct gw_target_connections *connections)
+{
+	struct gw_connection *connection = connections->check;
+
+	connections->gw->callbacks->check_ended(connections, GW_CHECK_SILENT);
+	drop_connection(connection);
+}
+
+/* Returns true if a check is still pending afterwards. */
+static bool
+look_at_check(struct gw_target_connections *connections, int64_t now_us)
+{
+	if (connections == NULL || connections->check == NULL)
+		return false;
+	if (++connections->check_ticks < CHECK_TICKS_MIN ||
+	    now_us - connections->check_started_us < CHECK_TIMEOUT_US)
+		return true;
+	abort_check(connections);
+	return false;
+}
+
+static void
+on_check_tick(uv_timer_t *timer)
+{
+	struct gw *gw = timer->data;
+	int64_t now_us = cs_now_us();
+	GList *targets = g_hash_table_get_values(gw->targets), *at;
+	uint32_t pending = 0;
+
+	for (at = targets; at != NULL; at = at->next)
+		pending += look_at_check(
+		    ((struct bl_target *)at->data)->connections, now_us);
+	g_list_free(targets);
+	if (pending == 0)
+		uv_timer_stop(timer);
+}
+
+bool
 gw_open_check(struct gw_target_connections *connections)
 {
+	struct gw *gw = connections->gw;
 	struct gw_connection *connection = open_connection(connections);
 
-	if (connection != NULL)
-		connection->checking = true;
-	return connection;
+	if (connection == NULL)
+		return false;
+	connection->checking = true;
+	connections->check = connection;
+	connections->check_started_us = cs_now_us();
+	connections->check_ticks = 0;
+	if (!uv_is_active((uv_handle_t *)&gw->check_timer))
+		uv_timer_start(&gw->check_timer, on_check_tick, CHECK_TICK_MS,
+		    CHECK_TICK_MS);
+	return true;
 }
 
 void
@@ -474,16 +533,6 @@
 	drop_connection(connection);
 }
 
-/* Ends a check without a result: the target may be cut off. */
-static void
-abort_check(struct gw_target_connections *connections)
-{
-	struct gw_connection *connection = connections->check;
-
-	connections->gw->callbacks->check_ended(connections, H1_END_RESET);
-	drop_connection(connection);
-}
-
 void
 gw_target_connections_sweep(
     struct gw_target_connections *connections, int64_t now_us)
@@ -495,11 +544,6 @@
 		abort_probe(connections);
 		return;
 	}
-	if (connections->check != NULL &&
-	    now_us - connections->check_started_us > PROBE_TIMEOUT_US) {
-		abort_check(connections);
-		return;
-	}
 
 	for (; connection != NULL; connection = next) {
 		next = connection->next_idle;
--- a/lib/gateway/gateway.c
+++ b/lib/gateway/gateway.c
@@ -83,7 +83,8 @@
 	gw->next_number = cs_random_next(&gw->random) >> 32;
 
 	uv_timer_init(params->loop, &gw->sweep);
-	gw->sweep.data = gw;
+	gw->sweep.data = gw->check_timer.data = gw;
+	uv_timer_init(params->loop, &gw->check_timer);
 	gw->callbacks = &gw_call_callbacks;
 	uv_timer_start(&gw->sweep, on_sweep, SWEEP_MS, SWEEP_MS);
 	*out = gw;
@@ -176,6 +177,26 @@
 	       strcmp(target->pool->name, info->pool) != 0;
 }
 
+/* An address has one target at a time: the one that had it before has ended. */
+static void
+replace_at_address(struct gw *gw, const struct bl_target *target)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, gw->targets);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct bl_target *other = value;
+
+		if (other != target && other->connections != NULL &&
+		    !other->draining && !other->leaving &&
+		    other->address.sin_port == target->address.sin_port &&
+		    other->address.sin_addr.s_addr ==
+			target->address.sin_addr.s_addr)
+			gw_target_replaced(other->connections);
+	}
+}
+
 void
 gw_update_target(struct gw *gw, const struct gw_target_info *info)
 {
@@ -202,6 +223,8 @@
 	target->data_centre = info->data_centre;
 	if (info->slots > 0)
 		target->slots = info->slots;
+	if (is_new && gw->loaded)
+		replace_at_address(gw, target);
 	bl_set_draining(target, info->draining);
 	target->warm_up_until_us =
 	    info->warm_up_left_ms > 0
@@ -219,6 +242,8 @@
 		return;
 	cs_log(CS_LOG_TARGET_GONE, "target=%s pool=%s in_flight=%u", id,
 	    target->pool->name, target->in_flight);
+	if (target->connections != NULL && !target->draining)
+		gw_target_gone(target->connections);
 	remove_target(gw, target);
 }
 
--- a/lib/gateway/gateway_internal.h
+++ b/lib/gateway/gateway_internal.h
@@ -30,19 +30,22 @@
 	struct gw_connection *idle;  /* most recently used first */
 	struct gw_connection *probe; /* NULL: no probe is pending */
 	uint32_t open_count;
+	int64_t heard_us; /* the last response; 0: none yet */
 	/*
-	 * Fingerprints of requests that were lost here. All of them count as
-	 * having crashed the target if it then refuses a connection, or a new
-	 * process takes its place: which one of them did is not known.
+	 * Requests that were lost here. All of them count as having crashed the
+	 * target once it is known to have ended: which one did is not known.
 	 */
-	struct {
+	struct gw_lost_request {
 		uint64_t fingerprint;
 		int64_t lost_us;
 		uint32_t trials; /* see struct bl_crash */
+		bool ended;	 /* the target ended the connection */
+		bool dismissed;	 /* the target accepted a connection later */
 	} suspects[GW_SUSPECTS_MAX];
 	uint32_t suspect_count;
 	struct gw_connection *check; /* NULL: no check for a crash is pending */
 	int64_t check_started_us;
+	uint32_t check_ticks; /* of the gateway's check_timer since then */
 };
 
 #define GW_ID_BYTES_MAX 128 /* of a request, see gw_shorten_id() */
@@ -128,6 +131,7 @@
 	struct bl_poison poison;
 	struct cs_random random;
 	uv_timer_t sweep;
+	uv_timer_t check_timer; /* runs while checks are pending */
 	struct gw_counters counters;
 	/* Scratch buffer for the head of a request or response. */
 	struct h1_bytes head;
@@ -152,6 +156,13 @@
 
 #define GW_DEADLINE_DEFAULT_MS 60000 /* if the caller gives none */
 
+/* What a check shows of a target that lost a request. */
+enum gw_check {
+	GW_CHECK_ACCEPTED,
+	GW_CHECK_REFUSED,
+	GW_CHECK_SILENT, /* no answer in time */
+};
+
 /*
  * Reports from the lower modules to call.c, which alone decides the order of
  * the steps that follow.
@@ -167,9 +178,8 @@
 	/* The connection of a call ended without a response. */
 	void (*request_lost)(struct gw_target_connections *connections,
 	    const struct gw_call *call, enum h1_end end);
-	/* end is H1_END_EOF if the target accepted the connection. */
 	void (*check_ended)(
-	    struct gw_target_connections *connections, enum h1_end end);
+	    struct gw_target_connections *connections, enum gw_check result);
 	void (*place)(struct gw_call *call); /* its wait for probes is over */
 	void (*resume_held)(struct gw_call *call);
 	/* A target of the pool may have room. */
@@ -291,10 +301,10 @@
  */
 int gw_probe(struct gw *gw, struct bl_target *target);
 /*
- * gw_open_check(connections): connects to the target and reports the end to
- * check_ended(). Returns NULL if that cannot be started.
+ * gw_open_check(connections): connects to the target and reports the result to
+ * check_ended(). Returns false if that cannot be started.
  */
-struct gw_connection *gw_open_check(struct gw_target_connections *connections);
+bool gw_open_check(struct gw_target_connections *connections);
 void gw_target_connections_sweep(
     struct gw_target_connections *connections, int64_t now_us);
 void gw_target_connections_close(struct gw_target_connections *connections);
@@ -307,11 +317,12 @@
 void gw_suspect_crash(struct gw_target_connections *connections,
     const struct gw_call *call, enum h1_end end);
 /*
- * gw_crash_check_ended(connections, end): H1_END_CONNECT_FAILED shows a crash.
+ * gw_suspect_silence(call): the call got no response in time. If nothing was
+ * heard from its target meanwhile, checks whether that is still there.
  */
+void gw_suspect_silence(const struct gw_call *call);
 void gw_crash_check_ended(
-    struct gw_target_connections *connections, enum h1_end end);
-
+    struct gw_target_connections *connections, enum gw_check result);
 /*
  * gw_is_refused_suspect(call): the call must not reach any target since it
  * crashes them, not even as a trial.
@@ -326,10 +337,15 @@
 /* gw_excuse(call): a target ran the request of the call and responded. */
 void gw_excuse(struct gw_call *call);
 /*
- * gw_target_replaced(connections): a new process has registered in place of the
- * target, which confirms what a check could not show.
+ * gw_target_replaced(connections): a new process is in place of the target,
+ * which confirms what a check could not show.
  */
 void gw_target_replaced(struct gw_target_connections *connections);
+/*
+ * gw_target_gone(connections): the registration of the target has ended, which
+ * confirms a crash unless the target was there after it lost the requests.
+ */
+void gw_target_gone(struct gw_target_connections *connections);
 
 /* notices.c: what targets say of themselves */
 /* gw_hear(gw, target, response): takes what a response of the target says. */
--- a/lib/h1/client_conn.c
+++ b/lib/h1/client_conn.c
@@ -44,6 +44,8 @@
 	switch (end) {
 	case H1_END_CONNECT_FAILED:
 		return "unreached";
+	case H1_END_TIMED_OUT:
+		return "timed_out";
 	case H1_END_RESET:
 		return "reset";
 	case H1_END_EOF:
@@ -189,16 +191,17 @@
 }
 
 static void
-on_end_of_stream(struct h1_client_conn *conn, bool clean)
+on_end_of_stream(struct h1_client_conn *conn, enum h1_end end)
 {
 	struct h1_reader *reader = &conn->reader;
 	size_t used;
 
 	if (!conn->awaiting_response || !reader->started) {
-		end_connection(conn, clean ? H1_END_EOF : H1_END_RESET);
+		end_connection(conn, end);
 		return;
 	}
-	if (clean && reader->head_complete && !reader->message.framed &&
+	if (end == H1_END_EOF && reader->head_complete &&
+	    !reader->message.framed &&
 	    h1_reader_feed(reader, NULL, 0, &used) == H1_READ_COMPLETE) {
 		if (deliver_response(conn, false))
 			end_connection(conn, H1_END_EOF);
@@ -224,6 +227,16 @@
 	return error != 0;
 }
 
+static enum h1_end
+end_of_error(const struct h1_client_conn *conn, int error)
+{
+	if (error == UV_EOF)
+		return was_reset(conn) ? H1_END_RESET : H1_END_EOF;
+	return error == UV_ETIMEDOUT || error == UV_EHOSTUNREACH
+		   ? H1_END_TIMED_OUT
+		   : H1_END_RESET;
+}
+
 static void
 on_read(uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer)
 {
@@ -232,7 +245,7 @@
 	if (length > 0)
 		process_input(conn, buffer->base, (size_t)length);
 	else if (length < 0)
-		on_end_of_stream(conn, length == UV_EOF && !was_reset(conn));
+		on_end_of_stream(conn, end_of_error(conn, (int)length));
 }
 
 /* Frees the written request where an idle connection would hold much memory. */
@@ -252,7 +265,7 @@
 	conn->write_pending = false;
 	release_out(conn);
 	if (status < 0 && status != UV_ECANCELED)
-		end_connection(conn, H1_END_RESET);
+		end_connection(conn, end_of_error(conn, status));
 }
 
 static void
--- a/lib/h1/h1.h
+++ b/lib/h1/h1.h
@@ -136,6 +136,7 @@
 enum h1_end {
 	H1_END_CONNECT_FAILED, /* the connect failed: nothing was sent */
 	H1_END_RESET,
+	H1_END_TIMED_OUT, /* the server acknowledged nothing any more */
 	H1_END_EOF,	  /* closed by the server before or after a response */
 	H1_END_TRUNCATED, /* closed or reset in the middle of a response */
 	H1_END_PROTOCOL_ERROR, /* malformed, too large, or extra bytes */
--- a/tests/unit/gateway_rig.c
+++ b/tests/unit/gateway_rig.c
@@ -3,6 +3,8 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "gateway_rig.h"
 
@@ -11,6 +13,8 @@
 	200000		     /* of the loop, before a test counts as stuck */
 #define SETTLE_ITERATIONS 40 /* each ends on an event or the wake-up timer */
 #define SLOTS_DEFAULT 4
+#define REPORT_ITERATIONS_MAX 1000 /* each lasts up to 5 ms */
+#define FILLERS 4 /* more than a socket with an empty backlog accepts */
 
 /* Holds in every build, unlike assert(). */
 static void
@@ -45,7 +49,9 @@
 	struct listener *listeners[RIG_TARGETS_MAX];
 	struct sockaddr_in addresses[RIG_TARGETS_MAX];
 	uint64_t process_starts[RIG_TARGETS_MAX];
-	uint32_t crashes, crashing_requests;
+	uint32_t crashes, crashing_requests, reports;
+	int mute[RIG_TARGETS_MAX]; /* a socket that answers nobody; 0: none */
+	int fillers[RIG_TARGETS_MAX][FILLERS];
 	uint64_t reported_fingerprint, excused_fingerprint;
 	bool held_caller_open;
 	struct connection *target_connections;
@@ -161,6 +167,41 @@
 	return at != NULL && line_end != NULL && at < line_end;
 }
 
+/* Takes the address with a socket whose queue is full: it drops all others. */
+static void
+mute_target(struct rig *rig, uint32_t number)
+{
+	const struct sockaddr *address =
+	    (const struct sockaddr *)&rig->addresses[number];
+	int one = 1, i;
+
+	rig->mute[number] = socket(AF_INET, SOCK_STREAM, 0);
+	setsockopt(
+	    rig->mute[number], SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	require(
+	    bind(rig->mute[number], address, sizeof(struct sockaddr_in)) == 0 &&
+	    listen(rig->mute[number], 0) == 0);
+	for (i = 0; i < FILLERS; i++) {
+		rig->fillers[number][i] =
+		    socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+		connect(rig->fillers[number][i], address,
+		    sizeof(struct sockaddr_in));
+	}
+}
+
+static void
+unmute_target(struct rig *rig, uint32_t number)
+{
+	int i;
+
+	if (rig->mute[number] == 0)
+		return;
+	for (i = 0; i < FILLERS; i++)
+		close(rig->fillers[number][i]);
+	close(rig->mute[number]);
+	rig->mute[number] = 0;
+}
+
 static void
 crash_target(struct rig *rig, struct connection *crashing)
 {
@@ -169,6 +210,11 @@
 
 	rig->crashes++;
 	uv_close((uv_handle_t *)&rig->listeners[number]->tcp, NULL);
+	rig->listeners[number] = NULL;
+	if (rig->params.silent_after_crash)
+		mute_target(rig, number);
+	if (rig->params.hangs_at_crash)
+		return;
 	reset_connection(crashing);
 	for (connection = rig->target_connections; connection != NULL;
 	     connection = connection->next) {
@@ -655,8 +701,11 @@
 static void
 listen_target(struct rig *rig, uint32_t number)
 {
-	struct listener *listener = calloc(1, sizeof(*listener));
+	struct listener *listener;
 
+	if (rig->listeners[number] != NULL)
+		return;
+	listener = calloc(1, sizeof(*listener));
 	require(listener != NULL);
 	*listener = (struct listener){.rig = rig, .number = number};
 	rig->listeners[number] = listener;
@@ -694,16 +743,51 @@
 void
 rig_restart_target(struct rig *rig, uint32_t number)
 {
+	unmute_target(rig, number);
 	if (!rig->params.restart_at_once)
 		listen_target(rig, number);
 	register_target(rig, number);
 }
 
+void
+rig_remove_target(struct rig *rig, uint32_t number)
+{
+	gw_remove_target(rig->gw, rig_target_id(number));
+}
+
+void
+rig_add_target_at(struct rig *rig, uint32_t number, const char *id)
+{
+	unmute_target(rig, number);
+	listen_target(rig, number);
+	gw_update_target(rig->gw, &(struct gw_target_info){
+				      .id = id,
+				      .pool = "p",
+				      .address = rig->addresses[number],
+				      .slots = SLOTS_DEFAULT,
+				      .process_start_ms = 1,
+				  });
+}
+
+bool
+rig_await_reports(struct rig *rig, uint32_t count)
+{
+	uint32_t iterations = 0;
+
+	while (rig->reports < count && iterations < REPORT_ITERATIONS_MAX)
+		run_once(rig, &iterations);
+	return rig->reports >= count;
+}
+
 static void
 on_crash(void *user, const struct bl_crash *crash, bool is_poison)
 {
+	struct rig *rig = user;
+
 	(void)is_poison;
-	((struct rig *)user)->reported_fingerprint = crash->fingerprint;
+
+	rig->reports++;
+	rig->reported_fingerprint = crash->fingerprint;
 }
 
 static void
--- a/tests/unit/gateway_rig.h
+++ b/tests/unit/gateway_rig.h
@@ -42,6 +42,10 @@
 	bool no_health_path;
 	/* So many crashing requests are answered before they crash targets. */
 	uint32_t harmless_crashes;
+	/* Nobody answers at the address of a crashed target. */
+	bool silent_after_crash;
+	/* Connections of a crashed target fall silent; none is reset. */
+	bool hangs_at_crash;
 	/* A crashed target listens again at once. */
 	bool restart_at_once;
 };
@@ -84,6 +88,17 @@
  */
 void rig_restart_target(struct rig *rig, uint32_t number);
 uint32_t rig_crashes(const struct rig *rig);
+/* rig_remove_target(rig, number): its registration lapses. */
+void rig_remove_target(struct rig *rig, uint32_t number);
+/*
+ * rig_add_target_at(rig, number, id): another target registers at the address.
+ */
+void rig_add_target_at(struct rig *rig, uint32_t number, const char *id);
+/*
+ * rig_await_reports(rig, count): runs until the gateway has reported so many
+ * crashes; false if it does not.
+ */
+bool rig_await_reports(struct rig *rig, uint32_t count);
 /* rig_settle(rig): runs until nothing is left that could happen at once. */
 void rig_settle(struct rig *rig);
 /* The last crash that the gateway reported, or 0. */
--- a/tests/unit/test_crashing_requests.c
+++ b/tests/unit/test_crashing_requests.c
@@ -211,6 +211,93 @@
 	rig_free(rig);
 }
 
+/* What is left of a target after a crash, and what tells of it. */
+struct trace_of_crash {
+	bool silent;   /* nobody answers at the address */
+	bool no_reset; /* the request's connection falls silent as well */
+	bool lapses;   /* the registration ends */
+	bool other;    /* another target registers at the address */
+};
+
+static void
+crash_and_recover(struct rig *rig, const struct trace_of_crash *trace)
+{
+	const char *id = rig_crashes(rig) == 0 ? "other-0" : "other-1";
+
+	assert_int_equal(
+	    ask(rig, crashing_request), trace->no_reset ? 504 : 502);
+	if (trace->lapses)
+		rig_remove_target(rig, 0);
+	if (trace->other)
+		rig_add_target_at(rig, 0, id);
+	/* The second one tells of both crashes. */
+	assert_true(rig_await_reports(rig, rig_crashes(rig) == 1 ? 1 : 3));
+	if (trace->other)
+		gw_remove_target(rig_gateway(rig), id);
+	rig_restart_target(rig, 0);
+}
+
+static void
+test_crash_is_noticed_by_whatever_tells_of_it(void **state)
+{
+	static const struct trace_of_crash traces[] = {
+	    {.silent = true},
+	    {.silent = true, .no_reset = true, .lapses = true},
+	    {.no_reset = true},
+	    {.silent = true, .no_reset = true, .other = true},
+	};
+	size_t t;
+	int i;
+
+	(void)state;
+	for (t = 0; t < sizeof(traces) / sizeof(traces[0]); t++) {
+		struct rig *rig = rig_create(&(struct rig_params){
+		    .scripts = &answering,
+		    .script_count = 1,
+		    .target_count = 1,
+		    .with_table = true,
+		    .timeout_ms = traces[t].no_reset ? 300 : 30000,
+		    .attempts_max = 1,
+		    .silent_after_crash = traces[t].silent,
+		    .hangs_at_crash = traces[t].no_reset,
+		});
+
+		for (i = 0; i < 2; i++)
+			crash_and_recover(rig, &traces[t]);
+		assert_crashing_request_is_refused(rig);
+		assert_int_equal(ask(rig, ordinary_request), 200);
+		rig_free(rig);
+	}
+}
+
+/*
+ * Connections fall silent, and nobody answers, while the registrations of the
+ * targets hold: they are cut off. The request is not to blame.
+ */
+static void
+test_request_to_targets_that_are_cut_off_is_not_blamed(void **state)
+{
+	struct rig *rig = rig_create(&(struct rig_params){
+	    .scripts = &answering,
+	    .script_count = 1,
+	    .target_count = 3,
+	    .with_table = true,
+	    .timeout_ms = 300,
+	    .attempts_max = 1,
+	    .silent_after_crash = true,
+	    .hangs_at_crash = true,
+	});
+	uint32_t i;
+
+	(void)state;
+	for (i = 0; i < 3; i++) {
+		assert_int_equal(ask(rig, crashing_request), 504);
+		rig_settle(rig);
+	}
+	assert_false(rig_await_reports(rig, 1));
+	rig_free(rig);
+}
+
 /* A call waits for room while another VM reports the second crash. */
 static void
 test_waiting_request_is_refused_once_it_is_known_to_crash(void **state)
@@ -256,6 +343,9 @@
 	    cmocka_unit_test(test_crashing_request_is_the_same_from_any_caller),
 	    cmocka_unit_test(
 		test_request_that_was_served_before_is_refused_once_it_crashes),
+	    cmocka_unit_test(test_crash_is_noticed_by_whatever_tells_of_it),
+	    cmocka_unit_test(
+		test_request_to_targets_that_are_cut_off_is_not_blamed),
 	    cmocka_unit_test(
 		test_waiting_request_is_refused_once_it_is_known_to_crash),
 	};
