--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -91,9 +91,9 @@
 	node->same_region = node->region == fleet->membership.self.region;
 	is_new = fl_membership_on_hello(&fleet->membership, node, cs_now_us());
 
-	if (is_new)
+	if (is_new || fleet->membership.node_returned)
 		fleet->params.events->on_node(
-		    fleet->params.user, node, "joined");
+		    fleet->params.user, node, !is_new);
 	if (frame->as.hello.wants_reply)
 		fl_reply_hello(fleet, node, frame->as.hello.known_nodes);
 	fl_contact_peers(fleet, frame);
@@ -106,9 +106,14 @@
     const struct sockaddr_in *from)
 {
 	if (!fl_membership_on_heartbeat(
-		&fleet->membership, from, frame, cs_now_us()))
+		&fleet->membership, from, frame, cs_now_us())) {
 		fl_send_hello(fleet, from);
-	else if (fleet->membership.status_changed)
+		return;
+	}
+	if (fleet->membership.node_returned)
+		fleet->params.events->on_node(fleet->params.user,
+		    fl_membership_find(&fleet->membership, from), true);
+	if (fleet->membership.status_changed)
 		update_role(fleet);
 }
 
@@ -132,10 +137,13 @@
 pass_on(struct fleet *fleet, const struct fl_frame *frame, bool is_news,
     const struct sockaddr_in *from)
 {
-	if (!fl_membership_is_same_region(&fleet->membership, from))
-		send_to_nodes(fleet, frame, true);
-	else if (is_news && fleet->membership.self.current)
+	if (!fl_membership_is_same_region(&fleet->membership, from)) {
+		/* Reminders of other regions are rarely news. */
+		if (is_news || frame->type != FL_FRAME_SUSPECT_REQUEST)
+			send_to_nodes(fleet, frame, true);
+	} else if (is_news && fleet->membership.self.current) {
 		send_to_nodes(fleet, frame, false);
+	}
 }
 
 static void
@@ -247,6 +255,31 @@
 	send_to_nodes(fleet, &frame, false);
 }
 
+void
+fl_remind_regions(struct fleet *fleet, const struct fl_suspect_request *suspect,
+    uint64_t turn)
+{
+	const struct fl_membership *membership = &fleet->membership;
+	struct fl_frame frame = {
+	    .type = FL_FRAME_SUSPECT_REQUEST, .as.suspect_request = *suspect};
+	uint32_t i, k;
+
+	for (i = 0; i < membership->count; i++) {
+		uint64_t region = membership->nodes[i].region;
+		const struct fl_node *relay;
+
+		if (membership->nodes[i].same_region)
+			continue;
+		for (k = 0; membership->nodes[k].region != region; k++)
+			;
+		if (k < i) /* told already */
+			continue;
+		relay = fl_membership_find_relay(membership, region, turn);
+		if (relay != NULL)
+			fl_send_datagram(fleet, &frame, &relay->fleet);
+	}
+}
+
 void
 fl_send_suspect_request(struct fleet *fleet, const struct fl_node *node,
     const struct fl_suspect_request *suspect)
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -67,6 +67,8 @@
 	bool watching;
 	/* The last heartbeat may have changed the role of this node. */
 	bool status_changed;
+	/* The last hello or heartbeat is of a node that had fallen silent. */
+	bool node_returned;
 	/* Since when it watches while another one should lead; 0: not so. */
 	int64_t outranked_since_us;
 	/*
@@ -88,6 +90,9 @@
  */
 struct fl_node *fl_membership_add(
     struct fl_membership *membership, const struct fl_node *record);
+/* fl_membership_find(membership, fleet): the other node there, or NULL. */
+struct fl_node *fl_membership_find(
+    struct fl_membership *membership, const struct sockaddr_in *fleet);
 /*
  * fl_membership_on_hello(membership, record, now_us): takes a node's hello.
  * Returns true if its process was not known before.
@@ -316,8 +321,11 @@
 	bool (*on_limit)(void *user, const struct fl_limit *limit);
 	void (*on_ask)(void *user, const struct fl_ask *ask);
 	void (*on_permit)(void *user, const struct fl_permit *permit);
-	void (*on_node)(
-	    void *user, const struct fl_node *node, const char *what);
+	/*
+	 * A process that is new here has joined, or a node has returned after
+	 * a silence: it may have missed reports.
+	 */
+	void (*on_node)(void *user, const struct fl_node *node, bool returned);
 };
 
 struct fl_params {
@@ -365,6 +373,12 @@
     struct fleet *fleet, const struct fl_suspect_request *excuse);
 /* fl_broadcast_claim(fleet, claim): the same with a claim. */
 void fl_broadcast_claim(struct fleet *fleet, const struct fl_claim *claim);
+/*
+ * fl_remind_regions(fleet, suspect, turn): tells one node of each other region,
+ * which passes on what is news to it. Successive turns tell different ones.
+ */
+void fl_remind_regions(struct fleet *fleet,
+    const struct fl_suspect_request *suspect, uint64_t turn);
 /* fl_send_suspect_request(fleet, node, suspect): tells one node. */
 void fl_send_suspect_request(struct fleet *fleet, const struct fl_node *node,
     const struct fl_suspect_request *suspect);
--- a/lib/fleet/membership.c
+++ b/lib/fleet/membership.c
@@ -72,8 +72,9 @@
 	       a->sin_port == b->sin_port;
 }
 
-static struct fl_node *
-find_node(struct fl_membership *membership, const struct sockaddr_in *fleet)
+struct fl_node *
+fl_membership_find(
+    struct fl_membership *membership, const struct sockaddr_in *fleet)
 {
 	uint32_t i;
 
@@ -88,7 +89,8 @@
 fl_membership_add(
     struct fl_membership *membership, const struct fl_node *record)
 {
-	struct fl_node *node = find_node(membership, &record->fleet), *grown;
+	struct fl_node *node = fl_membership_find(membership, &record->fleet),
+		       *grown;
 	uint32_t capacity;
 
 	if (node != NULL ||
@@ -121,6 +123,7 @@
 	if (node == NULL)
 		return false;
 	is_new = node->boot != record->boot || node->heard_us == 0;
+	membership->node_returned = !is_new && !fl_node_is_alive(node, now_us);
 	if (membership->first_contact_us == 0 && record->same_region)
 		membership->first_contact_us = now_us;
 
@@ -134,7 +137,7 @@
     const struct sockaddr_in *from, const struct fl_frame *heartbeat,
     int64_t now_us)
 {
-	struct fl_node *node = find_node(membership, from);
+	struct fl_node *node = fl_membership_find(membership, from);
 
 	if (node == NULL || node->boot != heartbeat->as.heartbeat.boot ||
 	    node->heard_us == 0)
@@ -142,6 +145,7 @@
 	membership->status_changed =
 	    node->current != heartbeat->as.heartbeat.current ||
 	    node->stopping != heartbeat->as.heartbeat.stopping;
+	membership->node_returned = !fl_node_is_alive(node, now_us);
 	node->ready = heartbeat->as.heartbeat.ready;
 
 	node->stopping = heartbeat->as.heartbeat.stopping;
--- a/programs/gateway.h
+++ b/programs/gateway.h
@@ -99,6 +99,11 @@
  * lost. Call it on every tick.
  */
 void ga_repeat_crash_reports(struct ga_app *app);
+/*
+ * ga_remind_regions(app): the leader tells the other regions again of requests
+ * that are refused. Call it on every tick.
+ */
+void ga_remind_regions(struct ga_app *app);
 /* ga_tell_crashes(app, node): tells a node that has just started. */
 void ga_tell_crashes(struct ga_app *app, const struct fl_node *node);
 
--- a/programs/gateway_crashes.c
+++ b/programs/gateway_crashes.c
@@ -4,6 +4,8 @@
 #include "gateway.h"
 
 #define REPEATS 3 /* of a report, one each tick */
+/* Regions that were cut off from each other have missed reports. */
+#define REMIND_EVERY_TICKS 8 /* 2 s */
 /* Told to a node that has just started, at most. */
 #define TOLD_MAX 32
 
@@ -125,6 +127,28 @@
 	}
 }
 
+static void
+remind(void *arg, const struct bl_crash *crash)
+{
+	struct ga_app *app = arg;
+
+	fl_remind_regions(app->fleet,
+	    &(struct fl_suspect_request){
+		.fingerprint = crash->fingerprint,
+		.target_process = crash->target_process,
+		.trials = crash->trials,
+	    },
+	    app->tick_count / REMIND_EVERY_TICKS);
+}
+
+void
+ga_remind_regions(struct ga_app *app)
+{
+	if (app->tick_count % REMIND_EVERY_TICKS == 0 &&
+	    fl_get_membership(app->fleet)->self.current)
+		gw_for_each_poison(app->gw, remind, app);
+}
+
 struct telling {
 	struct fleet *fleet;
 	const struct fl_node *node;
--- a/programs/gateway_updates.c
+++ b/programs/gateway_updates.c
@@ -267,13 +267,16 @@
 }
 
 static void
-on_node(void *user, const struct fl_node *node, const char *what)
+on_node(void *user, const struct fl_node *node, bool returned)
 {
 	struct ga_app *app = user;
 
 	cs_log(CS_LOG_NODE_CHANGED, "member=%s what=%s boot=%llx", node->name,
-	    what, (unsigned long long)node->boot);
-	ga_tell_crashes(app, node);
+	    returned ? "returned" : "joined", (unsigned long long)node->boot);
+	/* Both sides may have missed reports: the leader passes them on. */
+	if (!returned || node->current ||
+	    fl_get_membership(app->fleet)->self.current)
+		ga_tell_crashes(app, node);
 	ga_tell_notices(app, node);
 	ga_update_budget_share(app);
 }
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -498,11 +498,11 @@
 }
 
 static void
-on_live_node(void *user, const struct fl_node *other, const char *what)
+on_live_node(void *user, const struct fl_node *other, bool returned)
 {
 	(void)user;
 	(void)other;
-	(void)what;
+	(void)returned;
 }
 
 static void
@@ -623,6 +623,65 @@
 	assert_int_equal(live.suspects_received[1], 1);
 }
 
+/* A region that was cut off hears of a crash from a reminder, all VMs of it. */
+static void
+test_reminders_reach_all_nodes_of_other_regions(void **state)
+{
+	static struct live live;
+	struct live_user users[3] = {{&live, 0}, {&live, 1}, {&live, 2}};
+	struct sockaddr_in addresses[3] = {
+	    free_address(), free_address(), free_address()};
+	struct fl_suspect_request suspect = {77, 5, 0};
+	uv_timer_t watchdog;
+
+	(void)state;
+	start_loop(&live, &watchdog);
+	start_live(&live, &users[1], "there", &addresses[1], &addresses[2]);
+	start_live(&live, &users[2], "there", &addresses[2], &addresses[1]);
+	while (fl_membership_count_alive(
+		   fl_get_membership(live.fleets[1]), cs_now_us()) < 2)
+		uv_run(&live.loop, UV_RUN_ONCE);
+	start_live(&live, &users[0], "here", &addresses[0], &addresses[1]);
+	while (fl_get_membership(live.fleets[0])->count == 0 ||
+	       fl_get_membership(live.fleets[0])->nodes[0].heard_us == 0)
+		uv_run(&live.loop, UV_RUN_ONCE);
+	fl_remind_regions(live.fleets[0], &suspect, 0);
+	while (!live.timed_out && (live.suspects_received[1] == 0 ||
+				      live.suspects_received[2] == 0))
+		uv_run(&live.loop, UV_RUN_ONCE);
+	assert_false(live.timed_out);
+	/* No news the second time: it goes no further. */
+	fl_remind_regions(live.fleets[0], &suspect, 0);
+	while (!live.timed_out && live.suspects_received[1] < 2)
+		uv_run(&live.loop, UV_RUN_ONCE);
+	uv_run(&live.loop, UV_RUN_NOWAIT);
+	assert_int_equal(live.suspects_received[2], 1);
+}
+
+/* A VM that froze or was cut off has missed reports. */
+static void
+test_node_that_is_heard_after_a_silence_has_returned(void **state)
+{
+	struct fl_membership m;
+	struct fl_node self = make_node(1), node = make_node(2);
+	struct fl_frame heartbeat = {
+	    .type = FL_FRAME_HEARTBEAT, .as.heartbeat = {.boot = node.boot}};
+
+	(void)state;
+	fl_membership_init(&m, &self, 0);
+	fl_membership_on_hello(&m, &node, 1000000);
+	assert_false(m.node_returned);
+	assert_true(
+	    fl_membership_on_heartbeat(&m, &node.fleet, &heartbeat, 2000000));
+	assert_false(m.node_returned);
+	assert_true(
+	    fl_membership_on_heartbeat(&m, &node.fleet, &heartbeat, 6000000));
+	assert_true(m.node_returned);
+	fl_membership_on_hello(&m, &node, 10000000);
+	assert_true(m.node_returned);
+	fl_membership_free(&m);
+}
+
 /* Asks a VM as one that knows so many others; how many addresses it tells. */
 static uint32_t
 request_peer_count(
@@ -855,6 +914,9 @@
 	    cmocka_unit_test(test_suspect_requests_reach_other_regions),
 	    cmocka_unit_test(
 		test_leader_passes_suspect_requests_to_other_regions),
+	    cmocka_unit_test(test_reminders_reach_all_nodes_of_other_regions),
+	    cmocka_unit_test(
+		test_node_that_is_heard_after_a_silence_has_returned),
 	    cmocka_unit_test(test_peers_are_sent_only_to_nodes_that_know_fewer),
 	    cmocka_unit_test(
 		test_snapshot_does_not_bring_back_an_object_that_left),
