--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -189,11 +189,16 @@
             target.notices, target.noticed_at, target.arrivals = {}, None, []
 
     async def send_crashing_request(self):
-        """Its caller sends it again and again, to any VM."""
+        """Callers send it again and again, to any VM; at times it is served
+        before."""
         self.log_event("a request that crashes targets")
-        for _ in range(3):
+        if not self.cluster.crashes:
+            self.cluster.harmless_left = self.random.choice((0, 2))
+        for _ in range(3 + self.cluster.harmless_left):
             vm = self.random.choice(self.cluster.vms)
-            await self.cluster.call(vm.host, "/write/crash", "once")
+            caller = self.cluster.address(self.random.randint(200, 220))
+            await self.cluster.call(
+                vm.host, "/write/crash", "once", caller=caller)
             await asyncio.sleep(self.random.uniform(0.5, 2))
             for target in self.cluster.targets:
                 if target.server is None and any(
--- a/tests/standins/cluster.py
+++ b/tests/standins/cluster.py
@@ -188,7 +188,9 @@
 
     async def run(self, first, headers, body):
         attempt = headers.get(ATTEMPT_ID_HEADER, "")
-        if "/crash" in first:
+        if "/crash" in first and self.cluster.harmless_left > 0:
+            self.cluster.harmless_left -= 1
+        elif "/crash" in first:
             self.cluster.crashes.append((time.time(), self.id))
             await self.stop()
             raise ConnectionError("crashed")
@@ -379,6 +381,7 @@
         self.run_counts = {}  # by attempt: number of runs
         self.hosts = {}  # by attempt: the VM that it was sent to
         self.crashes = []  # of targets, by a request: time and target
+        self.harmless_left = 0  # crashing requests that are served before
         self.statuses = {}  # by attempt: status at the caller
         self.violations = []
         self.version = 0
@@ -433,15 +436,18 @@
             await vm.store_proxy.start()
             await vm.start(first_start=True)
 
-    async def call(self, host, path, kind="safe", attempt=None, timeout=4.0):
-        """Sends one attempt to one VM; returns the status, or 0 without one."""
+    async def call(self, host, path, kind="safe", attempt=None, timeout=4.0,
+                   caller=None):
+        """Sends one attempt to one VM, from the address of a caller; returns
+        the status, or 0 without one."""
         attempt = attempt or "%s-%d" % (kind, len(self.statuses))
         self.statuses[attempt] = 0
         self.hosts[attempt] = host
         method, body = ("GET", b"") if kind == "safe" else ("POST", b"work")
         try:
             reader, writer = await asyncio.wait_for(
-                asyncio.open_connection(host, FRONT_PORT), 1.0)
+                asyncio.open_connection(
+                    host, FRONT_PORT, local_addr=caller and (caller, 0)), 1.0)
         except (OSError, asyncio.TimeoutError):
             return 0
         try:
