--- a/tests/standins/cluster.py
+++ b/tests/standins/cluster.py
@@ -5,6 +5,7 @@
 concurrent runs do not share addresses.
 """
 import asyncio
+import copy
 import itertools
 import json
 import os
@@ -52,6 +53,21 @@
         self.mode = "up"  # up, busy, silent, slow
         self.changed = asyncio.Event()
         self.disturbed_until = 0.0  # until then, gateways may miss writes
+        self.era = 1  # rises with each restore
+
+    def copy(self):
+        """For restore(): all that it holds now."""
+        saved = Store()
+        saved.revision, saved.kinds = self.revision, copy.deepcopy(self.kinds)
+        return saved
+
+    def restore(self, saved):
+        """Comes back from a copy; revisions since are given out again."""
+        self.revision, self.kinds = saved.revision, copy.deepcopy(saved.kinds)
+        self.era += 1
+        self.discard_history()
+        self.changed.set()
+        self.changed = asyncio.Event()
 
     def put(self, kind, name, spec, deleted=False):
         self.revision += 1
@@ -78,7 +94,7 @@
     async def watch(self, kind, since, wait_s):
         end = time.time() + wait_s
         while True:
-            if since < self.discarded_revision:
+            if since < self.discarded_revision or since > self.revision:
                 return 410, {}
             events = [{"deleted": deleted, "object": entry}
                       for revision, event_kind, deleted, entry in self.history
@@ -123,8 +139,8 @@
                     await asyncio.sleep(0.25)
                 status, reply = (503, {}) if self.mode == "busy" else \
                     await self.respond(first, body)
-                writer.write(format_message("HTTP/1.1 %d X" % status, {},
-                                     json.dumps(reply).encode()))
+                writer.write(format_message("HTTP/1.1 %d X" % status,
+                                     {"Store-Era": self.era}, json.dumps(reply).encode()))
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError,
                 asyncio.CancelledError):
@@ -141,7 +157,7 @@
         self.work_s, self.slots = work_s, slots
         self.id = "t-%s-%d" % (pool, number)
         self.host = cluster.address(100 + number)
-        self.running = 0
+        self.running = self.runs = 0
         self.drain_acked_at = None  # time when the store acked its draining
         self.server = None
         self.started = False
@@ -201,6 +217,7 @@
                 ATTEMPT_ID_HEADER: attempt, "Chervilshelf-Not-Executed": "1", **self.load_headers()})
         self.cluster.record_run(self, first, attempt, body)
         self.running += 1
+        self.runs += 1
         try:
             await asyncio.sleep(self.work_s)
         finally:
