--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -36,6 +36,7 @@
 	bool current;	       /* watches the store and is up to date */
 	uint32_t capacity;     /* of its link and CPU, as a power of two */
 	uint64_t revision_sum; /* of the store revisions that it has */
+	bool tells_era;	       /* of the store; earlier builds do not */
 	int64_t heard_us;      /* last heartbeat or hello; 0: none yet */
 };
 
@@ -272,6 +273,7 @@
 		struct {
 			uint64_t boot;
 			bool ready, stopping, current;
+			bool tells_era;
 			uint64_t revision_sum;
 		} heartbeat;
 		struct fl_suspect_request suspect_request; /* and excuse */
--- a/lib/fleet/frames.c
+++ b/lib/fleet/frames.c
@@ -24,13 +24,29 @@
 			ntohs(address->sin_port));
 }
 
+/*
+ * Revisions are sent as numbers; their eras follow at the end of the frame,
+ * where earlier builds do not look.
+ */
+static void
+pack_number(msgpack_packer *packer, uint64_t revision)
+{
+	msgpack_pack_uint64(packer, os_revision_number(revision));
+}
+
+static void
+pack_era(msgpack_packer *packer, uint64_t revision)
+{
+	msgpack_pack_uint64(packer, os_revision_era(revision));
+}
+
 static void
 pack_hello(msgpack_packer *packer, const struct fl_frame *frame)
 {
 	const struct fl_node *node = &frame->as.hello.node;
 	uint32_t i;
 
-	msgpack_pack_array(packer, 12 + frame->as.hello.peer_count);
+	msgpack_pack_array(packer, 13 + frame->as.hello.peer_count);
 	msgpack_pack_int(packer, frame->type);
 	pack_text(packer, node->name, strlen(node->name));
 	pack_text(packer, node->data_centre, strlen(node->data_centre));
@@ -42,24 +58,26 @@
 	msgpack_pack_int(packer, node->ready | node->stopping << 1 |
 				     node->current << 2 |
 				     frame->as.hello.wants_reply << 3);
-	msgpack_pack_uint64(packer, node->revision_sum);
+	pack_number(packer, node->revision_sum);
 	msgpack_pack_uint32(packer, node->capacity);
 	msgpack_pack_uint32(packer, frame->as.hello.known_nodes);
 	msgpack_pack_uint32(packer, frame->as.hello.peer_count);
 	for (i = 0; i < frame->as.hello.peer_count; i++)
 		pack_address(packer, &frame->as.hello.peers[i]);
+	pack_era(packer, node->revision_sum);
 }
 
 static void
 pack_heartbeat(msgpack_packer *packer, const struct fl_frame *frame)
 {
-	msgpack_pack_array(packer, 4);
+	msgpack_pack_array(packer, 5);
 	msgpack_pack_int(packer, FL_FRAME_HEARTBEAT);
 	msgpack_pack_uint64(packer, frame->as.heartbeat.boot);
 	msgpack_pack_int(packer, frame->as.heartbeat.ready |
 				     frame->as.heartbeat.stopping << 1 |
 				     frame->as.heartbeat.current << 2);
-	msgpack_pack_uint64(packer, frame->as.heartbeat.revision_sum);
+	pack_number(packer, frame->as.heartbeat.revision_sum);
+	pack_era(packer, frame->as.heartbeat.revision_sum);
 }
 
 static void
@@ -67,21 +85,24 @@
 {
 	uint32_t i;
 
-	msgpack_pack_array(packer, 5 + update->batch.count * 4);
+	msgpack_pack_array(packer, 6 + update->batch.count * 5);
 	msgpack_pack_int(packer, FL_FRAME_UPDATE);
 	msgpack_pack_uint32(packer, update->kind);
 	msgpack_pack_int(packer, update->snapshot);
-	msgpack_pack_uint64(packer, update->batch.revision);
+	pack_number(packer, update->batch.revision);
 	msgpack_pack_uint32(packer, update->batch.count);
 	for (i = 0; i < update->batch.count; i++) {
 		const struct os_change *change = &update->batch.changes[i];
 
 		pack_text(packer, change->name, strlen(change->name));
-		msgpack_pack_uint64(packer, change->revision);
+		pack_number(packer, change->revision);
 		msgpack_pack_int(packer, change->deleted);
 		pack_text(packer, change->deleted ? "" : change->text,
 		    change->deleted ? 0 : change->text_length);
 	}
+	pack_era(packer, update->batch.revision);
+	for (i = 0; i < update->batch.count; i++)
+		pack_era(packer, update->batch.changes[i].revision);
 }
 
 /* Limits are sent as whole numbers of millionths. */
@@ -159,11 +180,12 @@
 		msgpack_pack_uint64(&packer, frame->as.claim.ticket);
 		break;
 	case FL_FRAME_SUBSCRIBE:
-		msgpack_pack_array(&packer, 1 + OS_KINDS_MAX);
+		msgpack_pack_array(&packer, 1 + 2 * OS_KINDS_MAX);
 		msgpack_pack_int(&packer, frame->type);
 		for (i = 0; i < OS_KINDS_MAX; i++)
-			msgpack_pack_uint64(
-			    &packer, frame->as.subscribe.revisions[i]);
+			pack_number(&packer, frame->as.subscribe.revisions[i]);
+		for (i = 0; i < OS_KINDS_MAX; i++)
+			pack_era(&packer, frame->as.subscribe.revisions[i]);
 		break;
 	case FL_FRAME_UPDATE:
 		pack_update(&packer, &frame->as.update);
@@ -254,6 +276,14 @@
 	return item->via.u64;
 }
 
+/* Adds the era to a revision; frames of earlier builds end before. */
+static void
+read_era(struct cursor *cursor, uint64_t *revision)
+{
+	if (cursor->at < cursor->array->size)
+		*revision = os_revision(read_number(cursor), *revision);
+}
+
 static const msgpack_object_str *
 read_text(struct cursor *cursor)
 {
@@ -308,6 +338,8 @@
 	out->as.heartbeat.stopping = (flags & 2) != 0;
 	out->as.heartbeat.current = (flags & 4) != 0;
 	out->as.heartbeat.revision_sum = read_number(cursor);
+	out->as.heartbeat.tells_era = cursor->at < cursor->array->size;
+	read_era(cursor, &out->as.heartbeat.revision_sum);
 }
 
 static void
@@ -339,6 +371,8 @@
 	}
 	for (i = 0; i < out->as.hello.peer_count; i++)
 		out->as.hello.peers[i] = read_address(cursor);
+	node->tells_era = cursor->at < cursor->array->size;
+	read_era(cursor, &node->revision_sum);
 }
 
 static int
@@ -380,6 +414,9 @@
 			return CS_E_SYSTEM;
 		update->batch.count = i + 1;
 	}
+	read_era(cursor, &update->batch.revision);
+	for (i = 0; i < update->batch.count; i++)
+		read_era(cursor, &update->batch.changes[i].revision);
 	return CS_OK;
 }
 
@@ -453,6 +490,8 @@
 	case FL_FRAME_SUBSCRIBE:
 		for (i = 0; i < OS_KINDS_MAX; i++)
 			out->as.subscribe.revisions[i] = read_number(cursor);
+		for (i = 0; i < OS_KINDS_MAX; i++)
+			read_era(cursor, &out->as.subscribe.revisions[i]);
 		break;
 	case FL_FRAME_UPDATE:
 		error = read_update(cursor, &out->as.update);
--- a/lib/fleet/membership.c
+++ b/lib/fleet/membership.c
@@ -151,6 +151,7 @@
 	node->stopping = heartbeat->as.heartbeat.stopping;
 	node->current = heartbeat->as.heartbeat.current;
 	node->revision_sum = heartbeat->as.heartbeat.revision_sum;
+	node->tells_era = heartbeat->as.heartbeat.tells_era;
 	node->heard_us = now_us;
 	return true;
 }
@@ -176,7 +177,8 @@
 
 /*
  * Returns the first in rank of the other nodes of the region that are live and
- * current, or NULL if there is none.
+ * current, or NULL if there is none. A node that does not tell the store's era
+ * may have missed that revisions went back: it is not followed.
  */
 static const struct fl_node *
 find_leader(const struct fl_membership *membership, int64_t now_us)
@@ -187,8 +189,8 @@
 	for (i = 0; i < membership->count; i++) {
 		const struct fl_node *node = &membership->nodes[i];
 
-		if (node->same_region && node->current && !node->stopping &&
-		    fl_node_is_alive(node, now_us) &&
+		if (node->same_region && node->current && node->tells_era &&
+		    !node->stopping && fl_node_is_alive(node, now_us) &&
 		    (best == NULL || ranks_before(node, best)))
 			best = node;
 	}
--- a/lib/store/cache.c
+++ b/lib/store/cache.c
@@ -190,6 +190,14 @@
 	set_change(kind, out, object, &update);
 }
 
+/* An object that is not known was deleted if a known revision is later. */
+static bool
+is_deleted_since(const struct kind *kind, const struct os_change *change)
+{
+	return change->revision <= kind->revision &&
+	       g_hash_table_lookup(kind->objects, change->name) == NULL;
+}
+
 int
 os_cache_apply_changes(struct os_cache *cache, uint32_t kind_index,
     const struct os_batch *batch, struct os_batch *out)
@@ -205,7 +213,7 @@
 	for (i = 0; i < batch->count; i++) {
 		if (batch->changes[i].deleted)
 			apply_deletion(kind, &batch->changes[i], out);
-		else
+		else if (!is_deleted_since(kind, &batch->changes[i]))
 			apply_update(kind, &batch->changes[i], out);
 	}
 	if (batch->revision > kind->revision)
--- a/lib/store/call.c
+++ b/lib/store/call.c
@@ -41,10 +41,21 @@
 on_response(const struct h1_client_response *response, void *user)
 {
 	struct os_call *call = user;
+	struct os_client *client = call->client;
+	uint64_t era = os_response_era(client->params.codec, response);
+	int status =
+	    response->error == CS_OK ? response->status : OS_NO_RESPONSE;
 
 	call->exchange = NULL;
-	call->done(call,
-	    response->error == CS_OK ? response->status : OS_NO_RESPONSE,
+	if (era > client->era) {
+		client->era = era;
+		if (client->responded && os_client_restart(client, call))
+			return;
+	} else if (era < client->era && status != OS_NO_RESPONSE) {
+		status = OS_STATUS_OLD_ERA;
+	}
+	client->responded |= status != OS_NO_RESPONSE;
+	call->done(call, status,
 	    &(struct os_text){response->body, response->body_length});
 }
 
--- a/lib/store/client.c
+++ b/lib/store/client.c
@@ -47,7 +47,8 @@
 	if (!client->following)
 		return;
 	if (status == 200 || status == 404 ||
-	    status == OS_STATUS_HISTORY_EXPIRED) {
+	    status == OS_STATUS_HISTORY_EXPIRED ||
+	    status == OS_STATUS_OLD_ERA) {
 		check_watch(client, status, body);
 		start_follows(client);
 		os_set_reachable(client, true, "checked");
@@ -80,8 +81,8 @@
 		    path, params->own_kind, params->own_name);
 	client->checked = follow;
 	client->checked_watch = follow->watch_number;
-	return params->codec->changes_path(
-	    path, params->kinds[follow->kind], follow->revision);
+	return params->codec->changes_path(path, params->kinds[follow->kind],
+	    os_revision_number(follow->revision));
 }
 
 static void
@@ -244,6 +245,26 @@
 		os_follow_start(&client->follows[kind]);
 }
 
+bool
+os_client_restart(struct os_client *client, const struct os_call *call)
+{
+	bool replaced = false;
+	uint32_t i;
+
+	client->params.events->on_restored(client->params.user, client->era);
+	client->checked = NULL;
+	for (i = 0; i < client->params.kind_count; i++) {
+		struct os_follow *follow = &client->follows[i];
+
+		os_follow_stop(follow);
+		follow->revision = 0;
+		replaced |= call == &follow->call;
+	}
+	if (client->following || client->list_once)
+		start_follows(client);
+	return replaced;
+}
+
 bool
 os_client_is_current(const struct os_client *client)
 {
--- a/lib/store/follow.c
+++ b/lib/store/follow.c
@@ -47,7 +47,7 @@
 	follow->watching = true;
 	follow->watch_number++;
 	if (params->codec->watch_path(path, params->kinds[follow->kind],
-		follow->revision, WATCH_WAIT_MS) == CS_OK)
+		os_revision_number(follow->revision), WATCH_WAIT_MS) == CS_OK)
 		os_call_send(&follow->call, "GET", path, NULL,
 		    WATCH_WAIT_MS + WATCH_RESPONSE_MARGIN_MS);
 }
@@ -140,6 +140,7 @@
 		handle_failure(follow, OS_NO_RESPONSE);
 		return;
 	}
+	os_batch_set_era(&page, client->era);
 	more = page.more && page.count > 0;
 	if (more)
 		memcpy(last, page.changes[page.count - 1].name, sizeof(last));
@@ -177,6 +178,7 @@
 		handle_failure(follow, OS_NO_RESPONSE);
 		return;
 	}
+	os_batch_set_era(&batch, client->era);
 	if (batch.revision > follow->revision)
 		follow->revision = batch.revision;
 	follow->failures = 0;
@@ -209,8 +211,8 @@
 	cs_log(CS_LOG_STORE_WATCH_BEHIND,
 	    "kind=%s known_revision=%llu revision=%llu changes=%u dead=%d",
 	    client->params.kinds[follow->kind],
-	    (unsigned long long)follow->revision, (unsigned long long)revision,
-	    changes, again);
+	    (unsigned long long)os_revision_number(follow->revision),
+	    (unsigned long long)os_revision_number(revision), changes, again);
 	follow->behind_watch = follow->watch_number;
 	return again;
 }
@@ -237,6 +239,7 @@
 	if (status != 200 ||
 	    client->params.codec->parse_events(body, &missed) != CS_OK)
 		return; /* the check shows only that the store responds */
+	os_batch_set_era(&missed, client->era);
 	if (missed.count == 0 || missed.revision <= follow->revision)
 		follow->confirmed_us = cs_now_us();
 	else if (is_dead(follow, missed.revision, missed.count))
@@ -259,7 +262,8 @@
 	    "kind=%s call=%s status=%d known_revision=%llu bytes=%zu",
 	    call->client->params.kinds[follow->kind],
 	    follow->listing ? "list" : "watch", status,
-	    (unsigned long long)follow->revision, body->length);
+	    (unsigned long long)os_revision_number(follow->revision),
+	    body->length);
 	if (status == OS_STATUS_HISTORY_EXPIRED) {
 		follow->revision = 0;
 		os_follow_start(follow);
--- a/lib/store/objects.c
+++ b/lib/store/objects.c
@@ -40,6 +40,7 @@
 	char *value;
 	uint64_t revision;	 /* expected (write) or known (watch) */
 	uint64_t watch_revision; /* the watch returns later changes */
+	uint64_t era;		 /* of the response; list: of its first page */
 	int64_t deadline_us;	 /* end of the watch */
 	os_object_cb on_object;
 	os_list_cb on_list;
@@ -50,18 +51,28 @@
 
 static void send_op(struct op *op);
 
+static void
+drop_listed(struct op *op)
+{
+	uint32_t i;
+
+	for (i = 0; i < op->listed_count; i++)
+		free(op->listed[i].value);
+	free(op->listed);
+	op->listed = NULL;
+	op->listed_count = 0;
+	op->name[0] = '\0';
+}
+
 static void
 free_op(struct op *op)
 {
 	struct op **at = &op->objects->ops;
-	uint32_t i;
 
 	while (*at != op)
 		at = &(*at)->next;
 	*at = op->next;
-	for (i = 0; i < op->listed_count; i++)
-		free(op->listed[i].value);
-	free(op->listed);
+	drop_listed(op);
 	free(op->value);
 	free(op);
 }
@@ -140,10 +151,16 @@
 	struct os_batch events = {.count = 0};
 	const struct os_change *latest;
 
+	if (op->era != os_revision_era(op->revision)) {
+		op->type = OP_READ; /* it may have changed in the lost span */
+		send_op(op);
+		return;
+	}
 	if (op->objects->codec->parse_events(body, &events) != CS_OK) {
 		finish_failed(op, CS_E_UNKNOWN);
 		return;
 	}
+	os_batch_set_era(&events, op->era);
 	latest = find_latest_change(op, &events);
 	op->watch_revision = events.revision;
 	if (latest != NULL && latest->deleted)
@@ -166,7 +183,12 @@
 		finish_failed(op, CS_E_UNKNOWN);
 		return;
 	}
-	finish_with_object(op, &object);
+	object.revision = os_revision(op->era, object.revision);
+	/* The expected revision was that of another state: read it back. */
+	if (op->type == OP_UPDATE && os_revision_era(op->revision) != op->era)
+		finish_failed(op, CS_E_UNKNOWN);
+	else
+		finish_with_object(op, &object);
 	free(object.text);
 }
 
@@ -243,7 +265,15 @@
 {
 	struct op *op = user;
 	int error = error_from_response(response);
+	uint64_t era = os_response_era(op->objects->codec, response);
 
+	if (op->type == OP_LIST && op->listed_count > 0 && era != op->era) {
+		drop_listed(op); /* pages of two eras are no list */
+		op->era = era;
+		send_op(op);
+		return;
+	}
+	op->era = era;
 	if (error == CS_OK) {
 		handle_response(op,
 		    &(struct os_text){response->body, response->body_length});
@@ -271,8 +301,8 @@
 	case OP_REMOVE:
 		return codec->object_path(path, op->kind, op->name);
 	case OP_WATCH:
-		return codec->watch_path(
-		    path, op->kind, op->watch_revision, wait_ms);
+		return codec->watch_path(path, op->kind,
+		    os_revision_number(op->watch_revision), wait_ms);
 	case OP_CREATE:
 		return codec->kind_path(path, op->kind);
 	case OP_LIST:
@@ -326,7 +356,8 @@
 		return CS_E_INVALID;
 	if (op->value != NULL) {
 		body = objects->codec->write_object(op->name, op->value,
-		    op->type == OP_UPDATE ? op->revision : 0);
+		    op->type == OP_UPDATE ? os_revision_number(op->revision)
+					  : 0);
 		if (body == NULL)
 			return CS_E_UNAVAILABLE;
 		request.body = body;
--- a/lib/store/store.h
+++ b/lib/store/store.h
@@ -20,10 +20,21 @@
 #define OS_NAME_BYTES_MAX 128
 #define OS_PATH_BYTES_MAX 512
 
+/*
+ * A revision orders all states of the store. A store that comes back from an
+ * older copy begins a new era, in which it gives the same numbers out again:
+ * the upper bits hold the era, the lower ones the number within it. Era 0: the
+ * store names none. Revision 0: none.
+ */
+#define OS_REVISION_NUMBER_BITS 44
+uint64_t os_revision(uint64_t era, uint64_t number);
+uint64_t os_revision_era(uint64_t revision);
+uint64_t os_revision_number(uint64_t revision);
+
 /* A changed object, or its deletion. */
 struct os_change {
 	char name[OS_NAME_BYTES_MAX];
-	uint64_t revision; /* of its last change */
+	uint64_t revision; /* of its last change; a codec sets the number */
 	bool deleted;
 	char *text; /* the object in the store's format, NUL terminated */
 	size_t text_length;
@@ -32,8 +43,9 @@
 struct os_batch {
 	struct os_change *changes;
 	uint32_t count;
-	bool more;	   /* the list continues after the last name */
-	uint64_t revision; /* of the store at the time of the response */
+	bool more; /* the list continues after the last name */
+	uint64_t
+	    revision; /* of the store at the time of the response, as above */
 };
 
 void os_batch_free(struct os_batch *batch);
@@ -45,6 +57,8 @@
 };
 
 struct os_codec {
+	const char *era_header; /* of responses; holds a whole number */
+	/* Revisions in paths and bodies are numbers within the era. */
 	/* Functions *_path() write a path and return CS_OK or CS_E_FULL. */
 	int (*list_path)(
 	    char out[OS_PATH_BYTES_MAX], const char *kind, const char *after);
@@ -83,6 +97,11 @@
 	    void *user, uint32_t kind, const struct os_batch *batch);
 	void (*on_changes)(
 	    void *user, uint32_t kind, const struct os_batch *batch);
+	/*
+	 * The store has come back from an older copy: what was written since is
+	 * lost. The kinds are listed again.
+	 */
+	void (*on_restored)(void *user, uint64_t era);
 	/* The store has become reachable or unreachable from this VM. */
 	void (*on_reachability)(void *user, bool reachable, const char *reason);
 };
--- a/lib/store/store_internal.h
+++ b/lib/store/store_internal.h
@@ -6,11 +6,17 @@
 
 #define OS_NO_RESPONSE 0 /* instead of an HTTP status */
 #define OS_STATUS_HISTORY_EXPIRED 410
+/* The response is of an earlier era: it tells only that the store responds. */
+#define OS_STATUS_OLD_ERA 1
 
 struct os_call {
 	struct os_client *client;
 	struct h1_exchange *exchange; /* NULL: none pending */
-	/* With OS_NO_RESPONSE the call may or may not have had an effect. */
+	/*
+	 * With OS_NO_RESPONSE the call may or may not have had an effect. Not
+	 * called with a response that begins a new era, if os_client_restart()
+	 * replaces the call.
+	 */
 	void (*done)(
 	    struct os_call *call, int status, const struct os_text *body);
 };
@@ -52,9 +58,25 @@
 	bool following;
 	bool list_once; /* lists each kind once, without watching */
 	bool reachable;
+	bool responded; /* the store has, so far */
+	uint64_t era;	/* the latest that the store has named */
 	uint64_t calls;
 };
 
+/* revision.c */
+/* os_batch_set_era(batch, era): the batch was parsed from a response of it. */
+void os_batch_set_era(struct os_batch *batch, uint64_t era);
+/* os_response_era(codec, response): returns 0 if it names none. */
+uint64_t os_response_era(
+    const struct os_codec *codec, const struct h1_client_response *response);
+
+/* client.c */
+/*
+ * os_client_restart(client, call): lists all kinds again, in a new era. Returns
+ * true if the call is one of those that this replaces.
+ */
+bool os_client_restart(struct os_client *client, const struct os_call *call);
+
 /* call.c */
 /* os_backoff_ms(client, failures): delay before the next retry, with jitter. */
 uint32_t os_backoff_ms(struct os_client *client, uint32_t failures);
--- a/programs/gateway_serve.c
+++ b/programs/gateway_serve.c
@@ -176,12 +176,16 @@
 	    "chervilshelf_ready %d\nchervilshelf_follows_store %d\n"
 	    "chervilshelf_table_version %llu\n"
 	    "chervilshelf_targets_revision %llu\n"
+	    "chervilshelf_store_era %llu\n"
 	    "chervilshelf_objects_confirmed_age_seconds %.3f\n"
 	    "chervilshelf_members %u\nchervilshelf_store_calls_total %llu\n"
 	    "chervilshelf_caller_connections %u\n",
 	    ga_is_ready(app), app->role == FL_ROLE_WATCH_STORE,
 	    table == NULL ? 0ULL : (unsigned long long)table->version,
-	    (unsigned long long)os_cache_revision(app->cache, GA_TARGETS),
+	    (unsigned long long)os_revision_number(
+		os_cache_revision(app->cache, GA_TARGETS)),
+	    (unsigned long long)os_revision_era(
+		os_cache_revision(app->cache, GA_TARGETS)),
 	    confirmed_age_s(app),
 	    fl_membership_count_alive(
 		fl_get_membership(app->fleet), cs_now_us()),
--- a/programs/gateway_updates.c
+++ b/programs/gateway_updates.c
@@ -26,13 +26,14 @@
 		return;
 	if (pl_read_table(change->text, &table, error_text) != CS_OK) {
 		cs_log(CS_LOG_TABLE_REFUSED, "revision=%llu fault=\"%s\"",
-		    (unsigned long long)change->revision, error_text);
+		    (unsigned long long)os_revision_number(change->revision),
+		    error_text);
 		return;
 	}
 	if (old != NULL && table->version < old->version) {
 		cs_log(CS_LOG_TABLE_REFUSED,
 		    "revision=%llu version=%llu fault=\"older than %llu\"",
-		    (unsigned long long)change->revision,
+		    (unsigned long long)os_revision_number(change->revision),
 		    (unsigned long long)table->version,
 		    (unsigned long long)old->version);
 	} else {
@@ -40,8 +41,8 @@
 		cs_log(CS_LOG_TABLE_IN_FORCE,
 		    "version=%llu revision=%llu routes=%u pools=%u from=%s",
 		    (unsigned long long)table->version,
-		    (unsigned long long)change->revision, table->route_count,
-		    table->pool_count, app->update_source);
+		    (unsigned long long)os_revision_number(change->revision),
+		    table->route_count, table->pool_count, app->update_source);
 	}
 	rt_table_unref(table);
 }
@@ -181,6 +182,17 @@
 		ga_apply_update(app, kind, batch, false, "store");
 }
 
+static void
+on_restored(void *user, uint64_t era)
+{
+	const struct ga_app *app = user;
+
+	cs_log(CS_LOG_STORE_RESTORED, "era=%llu known_revision=%llu",
+	    (unsigned long long)era,
+	    (unsigned long long)os_revision_number(
+		os_cache_revision(app->cache, GA_TARGETS)));
+}
+
 static void
 on_reachability(void *user, bool reached, const char *reason)
 {
@@ -210,6 +222,7 @@
 const struct os_events ga_store_events = {
     .on_snapshot = on_snapshot,
     .on_changes = on_changes,
+    .on_restored = on_restored,
     .on_reachability = on_reachability,
 };
 
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -31,8 +31,10 @@
 static struct fl_node
 make_node(uint32_t number)
 {
-	struct fl_node node = {
-	    .boot = number + 1, .same_region = true, .ready = true};
+	struct fl_node node = {.boot = number + 1,
+	    .same_region = true,
+	    .ready = true,
+	    .tells_era = true};
 
 	snprintf(node.name, sizeof(node.name), "vm-%u", number);
 	node.fleet.sin_family = AF_INET;
@@ -870,6 +872,101 @@
 	free(buffer.data);
 }
 
+static void
+code_frame(const struct fl_frame *frame, struct fl_frame *out)
+{
+	struct fl_buffer buffer;
+
+	assert_int_equal(fl_encode(frame, &buffer), CS_OK);
+	assert_int_equal(fl_decode(buffer.data, buffer.length, out), CS_OK);
+	free(buffer.data);
+}
+
+static void
+test_frames_tell_the_era_of_revisions(void **state)
+{
+	struct os_change change = {.name = "a",
+	    .revision = os_revision(2, 4),
+	    .text = "{}",
+	    .text_length = 2};
+	struct fl_frame update = {.type = FL_FRAME_UPDATE,
+	    .as.update = {.batch = {.changes = &change,
+			      .count = 1,
+			      .revision = os_revision(1, 9)}}};
+	struct fl_frame subscribe = {.type = FL_FRAME_SUBSCRIBE,
+	    .as.subscribe.revisions = {os_revision(3, 7), 5}};
+	struct fl_frame heartbeat = {.type = FL_FRAME_HEARTBEAT,
+	    .as.heartbeat.revision_sum = os_revision(6, 70)};
+	struct fl_frame hello = {
+	    .type = FL_FRAME_HELLO, .as.hello.node = make_node(1)};
+	struct fl_frame got;
+
+	(void)state;
+	code_frame(&update, &got);
+	assert_true(got.as.update.batch.revision == os_revision(1, 9));
+	assert_true(
+	    got.as.update.batch.changes[0].revision == os_revision(2, 4));
+	os_batch_free(&got.as.update.batch);
+	code_frame(&subscribe, &got);
+	assert_true(got.as.subscribe.revisions[0] == os_revision(3, 7));
+	assert_true(got.as.subscribe.revisions[1] == 5);
+	code_frame(&heartbeat, &got);
+	assert_true(got.as.heartbeat.revision_sum == os_revision(6, 70));
+	assert_true(got.as.heartbeat.tells_era);
+	hello.as.hello.node.revision_sum = os_revision(2, 3);
+	code_frame(&hello, &got);
+	assert_true(got.as.hello.node.revision_sum == os_revision(2, 3));
+	assert_true(got.as.hello.node.tells_era);
+}
+
+/* Frames as the build before sends them, without eras. */
+static void
+test_frames_of_the_build_before_are_read(void **state)
+{
+	static const char heartbeat[] = {(char)0x94, 5, 1, 5, 9};
+	static const char subscribe[] = {(char)0x95, 3, 9, 8, 0, 0};
+	static const char update[] = {(char)0x99, 4, 0, 1, 9, 1, (char)0xa1,
+	    'a', 4, 0, (char)0xa2, '{', '}'};
+	static const char suspect[] = {(char)0x93, 2, 7, 8};
+	struct fl_frame got;
+
+	(void)state;
+	assert_int_equal(fl_decode(heartbeat, sizeof(heartbeat), &got), CS_OK);
+	assert_true(got.as.heartbeat.revision_sum == 9);
+	assert_false(got.as.heartbeat.tells_era);
+	assert_int_equal(fl_decode(subscribe, sizeof(subscribe), &got), CS_OK);
+	assert_true(got.as.subscribe.revisions[0] == 9);
+	assert_int_equal(fl_decode(update, sizeof(update), &got), CS_OK);
+	assert_true(got.as.update.batch.revision == 9);
+	assert_true(got.as.update.batch.changes[0].revision == 4);
+	os_batch_free(&got.as.update.batch);
+	assert_int_equal(fl_decode(suspect, sizeof(suspect), &got), CS_OK);
+	assert_int_equal(got.as.suspect_request.trials, 0);
+}
+
+/* It drops the store's news after a restore, and its followers would as well.
+ */
+static void
+test_leader_of_the_build_before_is_not_followed(void **state)
+{
+	struct fl_membership m;
+	struct fl_node self = make_node(1), other = make_node(2);
+	const struct fl_node *leader;
+
+	(void)state;
+	fl_membership_init(&m, &self, 0);
+	other.current = true;
+	other.tells_era = false;
+	fl_membership_on_hello(&m, &other, 1000);
+	fl_membership_tick(&m, 2000, &leader);
+	assert_null(leader);
+	other.tells_era = true;
+	fl_membership_on_hello(&m, &other, 3000);
+	fl_membership_tick(&m, 4000, &leader);
+	assert_non_null(leader);
+	fl_membership_free(&m);
+}
+
 static void
 test_random_bytes_do_not_crash_the_decoder(void **state)
 {
@@ -922,6 +1019,9 @@
 		test_snapshot_does_not_bring_back_an_object_that_left),
 	    cmocka_unit_test(test_paused_node_does_not_expire_its_peers),
 	    cmocka_unit_test(test_frames_round_trip_and_truncated_are_refused),
+	    cmocka_unit_test(test_frames_tell_the_era_of_revisions),
+	    cmocka_unit_test(test_frames_of_the_build_before_are_read),
+	    cmocka_unit_test(test_leader_of_the_build_before_is_not_followed),
 	    cmocka_unit_test(test_random_bytes_do_not_crash_the_decoder),
 	};
 
--- a/tests/unit/test_random_fleet.c
+++ b/tests/unit/test_random_fleet.c
@@ -57,8 +57,10 @@
 static struct fl_node
 make_node(uint32_t number, uint64_t boot)
 {
-	struct fl_node node = {
-	    .boot = boot, .same_region = true, .ready = true};
+	struct fl_node node = {.boot = boot,
+	    .same_region = true,
+	    .ready = true,
+	    .tells_era = true};
 
 	snprintf(node.name, sizeof(node.name), "vm-%u", number);
 	node.fleet.sin_family = AF_INET;
--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -31,6 +31,9 @@
 #define DELETED(name, revision) \
 	"{\"deleted\":true,\"object\":" ITEM(name, revision) "}"
 
+/* A status of a response that names the store's era. */
+#define IN_ERA(era, status) ((era)*1000 + (status))
+
 /* How the store responds to the next call for the kind. */
 struct response {
 	int status; /* 0: 500, then closes; -1: never responds */
@@ -53,6 +56,27 @@
 	char reported[512]; /* batches or results from the client, in order */
 };
 
+static void
+respond(struct h1_conn *conn, const struct response *response)
+{
+	char headers[128];
+	size_t length = (size_t)snprintf(
+	    headers, sizeof(headers), "Content-Type: application/json\r\n");
+
+	if (response->status > IN_ERA(1, 0))
+		length +=
+		    (size_t)snprintf(headers + length, sizeof(headers) - length,
+			"Store-Era: %u\r\n", response->status / IN_ERA(1, 0));
+	h1_conn_send_response(
+	    conn, &(struct h1_response){
+		      .status = response->status % IN_ERA(1, 0),
+		      .headers = headers,
+		      .headers_length = length,
+		      .body = response->body,
+		      .body_length = strlen(response->body),
+		  });
+}
+
 static void
 on_store_request(struct h1_conn *conn, const struct h1_message *request)
 {
@@ -61,8 +85,8 @@
 
 	if (strstr(h1_target(request), "allow_stale") != NULL) {
 		fixture->checks++;
-		h1_conn_send_text(conn, fixture->check_status,
-		    "application/json", fixture->check_body);
+		respond(conn, &(struct response){
+				  fixture->check_status, fixture->check_body});
 		return;
 	}
 	if (fixture->calls < CALLS_MAX)
@@ -81,8 +105,7 @@
 		h1_conn_send_response(
 		    conn, &(struct h1_response){.status = 500, .close = true});
 	else
-		h1_conn_send_text(
-		    conn, response->status, "application/json", response->body);
+		respond(conn, response);
 }
 
 static void
@@ -91,6 +114,22 @@
 	(void)conn;
 }
 
+/* As ERA:NUMBER, or the number alone if the store names no era. */
+static const char *
+revision_text(uint64_t revision)
+{
+	static char text[64];
+	unsigned long long era = os_revision_era(revision);
+
+	if (era == 0)
+		snprintf(
+		    text, sizeof(text), "%llu", (unsigned long long)revision);
+	else
+		snprintf(text, sizeof(text), "%llu:%llu", era,
+		    (unsigned long long)os_revision_number(revision));
+	return text;
+}
+
 static void
 report_batch(
     struct fixture *fixture, const char *what, const struct os_batch *batch)
@@ -99,8 +138,8 @@
 	uint32_t i;
 
 	used += (size_t)snprintf(fixture->reported + used,
-	    sizeof(fixture->reported) - used, "%s@%llu", what,
-	    (unsigned long long)batch->revision);
+	    sizeof(fixture->reported) - used, "%s@%s", what,
+	    revision_text(batch->revision));
 	for (i = 0; i < batch->count; i++)
 		used += (size_t)snprintf(fixture->reported + used,
 		    sizeof(fixture->reported) - used, " %s%s",
@@ -124,6 +163,16 @@
 	report_batch(user, "new", batch);
 }
 
+static void
+on_restored(void *user, uint64_t era)
+{
+	struct fixture *fixture = user;
+	size_t used = strlen(fixture->reported);
+
+	snprintf(fixture->reported + used, sizeof(fixture->reported) - used,
+	    "era %llu; ", (unsigned long long)era);
+}
+
 static void
 on_reachability(void *user, bool reached, const char *reason)
 {
@@ -159,6 +208,7 @@
 	    .on_disconnect = on_store_disconnect};
 	static const struct os_events events = {.on_snapshot = on_snapshot,
 	    .on_changes = on_changes,
+	    .on_restored = on_restored,
 	    .on_reachability = on_reachability};
 	struct h1_server_params server = {
 	    .loop = &fixture->loop,
@@ -238,6 +288,39 @@
 	3, "all@9; ", "/objects/servers?watch=9&wait_ms=25000"},
     {"not JSON: lists again", {{200, LIST("", "9")}, {200, "<html>"}}, 2,
 	"all@9; ", "/objects/servers"},
+    {"watch of a new era: lists again, at a lower revision",
+	{{IN_ERA(1, 200), LIST(ITEM("a", "4"), "9")},
+	    {IN_ERA(2, 200), EVENTS(CHANGED("b", "10"), "10")},
+	    {IN_ERA(2, 200), LIST(ITEM("a", "3"), "5")}},
+	3, "all@1:9 +a; era 2; all@2:5 +a; ",
+	"/objects/servers?watch=5&wait_ms=25000"},
+    {"410 in a new era",
+	{{IN_ERA(1, 200), LIST("", "9")}, {IN_ERA(2, 410), "{}"},
+	    {IN_ERA(2, 200), LIST("", "9")}},
+	3, "all@1:9; era 2; all@2:9; ",
+	"/objects/servers?watch=9&wait_ms=25000"},
+    {"refused in a new era",
+	{{IN_ERA(1, 200), LIST("", "9")}, {IN_ERA(2, 503), "{}"},
+	    {IN_ERA(2, 200), LIST("", "7")}},
+	3, "all@1:9; era 2; all@2:7; ",
+	"/objects/servers?watch=7&wait_ms=25000"},
+    {"two eras between two calls, then another",
+	{{IN_ERA(1, 200), LIST("", "9")}, {IN_ERA(3, 200), EVENTS("", "9")},
+	    {IN_ERA(4, 200), LIST("", "8")}, {IN_ERA(4, 200), LIST("", "6")}},
+	4, "all@1:9; era 3; era 4; all@4:6; ",
+	"/objects/servers?watch=6&wait_ms=25000"},
+    {"pages of two eras are no list",
+	{{IN_ERA(1, 200),
+	     "{\"items\":[" ITEM("a", "4") "],\"more\":true,"
+					   "\"store_revision\":9}"},
+	    {IN_ERA(2, 200), LIST(ITEM("b", "3"), "5")},
+	    {IN_ERA(2, 200), LIST(ITEM("c", "4"), "6")}},
+	3, "era 2; all@2:6 +c; ", "/objects/servers?watch=6&wait_ms=25000"},
+    {"a late response of the era before is no news",
+	{{IN_ERA(2, 200), LIST("", "9")},
+	    {IN_ERA(1, 200), EVENTS(CHANGED("a", "10"), "12")},
+	    {IN_ERA(2, 200), LIST("", "9")}},
+	3, "all@2:9; all@2:9; ", "/objects/servers?watch=9&wait_ms=25000"},
     {"an object without a name is skipped",
 	{{200, LIST("{\"metadata\":{}}," ITEM("a", "4"), "9")}}, 1,
 	"all@9 +a; ", "/objects/servers?watch=9&wait_ms=25000"},
@@ -297,6 +380,12 @@
 	"/objects/servers?watch=9&wait_ms=25000"},
     {"not a list of changes", 200, "{}", 4, "all@9; ", 2,
 	"/objects/servers?watch=9&wait_ms=25000"},
+    {"of a new era, with no changes: lists again", IN_ERA(1, 200),
+	EVENTS("", "9"), 2, "all@9; era 1; all@1:12 +a; ", 4,
+	"/objects/servers?watch=12&wait_ms=25000"},
+    {"of a new era, without the history: lists again", IN_ERA(1, 410), "{}", 2,
+	"all@9; era 1; all@1:12 +a; ", 4,
+	"/objects/servers?watch=12&wait_ms=25000"},
 };
 
 static void
@@ -304,6 +393,9 @@
 {
 	static const struct response responses[] = {{200, LIST("", "9")},
 	    {-1, NULL}, {200, LIST(ITEM("a", "10"), "12")}, {-1, NULL}};
+	static const struct response restored[] = {{200, LIST("", "9")},
+	    {-1, NULL}, {IN_ERA(1, 200), LIST(ITEM("a", "10"), "12")},
+	    {-1, NULL}};
 	size_t i;
 
 	(void)state;
@@ -312,7 +404,8 @@
 		static struct fixture fixture;
 		uint32_t iterations = 0;
 
-		set_up(&fixture, responses, 4);
+		set_up(&fixture,
+		    row->check_status > IN_ERA(1, 0) ? restored : responses, 4);
 		fixture.check_status = row->check_status;
 		fixture.check_body = row->check_body;
 		os_client_follow(fixture.client, true);
@@ -351,6 +444,9 @@
 	"{\"metadata\":{\"name\":\"" name "\",\"revision\":" revision \
 	"},\"spec\":{\"v\":1}}"
 
+#define REVISION(era, number) \
+	((UINT64_C(era) << OS_REVISION_NUMBER_BITS) | UINT64_C(number))
+
 static const struct object_case object_cases[] = {
     {"read", READ, 0, {{200, OBJECT("x", "4")}}, 1, "0@4 {\"v\":1}",
 	{"/objects/k/x"}},
@@ -393,6 +489,19 @@
 					       "\"store_revision\":9}"},
 	    {200, LIST(OBJECT("b", "8"), "11")}},
 	2, "0 a={\"v\":1} b={\"v\":1}", {"/objects/k", "/objects/k?after=a"}},
+    {"await in a new era: reads, whatever its revision", AWAIT, REVISION(1, 4),
+	{{IN_ERA(2, 200), EVENTS("", "6")}, {IN_ERA(2, 200), OBJECT("x", "4")}},
+	2, "0@2:4 {\"v\":1}", {"/objects/k?watch=4&wait_ms=", "/objects/k/x"}},
+    {"update in a new era: its outcome must be read back", WRITE,
+	REVISION(1, 7), {{IN_ERA(2, 200), OBJECT("x", "8")}}, 1, "-6@0 ",
+	{"PUT /objects/k/x"}},
+    {"list: pages of two eras", LIST_ALL, 0,
+	{{IN_ERA(1, 200),
+	     "{\"items\":[" OBJECT("a", "4") "],\"more\":true,"
+					     "\"store_revision\":9}"},
+	    {IN_ERA(2, 200), LIST(OBJECT("b", "8"), "9")},
+	    {IN_ERA(2, 200), LIST(OBJECT("c", "2"), "9")}},
+	3, "0 c={\"v\":1}", {"/objects/k", "/objects/k?after=a", "/objects/k"}},
     {"list: 503", LIST_ALL, 0, {{503, "{}"}}, 1, "-5", {"/objects/k"}},
 };
 
@@ -401,8 +510,8 @@
 {
 	struct fixture *fixture = user;
 
-	snprintf(fixture->reported, sizeof(fixture->reported), "%d@%llu %s",
-	    object->error, (unsigned long long)object->revision, object->value);
+	snprintf(fixture->reported, sizeof(fixture->reported), "%d@%s %s",
+	    object->error, revision_text(object->revision), object->value);
 }
 
 static void
@@ -620,6 +729,40 @@
 	os_cache_free(cache);
 }
 
+/*
+ * The store came back from an older copy twice and gave each revision out
+ * again: equal numbers are other states, and lower ones are later.
+ */
+static void
+test_cache_orders_revisions_of_restored_stores(void **state)
+{
+	struct os_cache *cache = os_cache_create();
+	struct os_change two[] = {make_change("a", os_revision(1, 80), false),
+	    make_change("b", os_revision(1, 90), false)};
+	struct os_change again[] = {
+	    make_change("a", os_revision(2, 80), false)};
+	struct os_change third[] = {
+	    make_change("a", os_revision(3, 40), false)};
+	struct os_batch since;
+	bool snapshot;
+
+	(void)state;
+	assert_int_equal(apply(cache, true, os_revision(1, 90), two, 2), 2);
+	/* b was created in the lost span. */
+	assert_int_equal(apply(cache, true, os_revision(2, 80), again, 1), 2);
+	assert_int_equal(apply(cache, false, os_revision(1, 95), two, 2), 0);
+	assert_int_equal(apply(cache, true, os_revision(1, 95), two, 2), 99);
+	assert_int_equal(apply(cache, false, os_revision(3, 40), third, 1), 1);
+	assert_true(os_cache_revision(cache, 0) == os_revision(3, 40));
+	/* A follower that missed both restores. */
+	assert_int_equal(os_cache_changes_since(
+			     cache, 0, os_revision(1, 90), &since, &snapshot),
+	    CS_OK);
+	assert_int_equal(since.count, snapshot ? 1 : 2);
+	free(since.changes);
+	os_cache_free(cache);
+}
+
 /* An object that is created again is not reported as deleted. */
 static void
 test_cache_keeps_recreated_object(void **state)
@@ -732,6 +875,7 @@
 		test_silent_watch_of_an_object_ends_within_the_bound),
 	    cmocka_unit_test(test_overlong_object_name_is_rejected_unsent),
 	    cmocka_unit_test(test_cache_applies_only_newer_revisions),
+	    cmocka_unit_test(test_cache_orders_revisions_of_restored_stores),
 	    cmocka_unit_test(test_cache_keeps_recreated_object),
 	    cmocka_unit_test(
 		test_removal_that_was_ignored_comes_from_the_next_leader),
