gateway: a target that has left is not used again when the store's copy has it (CONFIG)

Callers would have seen: a target that had reported that it leaves, and was gone, got 50 requests after a restore whose copy said that it was ready.

Cause: the state of a copy was taken as news. The order of revisions does not help: the copy's objects are of the later era. What the objects say of themselves does: when the process was born, and that it leaves.

Change: a process that leaves stays so, at every VM. Each VM remembers 512 targets whose registration ended: one that was leaving is not used again, another one that the copy has not for 5 s, within which its registration lapses if it is dead.

--- a/lib/gateway/gateway.c
+++ b/lib/gateway/gateway.c
@@ -201,7 +201,7 @@
 gw_update_target(struct gw *gw, const struct gw_target_info *info)
 {
 	struct bl_target *target = g_hash_table_lookup(gw->targets, info->id);
-	bool is_new = target == NULL;
+	bool is_new = target == NULL, draining;
 
 	if (target != NULL && is_other_process(target, info)) {
 		if (target->connections != NULL && !target->draining)
@@ -213,9 +213,11 @@
 		target = add_target(gw, info);
 	if (target == NULL)
 		return;
-	if (is_new || target->draining != info->draining)
-		cs_log(
-		    info->draining ? CS_LOG_TARGET_LEAVING : CS_LOG_TARGET_SEEN,
+	/* A process that leaves stays so, whatever an older copy says. */
+	draining =
+	    info->draining || (target->draining && info->process_start_ms != 0);
+	if (is_new || target->draining != draining)
+		cs_log(draining ? CS_LOG_TARGET_LEAVING : CS_LOG_TARGET_SEEN,
 		    "target=%s pool=%s slots=%u born_ms=%llu", info->id,
 		    info->pool, info->slots,
 		    (unsigned long long)info->process_start_ms);
@@ -225,7 +227,7 @@
 		target->slots = info->slots;
 	if (is_new && gw->loaded)
 		replace_at_address(gw, target);
-	bl_set_draining(target, info->draining);
+	bl_set_draining(target, draining);
 	target->warm_up_until_us =
 	    info->warm_up_left_ms > 0
 		? cs_now_us() + info->warm_up_left_ms * 1000
@@ -247,6 +249,20 @@
 	remove_target(gw, target);
 }
 
+bool
+gw_find_target(const struct gw *gw, const char *id, struct gw_target_state *out)
+{
+	const struct bl_target *target = g_hash_table_lookup(gw->targets, id);
+
+	if (target == NULL)
+		return false;
+	*out = (struct gw_target_state){
+	    .process_start_ms = target->process_start_ms,
+	    .leaving = target->draining || target->leaving,
+	};
+	return true;
+}
+
 void
 gw_set_node_count(struct gw *gw, uint32_t node_count)
 {
--- a/lib/gateway/gateway.h
+++ b/lib/gateway/gateway.h
@@ -157,6 +157,15 @@
  * there are completed.
  */
 void gw_remove_target(struct gw *gw, const char *id);
+/* What the gateway knows of a target. */
+struct gw_target_state {
+	uint64_t process_start_ms;
+	bool leaving; /* it is registered so, or said so itself */
+};
+
+/* gw_find_target(gw, id, out): returns false if there is no such target. */
+bool gw_find_target(
+    const struct gw *gw, const char *id, struct gw_target_state *out);
 void gw_set_node_count(struct gw *gw, uint32_t node_count);
 /*
  * gw_add_crash(gw, crash): another VM saw a request crash a target. Returns
--- a/lib/store/cache.c
+++ b/lib/store/cache.c
@@ -74,6 +74,19 @@
 	return cache->kinds[kind].revision;
 }
 
+const char *
+os_cache_find(const struct os_cache *cache, uint32_t kind, const char *name,
+    uint64_t *revision)
+{
+	const struct object *object =
+	    g_hash_table_lookup(cache->kinds[kind].objects, name);
+
+	if (object == NULL)
+		return NULL;
+	*revision = object->revision;
+	return object->text;
+}
+
 static void
 add_tombstone(struct kind *kind, const char *name, uint64_t revision)
 {
--- a/lib/store/cache.h
+++ b/lib/store/cache.h
@@ -33,6 +33,12 @@
  */
 int os_cache_without_removals(const struct os_cache *cache, uint32_t kind,
     const struct os_batch *batch, struct os_batch *out);
+/*
+ * os_cache_find(cache, kind, name, revision): returns the text of an object,
+ * valid until the next change, and sets *revision; NULL if it is not known.
+ */
+const char *os_cache_find(const struct os_cache *cache, uint32_t kind,
+    const char *name, uint64_t *revision);
 /* os_cache_revision(cache, kind): the latest known revision; 0: none. */
 uint64_t os_cache_revision(const struct os_cache *cache, uint32_t kind);
 /*
--- a/programs/gateway.h
+++ b/programs/gateway.h
@@ -12,6 +12,16 @@
 
 #define GA_CRASH_REPORTS_MAX 32
 
+/* Targets whose removal is remembered, the latest ones. */
+#define GA_DEPARTURES_MAX 512
+
+/* The registration of a target has ended. */
+struct ga_departure {
+	char id[BL_ID_BYTES_MAX];
+	uint64_t process_start_ms;
+	bool was_leaving;
+};
+
 struct ga_app {
 	uv_loop_t loop;
 	const char *settings_path;
@@ -50,6 +60,11 @@
 
 	uint64_t asks; /* for permits, of owners in other regions */
 
+	/* When the store came back from an older copy; 0: never. */
+	int64_t restored_us;
+	struct ga_departure departures[GA_DEPARTURES_MAX];
+	uint32_t departure_count; /* in all; the index wraps around */
+
 	bool registered; /* in the store, since it was current */
 	bool targets_loaded;
 	const char *update_source; /* of the update being applied, for logs */
@@ -84,6 +99,19 @@
  */
 void ga_publish_state(struct ga_app *app);
 
+/* gateway_restored.c: a store that has come back from an older copy */
+/* ga_note_departure(app, id): the registration of the target has ended. */
+void ga_note_departure(struct ga_app *app, const char *id);
+/* ga_has_left(app, target): its process said so, and its registration ended. */
+bool ga_has_left(const struct ga_app *app, const struct pl_target *target);
+/*
+ * ga_correct_batch(app, kind, batch, out): copies a list or changes from the
+ * store without what is known to be over. Texts belong to batch or the cache;
+ * the caller frees the array.
+ */
+int ga_correct_batch(const struct ga_app *app, uint32_t kind,
+    const struct os_batch *batch, struct os_batch *out);
+
 /* gateway_crashes.c: reports of requests that crash targets */
 void ga_on_crash(void *user, const struct bl_crash *crash, bool is_poison);
 void ga_on_excused(void *user, const struct bl_crash *crash);
--- /dev/null
+++ b/programs/gateway_restored.c
@@ -0,0 +1,134 @@
+/*
+ * A store that has come back from an older copy tells of states that are over:
+ * targets that have left since. What this VM knows of them goes first, until
+ * they are written again.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "gateway.h"
+
+/*
+ * A target that was gone before may be in the copy and alive. Its registration
+ * lapses by then if it is not.
+ */
+#define REAPPEAR_WAIT_US 5000000
+
+void
+ga_note_departure(struct ga_app *app, const char *id)
+{
+	struct ga_departure *departure =
+	    &app->departures[app->departure_count % GA_DEPARTURES_MAX];
+	struct gw_target_state state;
+
+	if (!gw_find_target(app->gw, id, &state) || state.process_start_ms == 0)
+		return; /* it could not be told from a later process */
+	cs_copy_text(departure->id, sizeof(departure->id), id);
+	departure->process_start_ms = state.process_start_ms;
+	departure->was_leaving = state.leaving;
+	app->departure_count++;
+}
+
+/* Returns what is known of the last process that departed under this id. */
+static const struct ga_departure *
+find_departure(const struct ga_app *app, const char *id)
+{
+	uint32_t kept = app->departure_count < GA_DEPARTURES_MAX
+			    ? app->departure_count
+			    : GA_DEPARTURES_MAX;
+	uint32_t i;
+
+	for (i = 1; i <= kept; i++) {
+		const struct ga_departure *departure =
+		    &app->departures[(app->departure_count - i) %
+				     GA_DEPARTURES_MAX];
+
+		if (strcmp(departure->id, id) == 0)
+			return departure;
+	}
+	return NULL;
+}
+
+bool
+ga_has_left(const struct ga_app *app, const struct pl_target *target)
+{
+	const struct ga_departure *departure = find_departure(app, target->id);
+
+	return departure != NULL && departure->was_leaving &&
+	       target->process_start_ms <= departure->process_start_ms;
+}
+
+/* The copy has the target, which was gone: whether it is alive is not known. */
+static bool
+may_be_gone(const struct ga_app *app, const struct pl_target *target)
+{
+	const struct ga_departure *departure = find_departure(app, target->id);
+
+	if (ga_has_left(app, target))
+		return true;
+	return departure != NULL &&
+	       target->process_start_ms <= departure->process_start_ms &&
+	       cs_now_us() < app->restored_us + REAPPEAR_WAIT_US;
+}
+
+/* Returns true if the known object is later than that of the copy. */
+static bool
+is_target_of_before(const struct os_change *change, const char *known_text)
+{
+	char error_text[PL_TEXT_BYTES_MAX];
+	struct pl_target copied, known;
+
+	if (pl_read_target(change->name, change->text, &copied, error_text) !=
+		CS_OK ||
+	    pl_read_target(change->name, known_text, &known, error_text) !=
+		CS_OK)
+		return false;
+	if (known.process_start_ms != copied.process_start_ms)
+		return known.process_start_ms > copied.process_start_ms;
+	return known.draining && !copied.draining;
+}
+
+/* Corrects a change from the store. Returns false if it is to be left out. */
+static bool
+correct_target(const struct ga_app *app, struct os_change *change)
+{
+	char error_text[PL_TEXT_BYTES_MAX];
+	struct pl_target target;
+	uint64_t revision;
+	const char *known =
+	    os_cache_find(app->cache, GA_TARGETS, change->name, &revision);
+
+	if (known == NULL)
+		return pl_read_target(change->name, change->text, &target,
+			   error_text) != CS_OK ||
+		       !may_be_gone(app, &target);
+	if (os_revision_era(change->revision) > os_revision_era(revision) &&
+	    is_target_of_before(change, known)) {
+		change->text = (char *)(uintptr_t)known;
+		change->text_length = strlen(known);
+	}
+	return true;
+}
+
+int
+ga_correct_batch(const struct ga_app *app, uint32_t kind,
+    const struct os_batch *batch, struct os_batch *out)
+{
+	uint32_t i;
+
+	*out = *batch;
+	out->count = 0;
+	out->changes = calloc(batch->count + 1, sizeof(*out->changes));
+	if (out->changes == NULL)
+		return CS_E_SYSTEM;
+	for (i = 0; i < batch->count; i++) {
+		struct os_change change = batch->changes[i];
+
+		if (kind != GA_TARGETS || change.deleted ||
+		    correct_target(app, &change))
+			out->changes[out->count++] = change;
+		else
+			cs_log(CS_LOG_TARGET_OF_COPY, "target=%s", change.name);
+	}
+	return CS_OK;
+}
--- a/programs/gateway_updates.c
+++ b/programs/gateway_updates.c
@@ -55,6 +55,7 @@
 	int data_centre = CS_E_MISSING;
 
 	if (change->deleted) {
+		ga_note_departure(app, change->name);
 		gw_remove_target(app->gw, change->name);
 		return;
 	}
@@ -68,6 +69,8 @@
 		gw_remove_target(app->gw, change->name);
 		return;
 	}
+	if (ga_has_left(app, &target))
+		return;
 	gw_update_target(
 	    app->gw, &(struct gw_target_info){
 			 .id = target.id,
@@ -161,32 +164,39 @@
 }
 
 static void
-on_snapshot(void *user, uint32_t kind, const struct os_batch *batch)
+apply_from_store(struct ga_app *app, uint32_t kind,
+    const struct os_batch *batch, bool snapshot)
 {
-	struct ga_app *app = user;
+	struct os_batch corrected;
 
-	if (kind == GA_TARGETS && ignores_removals(app) && app->targets_loaded)
-		apply_without_removals(app, kind, batch);
+	if (ga_correct_batch(app, kind, batch, &corrected) != CS_OK)
+		return;
+	if (kind == GA_TARGETS && ignores_removals(app) &&
+	    (!snapshot || app->targets_loaded))
+		apply_without_removals(app, kind, &corrected);
 	else
-		ga_apply_update(app, kind, batch, true, "store");
+		ga_apply_update(app, kind, &corrected, snapshot, "store");
+	free(corrected.changes);
 }
 
 static void
-on_changes(void *user, uint32_t kind, const struct os_batch *batch)
+on_snapshot(void *user, uint32_t kind, const struct os_batch *batch)
 {
-	struct ga_app *app = user;
+	apply_from_store(user, kind, batch, true);
+}
 
-	if (kind == GA_TARGETS && ignores_removals(app))
-		apply_without_removals(app, kind, batch);
-	else
-		ga_apply_update(app, kind, batch, false, "store");
+static void
+on_changes(void *user, uint32_t kind, const struct os_batch *batch)
+{
+	apply_from_store(user, kind, batch, false);
 }
 
 static void
 on_restored(void *user, uint64_t era)
 {
-	const struct ga_app *app = user;
+	struct ga_app *app = user;
 
+	app->restored_us = cs_now_us();
 	cs_log(CS_LOG_STORE_RESTORED, "era=%llu known_revision=%llu",
 	    (unsigned long long)era,
 	    (unsigned long long)os_revision_number(
--- a/tests/unit/test_gateway.c
+++ b/tests/unit/test_gateway.c
@@ -1196,6 +1196,41 @@
 	rig_free(rig);
 }
 
+/* An older copy of its registration says that it is ready. */
+static void
+test_process_that_leaves_stays_so(void **state)
+{
+	const struct rig_script silent = {NULL, RIG_SILENT, NULL, false};
+	struct rig *rig = rig_create(&(struct rig_params){
+	    .scripts = &silent,
+	    .script_count = 1,
+	    .target_count = 1,
+	    .with_table = true,
+	    .timeout_ms = 30000,
+	    .attempts_max = 1,
+	});
+	struct gw_target_info info = {
+	    .id = "t", .pool = "p", .slots = 4, .process_start_ms = 5};
+	struct gw_target_state known;
+
+	(void)state;
+	uv_ip4_addr("127.0.0.1", 1, &info.address);
+	gw_update_target(rig_gateway(rig), &info);
+	assert_true(gw_find_target(rig_gateway(rig), "t", &known));
+	assert_false(known.leaving);
+	info.draining = true;
+	gw_update_target(rig_gateway(rig), &info);
+	info.draining = false;
+	gw_update_target(rig_gateway(rig), &info);
+	assert_true(gw_find_target(rig_gateway(rig), "t", &known));
+	assert_true(known.leaving);
+	info.process_start_ms = 6;
+	gw_update_target(rig_gateway(rig), &info);
+	assert_true(gw_find_target(rig_gateway(rig), "t", &known));
+	assert_false(known.leaving);
+	rig_free(rig);
+}
+
 int
 main(void)
 {
@@ -1246,6 +1281,7 @@
 	    cmocka_unit_test(test_hop_by_hop_headers_are_not_forwarded),
 	    cmocka_unit_test(test_request_without_configuration_is_refused),
 	    cmocka_unit_test(test_removed_target_gets_no_requests),
+	    cmocka_unit_test(test_process_that_leaves_stays_so),
 	};
 
 	cs_log_open("error");
