gateway: removals wait, and targets are listed again, after a restore (CONFIG)

Callers would have seen: a target whose registration had lapsed, and was alive and in the store's copy, stayed out of use, since nobody writes it again.

Cause: what is left out of a list for a time was never looked at afterwards. Change: a restore delays removals as an outage does, however short it was, and targets are listed once more when those that had gone are accepted again. A VM that begins to follow the store after the restore knows it by the era of its cache.

--- a/programs/gateway.h
+++ b/programs/gateway.h
@@ -62,6 +62,7 @@
 
 	/* When the store came back from an older copy; 0: never. */
 	int64_t restored_us;
+	uint64_t restored_era; /* that began then */
 	struct ga_departure departures[GA_DEPARTURES_MAX];
 	uint32_t departure_count; /* in all; the index wraps around */
 
@@ -104,6 +105,11 @@
 void ga_note_departure(struct ga_app *app, const char *id);
 /* ga_has_left(app, target): its process said so, and its registration ended. */
 bool ga_has_left(const struct ga_app *app, const struct pl_target *target);
+/*
+ * ga_reappear_wait_us(app): how long targets of the copy that were gone are
+ * left out; they are to be listed again then.
+ */
+int64_t ga_reappear_wait_us(const struct ga_app *app);
 /*
  * ga_correct_batch(app, kind, batch, out): copies a list or changes from the
  * store without what is known to be over. Texts belong to batch or the cache;
--- a/programs/gateway_restored.c
+++ b/programs/gateway_restored.c
@@ -58,6 +58,14 @@
 	       target->process_start_ms <= departure->process_start_ms;
 }
 
+int64_t
+ga_reappear_wait_us(const struct ga_app *app)
+{
+	int64_t wait_us = app->restored_us + REAPPEAR_WAIT_US - cs_now_us();
+
+	return app->restored_us == 0 || wait_us < 0 ? 0 : wait_us;
+}
+
 /* The copy has the target, which was gone: whether it is alive is not known. */
 static bool
 may_be_gone(const struct ga_app *app, const struct pl_target *target)
@@ -68,7 +76,7 @@
 		return true;
 	return departure != NULL &&
 	       target->process_start_ms <= departure->process_start_ms &&
-	       cs_now_us() < app->restored_us + REAPPEAR_WAIT_US;
+	       ga_reappear_wait_us(app) > 0;
 }
 
 /* Returns true if the known object is later than that of the copy. */
--- a/programs/gateway_updates.c
+++ b/programs/gateway_updates.c
@@ -159,8 +159,44 @@
 {
 	struct ga_app *app = timer->data;
 
+	int64_t wait_us = ga_reappear_wait_us(app);
+
 	app->ignore_removals_until_us = 0;
 	os_client_relist(app->store, GA_TARGETS);
+	if (wait_us > 0)
+		uv_timer_start(
+		    timer, on_relist, (uint64_t)wait_us / 1000 + 1, 0);
+}
+
+static void
+delay_removals(struct ga_app *app)
+{
+	app->ignore_removals_until_us = cs_now_us() + REMOVAL_GRACE_US;
+	uv_timer_start(&app->relist, on_relist, REMOVAL_GRACE_US / 1000, 0);
+}
+
+static void
+note_restored(struct ga_app *app, uint64_t era)
+{
+	uint64_t known = os_cache_revision(app->cache, GA_TARGETS);
+
+	cs_log(CS_LOG_STORE_RESTORED, "era=%llu known_revision=%llu",
+	    (unsigned long long)era,
+	    (unsigned long long)os_revision_number(known));
+	app->restored_us = cs_now_us();
+	app->restored_era = era;
+	delay_removals(app);
+}
+
+/* This VM may have begun to follow the store only after it was restored. */
+static bool
+is_restored(const struct ga_app *app, uint32_t kind, uint64_t revision)
+{
+	uint64_t known = os_cache_revision(app->cache, kind);
+	uint64_t era = os_revision_era(revision);
+
+	return known != 0 && era > os_revision_era(known) &&
+	       era > app->restored_era;
 }
 
 static void
@@ -169,6 +205,8 @@
 {
 	struct os_batch corrected;
 
+	if (is_restored(app, kind, batch->revision))
+		note_restored(app, os_revision_era(batch->revision));
 	if (ga_correct_batch(app, kind, batch, &corrected) != CS_OK)
 		return;
 	if (kind == GA_TARGETS && ignores_removals(app) &&
@@ -194,13 +232,7 @@
 static void
 on_restored(void *user, uint64_t era)
 {
-	struct ga_app *app = user;
-
-	app->restored_us = cs_now_us();
-	cs_log(CS_LOG_STORE_RESTORED, "era=%llu known_revision=%llu",
-	    (unsigned long long)era,
-	    (unsigned long long)os_revision_number(
-		os_cache_revision(app->cache, GA_TARGETS)));
+	note_restored(user, era);
 }
 
 static void
@@ -219,10 +251,7 @@
 			: (long long)(now_us - app->store_lost_us));
 		if (app->store_lost_us != 0 &&
 		    now_us - app->store_lost_us > OUTAGE_MIN_US) {
-			app->ignore_removals_until_us =
-			    now_us + REMOVAL_GRACE_US;
-			uv_timer_start(&app->relist, on_relist,
-			    REMOVAL_GRACE_US / 1000, 0);
+			delay_removals(app);
 		}
 		app->store_lost_us = 0;
 	}
--- a/tests/scenario/test_gateway_store_restored.py
+++ b/tests/scenario/test_gateway_store_restored.py
@@ -89,6 +89,22 @@
     cluster.store.put("servers", leaving.id, {}, deleted=True)
 
 
+async def use_target_that_lapsed(cluster):
+    """Its registration ended without a word; it is alive, and in the copy,
+    which nobody has to write again."""
+    target = cluster.targets[1]
+    copy = cluster.store.copy()
+    cluster.store.put("servers", target.id, {}, deleted=True)
+    await asyncio.sleep(0.5)
+    cluster.store.restore(copy)
+    runs = target.runs
+
+    async def is_used():
+        await serves(cluster, "/read/x")
+        return target.runs > runs
+    await cluster.wait_until(is_used, 15, "the target is used again")
+
+
 async def serve_new_targets(cluster):
     """They registered in the lost span, and do so again."""
     copy = cluster.store.copy()
@@ -117,7 +133,8 @@
 
 
 STEPS = (confirm_routes_after_one_restore, confirm_routes_after_two_restores,
-         use_no_target_that_left, serve_new_targets, register_vms_again)
+         use_no_target_that_left, use_target_that_lapsed, serve_new_targets,
+         register_vms_again)
 
 
 async def main():
