gateway: VMs that join after a restore get the configuration in force (CONFIG)

Callers would have seen: between a restore and the operator's next write, a VM that started served an older configuration than all others: 404 on routes that had been confirmed.

Cause: each VM kept its own table, since an older version is refused, but its cache took the copy's object and passed it on. A newer table in force and an older object beside it: two places for one fact.

Change: the cache keeps the object that is in force until a later version, or one that can be read, comes from the store. Log event table_of_copy (2103).

Remains: a VM that starts and leads at once, with no leader in its region, knows only the copy.

--- a/programs/gateway_restored.c
+++ b/programs/gateway_restored.c
@@ -1,7 +1,7 @@
 /*
  * A store that has come back from an older copy tells of states that are over:
- * targets that have left since. What this VM knows of them goes first, until
- * they are written again.
+ * targets that have left since, an older configuration. What this VM knows goes
+ * first, until they are written again.
  */
 #include <stdlib.h>
 #include <string.h>
@@ -96,7 +96,42 @@
 	return known.draining && !copied.draining;
 }
 
-/* Corrects a change from the store. Returns false if it is to be left out. */
+static void
+keep_known_text(struct os_change *change, const char *known)
+{
+	change->text = (char *)(uintptr_t)known;
+	change->text_length = strlen(known);
+}
+
+/* A configuration that was accepted stays in force until a later one comes. */
+static void
+correct_config(const struct ga_app *app, struct os_change *change)
+{
+	const struct rt_table *in_force = gw_table(app->gw);
+	char error_text[PL_TEXT_BYTES_MAX];
+	struct rt_table *table;
+	uint64_t revision;
+	const char *known =
+	    os_cache_find(app->cache, GA_CONFIG, change->name, &revision);
+
+	if (known == NULL || in_force == NULL ||
+	    strcmp(change->name, PL_CONFIG_NAME) != 0 ||
+	    os_revision_era(change->revision) <= os_revision_era(revision))
+		return;
+	if (pl_read_table(change->text, &table, error_text) != CS_OK) {
+		keep_known_text(change, known);
+		return;
+	}
+	if (table->version < in_force->version) {
+		cs_log(CS_LOG_TABLE_OF_COPY, "version=%llu in_force=%llu",
+		    (unsigned long long)table->version,
+		    (unsigned long long)in_force->version);
+		keep_known_text(change, known);
+	}
+	rt_table_unref(table);
+}
+
+/* Corrects a target. Returns false if it is to be left out. */
 static bool
 correct_target(const struct ga_app *app, struct os_change *change)
 {
@@ -111,9 +146,25 @@
 			   error_text) != CS_OK ||
 		       !may_be_gone(app, &target);
 	if (os_revision_era(change->revision) > os_revision_era(revision) &&
-	    is_target_of_before(change, known)) {
-		change->text = (char *)(uintptr_t)known;
-		change->text_length = strlen(known);
+	    is_target_of_before(change, known))
+		keep_known_text(change, known);
+	return true;
+}
+
+/* Corrects a change from the store. Returns false if it is to be left out. */
+static bool
+correct(const struct ga_app *app, uint32_t kind, struct os_change *change)
+{
+	if (change->deleted)
+		return true;
+	switch ((enum ga_kind)kind) {
+	case GA_CONFIG:
+		correct_config(app, change);
+		return true;
+	case GA_TARGETS:
+		return correct_target(app, change);
+	case GA_KINDS:
+		break;
 	}
 	return true;
 }
@@ -132,8 +183,7 @@
 	for (i = 0; i < batch->count; i++) {
 		struct os_change change = batch->changes[i];
 
-		if (kind != GA_TARGETS || change.deleted ||
-		    correct_target(app, &change))
+		if (correct(app, kind, &change))
 			out->changes[out->count++] = change;
 		else
 			cs_log(CS_LOG_TARGET_OF_COPY, "target=%s", change.name);
--- a/programs/gateway_updates.c
+++ b/programs/gateway_updates.c
@@ -295,9 +295,18 @@
 on_update(void *user, const struct fl_update *update)
 {
 	struct ga_app *app = user;
+	struct os_batch corrected;
 
-	ga_apply_update(
-	    app, update->kind, &update->batch, update->snapshot, "vm");
+	/* The leader may have started after the restore and know less. */
+	if (update->kind != GA_CONFIG) {
+		ga_apply_update(
+		    app, update->kind, &update->batch, update->snapshot, "vm");
+	} else if (ga_correct_batch(
+		       app, GA_CONFIG, &update->batch, &corrected) == CS_OK) {
+		ga_apply_update(
+		    app, GA_CONFIG, &corrected, update->snapshot, "vm");
+		free(corrected.changes);
+	}
 }
 
 /*
--- a/tests/scenario/test_gateway_store_restored.py
+++ b/tests/scenario/test_gateway_store_restored.py
@@ -49,6 +49,11 @@
     await restore(cluster, copy)
     for vm in cluster.vms:  # the copy has an older configuration
         assert await cluster.call(vm.host, kept + "x") == 200, vm.name
+    late = cluster.vms[2]
+    await late.terminate()
+    await late.start()
+    await cluster.wait_until(cluster.all_ready, 15, "the VM is back")
+    assert await cluster.call(late.host, kept + "x") == 200, late.name
     later = add_route(cluster, "/later/")
     await cluster.wait_until(
         lambda: serves(cluster, later + "x"), 10, "a route after the restore")
