gateway: the leader registers again in each era of the store (CONFIG)

Callers would have seen: VMs that start long after a restore find no other VM in the store, since the registrations of before are lost; with all seeds down they serve as a region of one, with budgets and limits of their own.

Cause: a registration was written once for each process.

--- a/programs/gateway.h
+++ b/programs/gateway.h
@@ -66,7 +66,8 @@
 	struct ga_departure departures[GA_DEPARTURES_MAX];
 	uint32_t departure_count; /* in all; the index wraps around */
 
-	bool registered; /* in the store, since it was current */
+	bool registered;	 /* in the store, since it was current */
+	uint64_t registered_era; /* of the store at that time */
 	bool targets_loaded;
 	const char *update_source; /* of the update being applied, for logs */
 	enum fl_role role;
--- a/programs/gateway_updates.c
+++ b/programs/gateway_updates.c
@@ -398,16 +398,30 @@
 	free(text);
 }
 
+static uint64_t
+store_era(const struct ga_app *app)
+{
+	uint64_t era =
+	    os_revision_era(os_cache_revision(app->cache, GA_CONFIG));
+
+	return era > app->restored_era ? era : app->restored_era;
+}
+
 void
 ga_discover_nodes(struct ga_app *app)
 {
 	bool is_due = fl_is_discovery_due(app->fleet);
 
-	if (fl_get_membership(app->fleet)->self.current && !app->registered)
+	/* A registration of before a restore may be lost. */
+	if (fl_get_membership(app->fleet)->self.current &&
+	    (!app->registered || app->registered_era < store_era(app)))
 		is_due = true;
 	if (!is_due)
 		return;
-	app->registered |= fl_get_membership(app->fleet)->self.current;
+	if (fl_get_membership(app->fleet)->self.current) {
+		app->registered = true;
+		app->registered_era = store_era(app);
+	}
 	register_node(app);
 }
 
