gateway: a list is corrected without a second parse of each target (CONFIG)

The correction of a store's copy parsed every target that is new to this VM, at each start of a fleet as well; now only one whose removal is remembered.

--- a/programs/gateway_restored.c
+++ b/programs/gateway_restored.c
@@ -142,7 +142,8 @@
 	    os_cache_find(app->cache, GA_TARGETS, change->name, &revision);
 
 	if (known == NULL)
-		return pl_read_target(change->name, change->text, &target,
+		return find_departure(app, change->name) == NULL ||
+		       pl_read_target(change->name, change->text, &target,
 			   error_text) != CS_OK ||
 		       !may_be_gone(app, &target);
 	if (os_revision_era(change->revision) > os_revision_era(revision) &&
