--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -58,6 +58,13 @@
         self.log_event("store discards its history")
         self.cluster.store.discard_history()
 
+    async def restore_store(self):
+        saved = self.cluster.store.copy()
+        await asyncio.sleep(self.random.uniform(0.5, 6))
+        down_s = self.random.uniform(0.1, 2)
+        self.log_event("store away for %.1f s, restored" % down_s)
+        await self.cluster.restore_store(saved, down_s)
+
     async def disturb_store_connection(self):
         vm = self.random.choice(self.cluster.vms)
         mode = self.random.choice(["delay", "silent", "one_way", "reset"])
@@ -254,7 +261,8 @@
             await asyncio.sleep(0.2)
 
     async def inject_faults(self):
-        fault_kinds = [self.disturb_store, self.discard_store_history, self.disturb_store_connection,
+        fault_kinds = [self.disturb_store, self.discard_store_history,
+                 self.restore_store, self.disturb_store_connection,
                  self.disturb_target_connection, self.pause_vm, self.restart_vm, self.reload_settings,
                  self.crash_target, self.put_odd_entry, self.say_leaving,
                  self.name_limit, self.send_crashing_request,
--- a/tests/standins/cluster.py
+++ b/tests/standins/cluster.py
@@ -432,6 +432,20 @@
             "clusters": [{"name": pool, "health_path": "/health",
                           "max_conns": 200} for pool in self.pools]})
 
+    async def restore_store(self, saved, down_s):
+        """The store is away, then back from a copy; the operator and the
+        targets write again what they had written."""
+        config = self.store.kinds["config"]["main"]["spec"]
+        self.store.set_mode("silent")
+        await asyncio.sleep(down_s)
+        self.store.restore(saved)
+        self.store.set_mode("up")
+        self.store.put("config", "main", config)
+        for target in self.targets:
+            if target.started:
+                target.register(
+                    "draining" if target.drain_acked_at else "ready")
+
     def record_run(self, target, first, attempt, body):
         self.run_counts[attempt] = self.run_counts.get(attempt, 0) + 1
         if attempt.startswith("once") and self.run_counts[attempt] > 1:
