--- a/tests/standins/platform.c
+++ b/tests/standins/platform.c
@@ -5,7 +5,8 @@
  * new requests, a delay of each response, and no response to the next N writes,
  * which still take effect.
  * /control?vm=A&state=S sets a VM's state, and /control?restore=KIND/NAME sets
- * an object back to its initial value.
+ * an object back to its initial value. /control?era=N sets the era that all
+ * responses name from then on, as after a restore from a copy.
  */
 #include <glib.h>
 #include <jansson.h>
@@ -53,15 +54,26 @@
 	int64_t lose_answers;
 	uint64_t request_count;
 	uint64_t revision;
+	int64_t era;
 };
 
 static void
 respond(struct h1_conn *conn, int status, json_t *root)
 {
-	char *text = json_dumps(root, JSON_COMPACT);
+	const struct platform *p = h1_conn_user(conn);
+	char *text = json_dumps(root, JSON_COMPACT), headers[128];
+	int length = snprintf(headers, sizeof(headers),
+	    "Content-Type: application/json\r\nStore-Era: %lld\r\n",
+	    (long long)p->era);
 
 	json_decref(root);
-	h1_conn_send_text(conn, status, "application/json", text);
+	h1_conn_send_response(conn, &(struct h1_response){
+					.status = status,
+					.headers = headers,
+					.headers_length = (size_t)length,
+					.body = text,
+					.body_length = strlen(text),
+				    });
 	free(text);
 }
 
@@ -343,6 +355,7 @@
 
 	p->outage = si_query_number(request, "outage", p->outage) != 0;
 	p->slow_ms = si_query_number(request, "slow_ms", p->slow_ms);
+	p->era = si_query_number(request, "era", p->era);
 	p->lose_answers =
 	    si_query_number(request, "lose_answers", p->lose_answers);
 	if (si_query(request, "restore", text, sizeof(text)))
