--- a/tests/standins/cluster.py
+++ b/tests/standins/cluster.py
@@ -5,7 +5,6 @@
 concurrent runs do not share addresses.
 """
 import asyncio
-import copy
 import itertools
 import json
 import os
@@ -58,12 +57,16 @@
     def copy(self):
         """For restore(): all that it holds now."""
         saved = Store()
-        saved.revision, saved.kinds = self.revision, copy.deepcopy(self.kinds)
+        saved.revision, saved.kinds = self.revision, self.copy_kinds()
         return saved
 
+    def copy_kinds(self):
+        """Entries are replaced, never changed, and may be nested deeply."""
+        return {kind: dict(objects) for kind, objects in self.kinds.items()}
+
     def restore(self, saved):
         """Comes back from a copy; revisions since are given out again."""
-        self.revision, self.kinds = saved.revision, copy.deepcopy(saved.kinds)
+        self.revision, self.kinds = saved.revision, saved.copy_kinds()
         self.era += 1
         self.discard_history()
         self.changed.set()
