gateway: refusals and trials of suspect requests have a file of their own

crash.c finds out whether a target has crashed; suspects.c refuses, tries and shares what is known. Functions moved as they are; announce() is gw_announce_crash().

--- a/lib/gateway/gateway_internal.h
+++ b/lib/gateway/gateway_internal.h
@@ -309,7 +309,7 @@
     struct gw_target_connections *connections, int64_t now_us);
 void gw_target_connections_close(struct gw_target_connections *connections);
 
-/* crash.c: requests that crash targets */
+/* crash.c: whether a target that lost requests has crashed */
 /*
  * gw_suspect_crash(connections, call, end): the call was lost at the target.
  * Checks whether the target has crashed.
@@ -323,6 +323,24 @@
 void gw_suspect_silence(const struct gw_call *call);
 void gw_crash_check_ended(
     struct gw_target_connections *connections, enum gw_check result);
+/*
+ * gw_target_replaced(connections): a new process is in place of the target,
+ * which confirms what a check could not show.
+ */
+void gw_target_replaced(struct gw_target_connections *connections);
+/*
+ * gw_target_gone(connections): the registration of the target has ended, which
+ * confirms a crash unless the target was there after it lost the requests.
+ */
+void gw_target_gone(struct gw_target_connections *connections);
+
+/* suspects.c: requests that are refused since they crash targets */
+/*
+ * gw_announce_crash(gw, crash): tells the other VMs of a crash. A VM that saw
+ * only one of several crashes tells of all, since others may have missed the
+ * first report.
+ */
+void gw_announce_crash(struct gw *gw, const struct bl_crash *crash);
 /*
  * gw_is_refused_suspect(call): the call must not reach any target since it
  * crashes them, not even as a trial.
@@ -336,17 +354,6 @@
 void gw_end_trial(struct gw_call *call);
 /* gw_excuse(call): a target ran the request of the call and responded. */
 void gw_excuse(struct gw_call *call);
-/*
- * gw_target_replaced(connections): a new process is in place of the target,
- * which confirms what a check could not show.
- */
-void gw_target_replaced(struct gw_target_connections *connections);
-/*
- * gw_target_gone(connections): the registration of the target has ended, which
- * confirms a crash unless the target was there after it lost the requests.
- */
-void gw_target_gone(struct gw_target_connections *connections);
-
 /* notices.c: what targets say of themselves */
 /* gw_hear(gw, target, response): takes what a response of the target says. */
 void gw_hear(
