--- a/lib/balance/balance.h
+++ b/lib/balance/balance.h
@@ -444,10 +444,11 @@
  * a hash of host, method, path and body of a request.
  */
 #define BL_POISON_SUSPECTS_MAX 256
-#define BL_POISON_CRASHES_MAX                                                \
-	16			 /* known of one request; later ones are not \
-				  */
-#define BL_POISON_EXCUSED_MAX 16 /* remembered of one request */
+/* A request is refused from so many crashes on. */
+#define BL_POISON_CRASHES_MIN 2
+/* Crashes and excuses that are remembered of one request. */
+#define BL_POISON_CRASHES_MAX 16
+#define BL_POISON_EXCUSED_MAX 16
 
 struct bl_crash {
 	uint64_t fingerprint;
--- a/lib/balance/poison.c
+++ b/lib/balance/poison.c
@@ -11,8 +11,6 @@
  */
 #include "balance_internal.h"
 
-#define CRASH_THRESHOLD 2
-
 /*
  * How long a request is refused after its last crash, by the number of trials
  * that crashed a target. Each trial costs the work of all other requests at its
@@ -197,7 +195,7 @@
 		return false;
 	for (i = 0; i < suspect->crashes; i++)
 		excuse(suspect, suspect->crashed[i], false);
-	suspect->must_tell |= suspect->crashes >= CRASH_THRESHOLD;
+	suspect->must_tell |= suspect->crashes >= BL_POISON_CRASHES_MIN;
 	suspect->crashes = suspect->trials = 0;
 	return suspect->must_tell;
 }
@@ -221,7 +219,7 @@
 			suspect->crashed[i] =
 			    suspect->crashed[--suspect->crashes];
 	}
-	if (suspect->crashes < CRASH_THRESHOLD)
+	if (suspect->crashes < BL_POISON_CRASHES_MIN)
 		suspect->trials = 0;
 	return true;
 }
@@ -290,12 +288,12 @@
 	const struct bl_suspect *suspect = bl_poison_find(poison, fingerprint);
 	uint32_t unexplained = 0, i;
 
-	if (suspect == NULL || suspect->crashes < CRASH_THRESHOLD)
+	if (suspect == NULL || suspect->crashes < BL_POISON_CRASHES_MIN)
 		return false;
 	for (i = 0; i < suspect->crashes; i++)
 		unexplained +=
 		    !is_explained(poison, suspect, suspect->crashed[i]);
-	return unexplained >= CRASH_THRESHOLD;
+	return unexplained >= BL_POISON_CRASHES_MIN;
 }
 
 /* The steps after which the VM of this rank may try a request. */
--- a/lib/gateway/gateway_internal.h
+++ b/lib/gateway/gateway_internal.h
@@ -336,9 +336,9 @@
 
 /* suspects.c: requests that are refused since they crash targets */
 /*
- * gw_announce_crash(gw, crash): tells the other VMs of a crash. A VM that saw
- * only one of several crashes tells of all, since others may have missed the
- * first report.
+ * gw_announce_crash(gw, crash): tells the other VMs of a crash. With the crash
+ * from which on a request is refused, a VM that saw one of them tells of all,
+ * since others may have missed the first report.
  */
 void gw_announce_crash(struct gw *gw, const struct bl_crash *crash);
 /*
--- a/lib/gateway/suspects.c
+++ b/lib/gateway/suspects.c
@@ -37,10 +37,11 @@
 
 	if (suspect == NULL || !suspect->seen_here)
 		return;
-	if (bl_is_poison(&gw->poison, crash->fingerprint))
+	if (suspect->crashes == BL_POISON_CRASHES_MIN)
 		visit_crashes(suspect, announce_poison, gw);
 	else
-		gw->params.events->on_crash(gw->params.user, crash, false);
+		gw->params.events->on_crash(gw->params.user, crash,
+		    suspect->crashes > BL_POISON_CRASHES_MIN);
 }
 
 bool
@@ -53,7 +54,7 @@
 	crashes = bl_poison_crashed(&gw->poison, crash, cs_now_us());
 	cs_log(CS_LOG_CRASH_REPORTED, "fingerprint=%llx crashes=%u",
 	    (unsigned long long)crash->fingerprint, crashes);
-	if (crashes > 1)
+	if (crashes == BL_POISON_CRASHES_MIN)
 		gw_announce_crash(gw, crash);
 	return true;
 }
--- a/tests/unit/gateway_rig.c
+++ b/tests/unit/gateway_rig.c
@@ -549,6 +549,12 @@
 	return rig->crashes;
 }
 
+uint32_t
+rig_reports(const struct rig *rig)
+{
+	return rig->reports;
+}
+
 uint64_t
 rig_reported_fingerprint(const struct rig *rig)
 {
--- a/tests/unit/gateway_rig.h
+++ b/tests/unit/gateway_rig.h
@@ -99,6 +99,7 @@
  * crashes; false if it does not.
  */
 bool rig_await_reports(struct rig *rig, uint32_t count);
+uint32_t rig_reports(const struct rig *rig);
 /* rig_settle(rig): runs until nothing is left that could happen at once. */
 void rig_settle(struct rig *rig);
 /* The last crash that the gateway reported, or 0. */
--- a/tests/unit/test_crashing_requests.c
+++ b/tests/unit/test_crashing_requests.c
@@ -298,6 +298,37 @@
 	rig_free(rig);
 }
 
+/* Each VM tells of its own crashes: reports must not answer reports. */
+static void
+test_reports_of_further_crashes_are_not_repeated(void **state)
+{
+	struct rig *rig = rig_create(&(struct rig_params){
+	    .scripts = &answering,
+	    .script_count = 1,
+	    .target_count = 1,
+	    .with_table = true,
+	    .timeout_ms = 30000,
+	    .attempts_max = 1,
+	});
+	uint64_t process;
+	uint32_t reports;
+	int i;
+
+	(void)state;
+	for (i = 0; i < 2; i++) {
+		assert_int_equal(ask(rig, crashing_request), 502);
+		rig_settle(rig);
+		rig_restart_target(rig, 0);
+	}
+	reports = rig_reports(rig);
+	for (process = 1; process <= 10; process++)
+		assert_true(gw_add_crash(rig_gateway(rig),
+		    &(struct bl_crash){
+			rig_reported_fingerprint(rig), process, 0}));
+	assert_int_equal(rig_reports(rig), reports);
+	rig_free(rig);
+}
+
 /* A call waits for room while another VM reports the second crash. */
 static void
 test_waiting_request_is_refused_once_it_is_known_to_crash(void **state)
@@ -346,6 +377,7 @@
 	    cmocka_unit_test(test_crash_is_noticed_by_whatever_tells_of_it),
 	    cmocka_unit_test(
 		test_request_to_targets_that_are_cut_off_is_not_blamed),
+	    cmocka_unit_test(test_reports_of_further_crashes_are_not_repeated),
 	    cmocka_unit_test(
 		test_waiting_request_is_refused_once_it_is_known_to_crash),
 	};
