--- a/lib/gateway/gateway_internal.h
+++ b/lib/gateway/gateway_internal.h
@@ -351,9 +351,11 @@
  * try it. Returns false if the call may be sent.
  */
 bool gw_stop_suspect(struct gw_call *call);
+/* gw_end_trial(call): the call ends; another trial may follow. */
 void gw_end_trial(struct gw_call *call);
 /* gw_excuse(call): a target ran the request of the call and responded. */
 void gw_excuse(struct gw_call *call);
+
 /* notices.c: what targets say of themselves */
 /* gw_hear(gw, target, response): takes what a response of the target says. */
 void gw_hear(
