Directory: names VMs of more capacity to more callers

Cause: all ready VMs of a region were named alike, so one with a tenth of a core and 10 Mbit/s got as many callers as the largest. Change: where capacities differ four times and more and a region has more than 16 VMs, half of them are named, by weighted rendezvous hashing over caller, data centre and host. Equal or few VMs: as before. Measured: test_directory: large VMs get 1.8 times the callers of the small or more (1 before); a VM that goes changes one other address.

--- /dev/null
+++ b/lib/fleet/directory.c
@@ -0,0 +1,185 @@
+/*
+ * Which nodes the directory names to a caller, who picks one of them at random
+ * for each connection. Load pattern: nodes of very unequal CPU and links; if
+ * all are named alike, the smallest get as many callers as the largest, and are
+ * the first to be full.
+ */
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "fleet.h"
+
+/*
+ * Where capacities differ by this many steps, four times the link x CPU, only
+ * a part of the nodes is named, those of more capacity more often.
+ */
+#define UNEQUAL_STEPS 2
+/*
+ * At least so many are named: callers keep a response for up to 15 s, in which
+ * all nodes but a few may be lost.
+ */
+#define NAMED_MIN 16
+/* How long a silent node may still be named by one that hears no other. */
+#define SILENT_RETENTION_US 30000000
+
+/* A node that may be named, and its rank for the query. */
+struct candidate {
+	bool same_data_centre; /* as the query */
+	const struct fl_node *node;
+	double rank;
+};
+
+/*
+ * Weighted rendezvous hashing: of the nodes with the highest ranks, each is
+ * there in proportion to its weight, as far as that is possible, and a node
+ * that joins or leaves changes one other address.
+ */
+static double
+rank_of(const struct fl_node *node, uint64_t key)
+{
+	uint64_t hash =
+	    cs_hash_pair(key, cs_hash(node->name, strlen(node->name)));
+	double uniform = ((double)(hash >> 11) + 0.5) / (double)(1ULL << 53);
+
+	/*
+	 * What a node carries is bounded by its CPU or by its link, so it grows
+	 * with less than their product: the weight is the root of that.
+	 */
+	return exp2(node->capacity / 2.0) / -log(uniform);
+}
+
+static void
+add_candidate(struct candidate *candidates, uint32_t *count,
+    const struct fl_node *node, const struct fl_directory_query *query)
+{
+	candidates[(*count)++] = (struct candidate){
+	    .same_data_centre =
+		strcmp(node->data_centre, query->data_centre) == 0,
+	    .node = node,
+	};
+}
+
+static int
+compare_ranks(const void *a, const void *b)
+{
+	const struct candidate *x = a, *y = b;
+
+	return x->rank < y->rank ? 1 : x->rank > y->rank ? -1 : 0;
+}
+
+static int
+compare_nearest(const void *a, const void *b)
+{
+	const struct candidate *x = a, *y = b;
+
+	if (x->same_data_centre != y->same_data_centre)
+		return x->same_data_centre ? -1 : 1;
+	return compare_ranks(a, b);
+}
+
+static void
+add_others(const struct fl_membership *membership, int64_t now_us,
+    bool only_live, const struct fl_directory_query *query,
+    struct candidate *candidates, uint32_t *count)
+{
+	uint32_t i;
+
+	for (i = 0; i < membership->count; i++) {
+		const struct fl_node *node = &membership->nodes[i];
+
+		if (node->same_region && node->ready && !node->stopping &&
+		    (only_live ? fl_node_is_alive(node, now_us)
+			       : now_us - node->heard_us < SILENT_RETENTION_US))
+			add_candidate(candidates, count, node, query);
+	}
+}
+
+static bool
+are_unequal(const struct candidate *candidates, uint32_t count)
+{
+	uint32_t i, least = FL_CAPACITY_MAX, most = 0;
+
+	for (i = 0; i < count; i++) {
+		if (candidates[i].node->capacity < least)
+			least = candidates[i].node->capacity;
+		if (candidates[i].node->capacity > most)
+			most = candidates[i].node->capacity;
+	}
+	return count > 0 && most - least >= UNEQUAL_STEPS;
+}
+
+static uint32_t
+half_of(uint32_t count)
+{
+	uint32_t half = (count + 1) / 2;
+
+	return half > NAMED_MIN ? half : count < NAMED_MIN ? count : NAMED_MIN;
+}
+
+/* Ranks all candidates for the key. Returns how many are in its data centre. */
+static uint32_t
+rank_all(struct candidate *candidates, uint32_t count, uint64_t key,
+    int (*compare)(const void *a, const void *b))
+{
+	uint32_t i, near = 0;
+
+	for (i = 0; i < count; i++) {
+		candidates[i].rank = rank_of(candidates[i].node, key);
+		near += candidates[i].same_data_centre;
+	}
+	qsort(candidates, count, sizeof(candidates[0]), compare);
+	return near;
+}
+
+/*
+ * Moves the nodes that are named to the front, and returns their number. Where
+ * not all fit, those in the data centre of the query come first.
+ */
+static uint32_t
+select_nodes(struct candidate *candidates, uint32_t count, uint32_t max,
+    const struct fl_directory_query *query)
+{
+	uint64_t key = cs_hash_pair(query->hash, query->caller);
+	uint32_t near, limit = half_of(max);
+
+	if (!are_unequal(candidates, count)) {
+		if (count > max)
+			rank_all(
+			    candidates, count, query->hash, compare_nearest);
+		return count < max ? count : max;
+	}
+	if (count <= max) {
+		rank_all(candidates, count, key, compare_ranks);
+		return half_of(count);
+	}
+	near = rank_all(candidates, count, key, compare_nearest);
+	if (half_of(near) < limit) {
+		/* The better half of the data centre, then the best others. */
+		memmove(&candidates[half_of(near)], &candidates[near],
+		    (count - near) * sizeof(candidates[0]));
+		count -= near - half_of(near);
+	}
+	return count < limit ? count : limit;
+}
+
+uint32_t
+fl_membership_list_addresses(const struct fl_membership *membership,
+    int64_t now_us, const struct fl_directory_query *query,
+    struct sockaddr_in *out, uint32_t max)
+{
+	struct candidate candidates[FL_NODES_MAX + 1];
+	uint32_t i, own = 0, count;
+
+	if (membership->self.ready && !membership->self.stopping)
+		add_candidate(candidates, &own, &membership->self, query);
+	count = own;
+	add_others(membership, now_us, true, query, candidates, &count);
+	if (count == own) /* it hears no other node: it is cut off */
+		add_others(
+		    membership, now_us, false, query, candidates, &count);
+	count = select_nodes(candidates, count, max, query);
+	for (i = 0; i < count; i++)
+		out[i] = candidates[i].node->listen_address;
+	return count;
+}
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -181,7 +181,8 @@
 /* A request to the directory. */
 struct fl_directory_query {
 	char data_centre[FL_NAME_BYTES_MAX];
-	uint64_t hash; /* spreads requests over the nodes */
+	uint64_t hash;	 /* spreads requests over the nodes */
+	uint64_t caller; /* hash of the caller's address */
 };
 /*
  * fl_membership_list_addresses(membership, now_us, query, out, max): writes the
@@ -189,7 +190,9 @@
  * their number. A node that hears no other is presumably cut off itself; it
  * lists those that it heard within the last 30 s. If there are more than max,
  * equal queries get the same addresses from every node, and nodes in the data
- * centre of the query come first.
+ * centre of the query come first. If their capacities are very different and
+ * there are more than 16, half of them are listed, and nodes of more capacity
+ * to more callers; the same caller gets the same from every node.
  */
 uint32_t fl_membership_list_addresses(const struct fl_membership *membership,
     int64_t now_us, const struct fl_directory_query *query,
--- a/lib/fleet/membership.c
+++ b/lib/fleet/membership.c
@@ -16,8 +16,6 @@
 #define CURRENT_SILENCE_TIMEOUT_US 1300000
 /* Far longer than the interval of ticks: this process was paused. */
 #define LATE_TICK_US 1000000
-/* How long a silent node may still be listed by one that hears no other. */
-#define SILENT_RETENTION_US 30000000
 /*
  * At the start nodes learn of each other before one watches the store: for
  * DISCOVERY_US after the first contact, or for DISCOVERY_ALONE_US after the
@@ -459,71 +457,3 @@
 	}
 	return NULL;
 }
-
-/* A node that may be listed, and its rank for the query. */
-struct directory_entry {
-	bool same_data_centre; /* as the query */
-	uint64_t rank;
-	struct sockaddr_in listen_address;
-};
-
-static void
-add_entry(struct directory_entry *entries, uint32_t *count,
-    const struct fl_node *node, const struct fl_directory_query *query)
-{
-	entries[(*count)++] = (struct directory_entry){
-	    .same_data_centre =
-		strcmp(node->data_centre, query->data_centre) == 0,
-	    .rank = cs_hash_pair(
-		query->hash, cs_hash(node->name, strlen(node->name))),
-	    .listen_address = node->listen_address,
-	};
-}
-
-static int
-compare_entries(const void *a, const void *b)
-{
-	const struct directory_entry *x = a, *y = b;
-
-	if (x->same_data_centre != y->same_data_centre)
-		return x->same_data_centre ? -1 : 1;
-	return x->rank < y->rank ? 1 : x->rank > y->rank ? -1 : 0;
-}
-
-static void
-add_others(const struct fl_membership *membership, int64_t now_us,
-    bool only_live, const struct fl_directory_query *query,
-    struct directory_entry *entries, uint32_t *count)
-{
-	uint32_t i;
-
-	for (i = 0; i < membership->count; i++) {
-		const struct fl_node *node = &membership->nodes[i];
-
-		if (node->same_region && node->ready && !node->stopping &&
-		    (only_live ? fl_node_is_alive(node, now_us)
-			       : now_us - node->heard_us < SILENT_RETENTION_US))
-			add_entry(entries, count, node, query);
-	}
-}
-
-uint32_t
-fl_membership_list_addresses(const struct fl_membership *membership,
-    int64_t now_us, const struct fl_directory_query *query,
-    struct sockaddr_in *out, uint32_t max)
-{
-	struct directory_entry entries[FL_NODES_MAX + 1];
-	uint32_t i, own = 0, count;
-
-	if (membership->self.ready && !membership->self.stopping)
-		add_entry(entries, &own, &membership->self, query);
-	count = own;
-	add_others(membership, now_us, true, query, entries, &count);
-	if (count == own) /* it hears no other node: it is cut off */
-		add_others(membership, now_us, false, query, entries, &count);
-	if (count > max)
-		qsort(entries, count, sizeof(entries[0]), compare_entries);
-	for (i = 0; i < count && i < max; i++)
-		out[i] = entries[i].listen_address;
-	return i;
-}
--- a/lib/h1/h1.h
+++ b/lib/h1/h1.h
@@ -402,6 +402,8 @@
 size_t h1_conn_unsent(const struct h1_conn *conn);
 /* h1_conn_opened_us(conn): time at which the connection was accepted. */
 int64_t h1_conn_opened_us(const struct h1_conn *conn);
+/* h1_conn_client(conn): IPv4 address of the client, in network byte order. */
+uint32_t h1_conn_client(const struct h1_conn *conn);
 /* h1_conn_send_text(conn, status, type, text): sends a short response. */
 void h1_conn_send_text(
     struct h1_conn *conn, int status, const char *type, const char *text);
--- a/lib/h1/server.c
+++ b/lib/h1/server.c
@@ -283,6 +283,12 @@
 	return conn->server->params.user;
 }
 
+uint32_t
+h1_conn_client(const struct h1_conn *conn)
+{
+	return conn->address.s_addr;
+}
+
 void
 h1_conn_set_call(struct h1_conn *conn, void *call)
 {
--- a/programs/gateway_serve.c
+++ b/programs/gateway_serve.c
@@ -25,11 +25,13 @@
 {
 	struct sockaddr_in addresses[DIRECTORY_ADDRESSES_MAX];
 	struct fl_directory_query query;
-	uint32_t count;
+	uint32_t count, client;
 	struct bl_stop_plan plan;
 	char *text;
 
 	pl_read_directory_query(request, &query);
+	client = h1_conn_client(conn);
+	query.caller = cs_hash((const char *)&client, sizeof(client));
 	count = fl_membership_list_addresses(fl_get_membership(app->fleet),
 	    cs_now_us(), &query, addresses, DIRECTORY_ADDRESSES_MAX);
 	bl_plan_stop(app->settings.grace_ms * 1000, &plan);
--- /dev/null
+++ b/tests/unit/test_directory.c
@@ -0,0 +1,217 @@
+/*
+ * The directory in a region of unequal nodes. Guards against small nodes that
+ * get as many callers as large ones, and against lists that change for all
+ * callers when one node comes or goes.
+ */
+#include <arpa/inet.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "../../lib/fleet/fleet.h"
+
+#define ADDRESSES_MAX 64
+#define CALLERS 2000
+#define NAMED_LEAST 16 /* of a region that has as many */
+#define LARGE_CAPACITY 6
+#define SMALL_CAPACITY 0
+#define NODES_MAX 200
+
+struct region {
+	uint32_t count, large, data_centres;
+};
+
+static struct fl_node
+make_node(const struct region *region, uint32_t number)
+{
+	struct fl_node node = {.boot = number + 1,
+	    .same_region = true,
+	    .ready = true,
+	    .capacity =
+		number < region->large ? LARGE_CAPACITY : SMALL_CAPACITY};
+
+	snprintf(node.name, sizeof(node.name), "vm-%u", number);
+	snprintf(node.data_centre, sizeof(node.data_centre), "dc-%u",
+	    number % region->data_centres);
+	node.fleet.sin_family = AF_INET;
+	node.fleet.sin_port = htons((uint16_t)(7000 + number));
+	node.listen_address = node.fleet;
+	return node;
+}
+
+/* The region as the node with this number sees it. */
+static void
+set_up(struct fl_membership *membership, const struct region *region,
+    uint32_t self)
+{
+	struct fl_node node = make_node(region, self);
+	uint32_t i;
+
+	fl_membership_init(membership, &node, 1);
+	membership->self.ready = true;
+	for (i = 0; i < region->count; i++) {
+		node = make_node(region, i);
+		fl_membership_on_hello(membership, &node, 1);
+	}
+}
+
+/* Sets named[] for the nodes that a caller in data centre 0 is told. */
+static uint32_t
+ask(const struct fl_membership *membership, uint32_t caller,
+    bool named[NODES_MAX])
+{
+	struct fl_directory_query query = {
+	    .data_centre = "dc-0", .hash = 7, .caller = caller * 2654435761U};
+	struct sockaddr_in out[ADDRESSES_MAX];
+	uint32_t i, count = fl_membership_list_addresses(
+			membership, 2, &query, out, ADDRESSES_MAX);
+
+	memset(named, 0, NODES_MAX * sizeof(named[0]));
+	for (i = 0; i < count; i++)
+		named[ntohs(out[i].sin_port) - 7000] = true;
+	return count;
+}
+
+/* Sets share[] to the connections of each node, if each caller has one. */
+static void
+count_connections(const struct region *region, double share[NODES_MAX])
+{
+	struct fl_membership membership;
+	bool named[NODES_MAX];
+	uint32_t caller, i, count;
+
+	memset(share, 0, NODES_MAX * sizeof(share[0]));
+	set_up(&membership, region, 0);
+	for (caller = 0; caller < CALLERS; caller++) {
+		count = ask(&membership, caller, named);
+		assert_true(count >= NAMED_LEAST && count <= ADDRESSES_MAX);
+		for (i = 0; i < region->count; i++)
+			share[i] += named[i] ? 1.0 / count : 0.0;
+	}
+	fl_membership_free(&membership);
+}
+
+/*
+ * Small nodes get at most half of what large ones get, but for the chance of so
+ * few callers, and none gets nothing.
+ */
+static void
+test_large_nodes_get_more_callers(void **state)
+{
+	static const struct region regions[] = {
+	    {.count = 60, .large = 4, .data_centres = 2},
+	    {.count = 47, .large = 20, .data_centres = 2},
+	    {.count = 33, .large = 2, .data_centres = 1},
+	};
+	double share[NODES_MAX], least, most;
+	uint32_t r, i;
+
+	(void)state;
+	for (r = 0; r < sizeof(regions) / sizeof(regions[0]); r++) {
+		count_connections(&regions[r], share);
+		least = CALLERS;
+		most = 0.0;
+		for (i = 0; i < regions[r].large; i++)
+			least = share[i] < least ? share[i] : least;
+		for (; i < regions[r].count; i++) {
+			most = share[i] > most ? share[i] : most;
+			assert_true(share[i] > 0.0);
+		}
+		assert_true(least >= 1.8 * most);
+	}
+}
+
+/* Callers that ask another node, or again after a change, keep their list. */
+static void
+test_lists_are_stable(void **state)
+{
+	static const struct region region = {
+	    .count = 60, .large = 6, .data_centres = 2};
+	struct fl_membership first, second, changed;
+	bool before[NODES_MAX], after[NODES_MAX];
+	uint32_t caller, gone, i, new_names;
+
+	(void)state;
+	set_up(&first, &region, 0);
+	set_up(&second, &region, 41);
+	for (caller = 0; caller < 50; caller++) {
+		ask(&first, caller, before);
+		ask(&second, caller, after);
+		assert_memory_equal(before, after, sizeof(before));
+		for (gone = 1; gone < region.count; gone++) {
+			set_up(&changed, &region, 0);
+			changed.nodes[gone - 1].stopping = true;
+			ask(&changed, caller, after);
+			new_names = 0;
+			for (i = 0; i < region.count; i++)
+				new_names += after[i] && !before[i];
+			assert_true(new_names <= 1);
+			fl_membership_free(&changed);
+		}
+	}
+	fl_membership_free(&first);
+	fl_membership_free(&second);
+}
+
+/* Where nodes are alike, or few, all are named, as before capacities counted.
+ */
+static void
+test_equal_or_few_nodes_are_all_named(void **state)
+{
+	static const struct region regions[] = {
+	    {.count = 60, .large = 0, .data_centres = 2},
+	    {.count = 60, .large = 60, .data_centres = 2},
+	    {.count = NAMED_LEAST, .large = 3, .data_centres = 2},
+	    {.count = 5, .large = 1, .data_centres = 1},
+	};
+	struct fl_membership membership;
+	bool named[NODES_MAX];
+	uint32_t r;
+
+	(void)state;
+	for (r = 0; r < sizeof(regions) / sizeof(regions[0]); r++) {
+		set_up(&membership, &regions[r], 0);
+		assert_int_equal(ask(&membership, 1, named), regions[r].count);
+		fl_membership_free(&membership);
+	}
+}
+
+/* In a large region callers use their own data centre first, as before. */
+static void
+test_own_data_centre_comes_first(void **state)
+{
+	static const struct region region = {
+	    .count = 158, .large = 12, .data_centres = 3};
+	struct fl_membership membership;
+	bool named[NODES_MAX];
+	uint32_t caller, i, own, count;
+
+	(void)state;
+	set_up(&membership, &region, 0);
+	for (caller = 0; caller < 50; caller++) {
+		count = ask(&membership, caller, named);
+		for (i = own = 0; i < region.count; i += region.data_centres)
+			own += named[i];
+		assert_int_equal(count, ADDRESSES_MAX / 2);
+		assert_true(own * 4 >= count * 3);
+	}
+	fl_membership_free(&membership);
+}
+
+int
+main(void)
+{
+	const struct CMUnitTest tests[] = {
+	    cmocka_unit_test(test_large_nodes_get_more_callers),
+	    cmocka_unit_test(test_lists_are_stable),
+	    cmocka_unit_test(test_equal_or_few_nodes_are_all_named),
+	    cmocka_unit_test(test_own_data_centre_comes_first),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
