--- a/tests/bench/gateway.py
+++ b/tests/bench/gateway.py
@@ -1,6 +1,7 @@
 """Benchmark: the latency that a gateway adds to a call and its CPU time per
 call. Sends the same load alternately straight to a target and through one
-gateway. Not part of CI."""
+gateway. With --tenants the configuration has tenants with API keys, quotas
+that are not reached, and proofs of keys. Not part of CI."""
 import asyncio
 import json
 import os
@@ -16,6 +17,10 @@
 SECONDS, ROUNDS, RATES = 4, 3, (100, 500, 1000, 2000)
 TARGETS, SLOTS, REQUEST_PATH = 4, 64, "/job/1?ms=5"
 IDLE_CONNECTIONS = 1000
+TENANTS, KEYS, QUOTA_PER_S = 86, 10000, 100
+TENANT_BOUNDS = ("strict_revoke=true", "revoke=5000ms", "quota_window=5s",
+                 "quota_excess=0.1", "quota_slack=20")
+WITH_TENANTS = "--tenants" in sys.argv[1:]
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
 
@@ -44,11 +49,20 @@
         addresses.append(address)
 
 
+def add_tenants(cluster):
+    cluster.tenants = {"tenant-%d" % n: ["key-%d" % key for key in
+                                         range(n, KEYS, TENANTS)]
+                       for n in range(TENANTS)}
+    cluster.tenant_limits = {name: {"rate_per_s": QUOTA_PER_S,
+                                    "burst": 2 * QUOTA_PER_S}
+                             for name in cluster.tenants}
+
+
 async def run_load(address, rate):
     process = await asyncio.create_subprocess_exec(
         STANDIN, "caller", "--direct", address, "--rate", str(rate),
         "--seconds", str(SECONDS), "--callers", "64", "--get-path", REQUEST_PATH,
-        stdout=subprocess.PIPE)
+        "--api-keys", str(KEYS if WITH_TENANTS else 0), stdout=subprocess.PIPE)
     return json.loads((await process.communicate())[0])
 
 
@@ -82,7 +96,10 @@
 
 async def main():
     process, addresses = await start_targets()
-    cluster = Cluster(PROGRAM, vm_count=1, pools=("a",), targets=0)
+    cluster = Cluster(PROGRAM, vm_count=1, pools=("a",), targets=0,
+                      bounds=TENANT_BOUNDS if WITH_TENANTS else ())
+    if WITH_TENANTS:
+        add_tenants(cluster)
     vm = cluster.vms[0]
     try:
         await cluster.start()
--- a/tests/standins/caller.c
+++ b/tests/standins/caller.c
@@ -55,12 +55,14 @@
 	FILE *log;
 	int64_t next_arrival_us, end_us;
 	uint64_t calls_started, open_calls;
+	int keys_sent;
 	/* command-line options */
 	char *directory_text, *log_path, *get_path, *post_path, *member;
 	char *direct_text;
 	double rate, seconds, post_share;
 	double swing_rate, swing_from, swing_to;
 	int caller_count, body_bytes;
+	int api_keys; /* sent in turn: key-0, key-1 and so on; 0: none */
 	int64_t seed, deadline_ms;
 	gboolean ask_path; /* send the path with directory requests */
 	int resends;	   /* per call whose connection was lost */
@@ -190,6 +192,9 @@
 	if (call->is_post)
 		used += snprintf(headers + used, sizeof(headers) - (size_t)used,
 		    "Idempotency-Key: %s\r\n", call->key);
+	if (g.api_keys > 0)
+		used += snprintf(headers + used, sizeof(headers) - (size_t)used,
+		    "X-Api-Key: key-%d\r\n", g.keys_sent++ % g.api_keys);
 	if (g.deadline_ms > 0)
 		snprintf(headers + used, sizeof(headers) - (size_t)used,
 		    "Chervilshelf-Deadline-Ms: %lld\r\n",
@@ -430,6 +435,7 @@
 	    {"post-share", 0, 0, G_OPTION_ARG_DOUBLE, &g.post_share, NULL,
 		NULL},
 	    {"body-bytes", 0, 0, G_OPTION_ARG_INT, &g.body_bytes, NULL, NULL},
+	    {"api-keys", 0, 0, G_OPTION_ARG_INT, &g.api_keys, NULL, NULL},
 	    {"get-path", 0, 0, G_OPTION_ARG_STRING, &g.get_path, NULL, NULL},
 	    {"post-path", 0, 0, G_OPTION_ARG_STRING, &g.post_path, NULL, NULL},
 	    {"member", 0, 0, G_OPTION_ARG_STRING, &g.member, NULL, NULL},
