Directory: stable past 64 VMs, whole when cut off, capacities bounded

Cause: a region that grew from 64 to 65 ready VMs got lists chosen by another rule; a VM that heard no other named half of those it had heard, often without itself; capacities above the range in hellos made equal VMs unequal, with infinite ranks. Change: one selection whether all VMs fit or not; a VM that is cut off names all that fit; capacities are bounded where they are used.

--- a/lib/fleet/directory.c
+++ b/lib/fleet/directory.c
@@ -30,6 +30,14 @@
 	double rank;
 };
 
+/* Bounded here, since a hello may contain any number. */
+static uint32_t
+capacity_of(const struct fl_node *node)
+{
+	return node->capacity < FL_CAPACITY_MAX ? node->capacity
+						: FL_CAPACITY_MAX;
+}
+
 /*
  * Weighted rendezvous hashing: of the nodes with the highest ranks, each is
  * there in proportion to its weight, as far as that is possible, and a node
@@ -46,7 +54,7 @@
 	 * What a node carries is bounded by its CPU or by its link, so it grows
 	 * with less than their product: the weight is the root of that.
 	 */
-	return exp2(node->capacity / 2.0) / -log(uniform);
+	return exp2(capacity_of(node) / 2.0) / -log(uniform);
 }
 
 static void
@@ -98,13 +106,12 @@
 static bool
 are_unequal(const struct candidate *candidates, uint32_t count)
 {
-	uint32_t i, least = FL_CAPACITY_MAX, most = 0;
+	uint32_t i, capacity, least = FL_CAPACITY_MAX, most = 0;
 
 	for (i = 0; i < count; i++) {
-		if (candidates[i].node->capacity < least)
-			least = candidates[i].node->capacity;
-		if (candidates[i].node->capacity > most)
-			most = candidates[i].node->capacity;
+		capacity = capacity_of(candidates[i].node);
+		least = capacity < least ? capacity : least;
+		most = capacity > most ? capacity : most;
 	}
 	return count > 0 && most - least >= UNEQUAL_STEPS;
 }
@@ -117,10 +124,12 @@
 	return half > NAMED_MIN ? half : count < NAMED_MIN ? count : NAMED_MIN;
 }
 
-/* Ranks all candidates for the key. Returns how many are in its data centre. */
+/*
+ * Orders the candidates: those in the data centre of the query first, then by
+ * rank for the key. Returns how many are in that data centre.
+ */
 static uint32_t
-rank_all(struct candidate *candidates, uint32_t count, uint64_t key,
-    int (*compare)(const void *a, const void *b))
+order_all(struct candidate *candidates, uint32_t count, uint64_t key)
 {
 	uint32_t i, near = 0;
 
@@ -128,39 +137,38 @@
 		candidates[i].rank = rank_of(candidates[i].node, key);
 		near += candidates[i].same_data_centre;
 	}
-	qsort(candidates, count, sizeof(candidates[0]), compare);
+	qsort(candidates, count, sizeof(candidates[0]), compare_nearest);
 	return near;
 }
 
+/* Moves the nodes that are named to the front, and returns their number. */
+static uint32_t
+select_alike(struct candidate *candidates, uint32_t count, uint32_t max,
+    const struct fl_directory_query *query)
+{
+	if (count > max)
+		order_all(candidates, count, query->hash);
+	return count < max ? count : max;
+}
+
 /*
- * Moves the nodes that are named to the front, and returns their number. Where
- * not all fit, those in the data centre of the query come first.
+ * As select_alike(), but names half of those that fit: the better half of the
+ * data centre, then the best of the rest. The same steps apply whether all fit
+ * or not, so that one node more never changes many addresses.
  */
 static uint32_t
-select_nodes(struct candidate *candidates, uint32_t count, uint32_t max,
+select_weighted(struct candidate *candidates, uint32_t count, uint32_t max,
     const struct fl_directory_query *query)
 {
 	uint64_t key = cs_hash_pair(query->hash, query->caller);
-	uint32_t near, limit = half_of(max);
-
-	if (!are_unequal(candidates, count)) {
-		if (count > max)
-			rank_all(
-			    candidates, count, query->hash, compare_nearest);
-		return count < max ? count : max;
-	}
-	if (count <= max) {
-		rank_all(candidates, count, key, compare_ranks);
-		return half_of(count);
-	}
-	near = rank_all(candidates, count, key, compare_nearest);
-	if (half_of(near) < limit) {
-		/* The better half of the data centre, then the best others. */
-		memmove(&candidates[half_of(near)], &candidates[near],
-		    (count - near) * sizeof(candidates[0]));
-		count -= near - half_of(near);
-	}
-	return count < limit ? count : limit;
+	uint32_t near = order_all(candidates, count, key);
+
+	if (count > max)
+		count = max;
+	near = ((near < max ? near : max) + 1) / 2;
+	qsort(&candidates[near], count - near, sizeof(candidates[0]),
+	    compare_ranks);
+	return half_of(count);
 }
 
 uint32_t
@@ -170,15 +178,20 @@
 {
 	struct candidate candidates[FL_NODES_MAX + 1];
 	uint32_t i, own = 0, count;
+	bool cut_off;
 
 	if (membership->self.ready && !membership->self.stopping)
 		add_candidate(candidates, &own, &membership->self, query);
 	count = own;
 	add_others(membership, now_us, true, query, candidates, &count);
-	if (count == own) /* it hears no other node: it is cut off */
+	cut_off = count == own; /* it hears no other node */
+	if (cut_off)
 		add_others(
 		    membership, now_us, false, query, candidates, &count);
-	count = select_nodes(candidates, count, max, query);
+	/* One that is cut off omits none: only a few, or itself, may live. */
+	count = !cut_off && are_unequal(candidates, count)
+		    ? select_weighted(candidates, count, max, query)
+		    : select_alike(candidates, count, max, query);
 	for (i = 0; i < count; i++)
 		out[i] = candidates[i].node->listen_address;
 	return count;
--- a/tests/unit/test_directory.c
+++ b/tests/unit/test_directory.c
@@ -107,6 +107,7 @@
 	    {.count = 60, .large = 4, .data_centres = 2},
 	    {.count = 47, .large = 20, .data_centres = 2},
 	    {.count = 33, .large = 2, .data_centres = 1},
+	    {.count = 158, .large = 12, .data_centres = 1},
 	};
 	double share[NODES_MAX], least, most;
 	uint32_t r, i;
@@ -181,6 +182,88 @@
 	}
 }
 
+/*
+ * Guards against lists that change for all callers when a region grows past the
+ * addresses that fit, or past the least number that is named.
+ */
+static void
+test_lists_are_stable_as_a_region_grows(void **state)
+{
+	static const uint32_t data_centres[] = {1, 2, 3};
+	struct region region = {.large = 6};
+	struct fl_membership membership;
+	bool before[NODES_MAX], after[NODES_MAX];
+	uint32_t d, caller, i, lost, gained;
+
+	(void)state;
+	for (d = 0; d < sizeof(data_centres) / sizeof(data_centres[0]); d++) {
+		region.data_centres = data_centres[d];
+		for (caller = 0; caller < 20; caller++) {
+			memset(before, 0, sizeof(before));
+			for (region.count = 10; region.count < 150;
+			     region.count++) {
+				set_up(&membership, &region, 0);
+				ask(&membership, caller, after);
+				fl_membership_free(&membership);
+				lost = gained = 0;
+				for (i = 0; i + 1 < region.count; i++) {
+					lost += before[i] && !after[i];
+					gained += after[i] && !before[i];
+				}
+				if (region.count > 10)
+					assert_true(lost <= 1 && gained <= 1);
+				memcpy(before, after, sizeof(before));
+			}
+		}
+	}
+}
+
+/*
+ * Guards against a survivor that omits itself, and so names only lost nodes,
+ * while it still names those that it heard before.
+ */
+static void
+test_node_that_hears_no_other_names_itself(void **state)
+{
+	static const struct region region = {
+	    .count = 60, .large = 6, .data_centres = 2};
+	static const int64_t silent_us = 10000000;
+	struct fl_directory_query query = {.data_centre = "dc-0"};
+	struct sockaddr_in out[ADDRESSES_MAX];
+	struct fl_membership membership;
+
+	(void)state;
+	set_up(&membership, &region, 41);
+	for (query.caller = 0; query.caller < 50; query.caller++)
+		assert_int_equal(fl_membership_list_addresses(&membership,
+				     silent_us, &query, out, ADDRESSES_MAX),
+		    region.count);
+	fl_membership_free(&membership);
+}
+
+/*
+ * Guards against hellos whose capacity is above the range: equal nodes are
+ * taken for unequal ones, or all ranks are infinite and the order is undefined.
+ */
+static void
+test_capacities_above_the_range_are_equal(void **state)
+{
+	static const struct region region = {
+	    .count = 60, .large = 60, .data_centres = 2};
+	struct fl_membership membership;
+	bool named[NODES_MAX];
+	uint32_t i;
+
+	(void)state;
+	set_up(&membership, &region, 0);
+	membership.self.capacity = FL_CAPACITY_MAX;
+	for (i = 0; i < membership.count; i++)
+		membership.nodes[i].capacity =
+		    i % 2 == 0 ? FL_CAPACITY_MAX + 2 : UINT32_MAX;
+	assert_int_equal(ask(&membership, 1, named), region.count);
+	fl_membership_free(&membership);
+}
+
 /* In a large region callers use their own data centre first, as before. */
 static void
 test_own_data_centre_comes_first(void **state)
@@ -209,6 +292,9 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_large_nodes_get_more_callers),
 	    cmocka_unit_test(test_lists_are_stable),
+	    cmocka_unit_test(test_lists_are_stable_as_a_region_grows),
+	    cmocka_unit_test(test_node_that_hears_no_other_names_itself),
+	    cmocka_unit_test(test_capacities_above_the_range_are_equal),
 	    cmocka_unit_test(test_equal_or_few_nodes_are_all_named),
 	    cmocka_unit_test(test_own_data_centre_comes_first),
 	};
