Directory: the only large VM of a region may come and go

Cause (found in review): where one VM is unlike all others, its coming or going switched between half and all VMs named, so all callers closed connections to half of the VMs. Change: at most eight VMs are left out for each one that is unlike the others.

--- a/lib/fleet/directory.c
+++ b/lib/fleet/directory.c
@@ -15,6 +15,11 @@
  * a part of the nodes is named, those of more capacity more often.
  */
 #define UNEQUAL_STEPS 2
+/*
+ * At most half are omitted, and at most so many for each node that is unlike
+ * the others, so that few addresses change when the only one comes or goes.
+ */
+#define OMITTED_EACH 8
 /*
  * At least so many are named: callers keep a response for up to 15 s, in which
  * all nodes but a few may be lost.
@@ -103,25 +108,42 @@
 	}
 }
 
-static bool
-are_unequal(const struct candidate *candidates, uint32_t count)
+/*
+ * Returns how many nodes differ from the others by UNEQUAL_STEPS: those at the
+ * upper end or those at the lower end, whichever are fewer.
+ */
+static uint32_t
+count_unlike(const struct candidate *candidates, uint32_t count)
 {
 	uint32_t i, capacity, least = FL_CAPACITY_MAX, most = 0;
+	uint32_t upper = 0, lower = 0;
 
 	for (i = 0; i < count; i++) {
 		capacity = capacity_of(candidates[i].node);
 		least = capacity < least ? capacity : least;
 		most = capacity > most ? capacity : most;
 	}
-	return count > 0 && most - least >= UNEQUAL_STEPS;
+	for (i = 0; i < count; i++) {
+		capacity = capacity_of(candidates[i].node);
+		upper += capacity >= least + UNEQUAL_STEPS;
+		lower += capacity + UNEQUAL_STEPS <= most;
+	}
+	return upper < lower ? upper : lower;
 }
 
+/* Returns how many of count nodes are named. */
 static uint32_t
-half_of(uint32_t count)
+count_named(uint32_t count, uint32_t unlike)
 {
-	uint32_t half = (count + 1) / 2;
-
-	return half > NAMED_MIN ? half : count < NAMED_MIN ? count : NAMED_MIN;
+	uint32_t named = (count + 1) / 2;
+
+	if (named < NAMED_MIN)
+		named = NAMED_MIN;
+	if (named > count)
+		named = count;
+	return count - named > OMITTED_EACH * unlike
+		   ? count - OMITTED_EACH * unlike
+		   : named;
 }
 
 /*
@@ -152,23 +174,26 @@
 }
 
 /*
- * As select_alike(), but names half of those that fit: the better half of the
- * data centre, then the best of the rest. The same steps apply whether all fit
- * or not, so that one node more never changes many addresses.
+ * As select_alike(), but names a part of those that fit: the best of the data
+ * centre, then the best of the rest. The same steps apply whether all fit or
+ * not, so that one node more never changes many addresses.
  */
 static uint32_t
 select_weighted(struct candidate *candidates, uint32_t count, uint32_t max,
-    const struct fl_directory_query *query)
+    const struct fl_directory_query *query, uint32_t unlike)
 {
+	uint32_t named;
 	uint64_t key = cs_hash_pair(query->hash, query->caller);
 	uint32_t near = order_all(candidates, count, key);
 
 	if (count > max)
 		count = max;
-	near = ((near < max ? near : max) + 1) / 2;
+	named = count_named(count, unlike);
+	near = near < max ? near : max;
+	near = count == 0 ? 0 : (near * named + count - 1) / count;
 	qsort(&candidates[near], count - near, sizeof(candidates[0]),
 	    compare_ranks);
-	return half_of(count);
+	return named;
 }
 
 uint32_t
@@ -177,7 +202,7 @@
     struct sockaddr_in *out, uint32_t max)
 {
 	struct candidate candidates[FL_NODES_MAX + 1];
-	uint32_t i, own = 0, count;
+	uint32_t i, own = 0, count, unlike;
 	bool cut_off;
 
 	if (membership->self.ready && !membership->self.stopping)
@@ -189,8 +214,9 @@
 		add_others(
 		    membership, now_us, false, query, candidates, &count);
 	/* One that is cut off omits none: only a few, or itself, may live. */
-	count = !cut_off && are_unequal(candidates, count)
-		    ? select_weighted(candidates, count, max, query)
+	unlike = cut_off ? 0 : count_unlike(candidates, count);
+	count = unlike > 0
+		    ? select_weighted(candidates, count, max, query, unlike)
 		    : select_alike(candidates, count, max, query);
 	for (i = 0; i < count; i++)
 		out[i] = candidates[i].node->listen_address;
--- a/tests/unit/test_directory.c
+++ b/tests/unit/test_directory.c
@@ -21,6 +21,7 @@
 #define LARGE_CAPACITY 6
 #define SMALL_CAPACITY 0
 #define NODES_MAX 200
+#define CHANGES_MAX 9 /* that node, and 8 others */
 
 struct region {
 	uint32_t count, large, data_centres;
@@ -159,8 +160,32 @@
 	fl_membership_free(&second);
 }
 
-/* Where nodes are alike, or few, all are named, as before capacities counted.
- */
+/* The only large node comes and goes: most addresses stay. */
+static void
+test_one_large_node_changes_few_addresses(void **state)
+{
+	static const struct region region = {
+	    .count = 60, .large = 1, .data_centres = 2};
+	struct fl_membership membership, without;
+	bool before[NODES_MAX], after[NODES_MAX];
+	uint32_t caller, i, changes;
+
+	(void)state;
+	set_up(&membership, &region, 5);
+	set_up(&without, &region, 5);
+	without.nodes[0].stopping = true;
+	for (caller = 0; caller < 50; caller++) {
+		ask(&membership, caller, before);
+		ask(&without, caller, after);
+		for (i = changes = 0; i < region.count; i++)
+			changes += after[i] != before[i];
+		assert_true(changes <= CHANGES_MAX);
+	}
+	fl_membership_free(&membership);
+	fl_membership_free(&without);
+}
+
+/* Where nodes are alike, or few, all are named. */
 static void
 test_equal_or_few_nodes_are_all_named(void **state)
 {
@@ -295,6 +320,7 @@
 	    cmocka_unit_test(test_lists_are_stable_as_a_region_grows),
 	    cmocka_unit_test(test_node_that_hears_no_other_names_itself),
 	    cmocka_unit_test(test_capacities_above_the_range_are_equal),
+	    cmocka_unit_test(test_one_large_node_changes_few_addresses),
 	    cmocka_unit_test(test_equal_or_few_nodes_are_all_named),
 	    cmocka_unit_test(test_own_data_centre_comes_first),
 	};
