store: calls on single objects report the era of the store

Cause: `entry` makes calls on single objects only and could not see that the store has come back from an older copy. Change: os_objects_on_era() reports a change of era in any response, also in a refusal, before the response itself; a failure without an era reports nothing.

--- a/lib/store/objects.c
+++ b/lib/store/objects.c
@@ -17,6 +17,10 @@
 	const struct os_codec *codec;
 	struct op *ops;
 	uint64_t calls;
+	os_era_cb on_era;
+	void *era_user;
+	bool era_reported;
+	uint64_t era; /* last reported */
 };
 
 enum op_type {
@@ -260,6 +264,20 @@
 	}
 }
 
+/* A failure that names no era says nothing about the store's. */
+static void
+report_era(struct os_objects *objects, int error, uint64_t response_era)
+{
+	uint64_t era = os_revision_era(os_revision(response_era, 0));
+
+	if (objects->on_era == NULL || (error != CS_OK && era == 0) ||
+	    (objects->era_reported && era == objects->era))
+		return;
+	objects->era_reported = true;
+	objects->era = era;
+	objects->on_era(era, objects->era_user);
+}
+
 static void
 on_response(const struct h1_client_response *response, void *user)
 {
@@ -267,6 +285,7 @@
 	int error = error_from_response(response);
 	uint64_t era = os_response_era(op->objects->codec, response);
 
+	report_era(op->objects, error, era);
 	if (op->type == OP_LIST && op->listed_count > 0 && era != op->era) {
 		drop_listed(op); /* pages of two eras are no list */
 		op->era = era;
@@ -498,3 +517,10 @@
 {
 	return objects->calls;
 }
+
+void
+os_objects_on_era(struct os_objects *objects, os_era_cb cb, void *user)
+{
+	objects->on_era = cb;
+	objects->era_user = user;
+}
--- a/lib/store/store.h
+++ b/lib/store/store.h
@@ -200,6 +200,13 @@
 /* os_objects_close(objects): cancels all calls, without callbacks. */
 void os_objects_close(struct os_objects *objects);
 uint64_t os_objects_calls(const struct os_objects *objects);
+/*
+ * os_objects_on_era(objects, cb, user): cb is called when a response names
+ * another era than the response before it, before the response is reported.
+ * The era is as in revisions.
+ */
+typedef void (*os_era_cb)(uint64_t era, void *user);
+void os_objects_on_era(struct os_objects *objects, os_era_cb cb, void *user);
 
 void os_read(struct os_objects *objects, const char *kind, const char *name,
     os_object_cb cb, void *user);
--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -666,6 +666,55 @@
 	}
 }
 
+struct era_log {
+	struct fixture *fixture;
+	char text[64];
+};
+
+static void
+on_era(uint64_t era, void *user)
+{
+	struct era_log *log = user;
+	size_t used = strlen(log->text);
+
+	assert_string_equal(log->fixture->reported, ""); /* before the result */
+	snprintf(log->text + used, sizeof(log->text) - used, " %llu",
+	    (unsigned long long)era);
+}
+
+/*
+ * A VM learns of a restore from any response, also from a refusal, before it
+ * acts on the response; an outage is no era.
+ */
+static void
+test_objects_report_eras_before_results(void **state)
+{
+	static const struct response responses[] = {{200, OBJECT("x", "4")},
+	    {IN_ERA(1, 200), OBJECT("x", "4")},
+	    {IN_ERA(1, 200), OBJECT("x", "5")}, {503, "{}"},
+	    {IN_ERA(2, 409), OBJECT("x", "3")}};
+	static struct fixture fixture;
+	struct era_log log = {.fixture = &fixture};
+	struct sockaddr_in address;
+	struct os_objects *objects;
+	uint32_t i;
+
+	(void)state;
+	set_up(&fixture, responses, 5);
+	uv_ip4_addr("127.0.0.1", h1_server_port(fixture.server), &address);
+	objects = os_objects_create(&fixture.loop, &address, &pl_codec);
+	os_objects_on_era(objects, on_era, &log);
+	for (i = 0; i < 5; i++) {
+		fixture.reported[0] = '\0';
+		os_write(objects, "k", "x", OS_MUST_NOT_EXIST, "{}", on_object,
+		    &fixture);
+		run_until_reported(&fixture);
+	}
+	assert_string_equal(log.text, " 0 1 2");
+	os_objects_close(objects);
+	os_client_close(fixture.client);
+}
+
 /* A write without a response times out, and may have had an effect. */
 static void
 test_unanswered_write_ends_with_unknown_result(void **state)
@@ -950,6 +999,7 @@
 	    cmocka_unit_test(test_store_proves_that_nothing_is_missing),
 	    cmocka_unit_test(test_checks_find_a_watch_that_is_silent),
 	    cmocka_unit_test(test_object_calls_report_their_result),
+	    cmocka_unit_test(test_objects_report_eras_before_results),
 	    cmocka_unit_test(test_unanswered_write_ends_with_unknown_result),
 	    cmocka_unit_test(
 		test_silent_watch_of_an_object_ends_within_the_bound),
