entry: bare keys do not run again after a restore of the store

Cause: a store that comes back from an older copy has lost claims, and another VM could claim the key anew and run the request a second time. Change: in an era that is not settled, a VM that has claimed a bare key asks all others and runs the call only when none holds the key. Where a VM does not answer, has died or restarted, the response is key_unsure. A claim of an earlier era is refused as not run. The question is a KEY_CLAIM with epoch 0, which the build before answers as expired.

--- a/lib/decide/core.c
+++ b/lib/decide/core.c
@@ -228,10 +228,10 @@
 	struct dc_call *call = dc_call_find(core, event->call);
 
 	if (call == NULL || call->state != DC_CALL_CLAIMING ||
-	    call->key.scope != DC_KEY_STORE ||
+	    call->key.scope != DC_KEY_STORE || call->answers_left != 0 ||
 	    event->result > DC_STORE_UNAVAILABLE)
 		return CS_E_INVALID;
-	dc_key_on_store_result(core, call, (enum dc_store_result)event->result);
+	dc_bare_on_store_result(core, call, event);
 	return CS_OK;
 }
 
@@ -337,6 +337,9 @@
 		return on_ended(core, &event->ended);
 	case DC_EV_STORE_CLAIMED:
 		return on_store_claimed(core, &event->store_claimed);
+	case DC_EV_STORE_ERA:
+		dc_bare_on_era(core, event->store_era.era);
+		return CS_OK;
 	case DC_EV_TARGET_DRAINING:
 		return on_target_draining(core, &event->draining);
 	case DC_EV_PEER:
--- a/lib/decide/decide.h
+++ b/lib/decide/decide.h
@@ -81,6 +81,7 @@
 	DC_EV_ATTEMPT_HEAD,	   /* the response head was received */
 	DC_EV_ATTEMPT_ENDED,
 	DC_EV_STORE_CLAIMED,   /* result of DC_ACT_STORE_CLAIM */
+	DC_EV_STORE_ERA,       /* a response of the store named its era */
 	DC_EV_TARGET_DRAINING, /* reported by the target or the VM list */
 	DC_EV_PEER,	       /* an entry VM joined, changed or left */
 	DC_EV_LINK,	       /* a link to an entry VM was (re)established */
@@ -203,6 +204,12 @@
 struct dc_store_claimed {
 	uint64_t call;
 	uint64_t result; /* enum dc_store_result */
+	uint64_t era;	 /* of the store, in the response that has the claim */
+};
+
+/* An era rises when the store comes back from an older copy; 0: unnamed. */
+struct dc_store_era {
+	uint64_t era;
 };
 
 struct dc_target_draining {
@@ -267,6 +274,11 @@
 	uint64_t window;
 };
 
+/*
+ * For a bare key, whose claim the sender has in the store, witness_epoch is 0
+ * and window is the store's era: does the recipient hold the key? A build that
+ * cannot tell answers DC_CLAIM_EXPIRED, since no process has epoch 0.
+ */
 struct dc_key_claim {
 	uint64_t a;
 	uint64_t b;
@@ -282,6 +294,11 @@
 	DC_CLAIM_CONFLICT, /* an earlier claim of the key is in force */
 	DC_CLAIM_EXPIRED,  /* token too old, or of another witness process */
 	DC_CLAIM_FULL,	   /* the witness's table is full */
+	/* Of a bare key, which the recipient does not hold: */
+	DC_CLAIM_NOT_HELD,  /* the store was restored; ask for each key */
+	DC_CLAIM_NONE_HELD, /* it holds no key of an earlier era */
+	DC_CLAIM_SETTLED,   /* no VM can hold a key of an earlier era */
+	DC_CLAIM_LOST,	    /* a VM that may have held it has ended */
 };
 
 struct dc_key_claim_result {
@@ -359,6 +376,7 @@
 		struct dc_attempt_head head;
 		struct dc_attempt_ended ended;
 		struct dc_store_claimed store_claimed;
+		struct dc_store_era store_era;
 		struct dc_target_draining draining;
 		struct dc_peer_changed peer;
 		struct dc_link_up link;
@@ -492,6 +510,7 @@
 	uint64_t lease_messages;
 	uint64_t key_claims;
 	uint64_t key_kills;
+	uint64_t key_questions; /* about bare keys, to other VMs */
 	uint32_t waiting;
 	uint32_t running;
 };
--- a/lib/decide/decide_internal.h
+++ b/lib/decide/decide_internal.h
@@ -16,6 +16,11 @@
 #define DC_BUDGET_MAX (10 * DC_MILLI_PER_CALL)
 #define DC_WITNESSED_MAX 131072
 #define DC_POOL_GROUPS_MAX 16 /* regions per pool */
+/* Unit of the age of tokens, and how many of it a token is valid. */
+#define DC_KEY_WINDOW_US 60000000
+#define DC_KEY_LIFE_WINDOWS 6
+/* How long the home of a key remembers it. */
+#define DC_KEY_LIFE_US (DC_KEY_LIFE_WINDOWS * (int64_t)DC_KEY_WINDOW_US)
 
 /* Node of a pairing heap, stored inside the call that it orders. */
 struct dc_node {
@@ -88,6 +93,9 @@
 	uint32_t avoid_target;
 	bool was_shed; /* avoid_target answered that it has no room */
 	struct dc_key key;
+	uint64_t claim_era;    /* of the store, in which its key was claimed */
+	uint32_t answers_left; /* of VMs that were asked about its key */
+	bool unsure_if_restored; /* a VM was not asked, or could not tell */
 	struct dc_attempt attempts[DC_ATTEMPTS_MAX];
 	struct dc_node nodes[DC_NODE_KINDS];
 	uint32_t next_free;
@@ -218,6 +226,9 @@
 	uint64_t epoch;
 	uint64_t region;
 	enum dc_peer_state state;
+	uint64_t clear_era;    /* its keys are all of this era of the store */
+	int64_t dead_until_us; /* if DC_PEER_DEAD: may be cut off until then */
+	int64_t replaced_until_us; /* keys of an ended process may be resent */
 };
 
 /* State of a key, at its home or at its witness. */
@@ -286,6 +297,10 @@
 	uint32_t witness; /* peer for tokens issued now, DC_NONE: none */
 	uint64_t witness_window;
 	int64_t witness_updated_us; /* 0: its window is unknown */
+	bool store_era_known;
+	bool store_restored; /* an earlier era is known, here or to a peer */
+	uint64_t store_era;
+	int64_t store_era_since_us; /* first known to this VM */
 	struct dc_key_table home_keys;
 	struct dc_key_table witnessed;
 	struct dc_suspect suspects[DC_SUSPECTS_MAX];
@@ -454,16 +469,27 @@
 void dc_key_begin(struct dc_core *core, struct dc_call *call);
 void dc_key_record_end(
     struct dc_core *core, struct dc_call *call, enum dc_key_state state);
-void dc_key_on_claim_result(
-    struct dc_core *core, const struct dc_key_claim_result *result);
-void dc_key_on_store_result(
-    struct dc_core *core, struct dc_call *call, enum dc_store_result result);
+void dc_key_on_claim_result(struct dc_core *core, uint32_t peer,
+    const struct dc_key_claim_result *result);
 void dc_key_on_timer(struct dc_core *core, struct dc_call *call);
 void dc_key_choose_witness(struct dc_core *core);
 void dc_key_request_window(struct dc_core *core);
 uint64_t dc_key_own_window(const struct dc_core *core);
 bool dc_key_window_expired(const struct dc_core *core, uint64_t window);
 
+/* bare_keys.c: keys that are claimed in the store, also after a restore. */
+void dc_bare_on_era(struct dc_core *core, uint64_t era);
+void dc_bare_on_peer(
+    struct dc_core *core, uint32_t index, const struct dc_peer_changed *event);
+enum dc_claim_result dc_bare_answer(
+    struct dc_core *core, const struct dc_key_claim *claim);
+void dc_bare_claim(struct dc_core *core, struct dc_call *call);
+void dc_bare_on_store_result(struct dc_core *core, struct dc_call *call,
+    const struct dc_store_claimed *event);
+void dc_bare_on_answer(struct dc_core *core, struct dc_call *call,
+    uint32_t peer, enum dc_claim_result result);
+void dc_bare_on_timer(struct dc_core *core, struct dc_call *call);
+
 /* witness.c: claims on keys whose home is another VM. */
 enum dc_claim_result dc_witness_claim(
     struct dc_core *core, const struct dc_key_claim *claim);
--- a/lib/decide/fields.c
+++ b/lib/decide/fields.c
@@ -22,6 +22,7 @@
     [DC_EV_ATTEMPT_HEAD] = {"attempt_head", FIELDS(dc_attempt_head)},
     [DC_EV_ATTEMPT_ENDED] = {"attempt_ended", FIELDS(dc_attempt_ended)},
     [DC_EV_STORE_CLAIMED] = {"store_claimed", FIELDS(dc_store_claimed)},
+    [DC_EV_STORE_ERA] = {"store_era", FIELDS(dc_store_era)},
     [DC_EV_TARGET_DRAINING] = {"target_drains", FIELDS(dc_target_draining)},
     [DC_EV_PEER] = {"peer", FIELDS(dc_peer_changed)},
     [DC_EV_LINK] = {"link", FIELDS(dc_link_up)},
--- a/lib/decide/keys.c
+++ b/lib/decide/keys.c
@@ -8,24 +8,20 @@
  */
 #include "decide_internal.h"
 
-#define WINDOW_US 60000000   /* unit of the age of tokens */
-#define TOKEN_LIFE_WINDOWS 6 /* a token is valid for this many windows */
-#define KEY_LIFE_US (TOKEN_LIFE_WINDOWS * (int64_t)WINDOW_US)
 #define CLAIM_TIMEOUT_US 300000
-#define STORE_TIMEOUT_US 3000000
 #define WINDOW_REQUEST_INTERVAL_US 30000000
 #define WITNESS_WINDOW_MAX_AGE_US 90000000 /* an older window is not used */
 
 uint64_t
 dc_key_own_window(const struct dc_core *core)
 {
-	return (uint64_t)((core->now_us - core->started_us) / WINDOW_US);
+	return (uint64_t)((core->now_us - core->started_us) / DC_KEY_WINDOW_US);
 }
 
 bool
 dc_key_window_expired(const struct dc_core *core, uint64_t window)
 {
-	return dc_key_own_window(core) >= window + TOKEN_LIFE_WINDOWS;
+	return dc_key_own_window(core) >= window + DC_KEY_LIFE_WINDOWS;
 }
 
 bool
@@ -118,15 +114,6 @@
 	dc_call_set_timer(core, call, core->now_us + CLAIM_TIMEOUT_US);
 }
 
-static void
-claim_in_store(struct dc_core *core, struct dc_call *call)
-{
-	core->counters.key_claims++;
-	dc_action_add(core, DC_ACT_STORE_CLAIM)->store_claim =
-	    (struct dc_call_ref){.call = call->id};
-	dc_call_set_timer(core, call, core->now_us + STORE_TIMEOUT_US);
-}
-
 /* Claims the key of an admitted call, or forwards the call to its home. */
 void
 dc_key_begin(struct dc_core *core, struct dc_call *call)
@@ -134,6 +121,7 @@
 	struct dc_key *key = &call->key;
 	struct dc_key_record *record;
 	uint64_t supersedes = 0;
+	int64_t expires_us = core->now_us + DC_KEY_LIFE_US;
 
 	call->state = DC_CALL_CLAIMING;
 	core->counters.running++;
@@ -144,15 +132,18 @@
 	record = dc_key_find(&core->home_keys, key->a, key->b, core->now_us);
 	if (record != NULL)
 		supersedes = record->serial;
-	record = dc_key_insert(&core->home_keys, key->a, key->b,
-	    core->now_us + KEY_LIFE_US, core->now_us);
+	/* The claim of a bare key has no age: its call must not outlive it. */
+	if (key->scope == DC_KEY_STORE && call->deadline_us > expires_us)
+		expires_us = call->deadline_us;
+	record = dc_key_insert(
+	    &core->home_keys, key->a, key->b, expires_us, core->now_us);
 	if (record == NULL) {
 		dc_call_refuse(core, call, DC_REASON_KEYS_FULL);
 		return;
 	}
 	record->serial = call->id;
 	if (key->scope == DC_KEY_STORE)
-		claim_in_store(core, call);
+		dc_bare_claim(core, call);
 	else if (key->witness == 0)
 		dc_call_enqueue(core, call);
 	else
@@ -188,14 +179,19 @@
 }
 
 void
-dc_key_on_claim_result(
-    struct dc_core *core, const struct dc_key_claim_result *result)
+dc_key_on_claim_result(struct dc_core *core, uint32_t peer,
+    const struct dc_key_claim_result *result)
 {
 	struct dc_call *call = dc_call_find(core, result->serial);
 
 	if (call == NULL || call->state != DC_CALL_CLAIMING ||
 	    call->key.a != result->a || call->key.b != result->b)
 		return;
+	if (call->key.scope == DC_KEY_STORE) {
+		dc_bare_on_answer(
+		    core, call, peer, (enum dc_claim_result)result->result);
+		return;
+	}
 	switch ((enum dc_claim_result)result->result) {
 	case DC_CLAIM_GRANTED:
 		dc_call_enqueue(core, call);
@@ -210,35 +206,21 @@
 		dc_call_refuse(core, call, DC_REASON_KEY_UNSURE);
 		return;
 	case DC_CLAIM_FULL:
+	case DC_CLAIM_NOT_HELD: /* the rest is about bare keys only */
+	case DC_CLAIM_NONE_HELD:
+	case DC_CLAIM_SETTLED:
+	case DC_CLAIM_LOST:
 		break;
 	}
 	dc_call_refuse(core, call, DC_REASON_KEY_NO_WITNESS);
 }
 
-void
-dc_key_on_store_result(
-    struct dc_core *core, struct dc_call *call, enum dc_store_result result)
-{
-	switch (result) {
-	case DC_STORE_CLAIMED:
-		dc_call_enqueue(core, call);
-		return;
-	case DC_STORE_CONFLICT:
-		call->may_have_run = true;
-		dc_call_refuse(core, call, DC_REASON_KEY_UNSURE);
-		return;
-	case DC_STORE_UNAVAILABLE:
-		break;
-	}
-	dc_call_refuse(core, call, DC_REASON_KEY_STORE);
-}
-
 /* No claim was granted in time. Nothing was sent: the call did not run. */
 void
 dc_key_on_timer(struct dc_core *core, struct dc_call *call)
 {
 	if (call->key.scope == DC_KEY_STORE)
-		dc_call_refuse(core, call, DC_REASON_KEY_STORE);
+		dc_bare_on_timer(core, call);
 	else
 		dc_call_refuse(core, call, DC_REASON_KEY_NO_WITNESS);
 }
--- a/lib/decide/peers.c
+++ b/lib/decide/peers.c
@@ -49,6 +49,7 @@
 	if (index == DC_NONE)
 		return CS_E_FULL;
 	peer = &core->peers[index];
+	dc_bare_on_peer(core, index, event);
 	same_process =
 	    peer->state != DC_PEER_DEAD && peer->epoch == event->epoch;
 	peer->epoch = event->epoch;
@@ -243,7 +244,9 @@
 		    .a = claim->a,
 		    .b = claim->b,
 		    .serial = claim->serial,
-		    .result = dc_witness_claim(core, claim),
+		    .result = claim->witness_epoch == 0
+				  ? dc_bare_answer(core, claim)
+				  : dc_witness_claim(core, claim),
 		},
 	};
 
@@ -311,7 +314,7 @@
 		answer_claim(core, peer, &message->claim);
 		return CS_OK;
 	case DC_MSG_KEY_CLAIM_RESULT:
-		dc_key_on_claim_result(core, &message->claim_result);
+		dc_key_on_claim_result(core, peer, &message->claim_result);
 		return CS_OK;
 	case DC_MSG_KEY_KILL:
 		answer_kill(core, peer, &message->kill);
--- a/lib/serve/admin.c
+++ b/lib/serve/admin.c
@@ -131,6 +131,7 @@
 	    text, "lease_messages_total", "counter", c.lease_messages);
 	append_metric(text, "key_claims_total", "counter", c.key_claims);
 	append_metric(text, "key_kills_total", "counter", c.key_kills);
+	append_metric(text, "key_questions_total", "counter", c.key_questions);
 	append_metric(text, "calls_waiting", "gauge", c.waiting);
 	append_metric(text, "calls_running", "gauge", c.running);
 	server->params.callbacks.metrics(
--- a/lib/serve/peers.c
+++ b/lib/serve/peers.c
@@ -128,14 +128,22 @@
 }
 
 void
-sv_store_claim_done(
-    struct sv_server *server, uint64_t call, enum dc_store_result result)
+sv_store_claim_done(struct sv_server *server, uint64_t call,
+    enum dc_store_result result, uint64_t era)
 {
-	sv_post_event(
-	    server, &(struct dc_event){
-			.type = DC_EV_STORE_CLAIMED,
-			.store_claimed = {.call = call, .result = result},
-		    });
+	sv_post_event(server, &(struct dc_event){
+				  .type = DC_EV_STORE_CLAIMED,
+				  .store_claimed = {call, result, era},
+			      });
+}
+
+void
+sv_set_store_era(struct sv_server *server, uint64_t era)
+{
+	sv_post_event(server, &(struct dc_event){
+				  .type = DC_EV_STORE_ERA,
+				  .store_era = {.era = era},
+			      });
 }
 
 void
--- a/lib/serve/serve.h
+++ b/lib/serve/serve.h
@@ -109,10 +109,15 @@
  */
 void sv_receive_message(
     struct sv_server *server, uint64_t peer, const struct dc_message *message);
-/* sv_store_claim_done(server, call, result): completes callbacks.claim_key().
+/*
+ * sv_store_claim_done(server, call, result, era): completes
+ * callbacks.claim_key(). era is that of the store in the response with the
+ * claim.
  */
-void sv_store_claim_done(
-    struct sv_server *server, uint64_t call, enum dc_store_result result);
+void sv_store_claim_done(struct sv_server *server, uint64_t call,
+    enum dc_store_result result, uint64_t era);
+/* sv_set_store_era(server, era): the era of the store in some response. */
+void sv_set_store_era(struct sv_server *server, uint64_t era);
 /*
  * sv_set_target_draining(server, address, drain): sets or clears the draining
  * state of a target, as the VM list reports it.
--- a/programs/entry.c
+++ b/programs/entry.c
@@ -308,6 +308,7 @@
 	if (code != ST_EXIT_DONE)
 		return code;
 	watch_signals(entry);
+	en_store_start(entry);
 	en_membership_start(entry);
 	en_config_start(entry);
 	en_accounts_start(entry);
--- a/programs/entry.h
+++ b/programs/entry.h
@@ -42,6 +42,8 @@
 	uint64_t epoch;
 	uint64_t own_id;
 	bool platform_unreachable;
+	bool store_era_known;
+	uint64_t store_era; /* the highest of any response */
 	bool stopping;
 	bool final_save_started; /* the accounts, for the last time */
 	int64_t stop_after_us;
@@ -68,6 +70,8 @@
 void en_update_platform_state(struct en_entry *entry, int error);
 /* en_backoff_ms(entry, failures): a jittered pause that doubles. */
 uint32_t en_backoff_ms(struct en_entry *entry, uint32_t failures);
+/* en_store_start(entry): reports the eras of the store to the core. */
+void en_store_start(struct en_entry *entry);
 /* en_is_watcher(entry): whether this VM watches the platform. */
 bool en_is_watcher(const struct en_entry *entry);
 
--- a/programs/entry_claims.c
+++ b/programs/entry_claims.c
@@ -16,14 +16,17 @@
 struct claim {
 	struct en_entry *entry;
 	uint64_t call;
+	bool conflict; /* the store had the object already */
 	char name[NAME_BYTES_MAX];
 	char value[VALUE_BYTES_MAX];
 };
 
 static void
-finish_claim(struct claim *claim, enum dc_store_result result)
+finish_claim(
+    struct claim *claim, enum dc_store_result result, uint64_t revision)
 {
-	sv_store_claim_done(claim->entry->server, claim->call, result);
+	sv_store_claim_done(claim->entry->server, claim->call, result,
+	    os_revision_era(revision));
 	free(claim);
 }
 
@@ -34,12 +37,18 @@
 	bool ours;
 
 	en_update_platform_state(claim->entry, result->error);
+	/* A restore has lost the claim that was in conflict with this one. */
+	if (result->error == CS_E_MISSING && claim->conflict) {
+		finish_claim(claim, DC_STORE_CONFLICT, 0);
+		return;
+	}
 	if (result->error != CS_OK) {
-		finish_claim(claim, DC_STORE_UNAVAILABLE);
+		finish_claim(claim, DC_STORE_UNAVAILABLE, 0);
 		return;
 	}
 	ours = strcmp(result->value, claim->value) == 0;
-	finish_claim(claim, ours ? DC_STORE_CLAIMED : DC_STORE_CONFLICT);
+	finish_claim(claim, ours ? DC_STORE_CLAIMED : DC_STORE_CONFLICT,
+	    result->revision);
 }
 
 static void
@@ -50,15 +59,16 @@
 	en_update_platform_state(claim->entry, result->error);
 	switch (result->error) {
 	case CS_OK:
-		finish_claim(claim, DC_STORE_CLAIMED);
+		finish_claim(claim, DC_STORE_CLAIMED, result->revision);
 		return;
 	case CS_E_CONFLICT:
 	case CS_E_UNKNOWN:
+		claim->conflict = result->error == CS_E_CONFLICT;
 		os_read(claim->entry->objects, OB_CLAIMS, claim->name,
 		    on_read_back_response, claim);
 		return;
 	default:
-		finish_claim(claim, DC_STORE_UNAVAILABLE);
+		finish_claim(claim, DC_STORE_UNAVAILABLE, 0);
 		return;
 	}
 }
--- a/programs/entry_store.c
+++ b/programs/entry_store.c
@@ -27,3 +27,27 @@
 	ms = (uint32_t)BACKOFF_BASE_MS << failures;
 	return ms / 2 + cs_random_below(&entry->random, ms);
 }
+
+/* An older copy may lack the registration of this VM. */
+static void
+on_era(uint64_t era, void *user)
+{
+	struct en_entry *entry = user;
+
+	if (entry->store_era_known && era > entry->store_era) {
+		cs_log(CS_LOG_STORE_RESTORED, "era=%llu previous_era=%llu",
+		    (unsigned long long)era,
+		    (unsigned long long)entry->store_era);
+		entry->registered = false;
+	}
+	if (!entry->store_era_known || era > entry->store_era)
+		entry->store_era = era;
+	entry->store_era_known = true;
+	sv_set_store_era(entry->server, era);
+}
+
+void
+en_store_start(struct en_entry *entry)
+{
+	os_objects_on_era(entry->objects, on_era, entry);
+}
--- a/tests/fuzz/driver.h
+++ b/tests/fuzz/driver.h
@@ -19,6 +19,7 @@
 	uint64_t unknown; /* calls refused with outcome unknown */
 	uint64_t replays;
 	uint64_t restarts;
+	uint64_t restores; /* of the store */
 };
 
 /*
