balance: calls counted late are no surplus of their tenant

A call that waited for its quota, or for the objects of a starting VM, was counted with the time of its arrival, after calls that arrived later. The time since the tenant's last call was then negative and took credit away: a tenant at a steady 40 calls a second, half of them 100 ms late, was blamed for surplus and its calls counted a quarter.

Calls are counted with the time at which they reach the queue, and the clock of a queue does not go back.

--- a/lib/balance/surplus.c
+++ b/lib/balance/surplus.c
@@ -91,6 +91,9 @@
 	struct bl_queue_tenant *tenant = use_tenant(queue, number);
 	int64_t before_us = tenant->rate.at_us;
 
+	/* Calls that waited before are counted after later ones. */
+	if (now_us < queue->rate.at_us)
+		now_us = queue->rate.at_us;
 	count_rate(&queue->rate, now_us);
 	count_rate(&tenant->rate, now_us);
 	if (before_us != 0)
--- a/lib/gateway/placement.c
+++ b/lib/gateway/placement.c
@@ -51,7 +51,7 @@
 	};
 	/* Callers compete for capacity where they are tenants. */
 	call->pool->queue.by_cost = call->table->has_tenants;
-	bl_queue_arrived(&call->pool->queue, &call->queued, call->received_us);
+	bl_queue_arrived(&call->pool->queue, &call->queued, cs_now_us());
 }
 
 void
--- a/tests/unit/test_queue.c
+++ b/tests/unit/test_queue.c
@@ -310,6 +310,30 @@
 	assert_true(surplus[1] >= 40);
 }
 
+/*
+ * Guards against blame of a tenant whose calls have waited for its quota: they
+ * are counted after calls that arrived later.
+ */
+static void
+test_calls_counted_late_are_no_surplus(void **state)
+{
+	struct bl_queue_entry entry;
+	struct fixture fixture;
+	uint32_t i;
+
+	(void)state;
+	set_up(&fixture);
+	for (i = 0; i < 1200; i++) {
+		entry = entry_of(&fixture, 0, 250);
+		entry.tenant = 1;
+		bl_queue_arrived(&fixture.queue, &entry,
+		    fixture.now_us - (i % 2 == 0 ? 0 : 100 * MS));
+		assert_false(entry.surplus);
+		fixture.now_us += 25 * MS;
+	}
+	bl_pool_free(fixture.pool);
+}
+
 int
 main(void)
 {
@@ -323,6 +347,7 @@
 	    cmocka_unit_test(test_late_call_is_refused_with_a_spread_estimate),
 	    cmocka_unit_test(test_time_spent_elsewhere_counts),
 	    cmocka_unit_test(test_surplus_of_a_tenant),
+	    cmocka_unit_test(test_calls_counted_late_are_no_surplus),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
