balance: a report without slots is no sign of congestion

A load report may have 0 slots, and bl_load_reported() then keeps the number that is known. bl_queue_heard() took such a target for full, since 0 requests are as many as 0 slots: idle targets that report no slots raised the congestion with each report.

Such a report is left out. The new test in test_queue failed before and passes now.

--- a/lib/balance/queue.c
+++ b/lib/balance/queue.c
@@ -190,6 +190,8 @@
 		? 1.0
 		: 0.0;
 
+	if (load->slots == 0) /* unknown */
+		return;
 	share += FULL_SHARE_GAIN * (full - share);
 	if (share < BL_CONGESTED_MIN)
 		queue->congested_since_us = 0;
--- a/tests/unit/test_queue.c
+++ b/tests/unit/test_queue.c
@@ -334,6 +334,22 @@
 	bl_pool_free(fixture.pool);
 }
 
+/* Guards against reports without a number of slots that count as full. */
+static void
+test_report_without_slots_is_no_congestion(void **state)
+{
+	struct bl_load load = {.slots = 0, .slowness_pct = 100};
+	struct fixture fixture;
+	uint32_t i;
+
+	(void)state;
+	set_up(&fixture);
+	for (i = 0; i < 30; i++)
+		bl_queue_heard(&fixture.queue, &load, fixture.now_us);
+	assert_true(bl_queue_congestion(&fixture.queue, fixture.now_us) == 0.0);
+	bl_pool_free(fixture.pool);
+}
+
 int
 main(void)
 {
@@ -348,6 +364,7 @@
 	    cmocka_unit_test(test_time_spent_elsewhere_counts),
 	    cmocka_unit_test(test_surplus_of_a_tenant),
 	    cmocka_unit_test(test_calls_counted_late_are_no_surplus),
+	    cmocka_unit_test(test_report_without_slots_is_no_congestion),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
