balance: a report without slowness does not change the pool's mean

A slowness of 0 in a load report means unknown, but the mean slowness of the pool took it as a number and fell to 0. The service time, which is a latency divided by the slowness, then grew without end, and while targets are full every call was late by it and refused.

Such reports leave the mean as it is. The new test in test_queue failed before (service time outside 30 to 70 ms at responses after 50 ms) and passes now.

--- a/lib/balance/pool.c
+++ b/lib/balance/pool.c
@@ -233,7 +233,7 @@
 		    BL_OTHER_REQUESTS_GAIN *
 		    ((double)target->other_requests / target->slots -
 			target->pool->mean_other_per_slot);
-	if (target->pool != NULL)
+	if (target->pool != NULL && load->slowness_pct > 0)
 		target->pool->mean_slowness +=
 		    BL_MEAN_SLOWNESS_GAIN *
 		    (load->slowness_pct / 100.0 - target->pool->mean_slowness);
--- a/tests/unit/test_queue.c
+++ b/tests/unit/test_queue.c
@@ -350,6 +350,31 @@
 	bl_pool_free(fixture.pool);
 }
 
+/*
+ * Guards against service times that grow without end, and calls that are all
+ * late by them, where targets do not report their slowness.
+ */
+static void
+test_unknown_slowness_changes_no_estimate(void **state)
+{
+	struct bl_load load = {.slots = 2, .slowness_pct = 0};
+	struct fixture fixture;
+	uint32_t i;
+
+	(void)state;
+	set_up(&fixture);
+	for (i = 0; i < 500; i++) {
+		fixture.now_us += 50 * MS;
+		bl_request_started(fixture.target, fixture.now_us);
+		bl_load_reported(fixture.target, &load, fixture.now_us);
+		bl_request_ended(
+		    fixture.target, BL_SERVED, 50 * MS, fixture.now_us);
+	}
+	assert_in_range(
+	    (int64_t)fixture.pool->service_time_us, 30 * MS, 70 * MS);
+	bl_pool_free(fixture.pool);
+}
+
 int
 main(void)
 {
@@ -365,6 +390,7 @@
 	    cmocka_unit_test(test_surplus_of_a_tenant),
 	    cmocka_unit_test(test_calls_counted_late_are_no_surplus),
 	    cmocka_unit_test(test_report_without_slots_is_no_congestion),
+	    cmocka_unit_test(test_unknown_slowness_changes_no_estimate),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
