balance: calls that leave slots to others block none that may use them

The queue goes by worth for the work that a call needs, but which slots a call may use goes by worth alone. A short call of low priority was placed first, left all slots, waited on, and blocked the long calls of the highest priority behind it for as long as it could be in time; new ones were put behind it as well.

A call that has no room blocks only those of at most its worth, and a new call does not queue behind one that leaves it all slots. The new test in test_queue failed before and passes now.

--- a/lib/balance/balance_internal.h
+++ b/lib/balance/balance_internal.h
@@ -72,4 +72,9 @@
  * nearly full target slows down.
  */
 double bl_concurrency_limit(uint32_t slots);
+/*
+ * bl_leaves_all_slots(worth, congestion): at this share of full targets a call
+ * of this worth leaves every slot to calls that are worth more.
+ */
+bool bl_leaves_all_slots(double worth, double congestion);
 #endif
--- a/lib/balance/place.c
+++ b/lib/balance/place.c
@@ -149,6 +149,13 @@
 	out->reason = reason;
 }
 
+bool
+bl_leaves_all_slots(double worth, double congestion)
+{
+	return worth < 1.0 &&
+	       congestion > ANY_SLOT_CONGESTION + ANY_SLOT_RANGE * worth;
+}
+
 /*
  * Returns true if the call leaves the slot to calls of other VMs that are worth
  * more.
@@ -164,8 +171,7 @@
 	    request->congestion >
 		LAST_SLOT_CONGESTION + LAST_SLOT_RANGE * request->worth)
 		return true;
-	return request->congestion >
-	       ANY_SLOT_CONGESTION + ANY_SLOT_RANGE * request->worth;
+	return bl_leaves_all_slots(request->worth, request->congestion);
 }
 
 /* The call would be in time if a target were free for it now. */
--- a/lib/balance/queue.c
+++ b/lib/balance/queue.c
@@ -337,16 +337,27 @@
 			       : a->start_us < b->start_us;
 }
 
+/* What decides which slots the call may use. */
+static double
+slots_worth(const struct bl_queue *queue, const struct bl_queue_entry *entry)
+{
+	return queue->by_cost ? worth_of(queue, entry) : 1.0;
+}
+
 static bool
-is_blocked(const struct bl_queue_scan *scan, const struct bl_queue_entry *entry)
+is_blocked(const struct bl_queue *queue, const struct bl_queue_scan *scan,
+    const struct bl_queue_entry *entry)
 {
+	double worth = slots_worth(queue, entry);
 	uint32_t i;
 
 	if (scan->blocked_count == BL_QUEUE_BLOCKED_MAX)
 		return true;
 	for (i = 0; i < scan->blocked_count; i++) {
-		/* It may use no target that the blocked one may not. */
-		if ((scan->blocked[i] & ~entry->excluded_data_centres) == 0)
+		/* It may use no slot that the blocked one may not. */
+		if ((scan->blocked[i].excluded_data_centres &
+			~entry->excluded_data_centres) == 0 &&
+		    worth <= scan->blocked[i].worth)
 			return true;
 	}
 	return false;
@@ -359,12 +370,17 @@
 }
 
 void
-bl_queue_block(struct bl_queue_scan *scan, struct bl_queue_entry *entry)
+bl_queue_block(const struct bl_queue *queue, struct bl_queue_scan *scan,
+    struct bl_queue_entry *entry)
 {
+	uint32_t at = scan->blocked_count;
+
 	entry->pass = scan->pass;
-	if (scan->blocked_count < BL_QUEUE_BLOCKED_MAX)
-		scan->blocked[scan->blocked_count++] =
-		    entry->excluded_data_centres;
+	if (at == BL_QUEUE_BLOCKED_MAX)
+		return;
+	scan->blocked[at].excluded_data_centres = entry->excluded_data_centres;
+	scan->blocked[at].worth = slots_worth(queue, entry);
+	scan->blocked_count++;
 }
 
 struct bl_queue_entry *
@@ -380,7 +396,7 @@
 			continue;
 		rank = rank_of(queue, entry, pool, newest_first, now_us);
 		/* One that is late is to be refused even if others wait. */
-		if (rank.in_time && is_blocked(scan, entry))
+		if (rank.in_time && is_blocked(queue, scan, entry))
 			continue;
 		if (best == NULL || goes_before(&rank, &best_rank)) {
 			best = entry;
@@ -398,12 +414,15 @@
 	bool newest_first = is_newest_first(queue, now_us);
 	struct rank rank = rank_of(queue, entry, pool, newest_first, now_us),
 		    other;
+	double congestion = bl_queue_congestion(queue, now_us);
 	const struct bl_queue_entry *at;
 
 	for (at = queue->first; at != NULL; at = at->next) {
 		if (at == entry || (at->excluded_data_centres &
 				       ~entry->excluded_data_centres) != 0)
 			continue;
+		if (bl_leaves_all_slots(slots_worth(queue, at), congestion))
+			continue;
 		other = rank_of(queue, at, pool, newest_first, now_us);
 		if (goes_before(&other, &rank))
 			return true;
--- a/lib/balance/queue.h
+++ b/lib/balance/queue.h
@@ -17,7 +17,7 @@
 /* The most recent ones; small, since a VM may have a thousand pools. */
 #define BL_QUEUE_KINDS_MAX 8
 #define BL_QUEUE_TENANTS_MAX 32
-#define BL_QUEUE_BLOCKED_MAX 8
+#define BL_QUEUE_BLOCKED_MAX 16
 
 /* What of a call matters to its place; part of the call. */
 struct bl_queue_entry {
@@ -87,10 +87,16 @@
 	struct bl_queue_tenant tenants[BL_QUEUE_TENANTS_MAX];
 };
 
-/* One pass over the queue: sets of data centres that have no room now. */
+/*
+ * One pass over the queue: sets of data centres that have no room now for calls
+ * of at most this worth. Those worth more may use slots that others leave.
+ */
 struct bl_queue_scan {
 	uint32_t pass;
-	uint64_t blocked[BL_QUEUE_BLOCKED_MAX];
+	struct {
+		uint64_t excluded_data_centres;
+		double worth;
+	} blocked[BL_QUEUE_BLOCKED_MAX];
 	uint32_t blocked_count;
 };
 
@@ -142,10 +148,11 @@
 struct bl_queue_entry *bl_queue_next(const struct bl_queue *queue,
     const struct bl_pool *pool, const struct bl_queue_scan *scan,
     int64_t now_us);
-void bl_queue_block(struct bl_queue_scan *scan, struct bl_queue_entry *entry);
+void bl_queue_block(const struct bl_queue *queue, struct bl_queue_scan *scan,
+    struct bl_queue_entry *entry);
 /*
  * bl_queue_must_wait(queue, entry, pool, now_us): returns true if a call that
- * waits goes before this one.
+ * waits goes before this one, and does not leave all slots to it.
  */
 bool bl_queue_must_wait(const struct bl_queue *queue,
     const struct bl_queue_entry *entry, const struct bl_pool *pool,
--- a/lib/gateway/call.c
+++ b/lib/gateway/call.c
@@ -122,14 +122,15 @@
 		if (placement.verdict == BL_PROBE) {
 			call->queued.probed_us = cs_now_us();
 			if (gw_probe_for_pool(pool, &placement)) {
-				bl_queue_block(&scan, &call->queued);
+				bl_queue_block(
+				    &pool->queue, &scan, &call->queued);
 				continue;
 			}
 		}
 		if (placement.verdict == BL_PROBE)
 			gw_place_without_probes(call, &placement);
 		if (placement.verdict == BL_WAIT) {
-			bl_queue_block(&scan, &call->queued);
+			bl_queue_block(&pool->queue, &scan, &call->queued);
 			continue;
 		}
 		gw_dequeue(call);
--- a/tests/unit/overload_sim.c
+++ b/tests/unit/overload_sim.c
@@ -418,7 +418,7 @@
 			ask_placement(simulation, call, false, &out);
 		}
 		if (out.verdict == BL_WAIT) {
-			bl_queue_block(&scan, &call->entry);
+			bl_queue_block(&vm->queue, &scan, &call->entry);
 			continue;
 		}
 		if (out.verdict == BL_SEND)
--- a/tests/unit/test_queue.c
+++ b/tests/unit/test_queue.c
@@ -148,15 +148,15 @@
 	assert_ptr_equal(
 	    bl_queue_next(&fixture.queue, fixture.pool, &scan, fixture.now_us),
 	    &narrow);
-	bl_queue_block(&scan, &narrow);
+	bl_queue_block(&fixture.queue, &scan, &narrow);
 	assert_ptr_equal(
 	    bl_queue_next(&fixture.queue, fixture.pool, &scan, fixture.now_us),
 	    &wide);
-	bl_queue_block(&scan, &wide);
+	bl_queue_block(&fixture.queue, &scan, &wide);
 	assert_ptr_equal(
 	    bl_queue_next(&fixture.queue, fixture.pool, &scan, fixture.now_us),
 	    &late);
-	bl_queue_block(&scan, &late);
+	bl_queue_block(&fixture.queue, &scan, &late);
 	assert_null(
 	    bl_queue_next(&fixture.queue, fixture.pool, &scan, fixture.now_us));
 	bl_queue_remove(&fixture.queue, &wide);
@@ -375,6 +375,46 @@
 	bl_pool_free(fixture.pool);
 }
 
+/*
+ * Guards against calls of little work that leave all slots to others, and then
+ * keep these waiting behind them.
+ */
+static void
+test_call_that_leaves_slots_blocks_no_other(void **state)
+{
+	struct bl_queue_entry high, low;
+	struct bl_queue_scan scan;
+	struct bl_placement out;
+	struct fixture fixture;
+
+	(void)state;
+	set_up(&fixture);
+	high = entry_of(&fixture, 0, 1000);
+	low = entry_of(&fixture, 2, 1000);
+	bl_queue_arrived(&fixture.queue, &high, fixture.now_us);
+	bl_queue_arrived(&fixture.queue, &low, fixture.now_us);
+	bl_queue_ended(&fixture.queue, &low, 15 * MS, fixture.now_us);
+	report(&fixture, 2, 30);
+	report(&fixture, 1, 1);
+	bl_queue_add(&fixture.queue, &low);
+	assert_false(bl_queue_must_wait(
+	    &fixture.queue, &high, fixture.pool, fixture.now_us));
+	bl_queue_add(&fixture.queue, &high);
+	bl_queue_begin(&fixture.queue, &scan);
+	assert_ptr_equal(
+	    bl_queue_next(&fixture.queue, fixture.pool, &scan, fixture.now_us),
+	    &low);
+	place(&fixture, &low, 1, &out);
+	assert_int_equal(out.verdict, BL_WAIT);
+	bl_queue_block(&fixture.queue, &scan, &low);
+	assert_ptr_equal(
+	    bl_queue_next(&fixture.queue, fixture.pool, &scan, fixture.now_us),
+	    &high);
+	place(&fixture, &high, 1, &out);
+	assert_int_equal(out.verdict, BL_SEND);
+	bl_pool_free(fixture.pool);
+}
+
 int
 main(void)
 {
@@ -391,6 +431,7 @@
 	    cmocka_unit_test(test_calls_counted_late_are_no_surplus),
 	    cmocka_unit_test(test_report_without_slots_is_no_congestion),
 	    cmocka_unit_test(test_unknown_slowness_changes_no_estimate),
+	    cmocka_unit_test(test_call_that_leaves_slots_blocks_no_other),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
