balance: a call that was tried elsewhere blocks no other

A call may not use the targets at which it has been. If these alone have room, it waits, and blocked all calls behind it that may use them: with two targets, of which one shed the call, the pool took nothing from this VM until the other one had room.

Such a call keeps its place in the order, but does not block others. The new test in test_queue failed before and passes now.

--- a/lib/balance/queue.c
+++ b/lib/balance/queue.c
@@ -376,7 +376,8 @@
 	uint32_t at = scan->blocked_count;
 
 	entry->pass = scan->pass;
-	if (at == BL_QUEUE_BLOCKED_MAX)
+	/* Others may use the targets at which it has been. */
+	if (entry->was_tried || at == BL_QUEUE_BLOCKED_MAX)
 		return;
 	scan->blocked[at].excluded_data_centres = entry->excluded_data_centres;
 	scan->blocked[at].worth = slots_worth(queue, entry);
--- a/lib/balance/queue.h
+++ b/lib/balance/queue.h
@@ -30,6 +30,8 @@
 	int64_t deadline_us;
 	/* See struct bl_request. */
 	uint64_t excluded_data_centres;
+	/* It has been at some targets, which it may not use again. */
+	bool was_tried;
 	/* Beyond the usual rate of its tenant; set by bl_queue_arrived(). */
 	bool surplus;
 	uint32_t pass;	   /* the last one that placed it */
--- a/lib/gateway/placement.c
+++ b/lib/gateway/placement.c
@@ -265,6 +265,7 @@
 	if (call->gw->params.limit_cold_targets)
 		gw_void_after_pause(call->gw);
 	call->queued.excluded_data_centres = call->excluded_data_centres;
+	call->queued.was_tried = call->tried_count > 0;
 	bl_queue_fill_request(&pool->queue, &call->queued, pool->balance,
 	    refill_probes(pool), &request);
 	bl_place(call->gw->params.topology, pool->balance, &request, out);
--- a/tests/unit/overload_sim.c
+++ b/tests/unit/overload_sim.c
@@ -291,6 +291,8 @@
 	};
 
 	memcpy(request.tried, call->tried, sizeof(request.tried));
+	call->entry.was_tried =
+	    simulation->order == ORDER_COST && call->tried_count > 0;
 	if (simulation->order == ORDER_COST)
 		bl_queue_fill_request(&vm->queue, &call->entry, vm->pool,
 		    vm->probe_tokens / vm->probe_tokens_max, &request);
--- a/tests/unit/test_queue.c
+++ b/tests/unit/test_queue.c
@@ -415,6 +415,35 @@
 	bl_pool_free(fixture.pool);
 }
 
+/*
+ * Guards against a call that has been at the only targets with room, and keeps
+ * all others waiting until another target has room.
+ */
+static void
+test_repeated_call_blocks_no_other(void **state)
+{
+	struct bl_queue_entry repeated, other;
+	struct bl_queue_scan scan;
+	struct fixture fixture;
+
+	(void)state;
+	set_up(&fixture);
+	repeated = entry_of(&fixture, 0, 300);
+	repeated.was_tried = true;
+	other = entry_of(&fixture, 1, 300);
+	bl_queue_add(&fixture.queue, &repeated);
+	bl_queue_add(&fixture.queue, &other);
+	bl_queue_begin(&fixture.queue, &scan);
+	assert_ptr_equal(
+	    bl_queue_next(&fixture.queue, fixture.pool, &scan, fixture.now_us),
+	    &repeated);
+	bl_queue_block(&fixture.queue, &scan, &repeated);
+	assert_ptr_equal(
+	    bl_queue_next(&fixture.queue, fixture.pool, &scan, fixture.now_us),
+	    &other);
+	bl_pool_free(fixture.pool);
+}
+
 int
 main(void)
 {
@@ -432,6 +461,7 @@
 	    cmocka_unit_test(test_report_without_slots_is_no_congestion),
 	    cmocka_unit_test(test_unknown_slowness_changes_no_estimate),
 	    cmocka_unit_test(test_call_that_leaves_slots_blocks_no_other),
+	    cmocka_unit_test(test_repeated_call_blocks_no_other),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
