balance: while targets are full, time spent elsewhere counts for places

A call that its caller repeats has an earlier objective in the queue, but the gateway placed it by the objective of a new call: it waited and was sent although it was late, and took room from calls that could be in time. The replays passed the earlier objective to bl_place(), so they measured something else than what the gateway does.

bl_queue_fill_request() now sets the objective while targets are full; the replays pass what the gateway passes. The new test in test_queue failed before.

--- a/lib/balance/queue.c
+++ b/lib/balance/queue.c
@@ -444,6 +444,9 @@
 	if (queue->congested_since_us != 0)
 		request->congested_us =
 		    request->now_us - queue->congested_since_us;
+	/* Without what the caller has spent elsewhere. */
+	if (request->congestion >= BL_CONGESTED_MIN)
+		request->objective_us = entry->objective_us;
 	/* One that waits probes again, but not at each pass. */
 	if (request->congestion >= BL_CONGESTED_MIN && entry->probed_us != 0)
 		request->may_probe =
--- a/tests/unit/overload_sim.c
+++ b/tests/unit/overload_sim.c
@@ -281,7 +281,9 @@
 	struct vm *vm = &simulation->vms[call->vm];
 	struct bl_request request = {
 	    .now_us = simulation->now_us,
-	    .objective_us = call->entry.objective_us,
+	    .objective_us =
+		call->entry.received_us +
+		simulation->load->kinds[call->kind].objective_ms * MS,
 	    .deadline_us = call->entry.deadline_us,
 	    .may_probe = may_probe,
 	    .may_wait = true,
--- a/tests/unit/test_queue.c
+++ b/tests/unit/test_queue.c
@@ -444,6 +444,33 @@
 	bl_pool_free(fixture.pool);
 }
 
+/*
+ * Guards against repeated calls that are placed as if they had all their time,
+ * and against other decisions than before while few targets are full.
+ */
+static void
+test_time_spent_elsewhere_counts_while_congested(void **state)
+{
+	struct bl_request request;
+	struct bl_queue_entry entry;
+	struct fixture fixture;
+	int i;
+
+	(void)state;
+	set_up(&fixture);
+	entry = entry_of(&fixture, 0, 130);
+	for (i = 0; i < 2; i++) {
+		request = (struct bl_request){.now_us = fixture.now_us,
+		    .objective_us = fixture.now_us + 250 * MS};
+		bl_queue_fill_request(
+		    &fixture.queue, &entry, fixture.pool, 1.0, &request);
+		assert_int_equal(request.objective_us - fixture.now_us,
+		    (i == 0 ? 250 : 130) * MS);
+		report(&fixture, 2, 30);
+	}
+	bl_pool_free(fixture.pool);
+}
+
 int
 main(void)
 {
@@ -462,6 +489,7 @@
 	    cmocka_unit_test(test_unknown_slowness_changes_no_estimate),
 	    cmocka_unit_test(test_call_that_leaves_slots_blocks_no_other),
 	    cmocka_unit_test(test_repeated_call_blocks_no_other),
+	    cmocka_unit_test(test_time_spent_elsewhere_counts_while_congested),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
