balance: failures tell nothing of the work of a route

A response with status 5xx ended the call as served, and its time, often a millisecond, went into the work that calls of the route need. The order of the queue is by worth for work, so that calls of a failing route of low priority went before all others.

Failures still count as served, since a place in the queue would not help them, but their time is left out. The new test in test_queue failed before and passes now; test_gateway passes.

--- a/lib/balance/queue.c
+++ b/lib/balance/queue.c
@@ -165,15 +165,17 @@
 
 void
 bl_queue_ended(struct bl_queue *queue, const struct bl_queue_entry *entry,
-    int64_t work_us, int64_t now_us)
+    bool served, int64_t work_us, int64_t now_us)
 {
 	struct bl_queue_kind *kind = use_kind(queue, entry->kind, now_us);
 
-	if (work_us <= 0)
+	if (!served)
 		return;
 	decay_totals(queue, now_us);
 	queue->served += 1.0;
 	kind->served += 1.0;
+	if (work_us <= 0)
+		return;
 	if (kind->work_us <= 0.0)
 		kind->work_us = (double)work_us;
 	else
--- a/lib/balance/queue.h
+++ b/lib/balance/queue.h
@@ -117,12 +117,12 @@
 void bl_queue_arrived(
     struct bl_queue *queue, struct bl_queue_entry *entry, int64_t now_us);
 /*
- * bl_queue_ended(queue, entry, work_us, now_us): a call that was counted has
- * ended. work_us is the time that it took at a target that served it; 0: it was
- * not served.
+ * bl_queue_ended(queue, entry, served, work_us, now_us): a call that was
+ * counted has ended. work_us is the time that it took at the target that served
+ * it; 0: that tells nothing, since it failed there.
  */
 void bl_queue_ended(struct bl_queue *queue, const struct bl_queue_entry *entry,
-    int64_t work_us, int64_t now_us);
+    bool served, int64_t work_us, int64_t now_us);
 /* bl_queue_heard(queue, load, now_us): a target of the pool reports its load.
  */
 void bl_queue_heard(
--- a/lib/gateway/gateway_internal.h
+++ b/lib/gateway/gateway_internal.h
@@ -307,11 +307,11 @@
 /* gw_queued_call(entry): the call that the entry is part of, or NULL. */
 struct gw_call *gw_queued_call(struct bl_queue_entry *entry);
 /*
- * gw_count_call(call), gw_count_end(call, served): the call belongs to a pool
+ * gw_count_call(call), gw_count_end(call, reason): the call belongs to a pool
  * now, and it ends.
  */
 void gw_count_call(struct gw_call *call);
-void gw_count_end(struct gw_call *call, bool served);
+void gw_count_end(struct gw_call *call, enum gw_reason reason);
 /* gw_dispatch_after(pool, ms): places the waiting calls again by then. */
 void gw_dispatch_after(struct gw_pool *pool, uint64_t ms);
 /* gw_schedule_dispatch(pool): places the waiting calls again in a few ms. */
--- a/lib/gateway/placement.c
+++ b/lib/gateway/placement.c
@@ -55,13 +55,15 @@
 }
 
 void
-gw_count_end(struct gw_call *call, bool served)
+gw_count_end(struct gw_call *call, enum gw_reason reason)
 {
+	bool answered = reason == GW_ANSWERED;
 	int64_t now_us = cs_now_us();
 
 	if (call->pool != NULL && call->queued.received_us != 0)
 		bl_queue_ended(&call->pool->queue, &call->queued,
-		    served ? now_us - call->started_us : 0, now_us);
+		    answered || reason == GW_TARGET_FAILED,
+		    answered ? now_us - call->started_us : 0, now_us);
 }
 
 static void
--- a/lib/gateway/response.c
+++ b/lib/gateway/response.c
@@ -55,7 +55,7 @@
 	gw_dequeue(call);
 	gw_end_trial(call);
 	gw_count_tenant(call, status, reason);
-	gw_count_end(call, reason == GW_ANSWERED || reason == GW_TARGET_FAILED);
+	gw_count_end(call, reason);
 	gw->counters.ended[reason]++;
 	if (reason == GW_ANSWERED)
 		cs_histogram_add(&gw->counters.answered, took_us);
--- a/tests/unit/overload_sim.c
+++ b/tests/unit/overload_sim.c
@@ -178,7 +178,7 @@
 	leave_queue(simulation, call);
 	if (simulation->order == ORDER_COST)
 		bl_queue_ended(&simulation->vms[call->vm].queue, &call->entry,
-		    0, simulation->now_us);
+		    false, 0, simulation->now_us);
 	if (simulation->load->retries_at_once)
 		retry_after_us = 0;
 	if (call->attempts == 2 || left_us <= 0) {
@@ -600,8 +600,8 @@
 	bl_request_ended(bl_target, BL_SERVED, took_us, simulation->now_us);
 	bl_queue_heard(&vm->queue, &report, simulation->now_us);
 	if (simulation->order == ORDER_COST)
-		bl_queue_ended(
-		    &vm->queue, &call->entry, took_us, simulation->now_us);
+		bl_queue_ended(&vm->queue, &call->entry, true, took_us,
+		    simulation->now_us);
 	count_end(simulation, call, true, false);
 	call->state = FREE;
 	vm->dispatch_us = simulation->now_us;
--- a/tests/unit/test_queue.c
+++ b/tests/unit/test_queue.c
@@ -393,7 +393,7 @@
 	low = entry_of(&fixture, 2, 1000);
 	bl_queue_arrived(&fixture.queue, &high, fixture.now_us);
 	bl_queue_arrived(&fixture.queue, &low, fixture.now_us);
-	bl_queue_ended(&fixture.queue, &low, 15 * MS, fixture.now_us);
+	bl_queue_ended(&fixture.queue, &low, true, 15 * MS, fixture.now_us);
 	report(&fixture, 2, 30);
 	report(&fixture, 1, 1);
 	bl_queue_add(&fixture.queue, &low);
@@ -471,6 +471,33 @@
 	bl_pool_free(fixture.pool);
 }
 
+/*
+ * Guards against failures that end quickly and make calls of their route look
+ * short, so that they go before all others.
+ */
+static void
+test_failed_call_tells_nothing_of_its_work(void **state)
+{
+	struct bl_queue_entry failing, other;
+	struct bl_queue_scan scan;
+	struct fixture fixture;
+
+	(void)state;
+	set_up(&fixture);
+	other = entry_of(&fixture, 0, 300);
+	failing = entry_of(&fixture, 2, 300);
+	bl_queue_arrived(&fixture.queue, &other, fixture.now_us);
+	bl_queue_arrived(&fixture.queue, &failing, fixture.now_us);
+	bl_queue_ended(&fixture.queue, &failing, true, 0, fixture.now_us);
+	bl_queue_add(&fixture.queue, &failing);
+	bl_queue_add(&fixture.queue, &other);
+	bl_queue_begin(&fixture.queue, &scan);
+	assert_ptr_equal(
+	    bl_queue_next(&fixture.queue, fixture.pool, &scan, fixture.now_us),
+	    &other);
+	bl_pool_free(fixture.pool);
+}
+
 int
 main(void)
 {
@@ -490,6 +517,7 @@
 	    cmocka_unit_test(test_call_that_leaves_slots_blocks_no_other),
 	    cmocka_unit_test(test_repeated_call_blocks_no_other),
 	    cmocka_unit_test(test_time_spent_elsewhere_counts_while_congested),
+	    cmocka_unit_test(test_failed_call_tells_nothing_of_its_work),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
