gateway: a report from before a request does not show its loss

A request counts as dropped if its target reports fewer requests than this VM waits for. Where no probe could be sent or was answered, the last report was from before the request, often of an idle target, and the connection of every slow request was closed and a retry spent.

Such a report counts only if it arrived after the request was sent; one of a full target still counts. The new case in test_overdue failed before (200 after 4 requests instead of 504 after 3) and passes now.

--- a/lib/balance/balance.h
+++ b/lib/balance/balance.h
@@ -370,11 +370,11 @@
  */
 int64_t bl_overdue_us(int64_t expected_us);
 /*
- * bl_may_have_dropped(target): by its last report the target may have dropped a
- * request of this VM: it was full, or had fewer requests than this VM waits
- * for.
+ * bl_may_have_dropped(target, sent_us): by its last report the target may have
+ * dropped a request of this VM that was sent at sent_us: it was full, or, as
+ * reported since then, had fewer requests than this VM waits for.
  */
-bool bl_may_have_dropped(const struct bl_target *target);
+bool bl_may_have_dropped(const struct bl_target *target, int64_t sent_us);
 
 enum bl_verdict {
 	BL_SEND,
--- a/lib/balance/outcome.c
+++ b/lib/balance/outcome.c
@@ -21,12 +21,13 @@
 }
 
 bool
-bl_may_have_dropped(const struct bl_target *target)
+bl_may_have_dropped(const struct bl_target *target, int64_t sent_us)
 {
 	uint32_t busy = target->load.running + target->load.waiting;
 
 	return target->load_at_us != 0 &&
-	       (busy >= target->slots || busy < target->in_flight);
+	       (busy >= target->slots ||
+		   (target->load_at_us > sent_us && busy < target->in_flight));
 }
 
 const char *
--- a/lib/gateway/overdue.c
+++ b/lib/gateway/overdue.c
@@ -75,7 +75,8 @@
 					.probe_count = 1, .probes = {target}}))
 			return;
 	}
-	if (bl_may_have_dropped(target) && can_be_placed(call))
+	if (bl_may_have_dropped(target, call->started_us) &&
+	    can_be_placed(call))
 		abandon_attempt(call);
 }
 
--- a/tests/unit/overload_sim.c
+++ b/tests/unit/overload_sim.c
@@ -542,7 +542,8 @@
 		return false;
 	}
 	ask_placement(simulation, call, false, &out);
-	if (!bl_may_have_dropped(target) || out.verdict != BL_SEND)
+	if (!bl_may_have_dropped(target, call->started_us) ||
+	    out.verdict != BL_SEND)
 		return false;
 	if (call->queued)
 		simulation->targets[call->target].queued--;
--- a/tests/unit/test_overdue.c
+++ b/tests/unit/test_overdue.c
@@ -45,6 +45,8 @@
     {"no attempt left", FULL_RESPONSE, SAFE_REQUEST("c"), 1, 1500, 504, 3},
     /* A report that shows room, and the request, is no evidence. */
     {"slow, not full", RESPONSE("1,0,4"), SAFE_REQUEST("c"), 3, 1500, 504, 3},
+    /* Nor is one from before the request, which it cannot show. */
+    {"slow, idle before", IDLE_RESPONSE, SAFE_REQUEST("c"), 3, 1500, 504, 3},
 };
 
 /* Only there attempts are given up; the routes need no key. */
