gateway: overdue responses cause no probes of limited targets

A target whose response was long overdue was probed whatever it had asked for: a probe counts as a request to a target with a limit or to a cold one, whose limit holds for all VMs together, and a target that paused this VM asked for no request at all.

Such targets are not probed; their last report counts. The new test in test_overdue failed before (1 probe instead of 0) and passes now.

--- a/lib/gateway/overdue.c
+++ b/lib/gateway/overdue.c
@@ -57,18 +57,27 @@
 	call->gw->callbacks->attempt_ended(call, BL_LOST, NULL);
 }
 
+/* A probe counts as a request to a target with a limit. */
+static bool
+may_be_probed(const struct bl_target *target, int64_t now_us)
+{
+	return !bl_limit_applies(target, now_us) &&
+	       bl_wait_us(target, now_us) == 0;
+}
+
 static void
 on_overdue(uv_timer_t *timer)
 {
 	struct gw_call *call = timer->data;
 	struct bl_target *target = call->target;
+	int64_t now_us = cs_now_us();
 
 	if (!may_try_elsewhere(call))
 		return;
 	uv_timer_start(&call->step_timer, on_overdue, REPORT_WAIT_MS, 0);
 	/* Without an answer to the probe the last report counts. */
-	if (!call->overdue_probed &&
-	    cs_now_us() - target->load_at_us > REPORT_WAIT_MS * 1000) {
+	if (!call->overdue_probed && may_be_probed(target, now_us) &&
+	    now_us - target->load_at_us > REPORT_WAIT_MS * 1000) {
 		call->overdue_probed = true;
 		if (gw_probe_for_pool(
 			call->pool, &(struct bl_placement){
--- a/tests/unit/gateway_rig.c
+++ b/tests/unit/gateway_rig.c
@@ -983,7 +983,7 @@
 	    .memory_bytes_max = 64 * 1024 * 1024,
 	    .response_bytes_max = RIG_RESPONSE_BYTES_MAX,
 	    .memory = &rig->memory,
-	    .probes_per_s = 0,
+	    .probes_per_s = params->probes_per_s,
 	    .key_proof_age_max_us = params->key_proof_age_max_us,
 	    .quota = params->quota,
 	    .seed = 1,
--- a/tests/unit/gateway_rig.h
+++ b/tests/unit/gateway_rig.h
@@ -40,6 +40,7 @@
 	uint32_t connections_max; /* per target; 0: unlimited */
 	uint32_t slots;		  /* per target; 0: 4 */
 	bool no_health_path;
+	double probes_per_s;			      /* for each target */
 	void (*add_to_table)(struct rt_table *table); /* NULL: nothing */
 	int64_t key_proof_age_max_us;
 	/* So many crashing requests are answered before they crash targets. */
--- a/tests/unit/test_overdue.c
+++ b/tests/unit/test_overdue.c
@@ -19,6 +19,7 @@
 	"HTTP/1.1 200 OK\r\nChervilshelf-Attempt-Id: %I\r\n"               \
 	"Chervilshelf-Response-Seal: s\r\nChervilshelf-Server-Load: " load \
 	"\r\nContent-Length: 5\r\n\r\nwhole"
+#define LIMITED_RESPONSE RESPONSE("0,0,4\r\nServer-Limit: 100")
 #define FULL_RESPONSE RESPONSE("4,1,4")
 #define IDLE_RESPONSE RESPONSE("0,0,4")
 
@@ -138,12 +139,48 @@
 	rig_free(rig);
 }
 
+/*
+ * Guards against probes of a target with a limit, to which they count as
+ * requests, where a response is overdue.
+ */
+static void
+test_limited_target_is_not_probed(void **state)
+{
+	const struct rig_script scripts[] = {
+	    {LIMITED_RESPONSE, RIG_KEEP, NULL, false},
+	    {LIMITED_RESPONSE, RIG_KEEP, NULL, false},
+	    {NULL, RIG_SILENT, NULL, false},
+	};
+	struct rig *rig = rig_create(&(struct rig_params){
+	    .scripts = scripts,
+	    .script_count = 3,
+	    .target_count = 2,
+	    .with_table = true,
+	    .add_to_table = add_tenant,
+	    .timeout_ms = 1500,
+	    .attempts_max = 3,
+	    .probes_per_s = 100,
+	});
+	uint64_t probes;
+
+	(void)state;
+	rig_ask(rig, SAFE_REQUEST("a"), strlen(SAFE_REQUEST("a")));
+	rig_ask(rig, SAFE_REQUEST("b"), strlen(SAFE_REQUEST("b")));
+	probes = gw_get_counters(rig_gateway(rig))->probes;
+	assert_int_equal(status_of(rig_ask(rig, SAFE_REQUEST("c"),
+			     strlen(SAFE_REQUEST("c")))),
+	    504);
+	assert_int_equal(gw_get_counters(rig_gateway(rig))->probes - probes, 0);
+	rig_free(rig);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_overdue_requests),
 	    cmocka_unit_test(test_full_targets_without_probes),
+	    cmocka_unit_test(test_limited_target_is_not_probed),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
