balance, gateway: a full queue keeps its calls, and those worth most

At 512 waiting calls no call was allowed to wait, including those that waited already: at each pass the call that goes first, the most valuable one, was refused. New calls of the highest priority were refused too, while 512 of the lowest waited.

A call in the queue waits on. Deployments without tenants: only the first part changes.

--- a/lib/balance/queue.c
+++ b/lib/balance/queue.c
@@ -220,6 +220,7 @@
 		queue->last->next = entry;
 	queue->last = entry;
 	queue->count++;
+	entry->is_waiting = true;
 }
 
 void
@@ -238,6 +239,7 @@
 		queue->last = previous;
 	entry->next = NULL;
 	queue->count--;
+	entry->is_waiting = false;
 }
 
 /* The kind is served far less often than all calls. */
@@ -365,6 +367,42 @@
 	return false;
 }
 
+struct bl_queue_entry *
+bl_queue_last(
+    const struct bl_queue *queue, const struct bl_pool *pool, int64_t now_us)
+{
+	bool newest_first = is_newest_first(queue, now_us);
+	struct bl_queue_entry *entry, *last = NULL;
+	struct rank rank, last_rank = {0};
+
+	for (entry = queue->first; entry != NULL; entry = entry->next) {
+		rank = rank_of(queue, entry, pool, newest_first, now_us);
+		if (last == NULL || !goes_before(&rank, &last_rank)) {
+			last = entry;
+			last_rank = rank;
+		}
+	}
+	return last;
+}
+
+bool
+bl_queue_has_room(const struct bl_queue *queue,
+    const struct bl_queue_entry *entry, const struct bl_pool *pool,
+    int64_t now_us)
+{
+	bool newest_first = is_newest_first(queue, now_us);
+	struct rank rank, last_rank;
+
+	if (entry->is_waiting || queue->count < BL_QUEUE_WAITING_MAX)
+		return true;
+	if (!queue->by_cost)
+		return false;
+	rank = rank_of(queue, entry, pool, newest_first, now_us);
+	last_rank = rank_of(queue, bl_queue_last(queue, pool, now_us), pool,
+	    newest_first, now_us);
+	return goes_before(&rank, &last_rank);
+}
+
 void
 bl_queue_begin(struct bl_queue *queue, struct bl_queue_scan *scan)
 {
--- a/lib/balance/queue.h
+++ b/lib/balance/queue.h
@@ -18,6 +18,7 @@
 #define BL_QUEUE_KINDS_MAX 8
 #define BL_QUEUE_TENANTS_MAX 32
 #define BL_QUEUE_BLOCKED_MAX 16
+#define BL_QUEUE_WAITING_MAX 512
 
 /* What of a call matters to its place; part of the call. */
 struct bl_queue_entry {
@@ -32,6 +33,7 @@
 	uint64_t excluded_data_centres;
 	/* It has been at some targets, which it may not use again. */
 	bool was_tried;
+	bool is_waiting; /* it is in the queue */
 	/* Beyond the usual rate of its tenant; set by bl_queue_arrived(). */
 	bool surplus;
 	uint32_t pass;	   /* the last one that placed it */
@@ -140,6 +142,16 @@
 
 void bl_queue_add(struct bl_queue *queue, struct bl_queue_entry *entry);
 void bl_queue_remove(struct bl_queue *queue, struct bl_queue_entry *entry);
+/*
+ * bl_queue_has_room(queue, entry, pool, now_us): the entry may wait: it does so
+ * already, or there is room, or it goes before bl_queue_last(), the entry that
+ * is to be refused in its place.
+ */
+bool bl_queue_has_room(const struct bl_queue *queue,
+    const struct bl_queue_entry *entry, const struct bl_pool *pool,
+    int64_t now_us);
+struct bl_queue_entry *bl_queue_last(
+    const struct bl_queue *queue, const struct bl_pool *pool, int64_t now_us);
 /* bl_queue_begin(queue, scan): begins a pass over the queue. */
 void bl_queue_begin(struct bl_queue *queue, struct bl_queue_scan *scan);
 /*
--- a/lib/gateway/call.c
+++ b/lib/gateway/call.c
@@ -64,6 +64,21 @@
 							 : GW_NO_ROOM;
 }
 
+static void apply_placement(
+    struct gw_call *call, const struct bl_placement *placement);
+
+/* The last call of a queue that has become too long must not wait on. */
+static void
+displace_last(struct gw_pool *pool)
+{
+	struct gw_call *last = gw_queued_call(
+	    bl_queue_last(&pool->queue, pool->balance, cs_now_us()));
+	struct bl_placement placement;
+
+	gw_place_displaced(last, &placement);
+	apply_placement(last, &placement);
+}
+
 static void
 apply_placement(struct gw_call *call, const struct bl_placement *placement)
 {
@@ -85,6 +100,8 @@
 		break;
 	case BL_WAIT:
 		gw_enqueue(call);
+		if (call->pool->queue.count > BL_QUEUE_WAITING_MAX)
+			displace_last(call->pool);
 		break;
 	case BL_REFUSE:
 		gw_log_refusal(call, placement);
--- a/lib/gateway/gateway_internal.h
+++ b/lib/gateway/gateway_internal.h
@@ -292,6 +292,11 @@
  * the targets now.
  */
 void gw_place_without_probes(struct gw_call *call, struct bl_placement *out);
+/*
+ * gw_place_displaced(call, out): removes the call from the queue, where another
+ * takes its place, and places it without probes and without a further wait.
+ */
+void gw_place_displaced(struct gw_call *call, struct bl_placement *out);
 /*
  * gw_probe_settled(call, target, out): a probe of the target has ended. Returns
  * true if the call is to be placed now, as out says.
--- a/lib/gateway/placement.c
+++ b/lib/gateway/placement.c
@@ -17,7 +17,6 @@
 #define PROBE_ROUNDS_MAX 2
 /* Waiting calls are placed again at least at this interval. */
 #define DISPATCH_INTERVAL_MS 10
-#define WAITING_MAX 512 /* per pool and VM */
 
 static void
 remove_from_list(struct gw_call **at, const struct gw_call *call)
@@ -241,8 +240,8 @@
 	    (long long)call->waited_us, (long long)placement->retry_after_us);
 }
 
-void
-gw_place(struct gw_call *call, struct bl_placement *out)
+static void
+place(struct gw_call *call, bool may_wait, struct bl_placement *out)
 {
 	struct gw_pool *pool = call->pool;
 	struct bl_request request = {
@@ -251,7 +250,9 @@
 	    .deadline_us = call->deadline_us,
 	    .may_probe = call->probe_rounds<PROBE_ROUNDS_MAX,
 		.probes_pending = call->probes_pending> 0,
-	    .may_wait = pool->queue.count < WAITING_MAX,
+	    .may_wait =
+		may_wait && bl_queue_has_room(&pool->queue, &call->queued,
+				pool->balance, cs_now_us()),
 	    .waiting_calls = pool->queue.count,
 	    .calls_ahead = call->state == GW_CALL_WAITING
 			       ? 0 /* only the first is placed */
@@ -275,6 +276,12 @@
 		gw_ask_permit(call->gw, out->ask, out->ask_wait_max_us);
 }
 
+void
+gw_place(struct gw_call *call, struct bl_placement *out)
+{
+	place(call, true, out);
+}
+
 bool
 gw_must_queue(const struct gw_call *call)
 {
@@ -308,6 +315,15 @@
 	gw_place(call, out);
 }
 
+void
+gw_place_displaced(struct gw_call *call, struct bl_placement *out)
+{
+	gw_dequeue(call);
+	call->probe_rounds = PROBE_ROUNDS_MAX;
+	call->queued.probed_us = cs_now_us();
+	place(call, false, out);
+}
+
 bool
 gw_probe_settled(struct gw_call *call, const struct bl_target *target,
     struct bl_placement *placement)
--- a/lib/gateway/where.c
+++ b/lib/gateway/where.c
@@ -7,8 +7,6 @@
 
 #include "gateway_internal.h"
 
-#define WAITING_MAX 512 /* as in placement.c */
-
 static const struct rt_tenant *
 find_tenant(const struct rt_table *table, const char *name)
 {
@@ -77,7 +75,8 @@
 	    .objective_us = entry.objective_us,
 	    .deadline_us = deadline_us,
 	    .may_probe = true,
-	    .may_wait = pool->queue.count < WAITING_MAX,
+	    .may_wait =
+		bl_queue_has_room(&pool->queue, &entry, pool->balance, now_us),
 	    .waiting_calls = pool->queue.count,
 	    .calls_ahead = pool->queue.count,
 	    .excluded_data_centres = entry.excluded_data_centres,
--- a/tests/unit/test_queue.c
+++ b/tests/unit/test_queue.c
@@ -498,6 +498,43 @@
 	bl_pool_free(fixture.pool);
 }
 
+/*
+ * Guards against a full queue from which the first call is refused, and in
+ * which calls of little worth keep out those worth more.
+ */
+static void
+test_full_queue(void **state)
+{
+	static struct bl_queue_entry entries[BL_QUEUE_WAITING_MAX];
+	struct bl_queue_entry high, low;
+	struct fixture fixture;
+	uint32_t i;
+
+	(void)state;
+	set_up(&fixture);
+	for (i = 0; i < BL_QUEUE_WAITING_MAX; i++) {
+		entries[i] = entry_of(&fixture, 1 + (i == 7), 300);
+		assert_true(bl_queue_has_room(
+		    &fixture.queue, &entries[i], fixture.pool, fixture.now_us));
+		bl_queue_add(&fixture.queue, &entries[i]);
+	}
+	high = entry_of(&fixture, 0, 300);
+	low = entry_of(&fixture, 2, 300);
+	assert_true(bl_queue_has_room(
+	    &fixture.queue, &entries[0], fixture.pool, fixture.now_us));
+	assert_true(bl_queue_has_room(
+	    &fixture.queue, &high, fixture.pool, fixture.now_us));
+	assert_false(bl_queue_has_room(
+	    &fixture.queue, &low, fixture.pool, fixture.now_us));
+	assert_ptr_equal(
+	    bl_queue_last(&fixture.queue, fixture.pool, fixture.now_us),
+	    &entries[7]);
+	fixture.queue.by_cost = false;
+	assert_false(bl_queue_has_room(
+	    &fixture.queue, &high, fixture.pool, fixture.now_us));
+	bl_pool_free(fixture.pool);
+}
+
 int
 main(void)
 {
@@ -518,6 +555,7 @@
 	    cmocka_unit_test(test_repeated_call_blocks_no_other),
 	    cmocka_unit_test(test_time_spent_elsewhere_counts_while_congested),
 	    cmocka_unit_test(test_failed_call_tells_nothing_of_its_work),
+	    cmocka_unit_test(test_full_queue),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
