gateway: a second round of probes begins when the first has ended

When the last probe of a call was answered and the other data centres were to be probed, the call stayed in the list of the first round until that round's time of 12 ms was over, although nothing was pending.

The call is now placed at once. The new test in test_placement failed before (the call was not to be placed) and passes now.

--- a/lib/gateway/placement.c
+++ b/lib/gateway/placement.c
@@ -335,7 +335,8 @@
 			call->probed_targets[i] =
 			    call->probed_targets[--call->probes_pending];
 			gw_place(call, placement);
-			return placement->verdict != BL_PROBE;
+			return placement->verdict != BL_PROBE ||
+			       call->probes_pending == 0;
 		}
 	}
 	return false;
--- a/tests/unit/test_placement.c
+++ b/tests/unit/test_placement.c
@@ -1,6 +1,6 @@
 /*
  * Tests of lib/gateway/placement.c on a call that is not connected to anything:
- * what it does with a full queue.
+ * what it does with probes that have ended, and with a full queue.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -63,6 +63,30 @@
 	bl_load_reported(fixture->targets[target], &load, cs_now_us());
 }
 
+/* Guards against a second round of probes that waits for the first one's end.
+ */
+static void
+test_second_round_of_probes_begins_at_once(void **state)
+{
+	struct bl_placement placement;
+	struct fixture fixture;
+
+	(void)state;
+	set_up(&fixture);
+	/* Slow, so that the others are probed. */
+	fixture.pool.balance->service_time_us = 240.0 * MS;
+	report(&fixture, 0, 0, 200);
+	fixture.call.state = GW_CALL_PROBING;
+	fixture.call.probe_rounds = 1;
+	fixture.call.probes_pending = 1;
+	fixture.call.probed_targets[0] = fixture.targets[0];
+	assert_true(
+	    gw_probe_settled(&fixture.call, fixture.targets[0], &placement));
+	assert_int_equal(placement.verdict, BL_PROBE);
+	assert_ptr_equal(placement.probes[0], fixture.targets[1]);
+	bl_pool_free(fixture.pool.balance);
+}
+
 /* Guards against calls that are refused since the queue that they are in is
  * full. */
 static void
@@ -92,6 +116,7 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_call_in_a_full_queue_waits_on),
+	    cmocka_unit_test(test_second_round_of_probes_begins_at_once),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
