balance: a kind whose objective is never met does not starve

While targets are full, a call that cannot be in time uses only idle targets, and none from a congestion of 0.5 on. A route whose objective is below the time that its work takes, or that slow targets take, is then refused throughout, and the guard for kinds that are hardly served did not apply to calls that are late.

Late calls of such a kind may use any target with room.

--- a/lib/balance/balance.h
+++ b/lib/balance/balance.h
@@ -428,6 +428,7 @@
 	double congestion;    /* share of the targets that are full */
 	double worth;	      /* of an answer in time, 1 at most */
 	double work_factor;   /* its work relative to the mean of the pool */
+	bool is_starved;      /* its kind is served far less often than all */
 	int64_t congested_us; /* for so long */
 };
 
--- a/lib/balance/place.c
+++ b/lib/balance/place.c
@@ -183,15 +183,19 @@
 	       request->objective_us;
 }
 
-/* Decides for a call that is late: it may only use what others leave. */
+/*
+ * Decides for a call that is late: it may only use what others leave, unless
+ * its kind is hardly served. Its objective may be one that is never met.
+ */
 static void
 decide_late(const struct bl_selection *selection,
     const struct bl_request *request, struct bl_placement *out)
 {
 	const struct bl_candidate *best = &selection->best;
+	bool may_use = request->is_starved ||
+		       (best->idle && request->congestion <= LATE_CONGESTION);
 
-	if (best->target != NULL && best->idle &&
-	    request->congestion <= LATE_CONGESTION &&
+	if (best->target != NULL && may_use &&
 	    request->now_us + best->expected_us <= request->deadline_us)
 		send_to(best, "late", out);
 	else
--- a/lib/balance/queue.c
+++ b/lib/balance/queue.c
@@ -481,6 +481,7 @@
 	request->congestion = bl_queue_congestion(queue, request->now_us);
 	request->worth = worth_of(queue, entry);
 	request->work_factor = work_factor(queue, entry, pool);
+	request->is_starved = !entry->surplus && is_starved(queue, entry->kind);
 	if (queue->congested_since_us != 0)
 		request->congested_us =
 		    request->now_us - queue->congested_since_us;
