--- a/lib/balance/place.c
+++ b/lib/balance/place.c
@@ -149,6 +149,13 @@
 	out->reason = reason;
 }
 
+bool
+bl_leaves_all_slots(double worth, double congestion)
+{
+	return worth < 1.0 &&
+	       congestion > ANY_SLOT_CONGESTION + ANY_SLOT_RANGE * worth;
+}
+
 /*
  * Returns true if the call leaves the slot to calls of other VMs that are worth
  * more.
@@ -164,8 +171,7 @@
 	    request->congestion >
 		LAST_SLOT_CONGESTION + LAST_SLOT_RANGE * request->worth)
 		return true;
-	return request->congestion >
-	       ANY_SLOT_CONGESTION + ANY_SLOT_RANGE * request->worth;
+	return bl_leaves_all_slots(request->worth, request->congestion);
 }
 
 /* The call would be in time if a target were free for it now. */
@@ -177,15 +183,19 @@
 	       request->objective_us;
 }
 
-/* Decides for a call that is late: it may only use what others leave. */
+/*
+ * Decides for a call that is late: it may only use what others leave, unless
+ * its kind is hardly served. Its objective may be one that is never met.
+ */
 static void
 decide_late(const struct bl_selection *selection,
     const struct bl_request *request, struct bl_placement *out)
 {
 	const struct bl_candidate *best = &selection->best;
+	bool may_use = request->is_starved ||
+		       (best->idle && request->congestion <= LATE_CONGESTION);
 
-	if (best->target != NULL && best->idle &&
-	    request->congestion <= LATE_CONGESTION &&
+	if (best->target != NULL && may_use &&
 	    request->now_us + best->expected_us <= request->deadline_us)
 		send_to(best, "late", out);
 	else
--- a/lib/balance/queue.c
+++ b/lib/balance/queue.c
@@ -165,15 +165,17 @@
 
 void
 bl_queue_ended(struct bl_queue *queue, const struct bl_queue_entry *entry,
-    int64_t work_us, int64_t now_us)
+    bool served, int64_t work_us, int64_t now_us)
 {
 	struct bl_queue_kind *kind = use_kind(queue, entry->kind, now_us);
 
-	if (work_us <= 0)
+	if (!served)
 		return;
 	decay_totals(queue, now_us);
 	queue->served += 1.0;
 	kind->served += 1.0;
+	if (work_us <= 0)
+		return;
 	if (kind->work_us <= 0.0)
 		kind->work_us = (double)work_us;
 	else
@@ -190,6 +192,8 @@
 		? 1.0
 		: 0.0;
 
+	if (load->slots == 0) /* unknown */
+		return;
 	share += FULL_SHARE_GAIN * (full - share);
 	if (share < BL_CONGESTED_MIN)
 		queue->congested_since_us = 0;
@@ -216,6 +220,7 @@
 		queue->last->next = entry;
 	queue->last = entry;
 	queue->count++;
+	entry->is_waiting = true;
 }
 
 void
@@ -234,6 +239,7 @@
 		queue->last = previous;
 	entry->next = NULL;
 	queue->count--;
+	entry->is_waiting = false;
 }
 
 /* The kind is served far less often than all calls. */
@@ -335,21 +341,68 @@
 			       : a->start_us < b->start_us;
 }
 
+/* What decides which slots the call may use. */
+static double
+slots_worth(const struct bl_queue *queue, const struct bl_queue_entry *entry)
+{
+	return queue->by_cost ? worth_of(queue, entry) : 1.0;
+}
+
 static bool
-is_blocked(const struct bl_queue_scan *scan, const struct bl_queue_entry *entry)
+is_blocked(const struct bl_queue *queue, const struct bl_queue_scan *scan,
+    const struct bl_queue_entry *entry)
 {
+	double worth = slots_worth(queue, entry);
 	uint32_t i;
 
 	if (scan->blocked_count == BL_QUEUE_BLOCKED_MAX)
 		return true;
 	for (i = 0; i < scan->blocked_count; i++) {
-		/* It may use no target that the blocked one may not. */
-		if ((scan->blocked[i] & ~entry->excluded_data_centres) == 0)
+		/* It may use no slot that the blocked one may not. */
+		if ((scan->blocked[i].excluded_data_centres &
+			~entry->excluded_data_centres) == 0 &&
+		    worth <= scan->blocked[i].worth)
 			return true;
 	}
 	return false;
 }
 
+struct bl_queue_entry *
+bl_queue_last(
+    const struct bl_queue *queue, const struct bl_pool *pool, int64_t now_us)
+{
+	bool newest_first = is_newest_first(queue, now_us);
+	struct bl_queue_entry *entry, *last = NULL;
+	struct rank rank, last_rank = {0};
+
+	for (entry = queue->first; entry != NULL; entry = entry->next) {
+		rank = rank_of(queue, entry, pool, newest_first, now_us);
+		if (last == NULL || !goes_before(&rank, &last_rank)) {
+			last = entry;
+			last_rank = rank;
+		}
+	}
+	return last;
+}
+
+bool
+bl_queue_has_room(const struct bl_queue *queue,
+    const struct bl_queue_entry *entry, const struct bl_pool *pool,
+    int64_t now_us)
+{
+	bool newest_first = is_newest_first(queue, now_us);
+	struct rank rank, last_rank;
+
+	if (entry->is_waiting || queue->count < BL_QUEUE_WAITING_MAX)
+		return true;
+	if (!queue->by_cost)
+		return false;
+	rank = rank_of(queue, entry, pool, newest_first, now_us);
+	last_rank = rank_of(queue, bl_queue_last(queue, pool, now_us), pool,
+	    newest_first, now_us);
+	return goes_before(&rank, &last_rank);
+}
+
 void
 bl_queue_begin(struct bl_queue *queue, struct bl_queue_scan *scan)
 {
@@ -357,12 +410,18 @@
 }
 
 void
-bl_queue_block(struct bl_queue_scan *scan, struct bl_queue_entry *entry)
+bl_queue_block(const struct bl_queue *queue, struct bl_queue_scan *scan,
+    struct bl_queue_entry *entry)
 {
+	uint32_t at = scan->blocked_count;
+
 	entry->pass = scan->pass;
-	if (scan->blocked_count < BL_QUEUE_BLOCKED_MAX)
-		scan->blocked[scan->blocked_count++] =
-		    entry->excluded_data_centres;
+	/* Others may use the targets at which it has been. */
+	if (entry->was_tried || at == BL_QUEUE_BLOCKED_MAX)
+		return;
+	scan->blocked[at].excluded_data_centres = entry->excluded_data_centres;
+	scan->blocked[at].worth = slots_worth(queue, entry);
+	scan->blocked_count++;
 }
 
 struct bl_queue_entry *
@@ -378,7 +437,7 @@
 			continue;
 		rank = rank_of(queue, entry, pool, newest_first, now_us);
 		/* One that is late is to be refused even if others wait. */
-		if (rank.in_time && is_blocked(scan, entry))
+		if (rank.in_time && is_blocked(queue, scan, entry))
 			continue;
 		if (best == NULL || goes_before(&rank, &best_rank)) {
 			best = entry;
@@ -396,12 +455,15 @@
 	bool newest_first = is_newest_first(queue, now_us);
 	struct rank rank = rank_of(queue, entry, pool, newest_first, now_us),
 		    other;
+	double congestion = bl_queue_congestion(queue, now_us);
 	const struct bl_queue_entry *at;
 
 	for (at = queue->first; at != NULL; at = at->next) {
 		if (at == entry || (at->excluded_data_centres &
 				       ~entry->excluded_data_centres) != 0)
 			continue;
+		if (bl_leaves_all_slots(slots_worth(queue, at), congestion))
+			continue;
 		other = rank_of(queue, at, pool, newest_first, now_us);
 		if (goes_before(&other, &rank))
 			return true;
@@ -419,9 +481,13 @@
 	request->congestion = bl_queue_congestion(queue, request->now_us);
 	request->worth = worth_of(queue, entry);
 	request->work_factor = work_factor(queue, entry, pool);
+	request->is_starved = !entry->surplus && is_starved(queue, entry->kind);
 	if (queue->congested_since_us != 0)
 		request->congested_us =
 		    request->now_us - queue->congested_since_us;
+	/* Without what the caller has spent elsewhere. */
+	if (request->congestion >= BL_CONGESTED_MIN)
+		request->objective_us = entry->objective_us;
 	/* One that waits probes again, but not at each pass. */
 	if (request->congestion >= BL_CONGESTED_MIN && entry->probed_us != 0)
 		request->may_probe =
--- a/lib/gateway/gateway_internal.h
+++ b/lib/gateway/gateway_internal.h
@@ -292,6 +292,11 @@
  * the targets now.
  */
 void gw_place_without_probes(struct gw_call *call, struct bl_placement *out);
+/*
+ * gw_place_displaced(call, out): removes the call from the queue, where another
+ * takes its place, and places it without probes and without a further wait.
+ */
+void gw_place_displaced(struct gw_call *call, struct bl_placement *out);
 /*
  * gw_probe_settled(call, target, out): a probe of the target has ended. Returns
  * true if the call is to be placed now, as out says.
@@ -307,11 +312,11 @@
 /* gw_queued_call(entry): the call that the entry is part of, or NULL. */
 struct gw_call *gw_queued_call(struct bl_queue_entry *entry);
 /*
- * gw_count_call(call), gw_count_end(call, served): the call belongs to a pool
+ * gw_count_call(call), gw_count_end(call, reason): the call belongs to a pool
  * now, and it ends.
  */
 void gw_count_call(struct gw_call *call);
-void gw_count_end(struct gw_call *call, bool served);
+void gw_count_end(struct gw_call *call, enum gw_reason reason);
 /* gw_dispatch_after(pool, ms): places the waiting calls again by then. */
 void gw_dispatch_after(struct gw_pool *pool, uint64_t ms);
 /* gw_schedule_dispatch(pool): places the waiting calls again in a few ms. */
--- a/lib/gateway/placement.c
+++ b/lib/gateway/placement.c
@@ -17,7 +17,6 @@
 #define PROBE_ROUNDS_MAX 2
 /* Waiting calls are placed again at least at this interval. */
 #define DISPATCH_INTERVAL_MS 10
-#define WAITING_MAX 512 /* per pool and VM */
 
 static void
 remove_from_list(struct gw_call **at, const struct gw_call *call)
@@ -51,17 +50,19 @@
 	};
 	/* Callers compete for capacity where they are tenants. */
 	call->pool->queue.by_cost = call->table->has_tenants;
-	bl_queue_arrived(&call->pool->queue, &call->queued, call->received_us);
+	bl_queue_arrived(&call->pool->queue, &call->queued, cs_now_us());
 }
 
 void
-gw_count_end(struct gw_call *call, bool served)
+gw_count_end(struct gw_call *call, enum gw_reason reason)
 {
+	bool answered = reason == GW_ANSWERED;
 	int64_t now_us = cs_now_us();
 
 	if (call->pool != NULL && call->queued.received_us != 0)
 		bl_queue_ended(&call->pool->queue, &call->queued,
-		    served ? now_us - call->started_us : 0, now_us);
+		    answered || reason == GW_TARGET_FAILED,
+		    answered ? now_us - call->started_us : 0, now_us);
 }
 
 static void
@@ -239,8 +240,8 @@
 	    (long long)call->waited_us, (long long)placement->retry_after_us);
 }
 
-void
-gw_place(struct gw_call *call, struct bl_placement *out)
+static void
+place(struct gw_call *call, bool may_wait, struct bl_placement *out)
 {
 	struct gw_pool *pool = call->pool;
 	struct bl_request request = {
@@ -249,7 +250,9 @@
 	    .deadline_us = call->deadline_us,
 	    .may_probe = call->probe_rounds<PROBE_ROUNDS_MAX,
 		.probes_pending = call->probes_pending> 0,
-	    .may_wait = pool->queue.count < WAITING_MAX,
+	    .may_wait =
+		may_wait && bl_queue_has_room(&pool->queue, &call->queued,
+				pool->balance, cs_now_us()),
 	    .waiting_calls = pool->queue.count,
 	    .calls_ahead = call->state == GW_CALL_WAITING
 			       ? 0 /* only the first is placed */
@@ -265,6 +268,7 @@
 	if (call->gw->params.limit_cold_targets)
 		gw_void_after_pause(call->gw);
 	call->queued.excluded_data_centres = call->excluded_data_centres;
+	call->queued.was_tried = call->tried_count > 0;
 	bl_queue_fill_request(&pool->queue, &call->queued, pool->balance,
 	    refill_probes(pool), &request);
 	bl_place(call->gw->params.topology, pool->balance, &request, out);
@@ -272,6 +276,12 @@
 		gw_ask_permit(call->gw, out->ask, out->ask_wait_max_us);
 }
 
+void
+gw_place(struct gw_call *call, struct bl_placement *out)
+{
+	place(call, true, out);
+}
+
 bool
 gw_must_queue(const struct gw_call *call)
 {
@@ -305,6 +315,15 @@
 	gw_place(call, out);
 }
 
+void
+gw_place_displaced(struct gw_call *call, struct bl_placement *out)
+{
+	gw_dequeue(call);
+	call->probe_rounds = PROBE_ROUNDS_MAX;
+	call->queued.probed_us = cs_now_us();
+	place(call, false, out);
+}
+
 bool
 gw_probe_settled(struct gw_call *call, const struct bl_target *target,
     struct bl_placement *placement)
@@ -316,7 +335,8 @@
 			call->probed_targets[i] =
 			    call->probed_targets[--call->probes_pending];
 			gw_place(call, placement);
-			return placement->verdict != BL_PROBE;
+			return placement->verdict != BL_PROBE ||
+			       call->probes_pending == 0;
 		}
 	}
 	return false;
--- a/tests/unit/overload_sim.c
+++ b/tests/unit/overload_sim.c
@@ -178,7 +178,7 @@
 	leave_queue(simulation, call);
 	if (simulation->order == ORDER_COST)
 		bl_queue_ended(&simulation->vms[call->vm].queue, &call->entry,
-		    0, simulation->now_us);
+		    false, 0, simulation->now_us);
 	if (simulation->load->retries_at_once)
 		retry_after_us = 0;
 	if (call->attempts == 2 || left_us <= 0) {
@@ -281,7 +281,9 @@
 	struct vm *vm = &simulation->vms[call->vm];
 	struct bl_request request = {
 	    .now_us = simulation->now_us,
-	    .objective_us = call->entry.objective_us,
+	    .objective_us =
+		call->entry.received_us +
+		simulation->load->kinds[call->kind].objective_ms * MS,
 	    .deadline_us = call->entry.deadline_us,
 	    .may_probe = may_probe,
 	    .may_wait = true,
@@ -291,6 +293,8 @@
 	};
 
 	memcpy(request.tried, call->tried, sizeof(request.tried));
+	call->entry.was_tried =
+	    simulation->order == ORDER_COST && call->tried_count > 0;
 	if (simulation->order == ORDER_COST)
 		bl_queue_fill_request(&vm->queue, &call->entry, vm->pool,
 		    vm->probe_tokens / vm->probe_tokens_max, &request);
@@ -418,7 +422,7 @@
 			ask_placement(simulation, call, false, &out);
 		}
 		if (out.verdict == BL_WAIT) {
-			bl_queue_block(&scan, &call->entry);
+			bl_queue_block(&vm->queue, &scan, &call->entry);
 			continue;
 		}
 		if (out.verdict == BL_SEND)
@@ -538,7 +542,8 @@
 		return false;
 	}
 	ask_placement(simulation, call, false, &out);
-	if (!bl_may_have_dropped(target) || out.verdict != BL_SEND)
+	if (!bl_may_have_dropped(target, call->started_us) ||
+	    out.verdict != BL_SEND)
 		return false;
 	if (call->queued)
 		simulation->targets[call->target].queued--;
@@ -596,8 +601,8 @@
 	bl_request_ended(bl_target, BL_SERVED, took_us, simulation->now_us);
 	bl_queue_heard(&vm->queue, &report, simulation->now_us);
 	if (simulation->order == ORDER_COST)
-		bl_queue_ended(
-		    &vm->queue, &call->entry, took_us, simulation->now_us);
+		bl_queue_ended(&vm->queue, &call->entry, true, took_us,
+		    simulation->now_us);
 	count_end(simulation, call, true, false);
 	call->state = FREE;
 	vm->dispatch_us = simulation->now_us;
