--- a/tests/scenario/rig.py
+++ b/tests/scenario/rig.py
@@ -2,10 +2,13 @@
 
 Scenarios use `with Rig(...) as rig` and wait for conditions, never for sleeps
 alone. Leaving the block stops every process that it started, by process id.
+Where RIG_KEEP names a folder, entry VMs write traces, and a scenario that fails
+leaves its files there.
 """
 import http.client
 import json
 import os
+import shutil
 import signal
 import subprocess
 import tempfile
@@ -14,6 +17,7 @@
 BUILD = os.environ.get("BUILD_DIR", "build")
 PROGRAM = os.path.join(BUILD, "chervilshelf")
 STANDIN = os.path.join(BUILD, "tests", "standin")
+KEEP = os.environ.get("RIG_KEEP")
 
 
 def request(address, method, path, body=None, headers=None, timeout=20):
@@ -75,12 +79,15 @@
     def __enter__(self):
         return self
 
-    def __exit__(self, *unused):
+    def __exit__(self, error_type, *unused):
         for process in self.processes:
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
                 process.kill()
             process.wait()
+        if KEEP and error_type:
+            shutil.copytree(self.folder.name, os.path.join(
+                KEEP, os.path.basename(self.folder.name)))
         self.folder.cleanup()
 
     def start_process(self, command, log=None):
@@ -103,12 +110,13 @@
         index = len(self.processes)
         region = region or self.regions[index % len(self.regions)]
         log = os.path.join(self.folder.name, "%s-%d.log" % (name, index))
+        trace = ["--trace", log[:-len("log")] + "trace"] if KEEP else []
         process, line = self.start_process(
             [PROGRAM, "entry", "--name", name, "--data-centre", region + "1",
              "--region", region, "--listen", "127.0.0.1:0",
              "--peer-listen", "127.0.0.1:0", "--admin-listen", "127.0.0.1:0",
-             "--platform", "http://" + self.platform, *self.entry_options,
-             *options], log)
+             "--platform", "http://" + self.platform, *trace,
+             *self.entry_options, *options], log)
         return EntryVm(process, line, name, log)
 
     def config(self, **changes):
