tests: the ideal order, and three more loads of overload

Missing were an upper bound for the orders, callers that move to the VMs of another data centre or region, targets that are replaced one after the other during a burst, and callers that return at the Retry-After, several times.

ORDER_IDEAL is one queue for all VMs that knows the work of each call and the state of each target.

--- a/tests/unit/overload_sim.h
+++ b/tests/unit/overload_sim.h
@@ -50,6 +50,10 @@
 	double hot_factor;     /* on the calls of tenant 0 */
 	bool retries_at_once;  /* callers ignore Retry-After */
 	bool restarts;	       /* all VMs, when the overload begins */
+	bool one_region;       /* its data centres are 1 ms apart */
+	bool callers_move;     /* from one data centre's VMs to another's */
+	bool replaces_targets; /* one after the other; they are cold then */
+	bool callers_return;   /* at the Retry-After, several times */
 	bool is_unresponsive;  /* targets drop what they cannot queue */
 	uint32_t target_queue; /* requests that wait at a target */
 	/* Bounds with lib/balance/queue.c, during the overload. */
@@ -62,6 +66,7 @@
 	ORDER_PRIORITY,
 	ORDER_DEADLINE, /* the earliest one that can still be met */
 	ORDER_COST,
+	ORDER_IDEAL, /* see overload_ideal.c */
 	ORDERS
 };
 
@@ -72,8 +77,9 @@
 	struct bl_queue_entry entry;
 	uint32_t kind, tenant, vm, target, attempts;
 	uint32_t probe_rounds;
-	int64_t first_us;  /* sent by the caller */
-	int64_t resume_us; /* PROBING, AWAY */
+	int64_t first_us;   /* sent by the caller */
+	int64_t refused_us; /* for the first time; 0: not refused */
+	int64_t resume_us;  /* PROBING, AWAY */
 	int64_t started_us;
 	int64_t overdue_us; /* looked at again */
 	double work_left_us;
@@ -103,6 +109,17 @@
 	double refused_after_ms;
 };
 
+#define RETURN_ATTEMPTS 4
+#define RETURN_BIN_MS 100
+
+/* Calls that were refused during the overload and came back. */
+struct returns {
+	uint32_t calls, served; /* attempts after the first one */
+	uint32_t bins[DURATION_MS / RETURN_BIN_MS];
+	/* By the half of the overload in which they were first refused. */
+	uint32_t refused[2], served_at_last[2];
+};
+
 struct simulation {
 	const struct load_case *load;
 	enum order order;
@@ -118,6 +135,7 @@
 	double worth[DURATION_MS / 1000], worth_max[DURATION_MS / 1000];
 	double tenant_weights[TENANTS_MAX];
 	double busy_ms, free_ms; /* of slots, during the overload */
+	struct returns returns;
 	uint32_t probes;
 	uint32_t sent, abandoned;
 };
@@ -126,4 +144,18 @@
 void overload_simulate(struct simulation *simulation,
     const struct load_case *load, enum order order, uint64_t seed);
 
+/* overload_is_on(simulation, time_us): it is the time of the overload. */
+bool overload_is_on(const struct simulation *simulation, int64_t time_us);
+/* overload_update_targets(simulation): sets which are there, and how fast. */
+void overload_update_targets(struct simulation *simulation);
+uint32_t overload_choose_tenant(struct simulation *simulation, bool overload);
+uint32_t overload_choose_vm(struct simulation *simulation);
+/* overload_dispatch_ideal(simulation): one step of ORDER_IDEAL. */
+void overload_dispatch_ideal(struct simulation *simulation);
+/* overload_draw_work(simulation, call): the time that it takes at a target. */
+void overload_draw_work(struct simulation *simulation, struct call *call);
+/* overload_refuse(simulation, call, retry_after_us) */
+void overload_refuse(
+    struct simulation *simulation, struct call *call, int64_t retry_after_us);
+
 #endif
