balance: while targets are full, every other probe asks other data centres

A VM probes the targets of its own data centre as long as the report of one of them is old. With 33 targets there and a few probes a second that is always so: it heard nothing of the others, took them for as full as its own, and its callers were refused while others were idle.

Where targets are full and none that is known has room, every other round of probes asks the other data centres of the region.

--- a/lib/balance/place.c
+++ b/lib/balance/place.c
@@ -77,6 +77,25 @@
 		out->probes[out->probe_count++] = list->entries[i].target;
 }
 
+static bool
+is_congested(const struct bl_request *request)
+{
+	return request->worth > 0.0 && request->congestion >= BL_CONGESTED_MIN;
+}
+
+/*
+ * Targets of the other data centres that this VM does not use look as full to
+ * it as those that it knows, and stay idle while its callers are refused. Where
+ * none has room, every other round of probes asks them.
+ */
+static bool
+probes_region_first(
+    const struct bl_selection *selection, const struct bl_request *request)
+{
+	return is_congested(request) && selection->best.target == NULL &&
+	       selection->region.count > 0 && request->tie_breaker % 2 == 0;
+}
+
 /* Returns the targets to probe before deciding, or NULL. */
 static const struct bl_stale_list *
 list_to_probe(
@@ -84,6 +103,8 @@
 {
 	if (!request->may_probe)
 		return NULL;
+	if (probes_region_first(selection, request))
+		return &selection->region;
 	if (selection->nearest.count > 0 &&
 	    selection->nearest_rtt_us * PROBE_ROUND_TRIPS <=
 		(request->objective_us - request->now_us) / PROBE_PART)
@@ -115,12 +136,6 @@
 	out->retry_after_us = wait_us;
 }
 
-static bool
-is_congested(const struct bl_request *request)
-{
-	return request->worth > 0.0 && request->congestion >= BL_CONGESTED_MIN;
-}
-
 static void
 refuse(const struct bl_selection *selection, const struct bl_request *request,
     const char *reason, struct bl_placement *out)
--- a/tests/unit/overload_sim.c
+++ b/tests/unit/overload_sim.c
@@ -259,6 +259,23 @@
 	return sent;
 }
 
+/* Returns the time of the way to the farthest target that is probed. */
+static int64_t
+farthest_us(const struct vm *vm, const struct bl_placement *placement)
+{
+	int64_t rtt_us, max_us = 0;
+	uint32_t i;
+
+	for (i = 0; i < placement->probe_count; i++) {
+		rtt_us =
+		    vm->topology.data_centres[placement->probes[i]->data_centre]
+			.rtt_us;
+		if (rtt_us > max_us)
+			max_us = rtt_us;
+	}
+	return max_us > PROBE_US ? max_us : 0;
+}
+
 static void
 ask_placement(struct simulation *simulation, struct call *call, bool may_probe,
     struct bl_placement *out)
@@ -365,7 +382,8 @@
 		call->entry.probed_us = simulation->now_us;
 		if (send_probes(simulation, vm, &out)) {
 			call->state = PROBING;
-			call->resume_us = simulation->now_us + PROBE_US;
+			call->resume_us = simulation->now_us + PROBE_US +
+					  farthest_us(vm, &out);
 			return;
 		}
 		ask_placement(simulation, call, false, &out);
--- a/tests/unit/test_overload.c
+++ b/tests/unit/test_overload.c
@@ -142,7 +142,7 @@
 	.callers_move = true,
 	.target_queue = 2,
 	.first_gain_min = 0.03,
-	.worth_gain_min = 0.03},
+	.worth_gain_min = 0.1},
     {.name = "callers of a region move",
 	LARGE_SERVICE,
 	.overload_ms = 5000,
