where: a key that is given by mistake is not printed

An address that cannot be parsed was printed as the VM that gives no answer, and an unknown option as it was given, with its value: a key in either place went to the terminal and its logs.

--vm that is no address is an error of use (exit code 2) that names the form, and of an unknown option only the name is printed.

--- a/programs/settings.c
+++ b/programs/settings.c
@@ -140,6 +140,17 @@
 	return CS_OK;
 }
 
+/* GLib repeats an unknown option as it was given, with its value. */
+static void
+print_parse_error(const char *message)
+{
+	size_t length = strlen(message);
+
+	if (g_str_has_prefix(message, "Unknown option"))
+		length = strcspn(message, "=");
+	fprintf(stderr, "chervilshelf: %.*s\n", (int)length, message);
+}
+
 int
 st_parse(const struct st_command *command, int argc, char **argv,
     const char **positionals)
@@ -155,7 +166,7 @@
 	g_option_context_add_main_entries(context, entries, NULL);
 	g_set_prgname(command->name);
 	if (!g_option_context_parse(context, &argc, &argv, &error)) {
-		fprintf(stderr, "chervilshelf: %s\n", error->message);
+		print_parse_error(error->message);
 		g_error_free(error);
 		g_option_context_free(context);
 		return CS_E_INVALID;
--- a/programs/where.c
+++ b/programs/where.c
@@ -113,6 +113,11 @@
 	json_t *root;
 	char *text;
 
+	/* What was given may be a key, by mistake. */
+	if (response->error == CS_E_INVALID) {
+		fprintf(stderr, "chervilshelf: --vm: IPV4:PORT is needed\n");
+		return ST_EXIT_USAGE;
+	}
 	if (response->error != CS_OK && response->error != CS_E_MISSING) {
 		fprintf(stderr, "chervilshelf: no answer from %s\n", o->vm);
 		return ST_EXIT_REFUSED;
