--- a/tests/scenario/test_gateway_where.py
+++ b/tests/scenario/test_gateway_where.py
@@ -14,7 +14,8 @@
 METRICS_PORT = 9464
 KEY = "key-that-nobody-sees"
 ROUTES = [("/any/", "safe", "a"), ("/far/", "safe", "a"), ("/nowhere/", "safe", "a"),
-          ("/open/", "unsafe", "a"), ("/empty/", "safe", "none")]
+          ("/open/", "unsafe", "a"), ("/empty/", "safe", "none"),
+          ("/near/", "safe", "a")]
 
 
 async def run_command(*arguments):
@@ -104,6 +105,17 @@
         assert part in out, (part, out)
 
 
+async def explains_a_refusal(cluster):
+    """The output in docs/OPERATIONS.md: the only allowed region is evacuated."""
+    assert await call(cluster, "/near/x") == (503, None)
+    code, out, _ = await where(cluster, "/near/x", "--tenant", "acme")
+    print(out)
+    assert code == 0
+    for part in ("refused:  status=503 why=no_target", "not now: evacuated",
+                 "not now: not_allowed"):
+        assert part in out, (part, out)
+
+
 async def has_no_effect(cluster):
     runs = sum(t.runs for t in cluster.targets)
     before = await counters(cluster)
@@ -139,7 +151,7 @@
     cluster.targets = [t for t in cluster.targets if t.pool == "a"]
     for target in cluster.targets[2:]:
         target.zone = "z2"
-    cluster.allowed_regions = {"/far/": ["r2"], "/nowhere/": ["r9"]}
+    cluster.allowed_regions = {"/far/": ["r2"], "/nowhere/": ["r9"], "/near/": ["r1"]}
     cluster.tenants, cluster.exempt = {"acme": [KEY]}, ("/open/",)
     cluster.put_config(ROUTES)
     try:
@@ -147,7 +159,7 @@
         await cluster.wait_until(cluster.all_ready, 15, "the VM is ready")
         for step in (answers_as_requests_go, says_why_not,
                      answers_with_the_one_candidate, follows_an_evacuation,
-                     has_no_effect, refuses_what_it_does_not_know):
+                     explains_a_refusal, has_no_effect, refuses_what_it_does_not_know):
             await step(cluster)
             print(step.__name__)
     finally:
