--- a/lib/gateway/gateway_internal.h
+++ b/lib/gateway/gateway_internal.h
@@ -269,6 +269,22 @@
 void gw_respond(struct gw_call *call, enum bl_step step,
     enum bl_outcome outcome, const struct h1_message *response);
 
+/* waits.c: the lists in which calls wait */
+/*
+ * gw_count_call(call), gw_count_end(call, reason): the call belongs to a pool
+ * now, and it ends.
+ */
+void gw_count_call(struct gw_call *call);
+void gw_count_end(struct gw_call *call, enum gw_reason reason);
+/* gw_dispatch_after(pool, ms): places the waiting calls again by then. */
+void gw_dispatch_after(struct gw_pool *pool, uint64_t ms);
+/* gw_schedule_dispatch(pool): places the waiting calls again in a few ms. */
+void gw_schedule_dispatch(struct gw_pool *pool);
+/*
+ * gw_dequeue(call): removes the call from the list in which it waits, if any.
+ */
+void gw_dequeue(struct gw_call *call);
+
 /* placement.c: selection of a target, probes, and the wait queue */
 /*
  * gw_place(call, out): asks lib/balance for a placement, and for the permit
@@ -311,20 +327,6 @@
 void gw_enqueue(struct gw_call *call);
 /* gw_queued_call(entry): the call that the entry is part of, or NULL. */
 struct gw_call *gw_queued_call(struct bl_queue_entry *entry);
-/*
- * gw_count_call(call), gw_count_end(call, reason): the call belongs to a pool
- * now, and it ends.
- */
-void gw_count_call(struct gw_call *call);
-void gw_count_end(struct gw_call *call, enum gw_reason reason);
-/* gw_dispatch_after(pool, ms): places the waiting calls again by then. */
-void gw_dispatch_after(struct gw_pool *pool, uint64_t ms);
-/* gw_schedule_dispatch(pool): places the waiting calls again in a few ms. */
-void gw_schedule_dispatch(struct gw_pool *pool);
-/*
- * gw_dequeue(call): removes the call from the list in which it waits, if any.
- */
-void gw_dequeue(struct gw_call *call);
 void gw_log_refusal(
     const struct gw_call *call, const struct bl_placement *placement);
 
@@ -418,8 +420,6 @@
  * try it. Returns false if the call may be sent.
  */
 bool gw_stop_suspect(struct gw_call *call);
-/* gw_end_trial(call): the call ends; another trial may follow. */
-void gw_end_trial(struct gw_call *call);
 /* gw_excuse(call): a target ran the request of the call and responded. */
 void gw_excuse(struct gw_call *call);
 
--- a/lib/gateway/placement.c
+++ b/lib/gateway/placement.c
@@ -15,17 +15,6 @@
 #define PROBE_WAIT_MS 12
 /* First in this VM's data centre, then in the others of the region. */
 #define PROBE_ROUNDS_MAX 2
-/* Waiting calls are placed again at least at this interval. */
-#define DISPATCH_INTERVAL_MS 10
-
-static void
-remove_from_list(struct gw_call **at, const struct gw_call *call)
-{
-	while (*at != NULL && *at != call)
-		at = &(*at)->next;
-	if (*at == call)
-		*at = call->next;
-}
 
 struct gw_call *
 gw_queued_call(struct bl_queue_entry *entry)
@@ -36,35 +25,6 @@
 					offsetof(struct gw_call, queued));
 }
 
-void
-gw_count_call(struct gw_call *call)
-{
-	call->queued = (struct bl_queue_entry){
-	    .kind = call->route->hash,
-	    .tenant = call->tenant == NULL ? 0 : call->tenant->hash,
-	    .priority = call->priority,
-	    .received_us = call->received_us,
-	    .objective_us = call->received_us + call->objective_us,
-	    .deadline_us = call->deadline_us,
-	    .excluded_data_centres = call->excluded_data_centres,
-	};
-	/* Callers compete for capacity where they are tenants. */
-	call->pool->queue.by_cost = call->table->has_tenants;
-	bl_queue_arrived(&call->pool->queue, &call->queued, cs_now_us());
-}
-
-void
-gw_count_end(struct gw_call *call, enum gw_reason reason)
-{
-	bool answered = reason == GW_ANSWERED;
-	int64_t now_us = cs_now_us();
-
-	if (call->pool != NULL && call->queued.received_us != 0)
-		bl_queue_ended(&call->pool->queue, &call->queued,
-		    answered || reason == GW_TARGET_FAILED,
-		    answered ? now_us - call->started_us : 0, now_us);
-}
-
 static void
 begin_wait(struct gw_call *call, enum gw_call_state state)
 {
@@ -72,34 +32,6 @@
 	call->wait_from_us = cs_now_us();
 }
 
-void
-gw_dequeue(struct gw_call *call)
-{
-	uv_timer_stop(&call->step_timer);
-	switch (call->state) {
-	case GW_CALL_WAITING:
-		bl_queue_remove(&call->pool->queue, &call->queued);
-		break;
-	case GW_CALL_PROBING:
-		remove_from_list(&call->pool->awaiting_probes, call);
-		break;
-	case GW_CALL_HELD:
-		remove_from_list(&call->gw->held, call);
-		call->gw->held_count--;
-		break;
-	case GW_CALL_AWAITING_QUOTA:
-		gw_dequeue_from_quota(call);
-		break;
-	case GW_CALL_FREE:
-	case GW_CALL_PLACING:
-	case GW_CALL_SENT:
-		call->state = GW_CALL_PLACING;
-		return;
-	}
-	call->waited_us += cs_now_us() - call->wait_from_us;
-	call->state = GW_CALL_PLACING;
-}
-
 /*
  * Adds the probes of this VM's share of the rate allowed for the pool, of one
  * second at most. Returns the share of that second that is left.
@@ -183,29 +115,6 @@
 	return true;
 }
 
-static void
-on_dispatch_due(uv_timer_t *timer)
-{
-	struct gw_pool *pool = timer->data;
-
-	pool->gw->callbacks->dispatch_waiting(pool);
-}
-
-void
-gw_dispatch_after(struct gw_pool *pool, uint64_t ms)
-{
-	if (!uv_is_active((uv_handle_t *)&pool->dispatch_timer) ||
-	    uv_timer_get_due_in(&pool->dispatch_timer) > ms)
-		uv_timer_start(&pool->dispatch_timer, on_dispatch_due, ms, 0);
-}
-
-void
-gw_schedule_dispatch(struct gw_pool *pool)
-{
-	if (pool->queue.first != NULL)
-		gw_dispatch_after(pool, DISPATCH_INTERVAL_MS);
-}
-
 void
 gw_enqueue(struct gw_call *call)
 {
--- a/lib/gateway/response.c
+++ b/lib/gateway/response.c
@@ -46,6 +46,16 @@
 	call->tried_count = 0;
 }
 
+/* Another trial may follow. */
+static void
+end_trial(struct gw_call *call)
+{
+	if (call->is_claiming)
+		bl_poison_tried(
+		    &call->gw->poison, call->fingerprint, cs_now_us());
+	call->is_claiming = false;
+}
+
 void
 gw_call_end(struct gw_call *call, int status, enum gw_reason reason)
 {
@@ -53,7 +63,7 @@
 	int64_t took_us = cs_now_us() - call->received_us;
 
 	gw_dequeue(call);
-	gw_end_trial(call);
+	end_trial(call);
 	gw_count_tenant(call, status, reason);
 	gw_count_end(call, reason);
 	gw->counters.ended[reason]++;
--- a/lib/gateway/suspects.c
+++ b/lib/gateway/suspects.c
@@ -132,15 +132,6 @@
 	    &gw->poison, fingerprint, ticket, cs_now_us());
 }
 
-void
-gw_end_trial(struct gw_call *call)
-{
-	if (call->is_claiming)
-		bl_poison_tried(
-		    &call->gw->poison, call->fingerprint, cs_now_us());
-	call->is_claiming = false;
-}
-
 static void
 tell_excuse(void *arg, const struct bl_crash *crash)
 {
