config, store: no circular dependencies between files

config.c and parse.c used each other for the references of a configuration, and client.c, call.c, follow.c and prove.c for listing a kind, or all kinds in a new era, again.

cf_ref() and cf_unref() moved to parse.c, which creates configurations; os_client_relist() moved to follow.c; the client gives call.c its function for a new era as a pointer.

--- a/lib/config/config.c
+++ b/lib/config/config.c
@@ -250,21 +250,6 @@
 	return text.bytes;
 }
 
-void
-cf_ref(struct cf_config *config)
-{
-	cs_ref_take(&config->ref);
-}
-
-void
-cf_unref(struct cf_config *config)
-{
-	if (config == NULL || !cs_ref_drop(&config->ref))
-		return;
-	json_decref(config->document);
-	free(config);
-}
-
 uint64_t
 cf_version(const struct cf_config *config)
 {
--- a/lib/config/parse.c
+++ b/lib/config/parse.c
@@ -423,6 +423,21 @@
 	return CS_OK;
 }
 
+void
+cf_ref(struct cf_config *config)
+{
+	cs_ref_take(&config->ref);
+}
+
+void
+cf_unref(struct cf_config *config)
+{
+	if (config == NULL || !cs_ref_drop(&config->ref))
+		return;
+	json_decref(config->document);
+	free(config);
+}
+
 int
 cf_from_json(json_t *document, char error_text[CF_ERROR_BYTES_MAX],
     struct cf_config **out)
--- a/lib/store/call.c
+++ b/lib/store/call.c
@@ -49,7 +49,7 @@
 	call->exchange = NULL;
 	if (era > client->era) {
 		client->era = era;
-		if (client->responded && os_client_restart(client, call))
+		if (client->responded && client->restart(client, call))
 			return;
 	} else if (era < client->era && status != OS_NO_RESPONSE) {
 		status = OS_STATUS_OLD_ERA;
--- a/lib/store/client.c
+++ b/lib/store/client.c
@@ -177,6 +177,27 @@
 	announce(client);
 }
 
+/* Lists all kinds again, in a new era. */
+static bool
+restart(struct os_client *client, const struct os_call *call)
+{
+	bool replaced = false;
+	uint32_t i;
+
+	client->params.events->on_restored(client->params.user, client->era);
+	client->checked = NULL;
+	for (i = 0; i < client->params.kind_count; i++) {
+		struct os_follow *follow = &client->follows[i];
+
+		os_follow_stop(follow);
+		follow->revision = 0;
+		replaced |= call == &follow->call;
+	}
+	if (client->following || client->list_once)
+		start_follows(client);
+	return replaced;
+}
+
 int
 os_client_create(const struct os_params *params, struct os_client **out)
 {
@@ -186,6 +207,7 @@
 	if (client == NULL)
 		return CS_E_SYSTEM;
 	client->params = *params;
+	client->restart = restart;
 	client->http = h1_client_create(params->loop);
 	if (client->http == NULL) {
 		free(client);
@@ -238,35 +260,6 @@
 	client->reachable = false;
 }
 
-void
-os_client_relist(struct os_client *client, uint32_t kind)
-{
-	os_follow_stop(&client->follows[kind]);
-	client->follows[kind].revision = 0;
-	if (client->following)
-		os_follow_start(&client->follows[kind]);
-}
-
-bool
-os_client_restart(struct os_client *client, const struct os_call *call)
-{
-	bool replaced = false;
-	uint32_t i;
-
-	client->params.events->on_restored(client->params.user, client->era);
-	client->checked = NULL;
-	for (i = 0; i < client->params.kind_count; i++) {
-		struct os_follow *follow = &client->follows[i];
-
-		os_follow_stop(follow);
-		follow->revision = 0;
-		replaced |= call == &follow->call;
-	}
-	if (client->following || client->list_once)
-		start_follows(client);
-	return replaced;
-}
-
 bool
 os_client_is_current(const struct os_client *client)
 {
--- a/lib/store/follow.c
+++ b/lib/store/follow.c
@@ -293,3 +293,12 @@
 	os_batch_free(&follow->list);
 	uv_close((uv_handle_t *)&follow->delay_timer, NULL);
 }
+
+void
+os_client_relist(struct os_client *client, uint32_t kind)
+{
+	os_follow_stop(&client->follows[kind]);
+	client->follows[kind].revision = 0;
+	if (client->following)
+		os_follow_start(&client->follows[kind]);
+}
--- a/lib/store/store_internal.h
+++ b/lib/store/store_internal.h
@@ -14,8 +14,8 @@
 	struct h1_exchange *exchange; /* NULL: none pending */
 	/*
 	 * With OS_NO_RESPONSE the call may or may not have had an effect. Not
-	 * called with a response that begins a new era, if os_client_restart()
-	 * replaces the call.
+	 * called with a response that begins a new era, if restart() of the
+	 * client replaces the call.
 	 */
 	void (*done)(
 	    struct os_call *call, int status, const struct os_text *body);
@@ -46,6 +46,11 @@
 };
 
 struct os_client {
+	/*
+	 * For call.c: lists all kinds again, in a new era. Returns true if the
+	 * call is one of those that this replaces.
+	 */
+	bool (*restart)(struct os_client *client, const struct os_call *call);
 	struct os_params params;
 	struct h1_client *http;
 	struct os_follow follows[OS_KINDS_MAX];
@@ -82,13 +87,6 @@
 /* prove.c */
 void os_proof_init(struct os_client *client);
 
-/* client.c */
-/*
- * os_client_restart(client, call): lists all kinds again, in a new era. Returns
- * true if the call is one of those that this replaces.
- */
-bool os_client_restart(struct os_client *client, const struct os_call *call);
-
 /* call.c */
 /* os_backoff_ms(client, failures): delay before the next retry, with jitter. */
 uint32_t os_backoff_ms(struct os_client *client, uint32_t failures);
