gateway: only where calls are weighed by cost does a call displace another

A call that has to queue behind a more urgent one is added even when the queue is full. Without tenants the last call was then placed at once, ahead of those that go first, which was not so before.

A queue without tenants grows by such calls, as before. test_gateway and test_placement pass with the sanitizers.

--- a/lib/gateway/call.c
+++ b/lib/gateway/call.c
@@ -100,7 +100,8 @@
 		break;
 	case BL_WAIT:
 		gw_enqueue(call);
-		if (call->pool->queue.count > BL_QUEUE_WAITING_MAX)
+		if (call->pool->queue.by_cost &&
+		    call->pool->queue.count > BL_QUEUE_WAITING_MAX)
 			displace_last(call->pool);
 		break;
 	case BL_REFUSE:
