tests: crowds of slow clients against `chervilshelf entry`

`entry` passes responses on with back-pressure, but nothing bounds what all its connections hold together.

--- a/tests/scenario/crowd.py
+++ b/tests/scenario/crowd.py
@@ -74,32 +74,17 @@
             settings.write(text)
 
 
-class Crowd:
-    """One gateway with low limits, two targets, and slow clients."""
+class Clients:
+    """Slow clients; their sockets are closed at the end."""
 
-    def __init__(self, vm_count=1, **gateway):
-        self.cluster = standin.Cluster(BINARY, vm_count=vm_count, pools=("a",),
-                                       targets=2)
-        for target in self.cluster.targets:
-            target.__class__, target.slots = Target, 64
-        for vm in self.cluster.vms:
-            vm.__class__ = Gateway
-            vm.__dict__.update(gateway)
-        self.vm = self.cluster.vms[0]
+    def __init__(self):
         self.sockets = []
 
-    async def __aenter__(self):
-        self.cluster.put_config([("/read/", "safe", "a"), ("/write/", "unsafe", "a")])
-        await self.cluster.start()
-        await self.cluster.wait_until(self.cluster.all_ready, 15, "every VM is ready")
-        return self
-
-    async def __aexit__(self, *unused):
+    def close(self):
         for client in self.sockets:
             client.close()
-        await self.cluster.stop()
 
-    async def connect(self, port=standin.FRONT_PORT, host=None):
+    async def connect_to(self, host, port):
         """Connects with a small receive buffer; None if that is refused."""
         client = socket.socket()
         client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
@@ -107,7 +92,7 @@
         self.sockets.append(client)
         try:
             await asyncio.wait_for(asyncio.get_running_loop().sock_connect(
-                client, (host or self.vm.host, port)), 2)
+                client, (host, port)), 2)
         except (OSError, asyncio.TimeoutError):
             return None
         return client
@@ -137,6 +122,34 @@
                 return
             await asyncio.sleep(pause_s)
 
+
+class Crowd(Clients):
+    """One gateway with low limits, two targets, and slow clients."""
+
+    def __init__(self, vm_count=1, **gateway):
+        super().__init__()
+        self.cluster = standin.Cluster(BINARY, vm_count=vm_count, pools=("a",),
+                                       targets=2)
+        for target in self.cluster.targets:
+            target.__class__, target.slots = Target, 64
+        for vm in self.cluster.vms:
+            vm.__class__ = Gateway
+            vm.__dict__.update(gateway)
+        self.vm = self.cluster.vms[0]
+
+    async def __aenter__(self):
+        self.cluster.put_config([("/read/", "safe", "a"), ("/write/", "unsafe", "a")])
+        await self.cluster.start()
+        await self.cluster.wait_until(self.cluster.all_ready, 15, "every VM is ready")
+        return self
+
+    async def __aexit__(self, *unused):
+        self.close()
+        await self.cluster.stop()
+
+    async def connect(self, port=standin.FRONT_PORT, host=None):
+        return await self.connect_to(host or self.vm.host, port)
+
     def peak_mb(self):
         with open("/proc/%d/status" % self.vm.process.pid) as status:
             return next(int(line.split()[1]) for line in status
--- /dev/null
+++ b/tests/scenario/test_slow_entry_readers.py
@@ -0,0 +1,84 @@
+"""Guards against an entry VM (`chervilshelf entry`) that runs out of memory, or
+refuses ordinary callers, when clients read responses slowly or not at all, also
+those of its directory and of its admin address."""
+import asyncio
+
+import crowd
+from entry_crowd import MB, EntryCrowd, flood, get
+
+SECONDS = 6
+
+
+async def readers(label, requests, clients, reads=True, returns=1):
+    """Clients that send all requests at once, and read slowly or nothing."""
+    async def client(c, number):
+        await asyncio.sleep(number * 0.005)
+        for _ in range(returns):
+            s = await c.connect()
+            if s is None or not await c.send(s, requests):
+                continue
+            if reads:
+                await c.read_slowly(s, SECONDS / returns)
+            else:
+                await asyncio.sleep(SECONDS / returns)
+            if returns > 1:
+                s.close()
+    async with EntryCrowd() as c:
+        await asyncio.gather(*(client(c, n) for n in range(clients)))
+        await c.check(label)
+
+
+async def reads_slowly():
+    await readers("long responses read slowly",
+                  get("/profiles/1?ms=1&size=1000000"), 350)
+
+
+async def reads_nothing():
+    await readers("clients that read nothing",
+                  get("/profiles/1?ms=1&size=1000000"), 350, reads=False)
+
+
+async def pipelined():
+    await readers("20 pipelined requests each",
+                  get("/profiles/1?ms=1&size=500000") * 20, 350)
+
+
+async def comes_back():
+    await readers("clients that leave and return",
+                  get("/profiles/1?ms=1&size=1000000"), 350, returns=3)
+
+
+async def directory_readers():
+    await flood("directory responses that are not read",
+                lambda n: get("/.chervilshelf/entries") * 16000, 12)
+
+
+async def admin_readers():
+    for path in "/metrics", "/report", "/targets":
+        await flood("%s that is not read" % path, lambda n: get(path) * 16000, 12,
+                    address=lambda vm: vm.admin)
+
+
+async def served_in_calm():
+    """What must hold for clients that read normally: long responses and bodies
+    come whole, several at once."""
+    async with EntryCrowd() as c:
+        loop = asyncio.get_running_loop()
+        size = 8 * MB
+        for _ in range(3):
+            replies = await asyncio.gather(*(loop.run_in_executor(
+                None, c.request, "GET", "/profiles/1?ms=1&size=%d" % size)
+                for _ in range(4)))
+            for status, _, body in replies:
+                assert status == 200 and len(body) == size, (status, len(body))
+        replies = await asyncio.gather(*(loop.run_in_executor(
+            None, c.request, "POST", "/letters/1?ms=1", b"b" * 4 * MB)
+            for _ in range(3)))
+        for status, _, body in replies:
+            assert status == 200 and b'"bytes":%d' % (4 * MB) in body, (status, body)
+        await c.check("long responses and bodies at once")
+
+
+if __name__ == "__main__":
+    crowd.main([reads_slowly, reads_nothing, pipelined, comes_back,
+                directory_readers, admin_readers, served_in_calm])
