entry: one byte budget for all buffers, and connections by descriptors

Each connection was limited, but not their sum: 256 KB of unsent output for each slow reader, 128 MB of bodies and a copy of each for its target, 64 KB of input behind a request, frames of 2 MB of anybody at the peer address, 8,192 connections whatever the VM has.

`entry` now uses the accounting of `gateway` (lib/base/memory.h, lib/h1/memory.c), from `--memory-mb` (512) and `--max-fds`. While half of the budget is in use, responses wait at their targets as soon as anything is unsent and are read 8 KB at a time. A connection that streams may be closed for others while its client does not read; its owner is told from the loop, since it runs the decision core. Bodies are no longer copied. Connections that do not name their VM are closed at the peer address.

--- a/lib/h1/client_conn.c
+++ b/lib/h1/client_conn.c
@@ -17,6 +17,8 @@
 #define OUT_BYTES_KEPT_MAX (16 * 1024)
 
 #define READ_BYTES_MAX (64 * 1024) /* the size that libuv suggests */
+/* Read at a time of a response that is passed on while memory is short. */
+#define READ_BYTES_SHORT (8 * 1024)
 
 struct h1_client_conn {
 	uv_tcp_t tcp; /* first field: handles are cast to connections */
@@ -25,6 +27,7 @@
 	struct h1_reader reader;
 	struct h1_bytes out;
 	struct h1_bytes borrowed; /* body that the owner holds; not freed */
+	const struct cs_memory *relay_memory;
 	const struct h1_client_conn_events *events;
 	void *owner;
 
@@ -95,10 +98,13 @@
 {
 	/* Shared by all connections: one loop reads one at a time. */
 	static char bytes[READ_BYTES_MAX];
+	const struct h1_client_conn *conn =
+	    (const struct h1_client_conn *)handle;
 
-	(void)handle;
 	(void)suggested;
-	*buffer = uv_buf_init(bytes, sizeof(bytes));
+	*buffer = uv_buf_init(bytes, cs_memory_is_short(conn->relay_memory)
+					 ? READ_BYTES_SHORT
+					 : sizeof(bytes));
 }
 
 /*
@@ -369,6 +375,7 @@
 
 	h1_reader_init(&conn->reader, HTTP_RESPONSE, params->limits);
 	conn->reader.memory = params->memory;
+	conn->relay_memory = params->relay_memory;
 	conn->borrows_body = params->borrows_body;
 	if (uv_tcp_init_ex(params->loop, &conn->tcp, AF_INET) != 0) {
 		free(conn);
--- a/lib/h1/conn.c
+++ b/lib/h1/conn.c
@@ -19,11 +19,23 @@
 	server->connection_count--;
 }
 
+/* The owner has not ended its call: tells it once that the client is gone. */
+static void
+report_disconnect(struct h1_conn *conn)
+{
+	if (conn->state != CONN_RESPONDING)
+		return;
+	conn->state = CONN_LINGERING;
+	conn->server->active_requests--;
+	conn->server->params.events->on_disconnect(conn);
+}
+
 static void
 on_closed(uv_handle_t *handle)
 {
 	struct h1_conn *conn = (struct h1_conn *)handle;
 
+	report_disconnect(conn);
 	h1_reader_free(&conn->reader);
 	h1_bytes_free(&conn->pipelined);
 	free(conn);
@@ -39,7 +51,7 @@
 }
 
 void
-h1_conn_close(struct h1_conn *conn)
+h1_conn_drop(struct h1_conn *conn)
 {
 	if (conn->closing)
 		return;
@@ -53,13 +65,18 @@
 	    conn->server->params.memory, CS_MEMORY_OUTPUT, conn->output_bytes);
 	conn->output_bytes = 0;
 	unlink_conn(conn);
-	if (conn->state == CONN_RESPONDING) {
-		conn->server->active_requests--;
-		conn->server->params.events->on_disconnect(conn);
-	}
 	uv_close((uv_handle_t *)&conn->tcp, on_closed);
 }
 
+void
+h1_conn_close(struct h1_conn *conn)
+{
+	if (conn->closing)
+		return;
+	h1_conn_drop(conn);
+	report_disconnect(conn);
+}
+
 void
 h1_conn_reset_on_close(struct h1_conn *conn, bool on)
 {
@@ -161,7 +178,7 @@
 		cs_memory_return(memory, CS_MEMORY_RESPONSES, taken_bytes);
 		h1_bytes_free(body);
 		h1_conn_reset_on_close(conn, true);
-		h1_conn_close(conn); /* the response would have a gap */
+		h1_conn_drop(conn); /* the response would have a gap */
 		return;
 	}
 	write = malloc(copied_bytes);
@@ -169,7 +186,7 @@
 		cs_memory_return(memory, CS_MEMORY_OUTPUT, copied_bytes);
 		cs_memory_return(memory, CS_MEMORY_RESPONSES, taken_bytes);
 		h1_bytes_free(body);
-		h1_conn_close(conn);
+		h1_conn_drop(conn);
 		return;
 	}
 	if (memory != NULL) {
@@ -188,7 +205,7 @@
 	if (uv_write(&write->request, (uv_stream_t *)&conn->tcp, buffers,
 		rest->len > 0 ? 2 : 1, on_written) != 0) {
 		release_write(conn, write);
-		h1_conn_close(conn);
+		h1_conn_drop(conn);
 	}
 }
 
--- a/lib/h1/h1.h
+++ b/lib/h1/h1.h
@@ -184,6 +184,11 @@
 	struct sockaddr_in address;
 	struct h1_limits limits;
 	struct cs_memory *memory; /* for responses; must outlive them */
+	/*
+	 * For an owner that passes responses on as they arrive: less is read at
+	 * a time while it is short. NULL: never.
+	 */
+	const struct cs_memory *relay_memory;
 	/*
 	 * A body that is sent is not copied: it stays valid and unchanged until
 	 * the response is complete or the connection is closed.
@@ -277,7 +282,10 @@
 	/* A request is complete. It gets one response, now or later. */
 	void (*on_request)(
 	    struct h1_conn *conn, const struct h1_message *request);
-	/* The connection closed before the response was complete. */
+	/*
+	 * The connection closed before the response was complete. What is sent
+	 * on it until then is discarded.
+	 */
 	void (*on_disconnect)(struct h1_conn *conn);
 	/* The queued part of a streamed response is written. May be NULL. */
 	void (*on_flushed)(struct h1_conn *conn);
--- a/lib/h1/h1_internal.h
+++ b/lib/h1/h1_internal.h
@@ -83,6 +83,12 @@
  * not complete yet.
  */
 void h1_conn_close(struct h1_conn *conn);
+/*
+ * h1_conn_drop(conn): the same, but on_disconnect() is called later, from the
+ * loop. For closes that the owner of the connection, or of another one, causes
+ * while it writes.
+ */
+void h1_conn_drop(struct h1_conn *conn);
 /*
  * h1_conn_linger(conn): ends the output; input is discarded until the client
  * closes or the time to linger is over.
--- a/lib/h1/memory.c
+++ b/lib/h1/memory.c
@@ -1,7 +1,8 @@
 /*
  * What connections of listeners hold, and which of them are closed when memory
  * or descriptors run short: the one that has held most for longest without
- * progress. A connection whose request is being processed is never chosen.
+ * progress. A connection whose request is being processed is never chosen, one
+ * that streams its response only while the client has not read what is queued.
  */
 #include <linux/sockios.h>
 #include <sys/ioctl.h>
@@ -46,7 +47,7 @@
 	/* The kernel drops its part too, and no response looks complete. */
 	if (h1_conn_unacked(conn) > 0)
 		h1_conn_reset_on_close(conn, true);
-	h1_conn_close(conn);
+	h1_conn_drop(conn);
 }
 
 bool
@@ -107,8 +108,10 @@
 static bool
 may_evict(const struct h1_conn *conn)
 {
-	return conn->state != CONN_RESPONDING && conn->busy == 0 &&
-	       !conn->closing;
+	if (conn->busy > 0 || conn->closing)
+		return false;
+	return conn->state != CONN_RESPONDING ||
+	       (conn->streaming && h1_conn_unsent(conn) > 0);
 }
 
 struct search {
--- a/lib/h1/response.c
+++ b/lib/h1/response.c
@@ -94,8 +94,10 @@
 				 ? response->body_of->body.length
 				 : response->body_length;
 
-	conn->busy++;
 	end_request(conn);
+	if (conn->closing)
+		return;
+	conn->busy++;
 	if (write_head(out, response->status, response->headers,
 		response->headers_length) != 0 ||
 	    (!response->unframed && response->status != 204 &&
@@ -117,14 +119,26 @@
 	conn->busy--;
 }
 
+/* The connection itself is not closed to make room for its output. */
+static void
+write_streamed(struct h1_conn *conn, const char *data, size_t length)
+{
+	conn->busy++;
+	h1_conn_write(conn, data, length);
+	conn->busy--;
+}
+
 void
 h1_conn_begin_response(
     struct h1_conn *conn, const struct h1_response_head *head)
 {
 	struct h1_bytes *out = &conn->server->out;
-	int error =
-	    write_head(out, head->status, head->headers, head->headers_length);
+	int error;
 
+	if (conn->closing)
+		return;
+	error =
+	    write_head(out, head->status, head->headers, head->headers_length);
 	conn->streaming = true;
 	conn->no_body = omits_body(conn, head->status);
 	conn->chunked = !head->sized && !conn->no_body &&
@@ -143,9 +157,9 @@
 	if (conn->close_delimited)
 		h1_conn_reset_on_close(conn, true);
 	if (error == CS_OK)
-		h1_conn_write(conn, out->data, out->length);
+		write_streamed(conn, out->data, out->length);
 	else
-		h1_conn_close(conn);
+		h1_conn_drop(conn);
 }
 
 void
@@ -156,16 +170,16 @@
 	if (conn->no_body || conn->closing || length == 0)
 		return;
 	if (!conn->chunked) {
-		h1_conn_write(conn, data, length);
+		write_streamed(conn, data, length);
 		return;
 	}
 	out->length = 0;
 	if (h1_bytes_print(out, "%zx\r\n", length) != 0 ||
 	    h1_bytes_add(out, data, length) != 0 ||
 	    h1_bytes_add(out, "\r\n", 2) != 0)
-		h1_conn_close(conn);
+		h1_conn_drop(conn);
 	else
-		h1_conn_write(conn, out->data, out->length);
+		write_streamed(conn, out->data, out->length);
 }
 
 void
--- a/lib/peer/link.c
+++ b/lib/peer/link.c
@@ -8,6 +8,12 @@
 #include "peer_internal.h"
 
 #define QUEUED_BYTES_MAX (4 * 1024 * 1024)
+/* The limit for a link once the budget of the process is used up. */
+#define QUEUED_BYTES_SHORT (256 * 1024)
+/* The first frame names the node: no node has a longer one. */
+#define HELLO_BYTES_MAX (64 * 1024)
+/* A larger buffer is freed when it is empty. */
+#define KEPT_BYTES_MAX (64 * 1024)
 
 static void
 on_closed(uv_handle_t *handle)
@@ -30,7 +36,7 @@
 		return NULL;
 	uv_tcp_init(loop, &link->tcp);
 	link->owner = owner;
-	link->used_us = cs_now_us();
+	link->used_us = link->opened_us = cs_now_us();
 	msgpack_sbuffer_init(&link->queued);
 	msgpack_sbuffer_init(&link->in_flight);
 	return link;
@@ -42,6 +48,10 @@
 	if (link->closing)
 		return;
 	link->closing = true;
+	/* The buffers are freed when libuv has closed the link. */
+	cs_memory_return(
+	    link->owner->memory, CS_MEMORY_LINKS, link->accounted_bytes);
+	link->accounted_bytes = 0;
 	uv_close((uv_handle_t *)&link->tcp, on_closed);
 }
 
@@ -54,6 +64,22 @@
 	link->owner->on_disconnect(link);
 }
 
+/* Accounts for the buffers; a link that lags is closed without room for them.
+ */
+static void
+account(struct pr_link *link)
+{
+	uint64_t bytes = sizeof(*link) + link->queued.alloc +
+			 link->in_flight.alloc + link->in_capacity;
+
+	if (link->closing || bytes == link->accounted_bytes)
+		return;
+	if (!cs_memory_change(link->owner->memory, CS_MEMORY_LINKS,
+		&link->accounted_bytes, bytes) &&
+	    link->queued.size + link->in_flight.size > QUEUED_BYTES_SHORT)
+		disconnect(link);
+}
+
 static void
 on_alloc(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
 {
@@ -100,7 +126,8 @@
 	if (left < PR_FRAME_HEADER_BYTES)
 		return false;
 	length = frame_length(link->in + *at);
-	if (length > PR_FRAME_BYTES_MAX) {
+	if (length > PR_FRAME_BYTES_MAX ||
+	    (link->id == 0 && length > HELLO_BYTES_MAX)) {
 		disconnect(link);
 		return false;
 	}
@@ -147,6 +174,12 @@
 		return;
 	memmove(link->in, link->in + at, link->in_bytes - at);
 	link->in_bytes -= at;
+	if (link->in_bytes == 0 && link->in_capacity > KEPT_BYTES_MAX) {
+		free(link->in);
+		link->in = NULL;
+		link->in_capacity = 0;
+	}
+	account(link);
 }
 
 static void
@@ -201,6 +234,7 @@
 	}
 	pr_encode(frame, &link->queued);
 	link->owner->counters->messages_sent++;
+	account(link);
 }
 
 static void
@@ -209,8 +243,14 @@
 	struct pr_link *link = request->data;
 
 	link->writing = false;
+	if (link->in_flight.alloc > KEPT_BYTES_MAX) {
+		msgpack_sbuffer_destroy(&link->in_flight);
+		msgpack_sbuffer_init(&link->in_flight);
+	}
 	if (status != 0)
 		disconnect(link);
+	else
+		account(link);
 }
 
 void
--- a/lib/peer/mesh.c
+++ b/lib/peer/mesh.c
@@ -14,7 +14,10 @@
 #define PING_TICKS 2	      /* a ping every 200 ms */
 #define RESYNC_TICKS 10	      /* records are resent once a second at most */
 #define LINK_IDLE_US 60000000 /* unused links are closed after this time */
-#define CHANGES_MAX 64	      /* in one tick; the rest follow in the next */
+/* A node sends its record as soon as it is connected. */
+#define HELLO_MAX_US 2000000
+#define STRANGERS_CHECKED_DIVISOR 4
+#define CHANGES_MAX 64 /* in one tick; the rest follow in the next */
 
 struct pr_mesh {
 	struct pr_mesh_params params;
@@ -290,6 +293,39 @@
 	mesh->counters.links--;
 }
 
+static bool
+is_stranger(const struct pr_link *link)
+{
+	return !link->dialed && !link->closing && link->id == 0;
+}
+
+/*
+ * Closes accepted connections that have not said which node they are, if there
+ * are many of them; at the limit the oldest one in any case.
+ */
+static void
+close_strangers(struct pr_mesh *mesh)
+{
+	uint32_t max = mesh->params.strangers_max, count = 0;
+	int64_t opened_max_us = cs_now_us() - HELLO_MAX_US;
+	struct pr_link *link, *oldest = NULL;
+
+	for (link = mesh->links; link != NULL; link = link->next) {
+		if (!is_stranger(link))
+			continue;
+		count++;
+		oldest = link; /* new links come first */
+	}
+	if (max == 0 || count < max / STRANGERS_CHECKED_DIVISOR)
+		return;
+	if (count >= max)
+		pr_link_close(oldest);
+	for (link = mesh->links; link != NULL; link = link->next) {
+		if (is_stranger(link) && link->opened_us < opened_max_us)
+			pr_link_close(link);
+	}
+}
+
 static void
 on_accept(uv_stream_t *listener, int status)
 {
@@ -298,6 +334,7 @@
 
 	if (status != 0)
 		return;
+	close_strangers(mesh);
 	link = new_link(mesh);
 	if (link != NULL && pr_link_accept(link, listener) != CS_OK)
 		pr_link_close(link);
@@ -467,6 +504,7 @@
 	mesh->link_owner.on_disconnect = on_disconnect;
 	mesh->link_owner.on_closed = on_closed;
 	mesh->link_owner.counters = &mesh->counters;
+	mesh->link_owner.memory = params->memory;
 	mesh->link_owner.user = mesh;
 	mesh->membership =
 	    pr_membership_create(&mesh->params.self, cs_now_us());
--- a/lib/peer/peer.h
+++ b/lib/peer/peer.h
@@ -14,6 +14,7 @@
 #include <stdint.h>
 #include <uv.h>
 
+#include "../base/memory.h"
 #include "../decide/decide.h"
 
 #define PR_TEXT_BYTES_MAX 64
@@ -146,7 +147,13 @@
 struct pr_mesh_params {
 	uv_loop_t *loop;
 	struct sockaddr_in listen;
-	struct pr_node self; /* self.peer is set by pr_mesh_create() */
+	struct pr_node self;	  /* self.peer is set by pr_mesh_create() */
+	struct cs_memory *memory; /* for links; NULL: no limit */
+	/*
+	 * Accepted connections that have not said which node they are; 0: any
+	 * number. From a quarter of it on, those older than 2 s are closed.
+	 */
+	uint32_t strangers_max;
 	struct pr_callbacks callbacks;
 };
 
--- a/lib/peer/peer_internal.h
+++ b/lib/peer/peer_internal.h
@@ -68,6 +68,7 @@
 	/* The link is about to be freed. */
 	void (*on_closed)(struct pr_link *link);
 	struct pr_mesh_counters *counters;
+	struct cs_memory *memory;
 	void *user;
 	char read_buffer[PR_READ_BYTES];
 };
@@ -83,6 +84,8 @@
 	bool closing;
 	bool writing;
 	int64_t used_us;
+	int64_t opened_us;
+	uint64_t accounted_bytes; /* of CS_MEMORY_LINKS */
 	uv_connect_t connect;
 	uv_write_t write;
 	msgpack_sbuffer queued;
--- a/lib/serve/admin.c
+++ b/lib/serve/admin.c
@@ -133,6 +133,7 @@
 	append_metric(text, "key_kills_total", "counter", c.key_kills);
 	append_metric(text, "calls_waiting", "gauge", c.waiting);
 	append_metric(text, "calls_running", "gauge", c.running);
+	sv_print_memory(server, text);
 	server->params.callbacks.metrics(
 	    add_counter, text, server->params.callbacks.user);
 	h1_conn_send_text(conn, 200, "text/plain; version=0.0.4", text->str);
--- a/lib/serve/connections.c
+++ b/lib/serve/connections.c
@@ -98,10 +98,14 @@
 {
 	struct sv_target *target = attempt->target;
 	struct sv_connection *connection = g_new0(struct sv_connection, 1);
+	struct sv_server *server = target->server;
 	struct h1_client_conn_params params = {
-	    .loop = target->server->params.loop,
+	    .loop = server->params.loop,
 	    .address = target->sockaddr,
 	    .limits = {H1_HEAD_BYTES_MAX, UINT64_MAX}, /* body is streamed */
+	    .relay_memory = server->params.memory,
+	    /* Attempts end before the request of their call is freed. */
+	    .borrows_body = true,
 	    .unacked_timeout_ms = UNACKED_TIMEOUT_MS,
 	    .keepalive_probes_max = KEEPALIVE_PROBES_MAX,
 	    .events = &sv_connection_events,
@@ -112,6 +116,8 @@
 		g_free(connection);
 		return NULL;
 	}
+	connection->server = server;
+	server->upstream_count++;
 	if (!attempt->new_connection && target->pool != NULL) {
 		connection->pool = target->pool;
 		cs_ref_take(&connection->pool->ref);
@@ -155,7 +161,9 @@
 	struct sv_connection_pool *pool = connection->pool;
 
 	if (pool == NULL || pool->retired ||
-	    pool->idle_count == IDLE_CONNECTIONS_MAX)
+	    pool->idle_count == IDLE_CONNECTIONS_MAX ||
+	    connection->server->upstream_count >
+		connection->server->connections_max)
 		return false;
 	connection->attempt = NULL;
 	connection->idle_since_us = cs_now_us();
@@ -172,6 +180,7 @@
 		remove_idle(connection);
 	if (connection->conn != NULL)
 		h1_client_conn_close(connection->conn);
+	connection->server->upstream_count--;
 	pool_unref(connection->pool);
 	g_free(connection);
 }
--- a/lib/serve/relay.c
+++ b/lib/serve/relay.c
@@ -12,6 +12,8 @@
 
 /* Reading from the target pauses while more than this is unsent. */
 #define UNSENT_BYTES_MAX (256 * 1024)
+/* While memory is short, it pauses until everything is sent. */
+#define UNSENT_BYTES_SHORT 0
 #define OUTCOME_HEADER "chervilshelf-outcome"
 
 /* Returns the outcome that the home reported for a forwarded call. */
@@ -72,9 +74,14 @@
 static void
 apply_backpressure(struct sv_attempt *attempt, size_t unsent_bytes)
 {
+	size_t unsent_bytes_max =
+	    cs_memory_is_short(attempt->call->server->params.memory)
+		? UNSENT_BYTES_SHORT
+		: UNSENT_BYTES_MAX;
+
 	if (attempt->target != NULL)
 		h1_client_conn_pause(
-		    attempt->connection->conn, unsent_bytes > UNSENT_BYTES_MAX);
+		    attempt->connection->conn, unsent_bytes > unsent_bytes_max);
 }
 
 void
@@ -92,8 +99,12 @@
 	if (attempt->forwarded)
 		call->outcome = forwarded_outcome(attempt);
 	if (write_headers(call, attempt, headers) != CS_OK) {
-		h1_conn_abort_response(call->conn);
-		sv_call_detach(call);
+		struct h1_conn *conn = call->conn;
+
+		/* Ends the attempts: their request is part of the connection.
+		 */
+		sv_on_caller_left(conn);
+		h1_conn_abort_response(conn);
 		return;
 	}
 	sv_response_cache_begin(call, headers);
--- a/lib/serve/response_cache.c
+++ b/lib/serve/response_cache.c
@@ -9,7 +9,6 @@
 #include "serve_internal.h"
 
 #define CACHED_BODY_BYTES_MAX 16384
-#define CACHE_BYTES_MAX (24 * 1024 * 1024)
 
 static void
 free_response(struct sv_cached_response *response)
@@ -90,7 +89,7 @@
 	g_hash_table_replace(
 	    server->response_cache, &response->key_a, response);
 	g_queue_push_tail(&server->response_cache_by_age, response);
-	while (server->response_cache_bytes > CACHE_BYTES_MAX)
+	while (server->response_cache_bytes > server->response_cache_bytes_max)
 		evict_oldest(server);
 }
 
--- a/lib/serve/serve.h
+++ b/lib/serve/serve.h
@@ -13,14 +13,18 @@
 #include <stdio.h>
 #include <uv.h>
 
+#include "../base/memory.h"
 #include "../config/config.h"
 #include "../decide/decide.h"
 
 #define SV_NAME_BYTES_MAX 64
 #define SV_NODES_MAX 512
 #define SV_BODY_BYTES_MAX (24 * 1024 * 1024)
+/* Together; a quarter of the memory where that is less. */
 #define SV_BODIES_BYTES_MAX (128 * 1024 * 1024)
 #define SV_CONNECTIONS_MAX 8192
+/* Of the admin address; a sixteenth of the descriptors where that is less. */
+#define SV_ADMIN_CONNECTIONS_MAX 256
 
 /* One entry VM, as the mesh of entry VMs reports it. */
 struct sv_node {
@@ -70,6 +74,9 @@
 	uint32_t depth_max;	   /* limit of nested calls */
 	const char *dispatch;	   /* "two-choices" or "leases" */
 	FILE *trace; /* events and actions of the core; NULL: not written */
+	uint64_t memory_bytes_max; /* of the process */
+	uint32_t files_max;	   /* descriptors of the process */
+	struct cs_memory *memory;  /* for all buffers; outlives the server */
 	struct sv_callbacks callbacks;
 };
 
@@ -131,6 +138,11 @@
  * {"entry", "epoch", "accounts"}; the caller frees it.
  */
 char *sv_accounts(struct sv_server *server);
+/*
+ * sv_log_closed(server): logs what was closed or refused since the last call to
+ * protect the process.
+ */
+void sv_log_closed(struct sv_server *server);
 /*
  * sv_open_calls(server): returns the number of requests whose response is not
  * complete or not sent yet.
--- a/lib/serve/serve_internal.h
+++ b/lib/serve/serve_internal.h
@@ -43,6 +43,7 @@
 
 /* One connection to a target or to another entry VM. */
 struct sv_connection {
+	struct sv_server *server;
 	struct h1_client_conn *conn;
 	struct sv_connection_pool *pool; /* to return to, or NULL */
 	struct sv_attempt *attempt;	 /* NULL: idle */
@@ -143,7 +144,10 @@
 	struct h1_bytes scratch; /* for the head of a request or a response */
 	struct h1_response error_response;
 	char refusal_body[128];
-	size_t response_cache_bytes;
+	size_t response_cache_bytes, response_cache_bytes_max;
+	uint32_t connections_max; /* of callers, and as many to targets */
+	uint32_t upstream_count;  /* connections to targets and entry VMs */
+	uint64_t logged_closed, logged_refused;
 	struct sv_node entry_vms[SV_NODES_MAX];
 	uint32_t entry_vm_count;
 	struct cs_random random;
@@ -256,6 +260,13 @@
 void sv_on_admin_request(
     struct h1_conn *conn, const struct h1_message *request);
 
+/* protect.c: limits that protect the process from its clients */
+void sv_set_limits(struct sv_server *server);
+uint32_t sv_admin_connections_max(const struct sv_server *server);
+uint64_t sv_bodies_bytes_max(const struct sv_server *server);
+/* sv_print_memory(server, page): appends the metrics of the limits. */
+void sv_print_memory(const struct sv_server *server, GString *page);
+
 /* core_config.c: passes a configuration to the core. */
 void sv_load_config(struct sv_server *server, struct cf_config *config);
 
--- a/lib/serve/server.c
+++ b/lib/serve/server.c
@@ -9,7 +9,6 @@
 /* From a request's first byte to its last: allows 20 MB at 1.4 Mbit/s. */
 #define REQUEST_TIMEOUT_MS 120000
 #define ADMIN_BODY_BYTES_MAX 65536
-#define ADMIN_CONNECTIONS_MAX 256
 #define SWEEP_MS 250
 
 static void
@@ -37,19 +36,24 @@
 	    .limits = {H1_HEAD_BYTES_MAX, SV_BODY_BYTES_MAX},
 	    .head_timeout_ms = REQUEST_TIMEOUT_MS,
 	    .idle_timeout_ms = REQUEST_TIMEOUT_MS,
-	    .connections_max = SV_CONNECTIONS_MAX,
-	    .bodies_bytes_max = SV_BODIES_BYTES_MAX,
+	    .connections_max = server->connections_max,
+	    .address_connections_max = server->connections_max / 4 * 3,
+	    .memory = server->params.memory,
+	    .bodies_bytes_max = sv_bodies_bytes_max(server),
 	    .events = &caller_events,
 	    .user = server,
 	};
+	uint32_t admin_connections_max = sv_admin_connections_max(server);
 	struct h1_server_params admin_params = {
 	    .loop = server->params.loop,
 	    .address = server->params.admin_listen,
 	    .limits = {H1_HEAD_BYTES_MAX, ADMIN_BODY_BYTES_MAX},
 	    .head_timeout_ms = REQUEST_TIMEOUT_MS,
 	    .idle_timeout_ms = REQUEST_TIMEOUT_MS,
-	    .connections_max = ADMIN_CONNECTIONS_MAX,
-	    .bodies_bytes_max = ADMIN_CONNECTIONS_MAX * ADMIN_BODY_BYTES_MAX,
+	    .connections_max = admin_connections_max,
+	    .memory = server->params.memory,
+	    .bodies_bytes_max =
+		(uint64_t)admin_connections_max * ADMIN_BODY_BYTES_MAX,
 	    .events = &admin_events,
 	    .user = server,
 	};
@@ -68,6 +72,7 @@
 
 	h1_server_sweep(server->caller_listener, now_us);
 	h1_server_sweep(server->admin_listener, now_us);
+	sv_log_closed(server);
 }
 
 static int
@@ -108,6 +113,7 @@
 	int error;
 
 	server->params = *params;
+	sv_set_limits(server);
 	server->execute_action = sv_execute_action;
 	server->core = dc_core_create(params->seed);
 	if (server->core == NULL)
--- a/programs/entry.c
+++ b/programs/entry.c
@@ -6,9 +6,9 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <time.h>
 
-#include "../lib/base/memory.h"
 #include "../platform/platform.h"
 #include "commands.h"
 #include "session.h"
@@ -21,6 +21,8 @@
 #define STOP_CHECK_MS 20
 /* For the last save of the accounts, before the process ends. */
 #define FINAL_SAVE_WAIT_MS 200
+/* Share of the descriptors for connections that are no entry VM's (yet). */
+#define STRANGERS_DIVISOR 16
 
 static void
 on_stop_check(uv_timer_t *timer)
@@ -134,6 +136,20 @@
 	return CS_OK;
 }
 
+/* Descriptors that this process may use. */
+static uint32_t
+files_max(const struct en_options *o)
+{
+	struct rlimit limit;
+	uint64_t files = UINT32_MAX;
+
+	if (getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur < files)
+		files = limit.rlim_cur;
+	if (o->max_fds > 0 && (uint64_t)o->max_fds < files)
+		files = (uint64_t)o->max_fds;
+	return (uint32_t)files;
+}
+
 static int
 create_server(struct en_entry *entry)
 {
@@ -148,6 +164,9 @@
 	    .directory_ttl_ms = (uint32_t)o->directory_ttl_ms,
 	    .depth_max = (uint32_t)o->depth_max,
 	    .dispatch = o->dispatch,
+	    .memory_bytes_max = (uint64_t)o->memory_mb * 1024 * 1024,
+	    .files_max = files_max(o),
+	    .memory = &entry->memory,
 	    .callbacks =
 		{
 		    .send = send_message,
@@ -179,6 +198,8 @@
 	struct pr_mesh_params params = {
 	    .loop = &entry->loop,
 	    .self = {.epoch = entry->epoch},
+	    .memory = &entry->memory,
+	    .strangers_max = files_max(o) / STRANGERS_DIVISOR,
 	    .callbacks =
 		{
 		    .on_membership_change = en_membership_changed,
@@ -328,6 +349,7 @@
 		    .dispatch = "leases",
 		    .directory_ttl_ms = 2000,
 		    .depth_max = 13,
+		    .memory_mb = 512,
 		},
 	};
 	struct en_options *o = &entry.options;
@@ -409,6 +431,20 @@
 		.max = 100,
 		.argument = "N",
 		.help = "longest chain of calls"},
+	    {.name = "memory-mb",
+		.kind = ST_NUMBER,
+		.number = &o->memory_mb,
+		.min = 64,
+		.max = 65536,
+		.argument = "MB",
+		.help = "memory of this VM; buffers take half of it"},
+	    {.name = "max-fds",
+		.kind = ST_NUMBER,
+		.number = &o->max_fds,
+		.min = 0,
+		.max = 1048576,
+		.argument = "N",
+		.help = "descriptors of this VM, 0: the limit of the process"},
 	};
 	const struct st_command command = {"entry", "",
 	    "Runs an entry VM: serves callers until SIGTERM.", settings,
--- a/programs/entry.h
+++ b/programs/entry.h
@@ -7,6 +7,7 @@
 #include <uv.h>
 
 #include "../lib/base/base.h"
+#include "../lib/base/memory.h"
 #include "../lib/config/config.h"
 #include "../lib/peer/peer.h"
 #include "../lib/serve/serve.h"
@@ -30,6 +31,8 @@
 	const char *seed_peers; /* comma separated, NULL: none */
 	int64_t directory_ttl_ms;
 	int64_t depth_max;
+	int64_t memory_mb;
+	int64_t max_fds; /* 0: the limit of the process */
 };
 
 struct en_entry {
@@ -37,6 +40,7 @@
 	uv_loop_t loop;
 	struct sv_server *server;
 	struct os_objects *objects;
+	struct cs_memory memory; /* of all buffers of this process */
 	struct pr_mesh *mesh;
 	struct cs_random random;
 	uint64_t epoch;
--- a/tests/unit/test_mesh.c
+++ b/tests/unit/test_mesh.c
@@ -9,12 +9,15 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <cmocka.h>
 
 #include "../../lib/peer/peer_internal.h"
 
 #define LINKS_MAX 8
+#define STRANGERS_MAX 8
 
 /* Another VM, simulated: accepts links and counts the frames on them. */
 struct fake_peer {
@@ -231,6 +234,7 @@
 	struct pr_mesh_params params = {
 	    .listen = {.sin_family = AF_INET},
 	    .self = {.name = "self", .epoch = 1, .ready = true},
+	    .strangers_max = STRANGERS_MAX,
 	    .callbacks =
 		{
 		    .on_membership_change = ignore,
@@ -344,12 +348,73 @@
 	assert_int_equal(suspended->death_notices, notices_before + 1);
 }
 
+static int
+connect_stranger(struct fixture *fixture)
+{
+	const char *text =
+	    pr_membership_self(pr_mesh_membership(fixture->mesh))->peer;
+	struct sockaddr_in address;
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	assert_int_equal(cs_parse_address(text, &address), CS_OK);
+	assert_int_equal(
+	    connect(fd, (struct sockaddr *)&address, sizeof(address)), 0);
+	run_loop_once(fixture);
+	return fd;
+}
+
+static bool
+is_closed(int fd)
+{
+	char byte;
+
+	return recv(fd, &byte, 1, MSG_DONTWAIT) == 0;
+}
+
+/*
+ * Connections that never say which node they are took all descriptors. A node
+ * among them still joins.
+ */
+static void
+test_strangers_are_closed(void **unused)
+{
+	struct fixture *fixture = set_up();
+	int fds[3 * STRANGERS_MAX], i, closed = 0;
+
+	(void)unused;
+	for (i = 0; i < 3 * STRANGERS_MAX; i++)
+		fds[i] = connect_stranger(fixture);
+	join_peer(fixture, &fixture->fake_peers[0]);
+	for (i = 0; i < 3 * STRANGERS_MAX; i++) {
+		closed += is_closed(fds[i]);
+		close(fds[i]);
+	}
+	assert_in_range(closed, 2 * STRANGERS_MAX, 3 * STRANGERS_MAX);
+}
+
+/* Each stranger could have the process hold a frame of 2 MB. */
+static void
+test_first_frame_is_short(void **unused)
+{
+	static const char header[] = {0, 16, 0, 0};
+	struct fixture *fixture = set_up();
+	int fd = connect_stranger(fixture);
+
+	(void)unused;
+	assert_int_equal(write(fd, header, sizeof(header)), sizeof(header));
+	while (!is_closed(fd))
+		run_loop_once(fixture);
+	close(fd);
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_silent_link_is_replaced_before_peer_is_dead),
 	    cmocka_unit_test(test_vm_marked_dead_is_notified_on_hello),
+	    cmocka_unit_test(test_strangers_are_closed),
+	    cmocka_unit_test(test_first_frame_is_short),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
