--- a/tests/scenario/crowd.py
+++ b/tests/scenario/crowd.py
@@ -158,10 +158,10 @@
     def files(self):
         return len(os.listdir("/proc/%d/fd" % self.vm.process.pid))
 
-    async def check(self, label, host=None):
+    async def check(self, label, headers=None):
         """The bounds of every case."""
         assert self.vm.process.returncode is None, label + ": the process has ended"
-        status = await self.cluster.call(self.vm.host, "/read/x")
+        status = await self.cluster.call(self.vm.host, "/read/x", headers=headers)
         listed = await self.cluster.directory(self.vm)
         metrics, _ = await self.cluster.get(self.vm.host, 9464, "/metrics")
         peak, files = self.peak_mb(), self.files()
