tests: pipelined requests at a VM that stops

A VM that stops is to answer what it received before the signal, also requests that wait behind a response which the client reads only then.

The first of them gets `Connection: close`, and the rest is discarded.

--- a/tests/scenario/test_slow_side_readers.py
+++ b/tests/scenario/test_slow_side_readers.py
@@ -58,5 +58,49 @@
             task.cancel()
 
 
+async def stopping_with_pipelined():
+    """A VM that stops answers the requests that it received before the signal,
+    also those behind a response that is read only then."""
+    behind = 10
+
+    async def client(c, number, started, stopped):
+        s = await c.connect()
+        await c.send(s, crowd.get(
+            "/read/%d/sized" % crowd.RESPONSE_BYTES, attempt="long-%d" % number) +
+            b"".join(crowd.get("/read/x", attempt="behind-%d-%d" % (number, i))
+                     for i in range(behind)))
+        reader, writer = await asyncio.open_connection(sock=s, limit=2 ** 16)
+        head = await reader.readuntil(b"\r\n\r\n")
+        started.release()
+        await stopped.wait()
+        assert head.startswith(b"HTTP/1.1 200"), head
+        await reader.readexactly(crowd.RESPONSE_BYTES)
+        statuses = []
+        for _ in range(behind):
+            try:
+                first, _, _ = await crowd.standin.read_message(reader)
+            except (asyncio.IncompleteReadError, ConnectionError):
+                break
+            statuses.append(int(first.split(" ")[1]))
+        writer.close()
+        return statuses
+    async with crowd.Crowd(vm_count=1) as c:
+        started, stopped = asyncio.Semaphore(0), asyncio.Event()
+        clients = [asyncio.ensure_future(client(c, n, started, stopped))
+                   for n in range(4)]
+        for _ in clients:
+            await started.acquire()
+        await asyncio.sleep(0.5)
+        ended = asyncio.ensure_future(c.vm.terminate())
+        await asyncio.sleep(0.3)
+        stopped.set()
+        statuses = await asyncio.gather(*clients)
+        await asyncio.wait_for(ended, crowd.PATIENCE_S)
+        print("a VM that stops, pipelined requests: %s" % statuses, flush=True)
+        for got in statuses:
+            assert len(got) == behind, "%d of %d answered" % (len(got), behind)
+            assert set(got) <= {200, 503}, got
+
+
 if __name__ == "__main__":
-    crowd.main([directory, readiness, metrics, stopping])
+    crowd.main([directory, readiness, metrics, stopping, stopping_with_pipelined])
