h1: a listener that drains answers the requests that have arrived

The first response after the start of a stop had `Connection: close`, and the connection then discarded the pipelined requests behind it, which waited for unsent output at that moment.

h1_server_drain() now notes how much input each connection has received, in its buffer and in the kernel; only the response to the last request within it says `Connection: close`, and such a connection is not closed as idle before. Later input is discarded as before, so that a client that goes on sending cannot hold the VM until its end.

--- a/lib/h1/h1.h
+++ b/lib/h1/h1.h
@@ -342,7 +342,10 @@
     const struct h1_server *server, enum h1_closed reason);
 void h1_server_set_limits(struct h1_server *server, struct h1_limits limits,
     uint32_t head_timeout_ms, uint32_t idle_timeout_ms);
-/* h1_server_drain(server): each connection closes after its next response. */
+/*
+ * h1_server_drain(server): each connection closes after its next response, or
+ * after that to the last request that has arrived before this call.
+ */
 void h1_server_drain(struct h1_server *server);
 /* h1_server_close_idle(server): closes connections between requests. */
 void h1_server_close_idle(struct h1_server *server);
--- a/lib/h1/h1_internal.h
+++ b/lib/h1/h1_internal.h
@@ -49,6 +49,8 @@
 	uint64_t acked_bytes, acked_at_mark_bytes;
 	int64_t progress_us, mark_us;
 	uint64_t received_since_mark_bytes;
+	/* Input that had arrived when the listener began to drain. */
+	uint64_t owed_bytes;
 	uint32_t busy;	 /* on the stack: must not be closed to free memory */
 	bool processing; /* requests of a buffer are being processed */
 	bool continue_sent;
@@ -118,6 +120,8 @@
 /* h1_conn_start_next(conn): its response is sent; reads the next request. */
 void h1_conn_start_next(struct h1_conn *conn);
 void h1_conn_resume_reading(struct h1_conn *conn);
+/* h1_conn_note_input(conn): requests that have arrived are still answered. */
+void h1_conn_note_input(struct h1_conn *conn);
 /* h1_conn_reject(conn, status): for a request that cannot be processed. */
 void h1_conn_reject(struct h1_conn *conn, int status);
 
--- a/lib/h1/input.c
+++ b/lib/h1/input.c
@@ -4,6 +4,7 @@
  * further requests are buffered.
  */
 #include <string.h>
+#include <sys/ioctl.h>
 
 #include "../base/base.h"
 #include "h1_internal.h"
@@ -39,6 +40,25 @@
 	uv_read_start((uv_stream_t *)&conn->tcp, on_alloc, on_read);
 }
 
+void
+h1_conn_note_input(struct h1_conn *conn)
+{
+	uv_os_fd_t fd;
+	int unread = 0;
+
+	if (uv_fileno((uv_handle_t *)&conn->tcp, &fd) != 0 ||
+	    ioctl(fd, FIONREAD, &unread) != 0)
+		unread = 0;
+	conn->owed_bytes = conn->pipelined.length + (uint64_t)unread;
+}
+
+static void
+note_processed(struct h1_conn *conn, size_t length)
+{
+	conn->owed_bytes -=
+	    length < conn->owed_bytes ? length : conn->owed_bytes;
+}
+
 /*
  * Processes requests until the data ends or one of them is not answered yet;
  * returns the number of bytes processed. A request that is answered at once
@@ -88,7 +108,7 @@
 		return;
 	if (conn->pipelined.length > 0)
 		process_pipelined(conn);
-	else if (conn->server->closing_idle)
+	else if (conn->server->closing_idle && conn->owed_bytes == 0)
 		h1_conn_linger(conn);
 	if (conn->closing)
 		return;
@@ -199,6 +219,7 @@
 	if (!reader->started) /* the time between requests does not count */
 		conn->mark_us = conn->timeout_start_us;
 	read = h1_reader_feed(reader, data, length, &used);
+	note_processed(conn, read == H1_READ_COMPLETE ? used : length);
 	if (read >= 0 && !reserve_body(conn)) {
 		h1_conn_reject(conn, 503);
 		return length;
--- a/lib/h1/response.c
+++ b/lib/h1/response.c
@@ -45,7 +45,8 @@
 static bool
 closes_after_response(const struct h1_conn *conn)
 {
-	return conn->server->draining || !conn->reader.message.keep_alive;
+	return (conn->server->draining && conn->owed_bytes == 0) ||
+	       !conn->reader.message.keep_alive;
 }
 
 static bool
--- a/lib/h1/server.c
+++ b/lib/h1/server.c
@@ -104,7 +104,13 @@
 void
 h1_server_drain(struct h1_server *server)
 {
+	struct h1_conn *conn;
+
+	if (server->draining)
+		return;
 	server->draining = true;
+	for (conn = server->conns; conn != NULL; conn = conn->next)
+		h1_conn_note_input(conn);
 }
 
 void
@@ -115,7 +121,8 @@
 	server->closing_idle = true;
 	for (conn = server->conns; conn != NULL; conn = next) {
 		next = conn->next;
-		if (conn->state == CONN_READING && !conn->reader.started)
+		if (conn->state == CONN_READING && !conn->reader.started &&
+		    conn->owed_bytes == 0)
 			h1_conn_linger(conn);
 	}
 }
--- a/tests/unit/test_slow_streams.c
+++ b/tests/unit/test_slow_streams.c
@@ -1,7 +1,8 @@
 /*
  * Clients that read a streamed response slowly: which of their connections are
  * closed when memory runs short, and that the owner of the call is told once,
- * never while it or another owner writes.
+ * never while it or another owner writes. Requests behind such a response at a
+ * listener that drains.
  */
 #include <arpa/inet.h>
 #include <errno.h>
@@ -216,6 +217,63 @@
 	end(&fixture);
 }
 
+static const char pipelined[] =
+    "GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n";
+
+/* Reads until the end of the stream, or until nothing more is there. */
+static bool
+reads_to_end(int fd, char *text, size_t bytes)
+{
+	size_t length = 0;
+	ssize_t got;
+
+	while ((got = read(fd, text + length, bytes - length - 1)) > 0)
+		length += (size_t)got;
+	text[length] = '\0';
+	return got == 0;
+}
+
+/*
+ * A listener that drains discarded requests which it had received, and a client
+ * that goes on sending must not hold the connection until the process ends.
+ */
+static void
+test_drain_answers_what_has_arrived(void **state)
+{
+	struct fixture fixture;
+	struct h1_conn *conn;
+	char text[1024];
+	uint32_t number;
+
+	(void)state;
+	begin(&fixture, 1024 * 1024);
+	number = connect_client(&fixture);
+	conn = fixture.conns[number];
+	assert_int_equal(
+	    write(fixture.fds[number], pipelined, sizeof(pipelined) - 1),
+	    sizeof(pipelined) - 1);
+	run(&fixture);
+	h1_server_drain(fixture.server);
+	assert_int_equal(
+	    write(fixture.fds[number], pipelined, sizeof(pipelined) - 1),
+	    sizeof(pipelined) - 1);
+	run(&fixture);
+	h1_conn_end_response(conn);
+	h1_server_close_idle(fixture.server);
+	assert_int_equal(fixture.count, 2);
+	assert_false(reads_to_end(fixture.fds[number], text, sizeof(text)));
+	assert_null(strstr(text, "Connection: close"));
+	h1_conn_end_response(conn);
+	assert_int_equal(fixture.count, 3); /* the last one that had arrived */
+	h1_conn_end_response(conn);
+	run(&fixture);
+	assert_int_equal(fixture.count, 3);
+	assert_true(reads_to_end(fixture.fds[number], text, sizeof(text)));
+	assert_non_null(strstr(text, "Connection: close"));
+	fixture.count = 1; /* of clients */
+	end(&fixture);
+}
+
 int
 main(void)
 {
@@ -223,6 +281,7 @@
 	    cmocka_unit_test(test_unread_stream_makes_room_for_others),
 	    cmocka_unit_test(test_stream_that_waits_for_its_target_is_kept),
 	    cmocka_unit_test(test_stream_without_room_ends_once),
+	    cmocka_unit_test(test_drain_answers_what_has_arrived),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
