--- a/tests/scenario/crowd.py
+++ b/tests/scenario/crowd.py
@@ -126,10 +126,10 @@
 class Crowd(Clients):
     """One gateway with low limits, two targets, and slow clients."""
 
-    def __init__(self, vm_count=1, **gateway):
+    def __init__(self, vm_count=1, targets=2, **gateway):
         super().__init__()
         self.cluster = standin.Cluster(BINARY, vm_count=vm_count, pools=("a",),
-                                       targets=2)
+                                       targets=targets)
         for target in self.cluster.targets:
             target.__class__, target.slots = Target, 64
         for vm in self.cluster.vms:
@@ -150,8 +150,8 @@
     async def connect(self, port=standin.FRONT_PORT, host=None):
         return await self.connect_to(host or self.vm.host, port)
 
-    def peak_mb(self):
-        with open("/proc/%d/status" % self.vm.process.pid) as status:
+    def peak_mb(self, vm=None):
+        with open("/proc/%d/status" % (vm or self.vm).process.pid) as status:
             return next(int(line.split()[1]) for line in status
                         if line.startswith("VmHWM")) / 1024
 
