tests: slow readers at `entry` where targets have few slots

20 clients that read responses of 8 MB slowly, 16 slots: a response that waits for its client holds a slot, and the core sends nothing else there.

--- a/tests/scenario/entry_crowd.py
+++ b/tests/scenario/entry_crowd.py
@@ -17,14 +17,14 @@
 class EntryCrowd(crowd.Clients):
     """One entry VM with low limits, targets with many slots, slow clients."""
 
-    def __init__(self, files_max=FILES_MAX):
+    def __init__(self, files_max=FILES_MAX, slots=200):
         super().__init__()
-        self.files_max = files_max
+        self.files_max, self.slots = files_max, slots
 
     async def __aenter__(self):
         os.environ["CHERVILSHELF_MEMORY_MB"] = str(MEMORY_MB)
         os.environ["CHERVILSHELF_MAX_FDS"] = str(self.files_max)
-        self.rig = Rig(entries=1, targets=4, slots=200)
+        self.rig = Rig(entries=1, targets=4, slots=self.slots)
         self.vm = self.rig.entries[0]
         self.rig.apply(self.rig.config(deadline_ms=20000))
         wait_until(lambda: self.request("GET", "/profiles/x?ms=1")[0] == 200,
--- a/tests/scenario/test_slow_entry_readers.py
+++ b/tests/scenario/test_slow_entry_readers.py
@@ -9,7 +9,7 @@
 SECONDS = 6
 
 
-async def readers(label, requests, clients, reads=True, returns=1):
+async def readers(label, requests, clients, reads=True, returns=1, slots=200):
     """Clients that send all requests at once, and read slowly or nothing."""
     async def client(c, number):
         await asyncio.sleep(number * 0.005)
@@ -23,8 +23,11 @@
                 await asyncio.sleep(SECONDS / returns)
             if returns > 1:
                 s.close()
-    async with EntryCrowd() as c:
-        await asyncio.gather(*(client(c, n) for n in range(clients)))
+    async with EntryCrowd(slots=slots) as c:
+        slow = asyncio.gather(*(client(c, n) for n in range(clients)))
+        await asyncio.sleep(SECONDS / 2)
+        await c.check(label + ", while they read")
+        await slow
         await c.check(label)
 
 
@@ -48,6 +51,12 @@
                   get("/profiles/1?ms=1&size=1000000"), 350, returns=3)
 
 
+async def few_slots():
+    """A response that waits for its client holds a slot of its target."""
+    await readers("slow readers where targets have few slots",
+                  get("/profiles/1?ms=1&size=8000000"), 20, slots=4)
+
+
 async def directory_readers():
     await flood("directory responses that are not read",
                 lambda n: get("/.chervilshelf/entries") * 16000, 12)
@@ -80,5 +89,5 @@
 
 
 if __name__ == "__main__":
-    crowd.main([reads_slowly, reads_nothing, pipelined, comes_back,
+    crowd.main([reads_slowly, reads_nothing, pipelined, comes_back, few_slots,
                 directory_readers, admin_readers, served_in_calm])
