entry: slow readers do not keep others from a pool

A response that waits for its client holds a slot of its target. With 16 slots, 8 clients of each pool that read 5 KB/s kept all other calls from it: 503 would_be_late or 504, for as long as they read.

A response is now buffered up to M/16, which frees the slot of most. `--memory-mb` is by default what the VM has, 64 to 512.

--- a/lib/h1/memory.c
+++ b/lib/h1/memory.c
@@ -50,6 +50,13 @@
 	h1_conn_drop(conn);
 }
 
+void
+h1_conn_close_stalled(struct h1_conn *conn)
+{
+	if (!conn->closing)
+		h1_conn_evict(conn, H1_CLOSED_STALLED);
+}
+
 bool
 h1_conn_account(struct h1_conn *conn)
 {
--- a/lib/serve/protect.c
+++ b/lib/serve/protect.c
@@ -14,6 +14,11 @@
 /* All request bodies may take a quarter of the memory. */
 #define BODIES_DIVISOR 4
 #define RESPONSE_CACHE_DIVISOR 16
+/*
+ * Unsent output of one response; it frees the slot of its target when all of it
+ * has arrived here.
+ */
+#define UNSENT_DIVISOR 16
 #define RESPONSE_CACHE_BYTES_MAX (24 * 1024 * 1024)
 /*
  * Descriptors for everything but calls: the admin address, other entry VMs, the
@@ -44,6 +49,8 @@
 		    params->memory_bytes_max / BUDGET_DIVISOR;
 	server->connections_max = (uint32_t)smaller(
 	    SV_CONNECTIONS_MAX, (files - reserved) / FILES_OF_CALL);
+	server->unsent_bytes_max =
+	    (size_t)(params->memory_bytes_max / UNSENT_DIVISOR);
 	server->response_cache_bytes_max = smaller(RESPONSE_CACHE_BYTES_MAX,
 	    params->memory_bytes_max / RESPONSE_CACHE_DIVISOR);
 }
--- a/lib/serve/relay.c
+++ b/lib/serve/relay.c
@@ -1,6 +1,7 @@
 /*
  * Relays a target's response to the caller. The response is streamed with
- * back-pressure and never buffered as a whole. If the target's response is
+ * back-pressure, as it holds a slot of its target until all of it has arrived;
+ * see slow.c for callers that read slowly. If the target's response is
  * truncated, the caller's connection is aborted, so that the response cannot
  * pass for a complete one.
  */
@@ -10,10 +11,6 @@
 
 #include "serve_internal.h"
 
-/* Reading from the target pauses while more than this is unsent. */
-#define UNSENT_BYTES_MAX (256 * 1024)
-/* While memory is short, it pauses until everything is sent. */
-#define UNSENT_BYTES_SHORT 0
 #define OUTCOME_HEADER "chervilshelf-outcome"
 
 /* Returns the outcome that the home reported for a forwarded call. */
@@ -70,18 +67,23 @@
 	return NULL;
 }
 
-/* Pauses or resumes reading from the target. */
+/*
+ * Pauses or resumes reading from the target. While memory is short, it pauses
+ * until everything is sent.
+ */
 static void
 apply_backpressure(struct sv_attempt *attempt, size_t unsent_bytes)
 {
-	size_t unsent_bytes_max =
-	    cs_memory_is_short(attempt->call->server->params.memory)
-		? UNSENT_BYTES_SHORT
-		: UNSENT_BYTES_MAX;
-
-	if (attempt->target != NULL)
-		h1_client_conn_pause(
-		    attempt->connection->conn, unsent_bytes > unsent_bytes_max);
+	struct sv_call *call = attempt->call;
+	const struct sv_server *server = call->server;
+	size_t unsent_bytes_max = cs_memory_is_short(server->params.memory)
+				      ? 0
+				      : server->unsent_bytes_max;
+
+	if (attempt->target == NULL)
+		return;
+	call->relay_paused = unsent_bytes > unsent_bytes_max;
+	h1_client_conn_pause(attempt->connection->conn, call->relay_paused);
 }
 
 void
@@ -94,6 +96,7 @@
 	struct h1_bytes buffered = attempt->buffered;
 
 	call->relayed = attempt;
+	call->relay_mark_us = cs_now_us();
 	if (call->conn == NULL)
 		return;
 	if (attempt->forwarded)
@@ -136,6 +139,7 @@
 	if (call->relayed != attempt || call->conn == NULL)
 		return;
 	sv_response_cache_append(call, data, length);
+	call->relayed_bytes += length;
 	h1_conn_send_body(call->conn, data, length);
 	if (call->conn != NULL)
 		apply_backpressure(attempt, h1_conn_unsent(call->conn));
--- a/lib/serve/serve_internal.h
+++ b/lib/serve/serve_internal.h
@@ -122,6 +122,9 @@
 	struct sv_cached_response *response_copy;
 	struct sv_attempt attempts[DC_ATTEMPTS_MAX];
 	struct sv_attempt *relayed;
+	bool relay_paused; /* the target waits until the caller reads */
+	uint64_t relayed_bytes, relay_mark_bytes;
+	int64_t relay_mark_us; /* last progress of the caller, see slow.c */
 	char request_id[SV_ID_BYTES_MAX];
 };
 
@@ -145,6 +148,7 @@
 	struct h1_response error_response;
 	char refusal_body[128];
 	size_t response_cache_bytes, response_cache_bytes_max;
+	size_t unsent_bytes_max;  /* of one response */
 	uint32_t connections_max; /* of callers, and as many to targets */
 	uint32_t upstream_count;  /* connections to targets and entry VMs */
 	uint64_t logged_closed, logged_refused;
@@ -238,6 +242,12 @@
 void sv_relay_end(struct sv_call *call, bool complete);
 void sv_on_output_sent(struct h1_conn *conn);
 
+/*
+ * slow.c: sv_sweep_relays(server, now): closes callers that read so slowly that
+ * others wait for the slots of their targets. To be called often.
+ */
+void sv_sweep_relays(struct sv_server *server, int64_t now_us);
+
 /* response_cache.c: responses kept for retries with the same key. */
 void sv_response_cache_begin(
     struct sv_call *call, const struct h1_bytes *headers);
--- a/lib/serve/server.c
+++ b/lib/serve/server.c
@@ -72,6 +72,7 @@
 
 	h1_server_sweep(server->caller_listener, now_us);
 	h1_server_sweep(server->admin_listener, now_us);
+	sv_sweep_relays(server, now_us);
 	sv_log_closed(server);
 }
 
--- a/programs/entry.c
+++ b/programs/entry.c
@@ -8,6 +8,7 @@
 #include <string.h>
 #include <sys/resource.h>
 #include <time.h>
+#include <unistd.h>
 
 #include "../platform/platform.h"
 #include "commands.h"
@@ -21,6 +22,10 @@
 #define STOP_CHECK_MS 20
 /* For the last save of the accounts, before the process ends. */
 #define FINAL_SAVE_WAIT_MS 200
+/* The default is the memory of the VM; with 512 all limits are as documented.
+ */
+#define MEMORY_MB_DEFAULT_MAX 512
+#define MEMORY_MB_MIN 64
 /* Share of the descriptors for connections that are no entry VM's (yet). */
 #define STRANGERS_DIVISOR 16
 
@@ -136,6 +141,18 @@
 	return CS_OK;
 }
 
+static int64_t
+default_memory_mb(void)
+{
+	int64_t pages = sysconf(_SC_PHYS_PAGES),
+		page_bytes = sysconf(_SC_PAGESIZE);
+	int64_t mb = pages * page_bytes / (1024 * 1024);
+
+	if (pages <= 0 || page_bytes <= 0 || mb > MEMORY_MB_DEFAULT_MAX)
+		return MEMORY_MB_DEFAULT_MAX;
+	return mb < MEMORY_MB_MIN ? MEMORY_MB_MIN : mb;
+}
+
 /* Descriptors that this process may use. */
 static uint32_t
 files_max(const struct en_options *o)
@@ -349,7 +366,6 @@
 		    .dispatch = "leases",
 		    .directory_ttl_ms = 2000,
 		    .depth_max = 13,
-		    .memory_mb = 512,
 		},
 	};
 	struct en_options *o = &entry.options;
@@ -434,7 +450,7 @@
 	    {.name = "memory-mb",
 		.kind = ST_NUMBER,
 		.number = &o->memory_mb,
-		.min = 64,
+		.min = MEMORY_MB_MIN,
 		.max = 65536,
 		.argument = "MB",
 		.help = "memory of this VM; buffers take half of it"},
@@ -450,6 +466,7 @@
 	    "Runs an entry VM: serves callers until SIGTERM.", settings,
 	    sizeof(settings) / sizeof(settings[0]), 0};
 
+	o->memory_mb = default_memory_mb();
 	if (st_parse(&command, argc, argv, NULL) != CS_OK)
 		return ST_EXIT_USAGE;
 	return run(&entry);
