h1: the owner of a call closes a slow connection by h1_conn_evict()

One function for all closes that protect the process, counted by reason; the owner is told from the loop. A response whose head cannot be written ends that way too, so relay.c does not call caller.c, which is above it.

test_slow_streams, test_server, scenario_test_http and few_slots of test_slow_entry_readers pass.

--- a/lib/h1/h1.h
+++ b/lib/h1/h1.h
@@ -410,10 +410,11 @@
 void h1_conn_end_response(struct h1_conn *conn);
 void h1_conn_abort_response(struct h1_conn *conn);
 /*
- * h1_conn_close_stalled(conn): closes a connection whose client does not read
- * what its owner sends; on_disconnect() is called later, from the loop.
+ * h1_conn_evict(conn, reason): closes a connection to protect the process;
+ * unsent output ends with a reset. on_disconnect() is called later, from the
+ * loop.
  */
-void h1_conn_close_stalled(struct h1_conn *conn);
+void h1_conn_evict(struct h1_conn *conn, enum h1_closed reason);
 /* h1_conn_unsent(conn): number of queued bytes that are not written yet. */
 size_t h1_conn_unsent(const struct h1_conn *conn);
 /* h1_conn_opened_us(conn): time at which the connection was accepted. */
--- a/lib/h1/h1_internal.h
+++ b/lib/h1/h1_internal.h
@@ -149,7 +149,5 @@
 /* h1_conn_progress(conn, now_us): notes what the client has acknowledged. */
 void h1_conn_progress(struct h1_conn *conn, int64_t now_us);
 void h1_conn_received(struct h1_conn *conn, size_t length, int64_t now_us);
-/* h1_conn_evict(conn, reason): closes; unsent output ends with a reset. */
-void h1_conn_evict(struct h1_conn *conn, enum h1_closed reason);
 
 #endif
--- a/lib/h1/memory.c
+++ b/lib/h1/memory.c
@@ -43,6 +43,8 @@
 void
 h1_conn_evict(struct h1_conn *conn, enum h1_closed reason)
 {
+	if (conn->closing)
+		return;
 	conn->server->closed[reason]++;
 	/* The kernel drops its part too, and no response looks complete. */
 	if (h1_conn_unacked(conn) > 0)
@@ -50,13 +52,6 @@
 	h1_conn_drop(conn);
 }
 
-void
-h1_conn_close_stalled(struct h1_conn *conn)
-{
-	if (!conn->closing)
-		h1_conn_evict(conn, H1_CLOSED_STALLED);
-}
-
 bool
 h1_conn_account(struct h1_conn *conn)
 {
--- a/lib/serve/relay.c
+++ b/lib/serve/relay.c
@@ -102,12 +102,7 @@
 	if (attempt->forwarded)
 		call->outcome = forwarded_outcome(attempt);
 	if (write_headers(call, attempt, headers) != CS_OK) {
-		struct h1_conn *conn = call->conn;
-
-		/* Ends the attempts: their request is part of the connection.
-		 */
-		sv_on_caller_left(conn);
-		h1_conn_abort_response(conn);
+		h1_conn_evict(call->conn, H1_CLOSED_MEMORY);
 		return;
 	}
 	sv_response_cache_begin(call, headers);
--- a/lib/serve/slow.c
+++ b/lib/serve/slow.c
@@ -53,7 +53,7 @@
 	if (call->conn == NULL || !call->relay_paused)
 		return;
 	if (search->now_us - call->relay_mark_us > SLOW_MAX_US)
-		h1_conn_close_stalled(call->conn);
+		h1_conn_evict(call->conn, H1_CLOSED_STALLED);
 	else if (search->now_us - call->relay_mark_us > SLOW_WAITING_US)
 		g_ptr_array_add(search->slow, call);
 }
@@ -86,7 +86,7 @@
 		if (search.waiting[slow->route->pool] == 0)
 			continue;
 		search.waiting[slow->route->pool]--;
-		h1_conn_close_stalled(slow->conn);
+		h1_conn_evict(slow->conn, H1_CLOSED_STALLED);
 	}
 	g_ptr_array_free(search.slow, TRUE);
 }
