--- a/tests/scenario/test_slow_entry_readers.py
+++ b/tests/scenario/test_slow_entry_readers.py
@@ -2,6 +2,7 @@
 refuses ordinary callers, when clients read responses slowly or not at all, also
 those of its directory and of its admin address."""
 import asyncio
+import socket
 
 import crowd
 from entry_crowd import MB, EntryCrowd, flood, get
@@ -57,6 +58,47 @@
                   get("/profiles/1?ms=1&size=8000000"), 20, slots=4)
 
 
+async def read_steadily(address, path, seconds, rate):
+    """Reads at so many bytes a second, then the rest; returns the bytes read, or
+    fails where the connection is reset."""
+    loop = asyncio.get_running_loop()
+    client = socket.socket()
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+    client.setblocking(False)
+    try:
+        host, port = address.split(":")
+        await loop.sock_connect(client, (host, int(port)))
+        await loop.sock_sendall(client, get(path, b"Connection: close\r\n"))
+        received, start = 0, loop.time()
+        while True:
+            elapsed = loop.time() - start
+            if elapsed < seconds and received > rate * elapsed:
+                await asyncio.sleep(0.02)
+                continue
+            try:
+                data = await asyncio.wait_for(
+                    loop.sock_recv(client, 16384), crowd.PATIENCE_S)
+            except OSError as error:
+                raise AssertionError("closed after %d bytes in %.1f s: %s"
+                                     % (received, elapsed, error))
+            if not data:
+                return received
+            received += len(data)
+    finally:
+        client.close()
+
+
+async def steady_reader():
+    """A client that reads 200 KB/s, three times what counts as slow, was closed:
+    progress was noted only when all that is buffered of its response was sent."""
+    size = 16 * MB
+    async with EntryCrowd() as c:
+        received = await read_steadily(
+            c.vm.listen, "/profiles/1?ms=1&size=%d" % size, 18, 200000)
+        assert received > size, "the response ended after %d bytes" % received
+        await c.check("a steady reader")
+
+
 async def directory_readers():
     await flood("directory responses that are not read",
                 lambda n: get("/.chervilshelf/entries") * 16000, 12)
@@ -90,4 +132,4 @@
 
 if __name__ == "__main__":
     crowd.main([reads_slowly, reads_nothing, pipelined, comes_back, few_slots,
-                directory_readers, admin_readers, served_in_calm])
+                steady_reader, directory_readers, admin_readers, served_in_calm])
