tests: a slow reader at `entry` where no call waits for a slot

Calls that wait for the claim of their key in the store have no attempt either, and count as waiting for a slot of the pool.

--- a/tests/scenario/test_slow_entry_readers.py
+++ b/tests/scenario/test_slow_entry_readers.py
@@ -6,8 +6,10 @@
 
 import crowd
 from entry_crowd import MB, EntryCrowd, flood, get
+from rig import request
 
 SECONDS = 6
+CLOSE = b"Connection: close\r\n"
 
 
 async def readers(label, requests, clients, reads=True, returns=1, slots=200):
@@ -58,9 +60,9 @@
                   get("/profiles/1?ms=1&size=8000000"), 20, slots=4)
 
 
-async def read_steadily(address, path, seconds, rate):
-    """Reads at so many bytes a second, then the rest; returns the bytes read, or
-    fails where the connection is reset."""
+async def read_steadily(address, message, seconds, rate):
+    """Reads at so many bytes a second, then the rest; returns the length of the
+    body, or fails where the connection is reset."""
     loop = asyncio.get_running_loop()
     client = socket.socket()
     client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
@@ -68,8 +70,8 @@
     try:
         host, port = address.split(":")
         await loop.sock_connect(client, (host, int(port)))
-        await loop.sock_sendall(client, get(path, b"Connection: close\r\n"))
-        received, start = 0, loop.time()
+        await loop.sock_sendall(client, message)
+        received, start, head = 0, loop.time(), b""
         while True:
             elapsed = loop.time() - start
             if elapsed < seconds and received > rate * elapsed:
@@ -82,7 +84,9 @@
                 raise AssertionError("closed after %d bytes in %.1f s: %s"
                                      % (received, elapsed, error))
             if not data:
-                return received
+                return received - head.index(b"\r\n\r\n") - 4
+            if b"\r\n\r\n" not in head:
+                head += data
             received += len(data)
     finally:
         client.close()
@@ -94,11 +98,31 @@
     size = 16 * MB
     async with EntryCrowd() as c:
         received = await read_steadily(
-            c.vm.listen, "/profiles/1?ms=1&size=%d" % size, 18, 200000)
-        assert received > size, "the response ended after %d bytes" % received
+            c.vm.listen, get("/profiles/1?ms=1&size=%d" % size, CLOSE), 18, 200000)
+        assert received == size, "the response ended after %d bytes" % received
         await c.check("a steady reader")
 
 
+async def slow_reader_without_need():
+    """A client that reads 30 KB/s was closed because calls waited for the store,
+    though no call waited for a slot: all but one were free."""
+    size = 16 * MB
+    async with EntryCrowd() as c:
+        c.rig.set_platform_fault("slow_ms=1000")
+        loop = asyncio.get_running_loop()
+        reader = asyncio.ensure_future(read_steadily(
+            c.vm.listen, b"POST /letters/1?ms=1&size=%d HTTP/1.1\r\nHost: x\r\n"
+            b"Content-Length: 0\r\n%s\r\n" % (size, CLOSE), 6, 30000))
+        await asyncio.gather(*(loop.run_in_executor(
+            None, lambda n=n: request(
+                c.vm.listen, "POST", "/letters/x?ms=1", body=b"b",
+                headers={"Idempotency-Key": "slow-store-%d" % n})[0])
+            for n in range(40)))
+        assert await reader == size
+        c.rig.set_platform_fault("slow_ms=0")
+        await c.check("a slow reader beside calls that wait for the store")
+
+
 async def directory_readers():
     await flood("directory responses that are not read",
                 lambda n: get("/.chervilshelf/entries") * 16000, 12)
@@ -132,4 +156,5 @@
 
 if __name__ == "__main__":
     crowd.main([reads_slowly, reads_nothing, pipelined, comes_back, few_slots,
-                steady_reader, directory_readers, admin_readers, served_in_calm])
+                steady_reader, slow_reader_without_need, directory_readers,
+                admin_readers, served_in_calm])
