entry: only calls in the queue of a pool have slow callers closed

sv_sweep_relays() took each call without an attempt for one that waits for a slot. A call that claims its key, or is forwarded, has none either, and closing another caller does not help it. dc_call_waits() tells them apart.

Measured: slow_reader_without_need failed after 4.3 s before and passes; few_slots (peak 27.8 of 64 MB) and steady_reader pass; lint clean.

--- a/lib/decide/decide.h
+++ b/lib/decide/decide.h
@@ -514,6 +514,8 @@
 };
 int dc_target_info(
     const struct dc_core *core, uint32_t index, struct dc_target_info *out);
+/* dc_call_waits(core, call): the call waits for a slot of its pool. */
+bool dc_call_waits(struct dc_core *core, uint64_t call);
 /*
  * dc_quarantined(core, index, fingerprint): returns one quarantined
  * fingerprint; an unused index gives 0. Indexes run as in dc_target_info().
--- a/lib/decide/info.c
+++ b/lib/decide/info.c
@@ -36,6 +36,14 @@
 	return CS_OK;
 }
 
+bool
+dc_call_waits(struct dc_core *core, uint64_t call)
+{
+	const struct dc_call *found = dc_call_find(core, call);
+
+	return found != NULL && found->state == DC_CALL_WAITING;
+}
+
 int
 dc_quarantined(
     const struct dc_core *core, uint32_t index, uint64_t *fingerprint)
--- a/lib/serve/slow.c
+++ b/lib/serve/slow.c
@@ -46,23 +46,12 @@
 	call->relay_mark_us = now_us;
 }
 
-static bool
-has_attempt(const struct sv_call *call)
-{
-	uint32_t i;
-
-	for (i = 0; i < DC_ATTEMPTS_MAX; i++) {
-		if (call->attempts[i].target != NULL)
-			return true;
-	}
-	return false;
-}
-
 static void
 examine(struct search *search, struct sv_call *call)
 {
 	if (call->relayed == NULL) {
-		search->waiting[call->route->pool] += !has_attempt(call);
+		search->waiting[call->route->pool] +=
+		    dc_call_waits(call->server->core, call->id);
 		return;
 	}
 	if (call->conn == NULL)
