tests: a full listener and responses that are being read

A connection whose response is streamed may be closed for a new one while anything of it is unsent, however fast its client reads.

Fails on this commit: of three streams begun just before, one is cut off.

--- a/tests/unit/test_slow_streams.c
+++ b/tests/unit/test_slow_streams.c
@@ -217,6 +217,43 @@
 	end(&fixture);
 }
 
+/*
+ * A response whose client reads was cut off for a new connection. One whose
+ * client has not read for a second gives way.
+ */
+static void
+test_full_listener_keeps_streams_that_progress(void **state)
+{
+	struct fixture fixture;
+	uint32_t i;
+	int fd;
+
+	(void)state;
+	begin(&fixture, 64 * 1024 * 1024);
+	for (i = 0; i < CLIENTS; i++) {
+		connect_client(&fixture);
+		send_chunks(&fixture, i, CHUNKS_UNREAD);
+	}
+	fd = socket(AF_INET, SOCK_STREAM, 0);
+	assert_int_equal(connect(fd, (struct sockaddr *)&fixture.address,
+			     sizeof(fixture.address)),
+	    0);
+	run(&fixture);
+	assert_int_equal(fixture.disconnects, 0);
+	close(fd);
+	usleep(CS_MEMORY_STALLED_US);
+	fd = socket(AF_INET, SOCK_STREAM, 0);
+	assert_int_equal(connect(fd, (struct sockaddr *)&fixture.address,
+			     sizeof(fixture.address)),
+	    0);
+	run(&fixture);
+	assert_int_equal(fixture.disconnects, 1);
+	assert_null(fixture.conns[0]);
+	assert_true(is_reset(fixture.fds[0]));
+	close(fd);
+	end(&fixture);
+}
+
 static const char pipelined[] =
     "GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n";
 
@@ -281,6 +318,7 @@
 	    cmocka_unit_test(test_unread_stream_makes_room_for_others),
 	    cmocka_unit_test(test_stream_that_waits_for_its_target_is_kept),
 	    cmocka_unit_test(test_stream_without_room_ends_once),
+	    cmocka_unit_test(test_full_listener_keeps_streams_that_progress),
 	    cmocka_unit_test(test_drain_answers_what_has_arrived),
 	};
 
