tests: a request body of 24 MB at a small entry VM

All bodies together may take a quarter of the memory, 16 MB at 64 MB, which is less than the documented 24 MB of one.

Fails on this commit: 503 upload_memory in calm.

--- a/tests/scenario/test_slow_entry_senders.py
+++ b/tests/scenario/test_slow_entry_senders.py
@@ -1,8 +1,10 @@
 """Guards against an entry VM (`chervilshelf entry`) that runs out of memory or
 descriptors, or refuses ordinary callers, when clients send slowly, endlessly, or
 many requests at once, or only connect."""
+import asyncio
+
 import crowd
-from entry_crowd import flood, get, post
+from entry_crowd import MB, EntryCrowd, flood, get, post
 
 
 async def slow_heads():
@@ -66,8 +68,18 @@
                 address=lambda vm: vm.peer)
 
 
+async def longest_body():
+    """A body within the limit of a request got 503 in calm, at each attempt: all
+    bodies together had less than that on a small VM."""
+    async with EntryCrowd() as c:
+        status, _, body = await asyncio.get_running_loop().run_in_executor(
+            None, c.request, "POST", "/letters/x?ms=1", b"b" * (24 * MB))
+        assert status == 200, "a body of 24 MB got %d: %s" % (status, body)
+        await c.check("the longest body")
+
+
 if __name__ == "__main__":
     crowd.main([slow_heads, slow_bodies, announced_bodies, bodies_in_work,
                 endless_chunk_extensions, endless_trailers, pipelined_flood,
                 pipelined_waiting, idle_connections, idle_side_connections,
-                endless_frames])
+                endless_frames, longest_body])
