h1: a full listener keeps streamed responses that progress

Of the connections that may give way to a new one, those that stream a response must now have made no progress for a second (64 KB), as when memory is needed for a large amount.

--- a/lib/h1/memory.c
+++ b/lib/h1/memory.c
@@ -205,14 +205,21 @@
 	}
 }
 
-/* Returns the connection that has waited longest, of one client if given. */
+/*
+ * Returns the connection that has waited longest, of one client if given. One
+ * that streams its response must have made no progress for a while: its client
+ * would lose what it has read.
+ */
 static struct h1_conn *
 find_oldest(const struct h1_server *server, const struct in_addr *address)
 {
+	int64_t stalled_since_us = cs_now_us() - CS_MEMORY_STALLED_US;
 	struct h1_conn *conn, *oldest = NULL;
 
 	for (conn = server->conns; conn != NULL; conn = conn->next) {
 		if (may_evict(conn) &&
+		    (conn->state != CONN_RESPONDING ||
+			conn->mark_us < stalled_since_us) &&
 		    (address == NULL ||
 			conn->address.s_addr == address->s_addr) &&
 		    (oldest == NULL || conn->mark_us < oldest->mark_us))
