entry: bodies of requests have room for at least one of the longest

A quarter of the memory is less than 24 MB on VMs below 96 MB, so a body within the documented limit was always refused there. All bodies now have 24 MB at least; the budget of all buffers, M/2, still holds.

--- a/lib/serve/protect.c
+++ b/lib/serve/protect.c
@@ -11,7 +11,7 @@
  * responses kept for retries, the code, and what the allocator adds.
  */
 #define BUDGET_DIVISOR 2
-/* All request bodies may take a quarter of the memory. */
+/* All request bodies may take a quarter of the memory, but at least one fits. */
 #define BODIES_DIVISOR 4
 #define RESPONSE_CACHE_DIVISOR 16
 /*
@@ -36,6 +36,12 @@
 	return a < b ? a : b;
 }
 
+static uint64_t
+larger(uint64_t a, uint64_t b)
+{
+	return a > b ? a : b;
+}
+
 void
 sv_set_limits(struct sv_server *server)
 {
@@ -66,7 +72,8 @@
 sv_bodies_bytes_max(const struct sv_server *server)
 {
 	return smaller(SV_BODIES_BYTES_MAX,
-	    server->params.memory_bytes_max / BODIES_DIVISOR);
+	    larger(SV_BODY_BYTES_MAX,
+		server->params.memory_bytes_max / BODIES_DIVISOR));
 }
 
 static uint64_t
--- a/lib/serve/serve.h
+++ b/lib/serve/serve.h
@@ -20,7 +20,7 @@
 #define SV_NAME_BYTES_MAX 64
 #define SV_NODES_MAX 512
 #define SV_BODY_BYTES_MAX (24 * 1024 * 1024)
-/* Together; a quarter of the memory where that is less. */
+/* Together; a quarter of the memory where that is less, but at least one. */
 #define SV_BODIES_BYTES_MAX (128 * 1024 * 1024)
 #define SV_CONNECTIONS_MAX 8192
 /* Of the admin address; a sixteenth of the descriptors where that is less. */
