--- a/lib/serve/protect.c
+++ b/lib/serve/protect.c
@@ -11,7 +11,7 @@
  * responses kept for retries, the code, and what the allocator adds.
  */
 #define BUDGET_DIVISOR 2
-/* All request bodies may take a quarter of the memory, but at least one fits. */
+/* All request bodies may take a quarter of the memory; one always fits. */
 #define BODIES_DIVISOR 4
 #define RESPONSE_CACHE_DIVISOR 16
 /*
