--- a/lib/h1/h1.h
+++ b/lib/h1/h1.h
@@ -184,6 +184,11 @@
 	struct sockaddr_in address;
 	struct h1_limits limits;
 	struct cs_memory *memory; /* for responses; must outlive them */
+	/*
+	 * For an owner that passes responses on as they arrive: less is read at
+	 * a time while it is short. NULL: never.
+	 */
+	const struct cs_memory *relay_memory;
 	/*
 	 * A body that is sent is not copied: it stays valid and unchanged until
 	 * the response is complete or the connection is closed.
@@ -277,7 +282,10 @@
 	/* A request is complete. It gets one response, now or later. */
 	void (*on_request)(
 	    struct h1_conn *conn, const struct h1_message *request);
-	/* The connection closed before the response was complete. */
+	/*
+	 * The connection closed before the response was complete. What is sent
+	 * on it until then is discarded.
+	 */
 	void (*on_disconnect)(struct h1_conn *conn);
 	/* The queued part of a streamed response is written. May be NULL. */
 	void (*on_flushed)(struct h1_conn *conn);
@@ -334,7 +342,10 @@
     const struct h1_server *server, enum h1_closed reason);
 void h1_server_set_limits(struct h1_server *server, struct h1_limits limits,
     uint32_t head_timeout_ms, uint32_t idle_timeout_ms);
-/* h1_server_drain(server): each connection closes after its next response. */
+/*
+ * h1_server_drain(server): each connection closes after its next response, or
+ * after that to the last request that has arrived before this call.
+ */
 void h1_server_drain(struct h1_server *server);
 /* h1_server_close_idle(server): closes connections between requests. */
 void h1_server_close_idle(struct h1_server *server);
@@ -398,6 +409,12 @@
 void h1_conn_send_body(struct h1_conn *conn, const char *data, size_t length);
 void h1_conn_end_response(struct h1_conn *conn);
 void h1_conn_abort_response(struct h1_conn *conn);
+/*
+ * h1_conn_evict(conn, reason): closes a connection to protect the process;
+ * unsent output ends with a reset. on_disconnect() is called later, from the
+ * loop.
+ */
+void h1_conn_evict(struct h1_conn *conn, enum h1_closed reason);
 /* h1_conn_unsent(conn): number of queued bytes that are not written yet. */
 size_t h1_conn_unsent(const struct h1_conn *conn);
 /* h1_conn_opened_us(conn): time at which the connection was accepted. */
--- a/lib/h1/h1_internal.h
+++ b/lib/h1/h1_internal.h
@@ -49,6 +49,8 @@
 	uint64_t acked_bytes, acked_at_mark_bytes;
 	int64_t progress_us, mark_us;
 	uint64_t received_since_mark_bytes;
+	/* Input that had arrived when the listener began to drain. */
+	uint64_t owed_bytes;
 	uint32_t busy;	 /* on the stack: must not be closed to free memory */
 	bool processing; /* requests of a buffer are being processed */
 	bool continue_sent;
@@ -83,6 +85,12 @@
  * not complete yet.
  */
 void h1_conn_close(struct h1_conn *conn);
+/*
+ * h1_conn_drop(conn): the same, but on_disconnect() is called later, from the
+ * loop. For closes that the owner of the connection, or of another one, causes
+ * while it writes.
+ */
+void h1_conn_drop(struct h1_conn *conn);
 /*
  * h1_conn_linger(conn): ends the output; input is discarded until the client
  * closes or the time to linger is over.
@@ -112,6 +120,8 @@
 /* h1_conn_start_next(conn): its response is sent; reads the next request. */
 void h1_conn_start_next(struct h1_conn *conn);
 void h1_conn_resume_reading(struct h1_conn *conn);
+/* h1_conn_note_input(conn): requests that have arrived are still answered. */
+void h1_conn_note_input(struct h1_conn *conn);
 /* h1_conn_reject(conn, status): for a request that cannot be processed. */
 void h1_conn_reject(struct h1_conn *conn, int status);
 
@@ -139,7 +149,5 @@
 /* h1_conn_progress(conn, now_us): notes what the client has acknowledged. */
 void h1_conn_progress(struct h1_conn *conn, int64_t now_us);
 void h1_conn_received(struct h1_conn *conn, size_t length, int64_t now_us);
-/* h1_conn_evict(conn, reason): closes; unsent output ends with a reset. */
-void h1_conn_evict(struct h1_conn *conn, enum h1_closed reason);
 
 #endif
--- a/lib/h1/memory.c
+++ b/lib/h1/memory.c
@@ -1,7 +1,8 @@
 /*
  * What connections of listeners hold, and which of them are closed when memory
  * or descriptors run short: the one that has held most for longest without
- * progress. A connection whose request is being processed is never chosen.
+ * progress. A connection whose request is being processed is never chosen, one
+ * that streams its response only while the client has not read what is queued.
  */
 #include <linux/sockios.h>
 #include <sys/ioctl.h>
@@ -42,11 +43,13 @@
 void
 h1_conn_evict(struct h1_conn *conn, enum h1_closed reason)
 {
+	if (conn->closing)
+		return;
 	conn->server->closed[reason]++;
 	/* The kernel drops its part too, and no response looks complete. */
 	if (h1_conn_unacked(conn) > 0)
 		h1_conn_reset_on_close(conn, true);
-	h1_conn_close(conn);
+	h1_conn_drop(conn);
 }
 
 bool
@@ -107,8 +110,10 @@
 static bool
 may_evict(const struct h1_conn *conn)
 {
-	return conn->state != CONN_RESPONDING && conn->busy == 0 &&
-	       !conn->closing;
+	if (conn->busy > 0 || conn->closing)
+		return false;
+	return conn->state != CONN_RESPONDING ||
+	       (conn->streaming && h1_conn_unsent(conn) > 0);
 }
 
 struct search {
@@ -200,14 +205,21 @@
 	}
 }
 
-/* Returns the connection that has waited longest, of one client if given. */
+/*
+ * Returns the connection that has waited longest, of one client if given. One
+ * that streams its response must have made no progress for a while: its client
+ * would lose what it has read.
+ */
 static struct h1_conn *
 find_oldest(const struct h1_server *server, const struct in_addr *address)
 {
+	int64_t stalled_since_us = cs_now_us() - CS_MEMORY_STALLED_US;
 	struct h1_conn *conn, *oldest = NULL;
 
 	for (conn = server->conns; conn != NULL; conn = conn->next) {
 		if (may_evict(conn) &&
+		    (conn->state != CONN_RESPONDING ||
+			conn->mark_us < stalled_since_us) &&
 		    (address == NULL ||
 			conn->address.s_addr == address->s_addr) &&
 		    (oldest == NULL || conn->mark_us < oldest->mark_us))
--- a/lib/serve/relay.c
+++ b/lib/serve/relay.c
@@ -1,6 +1,7 @@
 /*
  * Relays a target's response to the caller. The response is streamed with
- * back-pressure and never buffered as a whole. If the target's response is
+ * back-pressure, as it holds a slot of its target until all of it has arrived;
+ * see slow.c for callers that read slowly. If the target's response is
  * truncated, the caller's connection is aborted, so that the response cannot
  * pass for a complete one.
  */
@@ -10,8 +11,6 @@
 
 #include "serve_internal.h"
 
-/* Reading from the target pauses while more than this is unsent. */
-#define UNSENT_BYTES_MAX (256 * 1024)
 #define OUTCOME_HEADER "chervilshelf-outcome"
 
 /* Returns the outcome that the home reported for a forwarded call. */
@@ -68,13 +67,23 @@
 	return NULL;
 }
 
-/* Pauses or resumes reading from the target. */
+/*
+ * Pauses or resumes reading from the target. While memory is short, it pauses
+ * until everything is sent.
+ */
 static void
 apply_backpressure(struct sv_attempt *attempt, size_t unsent_bytes)
 {
-	if (attempt->target != NULL)
-		h1_client_conn_pause(
-		    attempt->connection->conn, unsent_bytes > UNSENT_BYTES_MAX);
+	struct sv_call *call = attempt->call;
+	const struct sv_server *server = call->server;
+	size_t unsent_bytes_max = cs_memory_is_short(server->params.memory)
+				      ? 0
+				      : server->unsent_bytes_max;
+
+	if (attempt->target == NULL)
+		return;
+	call->relay_paused = unsent_bytes > unsent_bytes_max;
+	h1_client_conn_pause(attempt->connection->conn, call->relay_paused);
 }
 
 void
@@ -87,13 +96,13 @@
 	struct h1_bytes buffered = attempt->buffered;
 
 	call->relayed = attempt;
+	call->relay_mark_us = cs_now_us();
 	if (call->conn == NULL)
 		return;
 	if (attempt->forwarded)
 		call->outcome = forwarded_outcome(attempt);
 	if (write_headers(call, attempt, headers) != CS_OK) {
-		h1_conn_abort_response(call->conn);
-		sv_call_detach(call);
+		h1_conn_evict(call->conn, H1_CLOSED_MEMORY);
 		return;
 	}
 	sv_response_cache_begin(call, headers);
@@ -125,6 +134,7 @@
 	if (call->relayed != attempt || call->conn == NULL)
 		return;
 	sv_response_cache_append(call, data, length);
+	call->relayed_bytes += length;
 	h1_conn_send_body(call->conn, data, length);
 	if (call->conn != NULL)
 		apply_backpressure(attempt, h1_conn_unsent(call->conn));
--- a/programs/entry.c
+++ b/programs/entry.c
@@ -6,9 +6,10 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <time.h>
+#include <unistd.h>
 
-#include "../lib/base/memory.h"
 #include "../platform/platform.h"
 #include "commands.h"
 #include "session.h"
@@ -21,6 +22,12 @@
 #define STOP_CHECK_MS 20
 /* For the last save of the accounts, before the process ends. */
 #define FINAL_SAVE_WAIT_MS 200
+/* The default is the memory of the VM; with 512 all limits are as documented.
+ */
+#define MEMORY_MB_DEFAULT_MAX 512
+#define MEMORY_MB_MIN 64
+/* Share of the descriptors for connections that are no entry VM's (yet). */
+#define STRANGERS_DIVISOR 16
 
 static void
 on_stop_check(uv_timer_t *timer)
@@ -134,6 +141,32 @@
 	return CS_OK;
 }
 
+static int64_t
+default_memory_mb(void)
+{
+	int64_t pages = sysconf(_SC_PHYS_PAGES),
+		page_bytes = sysconf(_SC_PAGESIZE);
+	int64_t mb = pages * page_bytes / (1024 * 1024);
+
+	if (pages <= 0 || page_bytes <= 0 || mb > MEMORY_MB_DEFAULT_MAX)
+		return MEMORY_MB_DEFAULT_MAX;
+	return mb < MEMORY_MB_MIN ? MEMORY_MB_MIN : mb;
+}
+
+/* Descriptors that this process may use. */
+static uint32_t
+files_max(const struct en_options *o)
+{
+	struct rlimit limit;
+	uint64_t files = UINT32_MAX;
+
+	if (getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur < files)
+		files = limit.rlim_cur;
+	if (o->max_fds > 0 && (uint64_t)o->max_fds < files)
+		files = (uint64_t)o->max_fds;
+	return (uint32_t)files;
+}
+
 static int
 create_server(struct en_entry *entry)
 {
@@ -148,6 +181,9 @@
 	    .directory_ttl_ms = (uint32_t)o->directory_ttl_ms,
 	    .depth_max = (uint32_t)o->depth_max,
 	    .dispatch = o->dispatch,
+	    .memory_bytes_max = (uint64_t)o->memory_mb * 1024 * 1024,
+	    .files_max = files_max(o),
+	    .memory = &entry->memory,
 	    .callbacks =
 		{
 		    .send = send_message,
@@ -179,6 +215,8 @@
 	struct pr_mesh_params params = {
 	    .loop = &entry->loop,
 	    .self = {.epoch = entry->epoch},
+	    .memory = &entry->memory,
+	    .strangers_max = files_max(o) / STRANGERS_DIVISOR,
 	    .callbacks =
 		{
 		    .on_membership_change = en_membership_changed,
@@ -410,11 +448,26 @@
 		.max = 100,
 		.argument = "N",
 		.help = "longest chain of calls"},
+	    {.name = "memory-mb",
+		.kind = ST_NUMBER,
+		.number = &o->memory_mb,
+		.min = MEMORY_MB_MIN,
+		.max = 65536,
+		.argument = "MB",
+		.help = "memory of this VM; buffers take half of it"},
+	    {.name = "max-fds",
+		.kind = ST_NUMBER,
+		.number = &o->max_fds,
+		.min = 0,
+		.max = 1048576,
+		.argument = "N",
+		.help = "descriptors of this VM, 0: the limit of the process"},
 	};
 	const struct st_command command = {"entry", "",
 	    "Runs an entry VM: serves callers until SIGTERM.", settings,
 	    sizeof(settings) / sizeof(settings[0]), 0};
 
+	o->memory_mb = default_memory_mb();
 	if (st_parse(&command, argc, argv, NULL) != CS_OK)
 		return ST_EXIT_USAGE;
 	return run(&entry);
