entry: a stop refuses what has not begun after 10 s

Cause: since a draining listener answers all requests that had arrived, one client with 60 pipelined requests of 1 s each held a VM that stops for a minute (seen in review: 40 answered after 40 s). Change: 10 s after the listener has closed, further calls are refused as not run.

--- a/lib/serve/serve.h
+++ b/lib/serve/serve.h
@@ -138,6 +138,11 @@
 void sv_drain(struct sv_server *server);
 /* sv_stop_accepting(server): closes the listener for callers. */
 void sv_stop_accepting(struct sv_server *server);
+/*
+ * sv_refuse_calls(server): refuses further calls as not run; those under way go
+ * on.
+ */
+void sv_refuse_calls(struct sv_server *server);
 /*
  * sv_accounts(server): returns the usage accounts of this process as JSON text,
  * {"entry", "epoch", "accounts"}; the caller frees it.
--- a/lib/serve/server.c
+++ b/lib/serve/server.c
@@ -180,6 +180,12 @@
 	h1_server_stop(server->caller_listener);
 }
 
+void
+sv_refuse_calls(struct sv_server *server)
+{
+	sv_post_event(server, &(struct dc_event){.type = DC_EV_STOPPING});
+}
+
 uint32_t
 sv_open_calls(const struct sv_server *server)
 {
--- a/programs/entry.c
+++ b/programs/entry.c
@@ -20,6 +20,11 @@
  */
 #define CLOSE_DELAY_MS 1000
 #define STOP_CHECK_MS 20
+/*
+ * Requests that had arrived before the stop are served this long after the
+ * listener has closed. A client may have sent hundreds on one connection.
+ */
+#define STOP_SERVE_MS 10000
 /* For the last save of the accounts, before the process ends. */
 #define FINAL_SAVE_WAIT_MS 200
 /* The default is the memory of the VM; with 512 all limits are as documented.
@@ -37,6 +42,11 @@
 	if (cs_now_us() < entry->stop_after_us)
 		return;
 	sv_stop_accepting(entry->server);
+	if (!entry->refuses_calls &&
+	    cs_now_us() >= entry->stop_after_us + STOP_SERVE_MS * 1000) {
+		entry->refuses_calls = true;
+		sv_refuse_calls(entry->server);
+	}
 	if (sv_open_calls(entry->server) != 0)
 		return;
 	if (!entry->final_save_started) {
--- a/tests/scenario/entry_crowd.py
+++ b/tests/scenario/entry_crowd.py
@@ -33,7 +33,7 @@
 
     async def __aexit__(self, *unused):
         self.close()
-        self.rig.__exit__()
+        self.rig.__exit__(None, None, None)
 
     def request(self, method, path, body=None):
         return request(self.vm.listen, method, path, body=body)
--- a/tests/scenario/test_slow_entry_readers.py
+++ b/tests/scenario/test_slow_entry_readers.py
@@ -134,6 +134,26 @@
                     address=lambda vm: vm.admin)
 
 
+async def stops_with_pipelined():
+    """A client that sends many requests at once held a VM that stops until all
+    were served. What has not begun after a while is refused as not run."""
+    count = 60
+    async with EntryCrowd() as c:
+        reader, writer = await asyncio.open_connection(*c.vm.listen.split(":"))
+        writer.write(get("/profiles/1?ms=1000") * count)
+        await reader.readuntil(b"\r\n\r\n")
+        c.vm.process.terminate()
+        rest = await asyncio.wait_for(reader.read(), 2 * count)
+        refused = rest.count(b"HTTP/1.1 503")
+        served = 1 + rest.count(b"HTTP/1.1 200")
+        print("60 pipelined requests at a stop: %d served, %d refused"
+              % (served, refused), flush=True)
+        assert refused > 0 and served + refused == count, (served, refused)
+        assert rest.count(b": not-run") == refused, rest[-300:]
+        assert await asyncio.get_running_loop().run_in_executor(
+            None, c.vm.process.wait, crowd.PATIENCE_S) == 0
+
+
 async def served_in_calm():
     """What must hold for clients that read normally: long responses and bodies
     come whole, several at once."""
@@ -157,4 +177,4 @@
 if __name__ == "__main__":
     crowd.main([reads_slowly, reads_nothing, pipelined, comes_back, few_slots,
                 steady_reader, slow_reader_without_need, directory_readers,
-                admin_readers, served_in_calm])
+                admin_readers, stops_with_pipelined, served_in_calm])
