serve: attempts end before the request that they send is freed

Attempts send the body from the caller's buffer. The core cancels them before it refuses or replays a call; execution no longer relies on that, as a later change of the core would otherwise read freed memory.

scenario_test_http, _keys, _freeze, _targets and _slow_entry_readers pass.

--- a/lib/serve/caller.c
+++ b/lib/serve/caller.c
@@ -10,17 +10,6 @@
 
 #define DIRECTORY_PATH "/.chervilshelf/entries"
 
-static void
-cancel_attempts(struct sv_call *call)
-{
-	uint32_t i;
-
-	for (i = 0; i < DC_ATTEMPTS_MAX; i++) {
-		if (call->attempts[i].target != NULL)
-			sv_attempt_cancel(call, call->attempts[i].number);
-	}
-}
-
 /* Cancels the call's attempts and tells the core that its caller has left. */
 static void
 report_caller_left(struct sv_call *call)
@@ -29,7 +18,7 @@
 
 	call->known_to_core = false;
 	g_hash_table_remove(server->calls, &call->id);
-	cancel_attempts(call);
+	sv_attempts_cancel(call);
 	sv_post_event(server, &(struct dc_event){
 				  .type = DC_EV_CALLER_DISCONNECTED,
 				  .disconnected = {.call = call->id},
--- a/lib/serve/core_actions.c
+++ b/lib/serve/core_actions.c
@@ -24,8 +24,11 @@
 	if (call == NULL)
 		return;
 	forget_call(server, call);
+	cs_ref_take(&call->ref);
+	sv_attempts_cancel(call);
 	sv_refuse_call(call, (enum dc_reason)refuse->reason,
 	    (enum dc_outcome)refuse->outcome);
+	sv_call_unref(call);
 }
 
 /* Answers a retry with the response kept for its key; refuses without one. */
@@ -62,6 +65,7 @@
 		return;
 	forget_call(server, call);
 	cs_ref_take(&call->ref);
+	sv_attempts_cancel(call);
 	replay_response(call);
 	sv_record_call_ended(call, RP_SERVED, DC_REASON_NONE);
 	sv_call_unref(call);
--- a/lib/serve/serve_internal.h
+++ b/lib/serve/serve_internal.h
@@ -223,6 +223,11 @@
 void sv_attempt_start(struct sv_call *call, const struct dc_send *send);
 void sv_forward_start(struct sv_call *call, const struct dc_send *send);
 void sv_attempt_cancel(struct sv_call *call, uint32_t number);
+/*
+ * sv_attempts_cancel(call): to be called before the request is freed, from
+ * which attempts send the body.
+ */
+void sv_attempts_cancel(struct sv_call *call);
 
 /* call_records.c: records of recent calls, and the usage accounts. */
 void sv_record_call_started(struct sv_call *call);
--- a/lib/serve/upstream.c
+++ b/lib/serve/upstream.c
@@ -289,3 +289,14 @@
 		return;
 	}
 }
+
+void
+sv_attempts_cancel(struct sv_call *call)
+{
+	uint32_t i;
+
+	for (i = 0; i < DC_ATTEMPTS_MAX; i++) {
+		if (call->attempts[i].target != NULL)
+			sv_attempt_cancel(call, call->attempts[i].number);
+	}
+}
