--- a/programs/entry.h
+++ b/programs/entry.h
@@ -49,7 +49,7 @@
 	bool store_era_known;
 	uint64_t store_era; /* the highest of any response */
 	bool stopping;
-	bool refuses_calls; /* since it has been stopping for long */
+	bool refuses_calls;	 /* since it has been stopping for long */
 	bool final_save_started; /* the accounts, for the last time */
 	int64_t stop_after_us;
 	/* Configuration. */
