Fleet: counters of sent bytes by type and place; table by size

The traffic of a fleet between its VMs grows with its size, and the metrics told neither which frames cost most nor where they go.

Each VM counts what it sends by type of frame and by where the receiver is; a follower names its address when it subscribes, in a trailing field that earlier builds ignore. tests/unit/fleet_world.c runs lib/fleet on virtual time, and test_control_traffic prints the table by size.

--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -237,6 +237,7 @@
 	FL_FRAME_PROOF_QUERY = 24, /* how old is the receiver's proof */
 	FL_FRAME_PROOF = 25,	   /* the answer, see proof.h */
 };
+#define FL_FRAME_TYPES 40 /* more than the largest type */
 
 /* A node claims a trial of a request that crashed targets. */
 struct fl_claim {
@@ -352,6 +353,8 @@
 		struct fl_quota_share quota_share;
 		struct {
 			uint64_t revisions[OS_KINDS_MAX];
+			/* Port 0: an earlier build, which does not tell. */
+			struct sockaddr_in follower;
 		} subscribe;
 		struct fl_update update;
 	} as;
@@ -419,8 +422,25 @@
 
 struct fleet;
 
-/* What this node has sent, without the headers of UDP and TCP. */
+/* Where the receiver of a frame is; bytes between data centres are charged. */
+enum fl_place {
+	FL_PLACE_DATA_CENTRE,  /* in the data centre of this node */
+	FL_PLACE_REGION,       /* in another one of the region */
+	FL_PLACE_OTHER_REGION, /* in another region */
+	FL_PLACE_UNKNOWN,      /* no hello of it has arrived yet */
+	FL_PLACES
+};
+
+struct fl_sent {
+	uint64_t frames, bytes;
+};
+
+/*
+ * What this node has sent, without the headers: 28 bytes for a datagram (UDP
+ * and IP), at least 40 for an update (TCP and IP).
+ */
 struct fl_counters {
+	struct fl_sent sent[FL_FRAME_TYPES][FL_PLACES];
 	uint64_t datagrams;
 	uint64_t datagram_bytes;
 	uint64_t updates; /* update frames, counted once for each follower */
@@ -518,6 +538,10 @@
 void fl_leave(struct fleet *fleet);
 const struct fl_membership *fl_get_membership(const struct fleet *fleet);
 const struct fl_counters *fl_get_counters(const struct fleet *fleet);
+/* fl_frame_name(type): the name in metrics, or NULL if there is no such type.
+ */
+const char *fl_frame_name(uint32_t type);
+const char *fl_place_name(enum fl_place place);
 void fl_close(struct fleet *fleet);
 
 #endif
--- a/lib/fleet/fleet_internal.h
+++ b/lib/fleet/fleet_internal.h
@@ -46,6 +46,11 @@
 void fl_send_to_nodes(
     struct fleet *fleet, const struct fl_frame *frame, bool same_region);
 
+/* counters.c */
+/* fl_count_sent(fleet, type, node, bytes): node is NULL if it is not known. */
+void fl_count_sent(struct fleet *fleet, enum fl_frame_type type,
+    const struct fl_node *node, size_t bytes);
+
 /* heartbeat.c */
 void fl_send_datagram(struct fleet *fleet, const struct fl_frame *frame,
     const struct sockaddr_in *to);
--- a/lib/fleet/frames.c
+++ b/lib/fleet/frames.c
@@ -252,12 +252,13 @@
 		msgpack_pack_uint64(&packer, frame->as.claim.ticket);
 		break;
 	case FL_FRAME_SUBSCRIBE:
-		msgpack_pack_array(&packer, 1 + 2 * OS_KINDS_MAX);
+		msgpack_pack_array(&packer, 2 + 2 * OS_KINDS_MAX);
 		msgpack_pack_int(&packer, frame->type);
 		for (i = 0; i < OS_KINDS_MAX; i++)
 			pack_number(&packer, frame->as.subscribe.revisions[i]);
 		for (i = 0; i < OS_KINDS_MAX; i++)
 			pack_era(&packer, frame->as.subscribe.revisions[i]);
+		pack_address(&packer, &frame->as.subscribe.follower);
 		break;
 	case FL_FRAME_UPDATE:
 		pack_update(&packer, &frame->as.update);
--- a/lib/fleet/frames_read.c
+++ b/lib/fleet/frames_read.c
@@ -337,6 +337,8 @@
 			out->as.subscribe.revisions[i] = read_number(cursor);
 		for (i = 0; i < OS_KINDS_MAX; i++)
 			read_era(cursor, &out->as.subscribe.revisions[i]);
+		if (cursor->at < cursor->array->size)
+			out->as.subscribe.follower = read_address(cursor);
 		break;
 	case FL_FRAME_UPDATE:
 		error = read_update(cursor, &out->as.update);
--- a/lib/fleet/heartbeat.c
+++ b/lib/fleet/heartbeat.c
@@ -26,6 +26,8 @@
 		return;
 	fleet->counters.datagrams++;
 	fleet->counters.datagram_bytes += buffer.length;
+	fl_count_sent(fleet, frame->type,
+	    fl_membership_find(&fleet->membership, to), buffer.length);
 	datagram = uv_buf_init(buffer.data, (unsigned)buffer.length);
 	/* A failed send counts as a lost datagram. */
 	uv_udp_try_send(&fleet->udp, &datagram, 1, (const struct sockaddr *)to);
--- a/lib/fleet/link.h
+++ b/lib/fleet/link.h
@@ -30,6 +30,8 @@
 	uint64_t in_accounted_bytes;
 	int64_t accepted_us; /* 0: connected by this side */
 	bool subscribed;     /* its SUBSCRIBE has arrived */
+	/* Its fleet address; port 0: an earlier build, which does not tell. */
+	struct sockaddr_in follower;
 	bool closing;
 };
 
--- a/lib/fleet/replication.c
+++ b/lib/fleet/replication.c
@@ -36,8 +36,12 @@
 	for (i = 0; i < fleet->params.kind_count; i++)
 		subscribe.as.subscribe.revisions[i] =
 		    os_cache_revision(fleet->params.cache, i);
+	subscribe.as.subscribe.follower = fleet->membership.self.fleet;
 	if (fl_encode(&subscribe, &buffer) != CS_OK)
 		return;
+	fl_count_sent(fleet, FL_FRAME_SUBSCRIBE,
+	    fl_membership_find(&fleet->membership, &fleet->leader_address),
+	    buffer.length);
 	fl_link_send(link, &buffer);
 	free(buffer.data);
 }
@@ -176,6 +180,9 @@
 	fleet->counters.updates++;
 	fleet->counters.update_bytes += frame->length - FL_LENGTH_BYTES;
 	fleet->counters.snapshots += is_snapshot;
+	fl_count_sent(fleet, FL_FRAME_UPDATE,
+	    fl_membership_find(&fleet->membership, &link->follower),
+	    frame->length - FL_LENGTH_BYTES);
 	fl_link_send_shared(link, frame);
 }
 
@@ -220,6 +227,7 @@
 	if (frame->type != FL_FRAME_SUBSCRIBE)
 		return;
 	link->subscribed = true;
+	link->follower = frame->as.subscribe.follower;
 	send_missed_updates(link, frame);
 }
 
--- a/programs/gateway_serve.c
+++ b/programs/gateway_serve.c
@@ -127,6 +127,32 @@
 	    (unsigned long long)value);
 }
 
+static void
+print_sent(struct h1_bytes *out, const struct fl_counters *counters)
+{
+	uint32_t type, place;
+
+	for (type = 0; type < FL_FRAME_TYPES; type++) {
+		for (place = 0; place < FL_PLACES; place++) {
+			const struct fl_sent *sent =
+			    &counters->sent[type][place];
+			const char *to = fl_place_name((enum fl_place)place);
+
+			if (sent->frames == 0 || fl_frame_name(type) == NULL)
+				continue;
+			h1_bytes_print(out,
+			    "chervilshelf_fleet_sent_frames_total{type=\"%s\","
+			    "to=\"%s\"} %llu\n"
+			    "chervilshelf_fleet_sent_bytes_total{type=\"%s\","
+			    "to=\"%s\"} %llu\n",
+			    fl_frame_name(type), to,
+			    (unsigned long long)sent->frames,
+			    fl_frame_name(type), to,
+			    (unsigned long long)sent->bytes);
+		}
+	}
+}
+
 static void
 print_fleet(struct h1_bytes *out, const struct fl_counters *counters)
 {
@@ -135,6 +161,7 @@
 	print_counter(out, "fleet_news", counters->updates);
 	print_counter(out, "fleet_news_bytes", counters->update_bytes);
 	print_counter(out, "fleet_snapshots", counters->snapshots);
+	print_sent(out, counters);
 }
 
 static void
