Fleet: updates reach large regions through relays

The leader of a region sent every update to each VM of the region: 1.2 MB a second at 473 VMs and 20 updates a second, most of it to other data centres.

In regions of 24 live VMs or more the VMs of a data centre form a tree by rank, three followers each; only the first follows the leader.

Four relays that fail together delay updates by at most 2.5 s (test_control_traffic).

--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -38,12 +38,7 @@
 	    fl_membership_tick(&fleet->membership, cs_now_us(), &leader);
 
 	/* A node that watches the store gets the leader's updates as well. */
-	if (leader != NULL) {
-		fl_follow_leader(fleet, leader);
-	} else if (fleet->leader_link != NULL) {
-		fl_link_close(fleet->leader_link);
-		fleet->leader_link = NULL;
-	}
+	fl_follow_leader(fleet, leader);
 	if (leader == NULL && role == FL_ROLE_UNDECIDED)
 		start_fast_ticks(fleet);
 	if (role == fleet->role)
@@ -76,7 +71,7 @@
 	    fleet->ticks % OTHERS_EVERY_TICKS == 0)
 		fl_send_heartbeats(fleet);
 	fl_membership_tick(&fleet->membership, cs_now_us(), &leader);
-	fl_check_leader_link(fleet, leader);
+	fl_check_source_link(fleet, leader);
 	update_role(fleet);
 }
 
@@ -408,7 +403,7 @@
 	const struct fl_node *node;
 	int same_region;
 
-	if (fleet->leader_link != NULL)
+	if (fleet->has_leader)
 		fl_send_datagram(fleet, &frame, &fleet->leader_address);
 	for (same_region = 0; others && same_region < 2; same_region++) {
 		node = next_to_ask(fleet, same_region != 0);
@@ -552,8 +547,8 @@
 		next = link->next;
 		fl_link_close(link);
 	}
-	if (fleet->leader_link != NULL)
-		fl_link_close(fleet->leader_link);
+	if (fleet->source_link != NULL)
+		fl_link_close(fleet->source_link);
 	fl_free_snapshots(fleet);
 	fl_membership_free(&fleet->membership);
 }
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -25,6 +25,10 @@
 #define FL_SHARING_RETENTION_US INT64_C(600000000)
 #define FL_CAPACITY_MAX 10 /* larger nodes count as equal */
 
+/* What a node tells in its hello that its build can do. */
+#define FL_FEATURE_RELAYS 1U /* relays updates and follows relays */
+#define FL_FEATURES FL_FEATURE_RELAYS
+
 struct fl_frame;
 
 struct fl_node {
@@ -41,7 +45,10 @@
 	uint32_t capacity;     /* of its link and CPU, as a power of two */
 	uint64_t revision_sum; /* of the store revisions that it has */
 	bool tells_era;	       /* of the store; earlier builds do not */
+	uint32_t features;     /* FL_FEATURE_*; earlier builds have none */
 	int64_t heard_us;      /* last heartbeat or hello; 0: none yet */
+	/* Its updates did not arrive: it is not followed until then. */
+	int64_t avoid_until_us;
 };
 
 /* Where this node gets the store's updates from. */
@@ -178,6 +185,31 @@
  */
 int64_t fl_first_read_delay_us(uint32_t capacity, uint64_t random);
 
+/* fl_node_ranks_before(a, b): by capacity, the largest first, then by name. */
+bool fl_node_ranks_before(const struct fl_node *a, const struct fl_node *b);
+
+/* How many nodes of its data centre follow a node, see relay.c. */
+#define FL_RELAY_FOLLOWERS 3
+/*
+ * fl_membership_is_large(membership, now_us): returns true if the region has so
+ * many live nodes that updates are relayed.
+ */
+bool fl_membership_is_large(
+    const struct fl_membership *membership, int64_t now_us);
+/*
+ * fl_membership_find_source(membership, leader, now_us): returns the node to
+ * get the store's updates from: the leader, or a relay in this data centre.
+ */
+const struct fl_node *fl_membership_find_source(
+    const struct fl_membership *membership, const struct fl_node *leader,
+    int64_t now_us);
+/*
+ * fl_membership_may_relay(membership, node, now_us): returns true if this node
+ * may follow the other one while that is not the leader.
+ */
+bool fl_membership_may_relay(const struct fl_membership *membership,
+    const struct fl_node *node, int64_t now_us);
+
 /* A request to the directory. */
 struct fl_directory_query {
 	char data_centre[FL_NAME_BYTES_MAX];
--- a/lib/fleet/fleet_internal.h
+++ b/lib/fleet/fleet_internal.h
@@ -20,7 +20,13 @@
 	uv_tcp_t listener;
 	uv_timer_t timer;
 	struct fl_link *followers;   /* nodes that get updates from this one */
-	struct fl_link *leader_link; /* to the node that sends updates */
+	struct fl_link *source_link; /* to the node that sends updates */
+	struct sockaddr_in source_address; /* the leader or a relay */
+	/* The source should be this one, since then; port 0: it is right. */
+	struct sockaddr_in next_source;
+	int64_t next_source_us;
+	int64_t direct_until_us; /* follows the leader, not a relay */
+	bool has_leader;
 	struct sockaddr_in leader_address;
 	enum fl_role role;
 	uv_timer_t fast_timer;
@@ -81,12 +87,16 @@
 /* replication.c */
 /* fl_revision_sum(fleet): returns the sum of the store revisions known here. */
 uint64_t fl_revision_sum(const struct fleet *fleet);
+/*
+ * fl_follow_leader(fleet, leader): connects to the node that sends this one the
+ * leader's updates. NULL: there is no leader.
+ */
 void fl_follow_leader(struct fleet *fleet, const struct fl_node *leader);
 /*
- * fl_check_leader_link(fleet, leader): closes the link to the leader if its
- * updates no longer arrive.
+ * fl_check_source_link(fleet, leader): closes the link to the source if the
+ * leader's updates no longer arrive.
  */
-void fl_check_leader_link(struct fleet *fleet, const struct fl_node *leader);
+void fl_check_source_link(struct fleet *fleet, const struct fl_node *leader);
 void fl_on_accept(uv_stream_t *listener, int status);
 void fl_free_snapshots(struct fleet *fleet);
 
--- a/lib/fleet/frames.c
+++ b/lib/fleet/frames.c
@@ -46,7 +46,7 @@
 	const struct fl_node *node = &frame->as.hello.node;
 	uint32_t i;
 
-	msgpack_pack_array(packer, 13 + frame->as.hello.peer_count);
+	msgpack_pack_array(packer, 14 + frame->as.hello.peer_count);
 	msgpack_pack_int(packer, frame->type);
 	pack_text(packer, node->name, strlen(node->name));
 	pack_text(packer, node->data_centre, strlen(node->data_centre));
@@ -65,6 +65,7 @@
 	for (i = 0; i < frame->as.hello.peer_count; i++)
 		pack_address(packer, &frame->as.hello.peers[i]);
 	pack_era(packer, node->revision_sum);
+	msgpack_pack_uint32(packer, node->features);
 }
 
 static void
--- a/lib/fleet/frames_read.c
+++ b/lib/fleet/frames_read.c
@@ -130,6 +130,8 @@
 		out->as.hello.peers[i] = read_address(cursor);
 	node->tells_era = cursor->at < cursor->array->size;
 	read_era(cursor, &node->revision_sum);
+	if (cursor->at < cursor->array->size)
+		node->features = (uint32_t)read_number(cursor);
 }
 
 static int
--- a/lib/fleet/membership.c
+++ b/lib/fleet/membership.c
@@ -116,6 +116,7 @@
     const struct fl_node *record, int64_t now_us)
 {
 	struct fl_node *node = fl_membership_add(membership, record);
+	int64_t avoid_until_us;
 	bool is_new;
 
 	if (node == NULL)
@@ -125,7 +126,9 @@
 	if (membership->first_contact_us == 0 && record->same_region)
 		membership->first_contact_us = now_us;
 
+	avoid_until_us = node->avoid_until_us;
 	*node = *record;
+	node->avoid_until_us = avoid_until_us;
 	node->heard_us = now_us;
 	return is_new;
 }
@@ -163,9 +166,8 @@
 	return node->heard_us != 0 && now_us - node->heard_us < timeout_us;
 }
 
-/* Orders nodes by capacity, the largest first, then by the name's hash. */
-static bool
-ranks_before(const struct fl_node *a, const struct fl_node *b)
+bool
+fl_node_ranks_before(const struct fl_node *a, const struct fl_node *b)
 {
 	if (a->capacity != b->capacity)
 		return a->capacity > b->capacity;
@@ -189,7 +191,7 @@
 
 		if (node->same_region && node->current && node->tells_era &&
 		    !node->stopping && fl_node_is_alive(node, now_us) &&
-		    (best == NULL || ranks_before(node, best)))
+		    (best == NULL || fl_node_ranks_before(node, best)))
 			best = node;
 	}
 	return best;
@@ -212,7 +214,7 @@
 		    !fl_node_is_alive(node, now_us))
 			continue;
 		(*live)++;
-		before += ranks_before(node, &membership->self);
+		before += fl_node_ranks_before(node, &membership->self);
 	}
 	return before;
 }
@@ -277,7 +279,7 @@
 	if (!membership->watching)
 		return FL_ROLE_FOLLOW_LEADER;
 	if (membership->self.current &&
-	    ranks_before(&membership->self, leader)) {
+	    fl_node_ranks_before(&membership->self, leader)) {
 		membership->outranked_since_us = 0;
 		return FL_ROLE_WATCH_STORE;
 	}
--- a/lib/fleet/replication.c
+++ b/lib/fleet/replication.c
@@ -5,6 +5,10 @@
 #include "fleet_internal.h"
 
 #define TICKS_BEHIND_MAX 2 /* of HEARTBEAT_MS */
+#define RELAY_TICKS_BEHIND_MAX 4
+/* How long a source that failed is not followed, and a new place must last. */
+#define AVOID_US 3000000
+#define SOURCE_SETTLE_US 3000000
 /*
  * A follower subscribes as soon as it is connected. Above the first number,
  * connections that have not done so in this time are closed; above the second,
@@ -26,7 +30,7 @@
 }
 
 static void
-on_leader_open(struct fl_link *link)
+on_source_open(struct fl_link *link)
 {
 	struct fleet *fleet = link->owner;
 	struct fl_frame subscribe = {.type = FL_FRAME_SUBSCRIBE};
@@ -40,14 +44,14 @@
 	if (fl_encode(&subscribe, &buffer) != CS_OK)
 		return;
 	fl_count_sent(fleet, FL_FRAME_SUBSCRIBE,
-	    fl_membership_find(&fleet->membership, &fleet->leader_address),
+	    fl_membership_find(&fleet->membership, &fleet->source_address),
 	    buffer.length);
 	fl_link_send(link, &buffer);
 	free(buffer.data);
 }
 
 static void
-on_leader_frame(struct fl_link *link, const struct fl_frame *frame)
+on_source_frame(struct fl_link *link, const struct fl_frame *frame)
 {
 	struct fleet *fleet = link->owner;
 
@@ -57,63 +61,145 @@
 		    fleet->params.user, &frame->as.update);
 }
 
+static bool
+is_same_address(const struct sockaddr_in *a, const struct sockaddr_in *b)
+{
+	return a->sin_addr.s_addr == b->sin_addr.s_addr &&
+	       a->sin_port == b->sin_port;
+}
+
+static bool
+is_source_the_leader(const struct fleet *fleet)
+{
+	return fleet->has_leader &&
+	       is_same_address(&fleet->source_address, &fleet->leader_address);
+}
+
+/*
+ * The source failed. A relay is not followed again for a while; the leader does
+ * not count as current until its next heartbeat.
+ */
 static void
-on_leader_disconnect(struct fl_link *link)
+on_source_disconnect(struct fl_link *link)
 {
 	struct fleet *fleet = link->owner;
-	uint32_t i;
+	struct fl_node *source =
+	    fl_membership_find(&fleet->membership, &fleet->source_address);
 
-	fleet->leader_link = NULL;
-	/* The leader does not count as current until its next heartbeat. */
-	for (i = 0; i < fleet->membership.count; i++) {
-		if (memcmp(&fleet->membership.nodes[i].fleet,
-			&fleet->leader_address,
-			sizeof(fleet->leader_address)) == 0)
-			fleet->membership.nodes[i].current = false;
-	}
+	fleet->source_link = NULL;
+	if (source == NULL)
+		return;
+	if (is_source_the_leader(fleet))
+		source->current = false;
+	else
+		source->avoid_until_us = cs_now_us() + AVOID_US;
 }
 
-static const struct fl_link_events leader_events = {
-    .on_open = on_leader_open,
-    .on_frame = on_leader_frame,
-    .on_disconnect = on_leader_disconnect,
+static const struct fl_link_events source_events = {
+    .on_open = on_source_open,
+    .on_frame = on_source_frame,
+    .on_disconnect = on_source_disconnect,
 };
 
+static void
+close_source_link(struct fleet *fleet)
+{
+	if (fleet->source_link != NULL)
+		fl_link_close(fleet->source_link);
+	fleet->source_link = NULL;
+}
+
+/*
+ * The ranks of nodes that join or leave shift the place of others in the tree.
+ * A source that serves is kept until the new place has been the same for some
+ * time.
+ */
+static bool
+keeps_source(
+    struct fleet *fleet, const struct fl_node *leader, const struct fl_node *to)
+{
+	const struct fl_node *source =
+	    fl_membership_find(&fleet->membership, &fleet->source_address);
+	int64_t now_us = cs_now_us();
+
+	if (source == to) {
+		fleet->next_source.sin_port = 0;
+		return true;
+	}
+	if (source != leader &&
+	    (source == NULL ||
+		!fl_membership_may_relay(&fleet->membership, source, now_us)))
+		return false;
+	/* Without relays the leader that ranks first is followed at once. */
+	if (to == leader && !fl_membership_is_large(&fleet->membership, now_us))
+		return false;
+	if (!is_same_address(&fleet->next_source, &to->fleet)) {
+		fleet->next_source = to->fleet;
+		fleet->next_source_us = now_us;
+	}
+	return now_us - fleet->next_source_us < SOURCE_SETTLE_US;
+}
+
 void
 fl_follow_leader(struct fleet *fleet, const struct fl_node *leader)
 {
-	if (fleet->leader_link != NULL &&
-	    memcmp(&fleet->leader_address, &leader->fleet,
-		sizeof(leader->fleet)) == 0)
+	const struct fl_node *source;
+
+	fleet->has_leader = leader != NULL;
+	if (leader == NULL) {
+		close_source_link(fleet);
 		return;
-	if (fleet->leader_link != NULL)
-		fl_link_close(fleet->leader_link);
+	}
 	fleet->leader_address = leader->fleet;
-	fleet->leader_link = fl_link_connect(
-	    fleet->params.loop, &leader->fleet, &leader_events, fleet);
-	if (fleet->leader_link != NULL)
-		fleet->leader_link->memory = fleet->params.memory;
+	source = cs_now_us() < fleet->direct_until_us
+		     ? leader
+		     : fl_membership_find_source(
+			   &fleet->membership, leader, cs_now_us());
+	if (fleet->source_link != NULL && keeps_source(fleet, leader, source))
+		return;
+	close_source_link(fleet);
+	fleet->next_source.sin_port = 0;
+	fleet->ticks_behind = 0;
+	fleet->source_address = source->fleet;
+	fleet->source_link = fl_link_connect(
+	    fleet->params.loop, &source->fleet, &source_events, fleet);
+	if (fleet->source_link != NULL)
+		fleet->source_link->memory = fleet->params.memory;
 }
 
 /*
- * A connection can be dead while it still counts as open: the leader's
- * heartbeats tell of newer revisions, but its updates do not arrive.
+ * A connection can be dead while it still counts as open: heartbeats tell of
+ * newer revisions, but the updates do not arrive. A relay that lags behind the
+ * leader itself gets more time, since it replaces its own source first.
  */
 void
-fl_check_leader_link(struct fleet *fleet, const struct fl_node *leader)
+fl_check_source_link(struct fleet *fleet, const struct fl_node *leader)
 {
-	if (leader == NULL || fleet->leader_link == NULL ||
-	    leader->revision_sum <= fl_revision_sum(fleet)) {
-		if (leader != NULL && fleet->leader_link != NULL)
+	uint64_t own = fl_revision_sum(fleet);
+	struct fl_node *source;
+
+	if (leader == NULL || fleet->source_link == NULL ||
+	    leader->revision_sum <= own) {
+		if (leader != NULL && fleet->source_link != NULL)
 			fleet->confirmed_us = leader->heard_us;
 		fleet->ticks_behind = 0;
 		return;
 	}
-	if (++fleet->ticks_behind < TICKS_BEHIND_MAX)
+	source = fl_membership_find(&fleet->membership, &fleet->source_address);
+	if (++fleet->ticks_behind <
+	    (source != NULL && source->revision_sum > own
+		    ? TICKS_BEHIND_MAX
+		    : RELAY_TICKS_BEHIND_MAX))
 		return;
 	fleet->ticks_behind = 0;
-	fl_link_close(fleet->leader_link);
-	fleet->leader_link = NULL;
+	if (!is_source_the_leader(fleet)) {
+		/* Other relays may lag for the same reason. */
+		if (source != NULL && source->revision_sum > own)
+			source->avoid_until_us = cs_now_us() + AVOID_US;
+		else
+			fleet->direct_until_us = cs_now_us() + AVOID_US;
+	}
+	close_source_link(fleet);
 }
 
 void
--- a/tests/unit/fleet_world.h
+++ b/tests/unit/fleet_world.h
@@ -15,6 +15,7 @@
 #define FW_VMS_MAX 473
 #define FW_REGIONS 3
 #define FW_DATA_CENTRES 3 /* of a region */
+#define FW_REVISIONS_MAX 8192
 #define FW_START (100 * FW_SECOND)
 #define FW_UDP_HEADER_BYTES 28 /* UDP and IP */
 #define FW_TCP_HEADER_BYTES 40 /* TCP and IP */
@@ -34,7 +35,6 @@
 	enum fl_role role;
 	bool lists; /* is to list the store */
 	bool watches;
-	int64_t current_us; /* when it last had all of the store */
 	/* Sent with headers: frames by type, then acknowledgements. */
 	uint64_t sent_bytes[FL_FRAME_TYPES][FW_WHERES];
 	uint64_t ack_bytes[FW_WHERES];
@@ -58,6 +58,7 @@
 	struct fw_connection *connections;
 	struct os_cache *store;
 	uint64_t revision;
+	int64_t changed_us[FW_REVISIONS_MAX];
 	bool registered[FW_VMS_MAX];
 	/* Called before the fleet of a VM is created; may change it. */
 	void (*on_params)(uint32_t vm, struct fl_params *params);
@@ -74,6 +75,8 @@
 bool fw_runs(const struct fw_world *world, uint32_t vm);
 /* fw_change_target(world): the store gets a changed target of 300 bytes. */
 void fw_change_target(struct fw_world *world);
+/* fw_lag(world, vm): for how long the VM has lacked a change of the store. */
+int64_t fw_lag(const struct fw_world *world, uint32_t vm);
 int64_t fw_clock(const struct fw_world *world, uint32_t vm);
 /* fw_knows(world, vm, other): its entry of the other VM, or NULL. */
 struct fl_node *fw_entry(
--- a/tests/unit/test_control_traffic.c
+++ b/tests/unit/test_control_traffic.c
@@ -222,6 +222,215 @@
 	fw_free(world);
 }
 
+/*
+ * Returns the longest time that a VM which runs lacked an update, but for the
+ * given VMs.
+ */
+static int64_t
+find_longest_lag(struct fw_world *world, int64_t for_us, const uint32_t *except,
+    uint32_t except_count)
+{
+	int64_t end_us = world->now_us + for_us, longest_us = 0;
+	uint32_t vm, i;
+
+	while (world->now_us < end_us) {
+		fw_change_target(world);
+		fw_run(world, FW_SECOND / UPDATES_PER_S);
+		for (vm = 0; vm < world->vm_count; vm++) {
+			int64_t lag_us;
+
+			for (i = 0; i < except_count && except[i] != vm; i++)
+				;
+			if (i < except_count || !fw_runs(world, vm))
+				continue;
+			lag_us = fw_lag(world, vm);
+			if (lag_us > longest_us)
+				longest_us = lag_us;
+		}
+	}
+	return longest_us;
+}
+
+/* The number of the VM that watches the store for the region. */
+static uint32_t
+find_leader(const struct fw_world *world, uint32_t region)
+{
+	uint32_t vm;
+
+	for (vm = region; vm < world->vm_count; vm += FW_REGIONS) {
+		if (fw_runs(world, vm) && world->vms[vm].watches)
+			return vm;
+	}
+	fail_msg("no VM watches the store");
+	return 0;
+}
+
+static const struct fl_node *
+record_of(const struct fw_world *world, uint32_t vm)
+{
+	return &fl_get_membership(world->vms[vm].fleet)->self;
+}
+
+static bool
+is_in(const struct fw_world *world, uint32_t vm, uint32_t region,
+    uint32_t data_centre)
+{
+	return world->vms[vm].region == region &&
+	       world->vms[vm].data_centre == data_centre;
+}
+
+/*
+ * Sets out to the VMs of the data centre that rank first, without the leader:
+ * one of them relays the updates for all others.
+ */
+static uint32_t
+find_first(const struct fw_world *world, uint32_t region, uint32_t data_centre,
+    uint32_t *out, uint32_t max)
+{
+	uint32_t count = 0, vm, other, before;
+
+	for (vm = 0; vm < world->vm_count; vm++) {
+		if (!is_in(world, vm, region, data_centre) ||
+		    !fw_runs(world, vm) || world->vms[vm].watches)
+			continue;
+		before = 0;
+		for (other = 0; other < world->vm_count; other++)
+			before += is_in(world, other, region, data_centre) &&
+				  fw_runs(world, other) &&
+				  !world->vms[other].watches &&
+				  fl_node_ranks_before(record_of(world, other),
+				      record_of(world, vm));
+		if (before < max)
+			out[count++] = vm;
+	}
+	return count;
+}
+
+static struct fw_world *
+run_large_fleet(uint32_t vms, uint64_t seed)
+{
+	struct fw_world *world = fw_create(vms, seed);
+
+	start_all(world);
+	fw_run(world, 10 * FW_SECOND);
+	return world;
+}
+
+#define FEW_MS (100 * FW_MS)
+/* Silence of a relay, the next tick, and reading what was missed. */
+#define RELAY_LOST_MAX (2500 * FW_MS)
+#define RELAYS 4 /* at the top of the tree of a data centre */
+
+/* No update waits when nothing fails, also where datagrams get lost. */
+static void
+test_relays_forward(void **state)
+{
+	struct fw_world *world = run_large_fleet(150, 4);
+
+	(void)state;
+	assert_in_range(
+	    find_longest_lag(world, 5 * FW_SECOND, NULL, 0), 0, FEW_MS);
+	world->loss = 0.05;
+	assert_in_range(find_longest_lag(world, 10 * FW_SECOND, NULL, 0), 0,
+	    RELAY_LOST_MAX);
+	world->loss = 0;
+	fw_run(world, 3 * FW_SECOND);
+	expect_whole(world);
+	fw_free(world);
+}
+
+/* The relays of a data centre lose power, or freeze, all at the same moment. */
+static void
+test_relays_fail(void **state)
+{
+	uint32_t relays[RELAYS], round, i;
+
+	(void)state;
+	for (round = 0; round < 2; round++) {
+		struct fw_world *world = run_large_fleet(150, 5 + round);
+
+		assert_int_equal(
+		    find_first(world, 1, 2, relays, RELAYS), RELAYS);
+		for (i = 0; i < RELAYS; i++) {
+			if (round == 0)
+				fw_kill(world, relays[i]);
+			else
+				fw_freeze(world, relays[i], 6 * FW_SECOND);
+		}
+		/* Those that freeze are behind when they wake. */
+		assert_in_range(
+		    find_longest_lag(world, 9 * FW_SECOND, relays, RELAYS), 0,
+		    RELAY_LOST_MAX);
+		assert_in_range(find_longest_lag(world, 2 * FW_SECOND, NULL, 0),
+		    0, round == 0 ? FEW_MS : RELAY_LOST_MAX);
+		fw_free(world);
+	}
+}
+
+/* The first relay gets nothing from the leader, or its followers from it. */
+static void
+test_relay_is_cut_off_in_one_direction(void **state)
+{
+	uint32_t relay, round, vm;
+
+	(void)state;
+	for (round = 0; round < 2; round++) {
+		struct fw_world *world = run_large_fleet(150, 7 + round);
+		uint32_t leader = find_leader(world, 1),
+			 data_centre = (world->vms[leader].data_centre + 1) %
+				       FW_DATA_CENTRES;
+
+		find_first(world, 1, data_centre, &relay, 1);
+		for (vm = 1; vm < world->vm_count; vm += FW_REGIONS) {
+			if (round == 0 && vm == leader)
+				world->cut[vm][relay] = true;
+			if (round == 1 && vm != leader && vm != relay)
+				world->cut[relay][vm] = true;
+		}
+		assert_in_range(
+		    find_longest_lag(world, 10 * FW_SECOND, &relay, 1), 0,
+		    RELAY_LOST_MAX);
+		fw_free(world);
+	}
+}
+
+/* The leader loses power: the next one and its relays lack no update. */
+static void
+test_leader_fails(void **state)
+{
+	struct fw_world *world = run_large_fleet(150, 9);
+
+	(void)state;
+	fw_kill(world, find_leader(world, 2));
+	/* As in small regions: 1.3 s of silence, turns, and a list. */
+	assert_in_range(
+	    find_longest_lag(world, 8 * FW_SECOND, NULL, 0), 0, 3 * FW_SECOND);
+	fw_free(world);
+}
+
+static void
+clear_features(uint32_t vm, struct fl_params *params)
+{
+	if (vm % 2 == 0)
+		params->self.features = 0;
+}
+
+/* Every second VM is of a build that follows the leader only. */
+static void
+test_relays_in_a_mixed_fleet(void **state)
+{
+	struct fw_world *world = fw_create(150, 10);
+
+	(void)state;
+	world->on_params = clear_features;
+	start_all(world);
+	fw_run(world, 10 * FW_SECOND);
+	assert_in_range(
+	    find_longest_lag(world, 5 * FW_SECOND, NULL, 0), 0, FEW_MS);
+	expect_whole(world);
+	fw_free(world);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -229,6 +438,11 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_all_start),
 	    cmocka_unit_test(test_counters),
+	    cmocka_unit_test(test_relays_forward),
+	    cmocka_unit_test(test_relays_fail),
+	    cmocka_unit_test(test_relay_is_cut_off_in_one_direction),
+	    cmocka_unit_test(test_leader_fails),
+	    cmocka_unit_test(test_relays_in_a_mixed_fleet),
 	};
 	size_t i;
 
