--- a/lib/fleet/counters.c
+++ b/lib/fleet/counters.c
@@ -50,6 +50,8 @@
 	    [FL_FRAME_QUOTA_SHARE] = "quota_share",
 	    [FL_FRAME_PROOF_QUERY] = "proof_query",
 	    [FL_FRAME_PROOF] = "proof",
+	    [FL_FRAME_REPORT] = "report",
+	    [FL_FRAME_ROSTER_REQUEST] = "roster_request",
 	};
 
 	return type < FL_FRAME_TYPES ? names[type] : NULL;
--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -12,6 +12,8 @@
 #define FAST_TICKS 40
 /* Seeds get hellos until a node of the region has been heard. */
 #define SEED_HELLO_EVERY_TICKS 2
+/* A node that is not reported gets heartbeats for this long at its request. */
+#define WANTED_HEARTBEATS_US 20000000
 /* Many nodes of a region may connect at once. */
 #define LISTEN_BACKLOG 512
 
@@ -67,14 +69,21 @@
 	const struct fl_node *leader;
 
 	fleet->ticks++;
-	if (fleet->membership.self.current ||
-	    fleet->ticks % OTHERS_EVERY_TICKS == 0)
-		fl_send_heartbeats(fleet);
+	fl_beat(fleet, fleet->ticks % OTHERS_EVERY_TICKS == 0);
 	fl_membership_tick(&fleet->membership, cs_now_us(), &leader);
 	fl_check_source_link(fleet, leader);
 	update_role(fleet);
 }
 
+static void
+want_heartbeats(struct fleet *fleet, const struct sockaddr_in *from)
+{
+	struct fl_node *node = fl_membership_find(&fleet->membership, from);
+
+	if (node != NULL)
+		node->heartbeats_until_us = cs_now_us() + WANTED_HEARTBEATS_US;
+}
+
 static void
 on_hello(struct fleet *fleet, struct fl_frame *frame)
 {
@@ -89,6 +98,8 @@
 	if (is_new || fleet->membership.node_returned)
 		fleet->params.events->on_node(
 		    fleet->params.user, node, !is_new);
+	if (frame->as.hello.wants_heartbeats)
+		want_heartbeats(fleet, &node->fleet);
 	if (frame->as.hello.wants_reply)
 		fl_reply_hello(fleet, node, frame->as.hello.known_nodes);
 	fl_contact_peers(fleet, frame);
@@ -96,20 +107,21 @@
 		update_role(fleet);
 }
 
-static void
-on_heartbeat(struct fleet *fleet, const struct fl_frame *frame,
+bool
+fl_on_heartbeat(struct fleet *fleet, const struct fl_frame *frame,
     const struct sockaddr_in *from)
 {
 	if (!fl_membership_on_heartbeat(
 		&fleet->membership, from, frame, cs_now_us())) {
 		fl_send_hello(fleet, from);
-		return;
+		return false;
 	}
 	if (fleet->membership.node_returned)
 		fleet->params.events->on_node(fleet->params.user,
 		    fl_membership_find(&fleet->membership, from), true);
 	if (fleet->membership.status_changed)
 		update_role(fleet);
+	return true;
 }
 
 void
@@ -158,7 +170,8 @@
 		on_hello(fleet, &frame);
 		break;
 	case FL_FRAME_HEARTBEAT:
-		on_heartbeat(fleet, &frame, (const struct sockaddr_in *)from);
+		fl_on_heartbeat(
+		    fleet, &frame, (const struct sockaddr_in *)from);
 		break;
 	case FL_FRAME_SUSPECT_REQUEST:
 		pass_on(fleet, &frame,
@@ -210,6 +223,15 @@
 		fl_on_quota_frame(
 		    fleet, &frame, (const struct sockaddr_in *)from);
 		break;
+	case FL_FRAME_REPORT:
+		if (fl_on_report(fleet, &frame.as.report,
+			(const struct sockaddr_in *)from))
+			update_role(fleet);
+		break;
+	case FL_FRAME_ROSTER_REQUEST:
+		fl_on_roster_request(fleet, frame.as.roster_request.roster,
+		    (const struct sockaddr_in *)from);
+		break;
 	case FL_FRAME_UPDATE: /* valid on links only */
 		os_batch_free(&frame.as.update.batch);
 		break;
@@ -439,7 +461,7 @@
 	if (fleet->membership.self.ready == ready)
 		return;
 	fleet->membership.self.ready = ready;
-	fl_send_heartbeats(fleet);
+	fl_beat(fleet, true);
 }
 
 void
@@ -550,5 +572,6 @@
 	if (fleet->source_link != NULL)
 		fl_link_close(fleet->source_link);
 	fl_free_snapshots(fleet);
+	fl_free_reports(fleet);
 	fl_membership_free(&fleet->membership);
 }
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -26,8 +26,9 @@
 #define FL_CAPACITY_MAX 10 /* larger nodes count as equal */
 
 /* What a node tells in its hello that its build can do. */
-#define FL_FEATURE_RELAYS 1U /* relays updates and follows relays */
-#define FL_FEATURES FL_FEATURE_RELAYS
+#define FL_FEATURE_RELAYS 1U  /* relays updates and follows relays */
+#define FL_FEATURE_REPORTS 2U /* takes and sends reports, see reports.c */
+#define FL_FEATURES (FL_FEATURE_RELAYS | FL_FEATURE_REPORTS)
 
 struct fl_frame;
 
@@ -49,6 +50,8 @@
 	int64_t heard_us;      /* last heartbeat or hello; 0: none yet */
 	/* Its updates did not arrive: it is not followed until then. */
 	int64_t avoid_until_us;
+	/* It asked for heartbeats of this node, since no report told of it. */
+	int64_t heartbeats_until_us;
 };
 
 /* Where this node gets the store's updates from. */
@@ -264,10 +267,12 @@
 	FL_FRAME_CLAIM = 12,	 /* a trial of a request that crashed targets */
 	FL_FRAME_COLD = 20,	 /* a target is cold */
 	FL_FRAME_QUOTA_ASK = 21, /* a question for a tenant's credit */
-	FL_FRAME_QUOTA_GRANT = 22, /* the owner's answer */
-	FL_FRAME_QUOTA_SHARE = 23, /* of the owner in another region */
-	FL_FRAME_PROOF_QUERY = 24, /* how old is the receiver's proof */
-	FL_FRAME_PROOF = 25,	   /* the answer, see proof.h */
+	FL_FRAME_QUOTA_GRANT = 22,    /* the owner's answer */
+	FL_FRAME_QUOTA_SHARE = 23,    /* of the owner in another region */
+	FL_FRAME_PROOF_QUERY = 24,    /* how old is the receiver's proof */
+	FL_FRAME_PROOF = 25,	      /* the answer, see proof.h */
+	FL_FRAME_REPORT = 30,	      /* what the sender hears of others */
+	FL_FRAME_ROSTER_REQUEST = 31, /* for a whole roster, see reports.c */
 };
 #define FL_FRAME_TYPES 40 /* more than the largest type */
 
@@ -349,6 +354,62 @@
 	struct sockaddr_in sender; /* the owner, where the answer goes */
 };
 
+/* The lists of nodes that a reporter tells of, see reports.c. */
+enum fl_roster_name {
+	FL_ROSTER_OWN,	  /* its data centre, for those of others */
+	FL_ROSTER_OTHERS, /* the other data centres, for its own */
+	FL_ROSTERS
+};
+
+#define FL_ROSTER_SLOTS_MAX 1024
+#define FL_REPORT_ENTRIES_MAX 24
+#define FL_REPORT_AGES_MAX 192
+#define FL_REPORT_LEADERS_MAX 4
+#define FL_AGE_UNIT_US 10000 /* ages are sent in this unit, rounded up */
+#define FL_AGE_MAX 255
+
+enum fl_entry_kind { FL_ENTRY_GONE, FL_ENTRY_STATUS, FL_ENTRY_RECORD };
+
+/* What a slot of a roster has held since a version of it. */
+struct fl_roster_entry {
+	enum fl_entry_kind kind;
+	uint32_t slot, version;
+	uint32_t status; /* FL_STATUS_* */
+	uint32_t age;
+	struct fl_node node; /* of a record */
+};
+
+#define FL_STATUS_READY 1U
+#define FL_STATUS_STOPPING 2U
+#define FL_STATUS_CURRENT 4U
+
+struct fl_report {
+	/* As in a heartbeat; half of a boot is enough to tell processes. */
+	uint32_t boot, status;
+	uint64_t revision_sum;
+	enum fl_roster_name roster;
+	/* Entries hold all changes of the roster from base to version. */
+	uint32_t version, base, slot_count;
+	bool is_part; /* of the whole roster: its slots from first on */
+	uint32_t first;
+	uint32_t entry_count;
+	struct fl_roster_entry entries[FL_REPORT_ENTRIES_MAX];
+	/* Of all nodes of the roster, but for those listed. */
+	uint32_t age;
+	uint32_t age_count;
+	struct {
+		uint16_t slot;
+		uint8_t age;
+	} ages[FL_REPORT_AGES_MAX];
+	/* Current nodes of the region. */
+	uint32_t leader_count;
+	struct {
+		struct sockaddr_in fleet;
+		uint32_t boot, age;
+		uint64_t revision_sum;
+	} leaders[FL_REPORT_LEADERS_MAX];
+};
+
 #define FL_PEERS_MAX 32 /* addresses of other nodes in one hello */
 
 struct fl_frame {
@@ -360,6 +421,7 @@
 			struct sockaddr_in peers[FL_PEERS_MAX];
 			char region[FL_NAME_BYTES_MAX];
 			bool wants_reply; /* asks for a hello in return */
+			bool wants_heartbeats;
 			/* Nodes of its region that the sender has heard. */
 			uint32_t known_nodes;
 		} hello;
@@ -389,6 +451,10 @@
 			struct sockaddr_in follower;
 		} subscribe;
 		struct fl_update update;
+		struct fl_report report;
+		struct {
+			uint32_t roster;
+		} roster_request;
 	} as;
 };
 
--- a/lib/fleet/fleet_internal.h
+++ b/lib/fleet/fleet_internal.h
@@ -3,6 +3,7 @@
 #define FL_FLEET_INTERNAL_H
 
 #include "link.h"
+#include "roster.h"
 
 /*
  * The encoded snapshot of a kind: many followers need it at once when a region
@@ -13,6 +14,17 @@
 	struct fl_shared_frame *frame;
 };
 
+#define FL_REPORTERS 3 /* of a data centre */
+#define FL_FAR_REPORTERS_MAX 64
+
+/* Who reports, as of the last tick; see reports.c. */
+struct fl_reporters {
+	bool is_reporter;
+	uint32_t near_count, far_count;
+	const struct fl_node *near[FL_REPORTERS]; /* in this data centre */
+	const struct fl_node *far[FL_FAR_REPORTERS_MAX];
+};
+
 struct fleet {
 	struct fl_params params;
 	struct fl_membership membership;
@@ -38,6 +50,10 @@
 	/* Nodes asked for proofs, in other regions and in this one. */
 	uint32_t proof_turns[2];
 
+	struct fl_reporters reporters;	       /* valid during a tick only */
+	struct fl_roster *rosters[FL_ROSTERS]; /* NULL: never a reporter */
+	struct fl_views *views;		       /* NULL: no report yet */
+
 	struct fl_counters counters;
 	int64_t confirmed_us;  /* see fl_confirmed_us() */
 	uint32_t ticks_behind; /* in a row, in which the leader knew more */
@@ -51,6 +67,12 @@
  */
 void fl_send_to_nodes(
     struct fleet *fleet, const struct fl_frame *frame, bool same_region);
+/*
+ * fl_on_heartbeat(fleet, frame, from): returns false if no hello of the
+ * sender's process has arrived; it gets one.
+ */
+bool fl_on_heartbeat(struct fleet *fleet, const struct fl_frame *frame,
+    const struct sockaddr_in *from);
 
 /* counters.c */
 /* fl_count_sent(fleet, type, node, bytes): node is NULL if it is not known. */
@@ -72,13 +94,39 @@
 void fl_reply_hello(
     struct fleet *fleet, const struct fl_node *node, uint32_t known_nodes);
 void fl_send_hello_to_seeds(struct fleet *fleet);
+/* fl_send_encoded(fleet, type, buffer, node): sends an encoded frame. */
+void fl_send_encoded(struct fleet *fleet, enum fl_frame_type type,
+    const struct fl_buffer *buffer, const struct fl_node *node);
+/* fl_send_heartbeats(fleet): to all live nodes, hellos to the others. */
 void fl_send_heartbeats(struct fleet *fleet);
+/*
+ * fl_beat(fleet, is_round): what is due on a tick. Nodes that are not current
+ * send to most others in rounds only.
+ */
+void fl_beat(struct fleet *fleet, bool is_round);
 /*
  * fl_contact_peers(fleet, frame): sends a hello to each node that another one
  * named and that is new here.
  */
 void fl_contact_peers(struct fleet *fleet, const struct fl_frame *frame);
 
+/* reports.c */
+/*
+ * fl_reports_are_used(fleet): the region is so large that nodes rely on reports
+ * about the other data centres.
+ */
+bool fl_reports_are_used(const struct fleet *fleet);
+void fl_update_reporters(struct fleet *fleet);
+/* fl_gets_report(fleet, node): this node sends it reports, not heartbeats. */
+bool fl_gets_report(const struct fleet *fleet, const struct fl_node *node);
+void fl_send_reports(struct fleet *fleet);
+/* fl_on_report(fleet, report, from): true if the leader may have changed. */
+bool fl_on_report(struct fleet *fleet, const struct fl_report *report,
+    const struct sockaddr_in *from);
+void fl_free_reports(struct fleet *fleet);
+void fl_on_roster_request(
+    struct fleet *fleet, uint32_t name, const struct sockaddr_in *from);
+
 /* rates.c */
 /* fl_on_quota_frame(fleet, frame, from): handles a frame of these types. */
 void fl_on_quota_frame(struct fleet *fleet, struct fl_frame *frame,
--- a/lib/fleet/frames.c
+++ b/lib/fleet/frames.c
@@ -2,40 +2,36 @@
  * Encodes the frames between nodes: msgpack arrays whose first item is the
  * type. Large frames are compressed, since some VMs have little bandwidth.
  */
-#include <msgpack.h>
+
 #include <stdlib.h>
 #include <string.h>
 #include <zlib.h>
 
 #include "frames_internal.h"
 
-static void
-pack_text(msgpack_packer *packer, const char *text, size_t length)
+void
+fl_pack_text(msgpack_packer *packer, const char *text, size_t length)
 {
 	msgpack_pack_str(packer, length);
 	msgpack_pack_str_body(packer, text, length);
 }
 
-static void
-pack_address(msgpack_packer *packer, const struct sockaddr_in *address)
+void
+fl_pack_address(msgpack_packer *packer, const struct sockaddr_in *address)
 {
 	msgpack_pack_uint64(
 	    packer, (uint64_t)ntohl(address->sin_addr.s_addr) << 16 |
 			ntohs(address->sin_port));
 }
 
-/*
- * Revisions are sent as numbers; their eras follow at the end of the frame,
- * where earlier builds do not look.
- */
-static void
-pack_number(msgpack_packer *packer, uint64_t revision)
+void
+fl_pack_number(msgpack_packer *packer, uint64_t revision)
 {
 	msgpack_pack_uint64(packer, os_revision_number(revision));
 }
 
-static void
-pack_era(msgpack_packer *packer, uint64_t revision)
+void
+fl_pack_era(msgpack_packer *packer, uint64_t revision)
 {
 	msgpack_pack_uint64(packer, os_revision_era(revision));
 }
@@ -48,23 +44,24 @@
 
 	msgpack_pack_array(packer, 14 + frame->as.hello.peer_count);
 	msgpack_pack_int(packer, frame->type);
-	pack_text(packer, node->name, strlen(node->name));
-	pack_text(packer, node->data_centre, strlen(node->data_centre));
-	pack_text(
+	fl_pack_text(packer, node->name, strlen(node->name));
+	fl_pack_text(packer, node->data_centre, strlen(node->data_centre));
+	fl_pack_text(
 	    packer, frame->as.hello.region, strlen(frame->as.hello.region));
-	pack_address(packer, &node->fleet);
-	pack_address(packer, &node->listen_address);
+	fl_pack_address(packer, &node->fleet);
+	fl_pack_address(packer, &node->listen_address);
 	msgpack_pack_uint64(packer, node->boot);
 	msgpack_pack_int(packer, node->ready | node->stopping << 1 |
 				     node->current << 2 |
-				     frame->as.hello.wants_reply << 3);
-	pack_number(packer, node->revision_sum);
+				     frame->as.hello.wants_reply << 3 |
+				     frame->as.hello.wants_heartbeats << 4);
+	fl_pack_number(packer, node->revision_sum);
 	msgpack_pack_uint32(packer, node->capacity);
 	msgpack_pack_uint32(packer, frame->as.hello.known_nodes);
 	msgpack_pack_uint32(packer, frame->as.hello.peer_count);
 	for (i = 0; i < frame->as.hello.peer_count; i++)
-		pack_address(packer, &frame->as.hello.peers[i]);
-	pack_era(packer, node->revision_sum);
+		fl_pack_address(packer, &frame->as.hello.peers[i]);
+	fl_pack_era(packer, node->revision_sum);
 	msgpack_pack_uint32(packer, node->features);
 }
 
@@ -77,8 +74,8 @@
 	msgpack_pack_int(packer, frame->as.heartbeat.ready |
 				     frame->as.heartbeat.stopping << 1 |
 				     frame->as.heartbeat.current << 2);
-	pack_number(packer, frame->as.heartbeat.revision_sum);
-	pack_era(packer, frame->as.heartbeat.revision_sum);
+	fl_pack_number(packer, frame->as.heartbeat.revision_sum);
+	fl_pack_era(packer, frame->as.heartbeat.revision_sum);
 }
 
 static void
@@ -90,20 +87,20 @@
 	msgpack_pack_int(packer, FL_FRAME_UPDATE);
 	msgpack_pack_uint32(packer, update->kind);
 	msgpack_pack_int(packer, update->snapshot);
-	pack_number(packer, update->batch.revision);
+	fl_pack_number(packer, update->batch.revision);
 	msgpack_pack_uint32(packer, update->batch.count);
 	for (i = 0; i < update->batch.count; i++) {
 		const struct os_change *change = &update->batch.changes[i];
 
-		pack_text(packer, change->name, strlen(change->name));
-		pack_number(packer, change->revision);
+		fl_pack_text(packer, change->name, strlen(change->name));
+		fl_pack_number(packer, change->revision);
 		msgpack_pack_int(packer, change->deleted);
-		pack_text(packer, change->deleted ? "" : change->text,
+		fl_pack_text(packer, change->deleted ? "" : change->text,
 		    change->deleted ? 0 : change->text_length);
 	}
-	pack_era(packer, update->batch.revision);
+	fl_pack_era(packer, update->batch.revision);
 	for (i = 0; i < update->batch.count; i++)
-		pack_era(packer, update->batch.changes[i].revision);
+		fl_pack_era(packer, update->batch.changes[i].revision);
 }
 
 static void
@@ -128,7 +125,7 @@
 	msgpack_pack_uint32(packer, ask->count);
 	msgpack_pack_uint64(packer, (uint64_t)ask->wait_max_us);
 	msgpack_pack_int(packer, ask->passed_on);
-	pack_address(packer, &ask->asker);
+	fl_pack_address(packer, &ask->asker);
 	/* Earlier builds do not look here. */
 	if (ask->cold_left_us > 0)
 		msgpack_pack_uint64(packer, (uint64_t)ask->cold_left_us);
@@ -148,8 +145,8 @@
 static void
 pack_config(msgpack_packer *packer, const struct fl_config_state *config)
 {
-	pack_number(packer, config->revision);
-	pack_era(packer, config->revision);
+	fl_pack_number(packer, config->revision);
+	fl_pack_era(packer, config->revision);
 	msgpack_pack_uint64(packer, config->version);
 }
 
@@ -187,7 +184,7 @@
 	msgpack_pack_uint32(packer, ask->arrived);
 	msgpack_pack_uint32(packer, ask->unspent);
 	if (ask->passed_on)
-		pack_address(packer, &ask->asker);
+		fl_pack_address(packer, &ask->asker);
 }
 
 static void
@@ -215,7 +212,7 @@
 	msgpack_pack_uint32(packer, share->echo);
 	msgpack_pack_int(packer, share->has_echo);
 	if (share->passed_on)
-		pack_address(packer, &share->sender);
+		fl_pack_address(packer, &share->sender);
 }
 
 #define COMPRESS_MIN_BYTES 600 /* smaller frames hardly shrink */
@@ -256,10 +253,11 @@
 		msgpack_pack_array(&packer, 2 + 2 * OS_KINDS_MAX);
 		msgpack_pack_int(&packer, frame->type);
 		for (i = 0; i < OS_KINDS_MAX; i++)
-			pack_number(&packer, frame->as.subscribe.revisions[i]);
+			fl_pack_number(
+			    &packer, frame->as.subscribe.revisions[i]);
 		for (i = 0; i < OS_KINDS_MAX; i++)
-			pack_era(&packer, frame->as.subscribe.revisions[i]);
-		pack_address(&packer, &frame->as.subscribe.follower);
+			fl_pack_era(&packer, frame->as.subscribe.revisions[i]);
+		fl_pack_address(&packer, &frame->as.subscribe.follower);
 		break;
 	case FL_FRAME_UPDATE:
 		pack_update(&packer, &frame->as.update);
@@ -301,6 +299,14 @@
 	case FL_FRAME_QUOTA_SHARE:
 		pack_quota_share(&packer, &frame->as.quota_share);
 		break;
+	case FL_FRAME_REPORT:
+		fl_pack_report(&packer, &frame->as.report);
+		break;
+	case FL_FRAME_ROSTER_REQUEST:
+		msgpack_pack_array(&packer, 2);
+		msgpack_pack_int(&packer, frame->type);
+		msgpack_pack_uint32(&packer, frame->as.roster_request.roster);
+		break;
 	}
 	out->data = buffer.data;
 	out->length = buffer.size;
--- a/lib/fleet/frames_read.c
+++ b/lib/fleet/frames_read.c
@@ -6,18 +6,10 @@
 
 #include "frames_internal.h"
 
-#define FL_DURATION_US_MAX 86400000000ULL	 /* a day */
 #define DECOMPRESSED_BYTES_MAX (8 * 1024 * 1024) /* as link.c */
 
-/* Reads the items of an array in order. Once a read fails, failed stays set. */
-struct cursor {
-	const msgpack_object_array *array;
-	uint32_t at;
-	bool failed;
-};
-
-static uint64_t
-read_number(struct cursor *cursor)
+uint64_t
+fl_read_number(struct fl_cursor *cursor)
 {
 	const msgpack_object *item;
 
@@ -34,15 +26,15 @@
 }
 
 /* Adds the era to a revision; frames of earlier builds end before. */
-static void
-read_era(struct cursor *cursor, uint64_t *revision)
+void
+fl_read_era(struct fl_cursor *cursor, uint64_t *revision)
 {
 	if (cursor->at < cursor->array->size)
-		*revision = os_revision(read_number(cursor), *revision);
+		*revision = os_revision(fl_read_number(cursor), *revision);
 }
 
 static const msgpack_object_str *
-read_text(struct cursor *cursor)
+read_text(struct fl_cursor *cursor)
 {
 	static const msgpack_object_str none = {.size = 0, .ptr = ""};
 	const msgpack_object *item;
@@ -59,8 +51,8 @@
 	return &item->via.str;
 }
 
-static void
-read_name(struct cursor *cursor, char *out, size_t size)
+void
+fl_read_name(struct fl_cursor *cursor, char *out, size_t size)
 {
 	const msgpack_object_str *text = read_text(cursor);
 
@@ -72,10 +64,10 @@
 	out[text->size] = '\0';
 }
 
-static struct sockaddr_in
-read_address(struct cursor *cursor)
+struct sockaddr_in
+fl_read_address(struct fl_cursor *cursor)
 {
-	uint64_t number = read_number(cursor);
+	uint64_t number = fl_read_number(cursor);
 
 	return (struct sockaddr_in){
 	    .sin_family = AF_INET,
@@ -85,63 +77,65 @@
 }
 
 static void
-read_heartbeat(struct cursor *cursor, struct fl_frame *out)
+read_heartbeat(struct fl_cursor *cursor, struct fl_frame *out)
 {
 	uint64_t flags;
 
-	out->as.heartbeat.boot = read_number(cursor);
-	flags = read_number(cursor);
+	out->as.heartbeat.boot = fl_read_number(cursor);
+	flags = fl_read_number(cursor);
 	out->as.heartbeat.ready = (flags & 1) != 0;
 	out->as.heartbeat.stopping = (flags & 2) != 0;
 	out->as.heartbeat.current = (flags & 4) != 0;
-	out->as.heartbeat.revision_sum = read_number(cursor);
+	out->as.heartbeat.revision_sum = fl_read_number(cursor);
 	out->as.heartbeat.tells_era = cursor->at < cursor->array->size;
-	read_era(cursor, &out->as.heartbeat.revision_sum);
+	fl_read_era(cursor, &out->as.heartbeat.revision_sum);
 }
 
 static void
-read_hello(struct cursor *cursor, struct fl_frame *out)
+read_hello(struct fl_cursor *cursor, struct fl_frame *out)
 {
 	struct fl_node *node = &out->as.hello.node;
 	uint64_t flags;
 	uint32_t i;
 
-	read_name(cursor, node->name, sizeof(node->name));
-	read_name(cursor, node->data_centre, sizeof(node->data_centre));
-	read_name(cursor, out->as.hello.region, sizeof(out->as.hello.region));
-	node->fleet = read_address(cursor);
-	node->listen_address = read_address(cursor);
-	node->boot = read_number(cursor);
-	flags = read_number(cursor);
+	fl_read_name(cursor, node->name, sizeof(node->name));
+	fl_read_name(cursor, node->data_centre, sizeof(node->data_centre));
+	fl_read_name(
+	    cursor, out->as.hello.region, sizeof(out->as.hello.region));
+	node->fleet = fl_read_address(cursor);
+	node->listen_address = fl_read_address(cursor);
+	node->boot = fl_read_number(cursor);
+	flags = fl_read_number(cursor);
 	node->ready = (flags & 1) != 0;
 	node->stopping = (flags & 2) != 0;
 	node->current = (flags & 4) != 0;
 	out->as.hello.wants_reply = (flags & 8) != 0;
+	out->as.hello.wants_heartbeats = (flags & 16) != 0;
 
-	node->revision_sum = read_number(cursor);
-	node->capacity = (uint32_t)read_number(cursor);
-	out->as.hello.known_nodes = (uint32_t)read_number(cursor);
-	out->as.hello.peer_count = (uint32_t)read_number(cursor);
+	node->revision_sum = fl_read_number(cursor);
+	node->capacity = (uint32_t)fl_read_number(cursor);
+	out->as.hello.known_nodes = (uint32_t)fl_read_number(cursor);
+	out->as.hello.peer_count = (uint32_t)fl_read_number(cursor);
 	if (out->as.hello.peer_count > FL_PEERS_MAX) {
 		cursor->failed = true;
 		return;
 	}
 	for (i = 0; i < out->as.hello.peer_count; i++)
-		out->as.hello.peers[i] = read_address(cursor);
+		out->as.hello.peers[i] = fl_read_address(cursor);
 	node->tells_era = cursor->at < cursor->array->size;
-	read_era(cursor, &node->revision_sum);
+	fl_read_era(cursor, &node->revision_sum);
 	if (cursor->at < cursor->array->size)
-		node->features = (uint32_t)read_number(cursor);
+		node->features = (uint32_t)fl_read_number(cursor);
 }
 
 static int
-read_change(struct cursor *cursor, struct os_change *change)
+read_change(struct fl_cursor *cursor, struct os_change *change)
 {
 	const msgpack_object_str *text;
 
-	read_name(cursor, change->name, sizeof(change->name));
-	change->revision = read_number(cursor);
-	change->deleted = read_number(cursor) != 0;
+	fl_read_name(cursor, change->name, sizeof(change->name));
+	change->revision = fl_read_number(cursor);
+	change->deleted = fl_read_number(cursor) != 0;
 	text = read_text(cursor);
 	change->text = malloc(text->size + 1U);
 	if (change->text == NULL)
@@ -153,15 +147,15 @@
 }
 
 static int
-read_update(struct cursor *cursor, struct fl_update *update)
+read_update(struct fl_cursor *cursor, struct fl_update *update)
 {
 	uint64_t count;
 	uint32_t i;
 
-	update->kind = (uint32_t)read_number(cursor);
-	update->snapshot = read_number(cursor) != 0;
-	update->batch = (struct os_batch){.revision = read_number(cursor)};
-	count = read_number(cursor);
+	update->kind = (uint32_t)fl_read_number(cursor);
+	update->snapshot = fl_read_number(cursor) != 0;
+	update->batch = (struct os_batch){.revision = fl_read_number(cursor)};
+	count = fl_read_number(cursor);
 	if (cursor->failed || update->kind >= OS_KINDS_MAX ||
 	    count > cursor->array->size)
 		return CS_E_INVALID;
@@ -173,17 +167,17 @@
 			return CS_E_SYSTEM;
 		update->batch.count = i + 1;
 	}
-	read_era(cursor, &update->batch.revision);
+	fl_read_era(cursor, &update->batch.revision);
 	for (i = 0; i < update->batch.count; i++)
-		read_era(cursor, &update->batch.changes[i].revision);
+		fl_read_era(cursor, &update->batch.changes[i].revision);
 	return CS_OK;
 }
 
 /* Reads a duration; one that cannot be true makes the frame invalid. */
 static int64_t
-read_duration_us(struct cursor *cursor)
+read_duration_us(struct fl_cursor *cursor)
 {
-	uint64_t number = read_number(cursor);
+	uint64_t number = fl_read_number(cursor);
 
 	if (number > FL_DURATION_US_MAX)
 		cursor->failed = true;
@@ -191,48 +185,49 @@
 }
 
 static void
-read_limit(struct cursor *cursor, struct fl_limit *limit)
+read_limit(struct fl_cursor *cursor, struct fl_limit *limit)
 {
-	limit->target_process = read_number(cursor);
-	limit->has_limit = read_number(cursor) != 0;
-	limit->per_s = (double)read_number(cursor) / FL_LIMIT_UNIT;
+	limit->target_process = fl_read_number(cursor);
+	limit->has_limit = fl_read_number(cursor) != 0;
+	limit->per_s = (double)fl_read_number(cursor) / FL_LIMIT_UNIT;
 	limit->age_us = read_duration_us(cursor);
 }
 
 static void
-read_ask(struct cursor *cursor, struct fl_ask *ask)
+read_ask(struct fl_cursor *cursor, struct fl_ask *ask)
 {
 	read_limit(cursor, &ask->limit);
-	ask->count = (uint32_t)read_number(cursor);
+	ask->count = (uint32_t)fl_read_number(cursor);
 	ask->wait_max_us = read_duration_us(cursor);
-	ask->passed_on = read_number(cursor) != 0;
-	ask->asker = read_address(cursor);
+	ask->passed_on = fl_read_number(cursor) != 0;
+	ask->asker = fl_read_address(cursor);
 	if (cursor->at < cursor->array->size)
 		ask->cold_left_us = read_duration_us(cursor);
 }
 
 static void
-read_permit(struct cursor *cursor, struct fl_permit *permit)
+read_permit(struct fl_cursor *cursor, struct fl_permit *permit)
 {
 	read_limit(cursor, &permit->limit);
-	permit->count = (uint32_t)read_number(cursor);
+	permit->count = (uint32_t)fl_read_number(cursor);
 	permit->wait_us = read_duration_us(cursor);
 	permit->ask_again_us = read_duration_us(cursor);
 }
 
 static void
-read_config(struct cursor *cursor, struct fl_config_state *config)
+read_config(struct fl_cursor *cursor, struct fl_config_state *config)
 {
-	config->revision = read_number(cursor);
-	config->revision = os_revision(read_number(cursor), config->revision);
-	config->version = read_number(cursor);
+	config->revision = fl_read_number(cursor);
+	config->revision =
+	    os_revision(fl_read_number(cursor), config->revision);
+	config->version = fl_read_number(cursor);
 }
 
 /* Reads a time that the asker chose and that no clock reaches if negative. */
 static int64_t
-read_time_us(struct cursor *cursor)
+read_time_us(struct fl_cursor *cursor)
 {
-	uint64_t number = read_number(cursor);
+	uint64_t number = fl_read_number(cursor);
 
 	if (number > INT64_MAX)
 		cursor->failed = true;
@@ -240,28 +235,28 @@
 }
 
 static void
-read_proof_query(struct cursor *cursor, struct fl_proof_query *query)
+read_proof_query(struct fl_cursor *cursor, struct fl_proof_query *query)
 {
-	query->process = read_number(cursor);
+	query->process = fl_read_number(cursor);
 	query->asked_us = read_time_us(cursor);
 	read_config(cursor, &query->config);
 }
 
 static void
-read_proof(struct cursor *cursor, struct fl_proof_reply *reply)
+read_proof(struct fl_cursor *cursor, struct fl_proof_reply *reply)
 {
-	reply->process = read_number(cursor);
+	reply->process = fl_read_number(cursor);
 	reply->asked_us = read_time_us(cursor);
-	reply->proven = read_number(cursor) != 0;
+	reply->proven = fl_read_number(cursor) != 0;
 	reply->age_us = read_duration_us(cursor);
 	read_config(cursor, &reply->config);
 }
 
 /* Reads a number of up to 32 bits; a larger one makes the frame invalid. */
-static uint32_t
-read_small(struct cursor *cursor)
+uint32_t
+fl_read_small(struct fl_cursor *cursor)
 {
-	uint64_t number = read_number(cursor);
+	uint64_t number = fl_read_number(cursor);
 
 	if (number > UINT32_MAX)
 		cursor->failed = true;
@@ -269,51 +264,51 @@
 }
 
 static void
-read_quota_ask(struct cursor *cursor, struct fl_quota_ask *ask)
+read_quota_ask(struct fl_cursor *cursor, struct fl_quota_ask *ask)
 {
-	ask->tenant = read_number(cursor);
-	ask->number = (uint8_t)read_small(cursor);
-	ask->count = read_small(cursor);
-	ask->arrived = read_small(cursor);
-	ask->unspent = read_small(cursor);
+	ask->tenant = fl_read_number(cursor);
+	ask->number = (uint8_t)fl_read_small(cursor);
+	ask->count = fl_read_small(cursor);
+	ask->arrived = fl_read_small(cursor);
+	ask->unspent = fl_read_small(cursor);
 	ask->passed_on = cursor->at < cursor->array->size;
 	if (ask->passed_on)
-		ask->asker = read_address(cursor);
+		ask->asker = fl_read_address(cursor);
 }
 
 static void
-read_quota_grant(struct cursor *cursor, struct fl_quota_grant *grant)
+read_quota_grant(struct fl_cursor *cursor, struct fl_quota_grant *grant)
 {
-	grant->tenant = read_number(cursor);
-	grant->number = (uint8_t)read_small(cursor);
-	grant->count = read_small(cursor);
+	grant->tenant = fl_read_number(cursor);
+	grant->number = (uint8_t)fl_read_small(cursor);
+	grant->count = fl_read_small(cursor);
 	grant->wait_us = read_duration_us(cursor);
 }
 
 static void
-read_quota_share(struct cursor *cursor, struct fl_quota_share *share)
+read_quota_share(struct fl_cursor *cursor, struct fl_quota_share *share)
 {
-	share->tenant = read_number(cursor);
-	share->region = read_small(cursor);
-	share->demand_milli = read_small(cursor);
-	share->lent = read_small(cursor);
-	share->held = read_small(cursor);
-	share->stamp = read_small(cursor);
-	share->echo = read_small(cursor);
-	share->has_echo = read_number(cursor) != 0;
+	share->tenant = fl_read_number(cursor);
+	share->region = fl_read_small(cursor);
+	share->demand_milli = fl_read_small(cursor);
+	share->lent = fl_read_small(cursor);
+	share->held = fl_read_small(cursor);
+	share->stamp = fl_read_small(cursor);
+	share->echo = fl_read_small(cursor);
+	share->has_echo = fl_read_number(cursor) != 0;
 	share->passed_on = cursor->at < cursor->array->size;
 	if (share->passed_on)
-		share->sender = read_address(cursor);
+		share->sender = fl_read_address(cursor);
 }
 
 static int
-read_frame(struct cursor *cursor, struct fl_frame *out)
+read_frame(struct fl_cursor *cursor, struct fl_frame *out)
 {
 	int error = CS_OK;
 	uint32_t i;
 
-	*out =
-	    (struct fl_frame){.type = (enum fl_frame_type)read_number(cursor)};
+	*out = (struct fl_frame){
+	    .type = (enum fl_frame_type)fl_read_number(cursor)};
 	switch (out->type) {
 	case FL_FRAME_HELLO:
 		read_hello(cursor, out);
@@ -323,24 +318,24 @@
 		break;
 	case FL_FRAME_SUSPECT_REQUEST:
 	case FL_FRAME_EXCUSE:
-		out->as.suspect_request.fingerprint = read_number(cursor);
-		out->as.suspect_request.target_process = read_number(cursor);
+		out->as.suspect_request.fingerprint = fl_read_number(cursor);
+		out->as.suspect_request.target_process = fl_read_number(cursor);
 		/* Earlier builds send none. */
 		if (cursor->at < cursor->array->size)
 			out->as.suspect_request.trials =
-			    (uint32_t)read_number(cursor);
+			    (uint32_t)fl_read_number(cursor);
 		break;
 	case FL_FRAME_CLAIM:
-		out->as.claim.fingerprint = read_number(cursor);
-		out->as.claim.ticket = read_number(cursor);
+		out->as.claim.fingerprint = fl_read_number(cursor);
+		out->as.claim.ticket = fl_read_number(cursor);
 		break;
 	case FL_FRAME_SUBSCRIBE:
 		for (i = 0; i < OS_KINDS_MAX; i++)
-			out->as.subscribe.revisions[i] = read_number(cursor);
+			out->as.subscribe.revisions[i] = fl_read_number(cursor);
 		for (i = 0; i < OS_KINDS_MAX; i++)
-			read_era(cursor, &out->as.subscribe.revisions[i]);
+			fl_read_era(cursor, &out->as.subscribe.revisions[i]);
 		if (cursor->at < cursor->array->size)
-			out->as.subscribe.follower = read_address(cursor);
+			out->as.subscribe.follower = fl_read_address(cursor);
 		break;
 	case FL_FRAME_UPDATE:
 		error = read_update(cursor, &out->as.update);
@@ -348,10 +343,10 @@
 			os_batch_free(&out->as.update.batch);
 		break;
 	case FL_FRAME_LEAVING:
-		out->as.leaving.target_process = read_number(cursor);
+		out->as.leaving.target_process = fl_read_number(cursor);
 		break;
 	case FL_FRAME_COLD:
-		out->as.cold.target_process = read_number(cursor);
+		out->as.cold.target_process = fl_read_number(cursor);
 		out->as.cold.left_us = read_duration_us(cursor);
 		break;
 	case FL_FRAME_LIMIT:
@@ -378,6 +373,12 @@
 	case FL_FRAME_QUOTA_SHARE:
 		read_quota_share(cursor, &out->as.quota_share);
 		break;
+	case FL_FRAME_REPORT:
+		fl_read_report(cursor, &out->as.report);
+		break;
+	case FL_FRAME_ROSTER_REQUEST:
+		out->as.roster_request.roster = fl_read_small(cursor);
+		break;
 	default:
 		return CS_E_INVALID;
 	}
@@ -489,7 +490,7 @@
 decode(const char *data, size_t length, bool allow_compressed,
     struct fl_frame *out)
 {
-	struct cursor cursor = {.at = 0};
+	struct fl_cursor cursor = {.at = 0};
 	msgpack_unpacked unpacked;
 	int error = CS_E_INVALID;
 
--- a/lib/fleet/heartbeat.c
+++ b/lib/fleet/heartbeat.c
@@ -14,26 +14,43 @@
  */
 #define SILENT_HELLO_EVERY 3
 #define UNHEARD_HELLO_EVERY 2
+/* To silent nodes of other data centres, in a round in a large region. */
+#define FAR_HELLOS_MAX 8
+
+static void
+send_buffer(struct fleet *fleet, enum fl_frame_type type,
+    const struct fl_buffer *buffer, const struct fl_node *node,
+    const struct sockaddr_in *to)
+{
+	uv_buf_t datagram = uv_buf_init(buffer->data, (unsigned)buffer->length);
+
+	fleet->counters.datagrams++;
+	fleet->counters.datagram_bytes += buffer->length;
+	fl_count_sent(fleet, type, node, buffer->length);
+	/* A failed send counts as a lost datagram. */
+	uv_udp_try_send(&fleet->udp, &datagram, 1, (const struct sockaddr *)to);
+}
 
 void
 fl_send_datagram(struct fleet *fleet, const struct fl_frame *frame,
     const struct sockaddr_in *to)
 {
 	struct fl_buffer buffer;
-	uv_buf_t datagram;
 
 	if (fl_encode(frame, &buffer) != CS_OK)
 		return;
-	fleet->counters.datagrams++;
-	fleet->counters.datagram_bytes += buffer.length;
-	fl_count_sent(fleet, frame->type,
-	    fl_membership_find(&fleet->membership, to), buffer.length);
-	datagram = uv_buf_init(buffer.data, (unsigned)buffer.length);
-	/* A failed send counts as a lost datagram. */
-	uv_udp_try_send(&fleet->udp, &datagram, 1, (const struct sockaddr *)to);
+	send_buffer(fleet, frame->type, &buffer,
+	    fl_membership_find(&fleet->membership, to), to);
 	free(buffer.data);
 }
 
+void
+fl_send_encoded(struct fleet *fleet, enum fl_frame_type type,
+    const struct fl_buffer *buffer, const struct fl_node *node)
+{
+	send_buffer(fleet, type, buffer, node, &node->fleet);
+}
+
 /* Picks heard nodes of the region in rotation, FL_PEERS_MAX at most. */
 static uint32_t
 pick_peers(struct fleet *fleet, uint64_t region,
@@ -133,14 +150,16 @@
 	return (fleet->heartbeat_rounds + index) % interval == 0;
 }
 
-/* Sends heartbeats to live nodes of the region, hellos to the others. */
 void
 fl_send_heartbeats(struct fleet *fleet)
 {
 	struct fl_frame heartbeat = heartbeat_frame(fleet);
 	int64_t now_us = cs_now_us();
+	struct fl_buffer buffer;
 	uint32_t i;
 
+	if (fl_encode(&heartbeat, &buffer) != CS_OK)
+		return;
 	fleet->heartbeat_rounds++;
 	for (i = 0; i < fleet->membership.count; i++) {
 		const struct fl_node *node = &fleet->membership.nodes[i];
@@ -148,10 +167,121 @@
 		if (!node->same_region)
 			continue;
 		if (fl_node_is_alive(node, now_us))
-			fl_send_datagram(fleet, &heartbeat, &node->fleet);
+			fl_send_encoded(
+			    fleet, FL_FRAME_HEARTBEAT, &buffer, node);
 		else if (is_hello_due(fleet, i))
 			fl_send_hello(fleet, &node->fleet);
 	}
+	free(buffer.data);
+}
+
+/* The node hears of this one by reports. */
+static bool
+is_told_by_reports(
+    const struct fleet *fleet, const struct fl_node *node, int64_t now_us)
+{
+	return (node->features & FL_FEATURE_REPORTS) != 0 &&
+	       !fl_node_is_near(&fleet->membership, node) &&
+	       now_us >= node->heartbeats_until_us;
+}
+
+static bool
+is_reporter(const struct fleet *fleet, const struct fl_node *node)
+{
+	const struct fl_reporters *reporters = &fleet->reporters;
+	uint32_t i;
+
+	for (i = 0; i < reporters->near_count; i++) {
+		if (reporters->near[i] == node)
+			return true;
+	}
+	/* Those of other data centres hear the leader itself. */
+	for (i = 0; i < reporters->far_count; i++) {
+		if (reporters->far[i] == node)
+			return fleet->membership.self.current;
+	}
+	return false;
+}
+
+static bool
+is_heartbeat_due(const struct fleet *fleet, const struct fl_node *node,
+    bool is_round, int64_t now_us)
+{
+	if (fl_gets_report(fleet, node))
+		return false;
+	if (is_reporter(fleet, node))
+		return true;
+	if (is_told_by_reports(fleet, node, now_us))
+		return false;
+	return is_round || (fleet->membership.self.current &&
+			       (node->features & FL_FEATURE_REPORTS) == 0);
+}
+
+/*
+ * Greets a node that is not alive here. One of another data centre that runs
+ * may just not be reported, so it is asked for heartbeats. If many are silent,
+ * their data centre is cut off: reporters greet them all, the others some.
+ */
+static void
+greet_silent(struct fleet *fleet, uint32_t index, uint32_t *greeted)
+{
+	const struct fl_node *node = &fleet->membership.nodes[index];
+	struct fl_frame frame;
+
+	if (!is_hello_due(fleet, index))
+		return;
+	if (fl_node_is_near(&fleet->membership, node)) {
+		fl_send_hello(fleet, &node->fleet);
+		return;
+	}
+	if (!fleet->reporters.is_reporter && (*greeted)++ >= FAR_HELLOS_MAX)
+		return;
+	frame = hello_frame(fleet, true);
+	frame.as.hello.wants_heartbeats = node->heard_us != 0;
+	fl_send_datagram(fleet, &frame, &node->fleet);
+}
+
+static void
+beat_in_large_region(struct fleet *fleet, bool is_round)
+{
+	struct fl_frame heartbeat = heartbeat_frame(fleet);
+	uint32_t i, count = fleet->membership.count, greeted = 0;
+	int64_t now_us = cs_now_us();
+	struct fl_buffer buffer;
+
+	if (fl_encode(&heartbeat, &buffer) != CS_OK)
+		return;
+	fleet->heartbeat_rounds += is_round;
+	for (i = 0; i < count; i++) {
+		/* Begins with another node in each round. */
+		uint32_t index =
+		    (uint32_t)((i + fleet->heartbeat_rounds * FAR_HELLOS_MAX) %
+			       count);
+		const struct fl_node *node = &fleet->membership.nodes[index];
+
+		if (!node->same_region)
+			continue;
+		if (!fl_node_is_alive(node, now_us)) {
+			if (is_round)
+				greet_silent(fleet, index, &greeted);
+		} else if (is_heartbeat_due(fleet, node, is_round, now_us)) {
+			fl_send_encoded(
+			    fleet, FL_FRAME_HEARTBEAT, &buffer, node);
+		}
+	}
+	free(buffer.data);
+}
+
+void
+fl_beat(struct fleet *fleet, bool is_round)
+{
+	fl_update_reporters(fleet);
+	if (fl_reports_are_used(fleet))
+		beat_in_large_region(fleet, is_round);
+	else if (is_round || fleet->membership.self.current)
+		fl_send_heartbeats(fleet);
+	if (fleet->reporters.is_reporter)
+		fl_send_reports(fleet);
 }
 
 /*
--- a/lib/fleet/membership.c
+++ b/lib/fleet/membership.c
@@ -116,7 +116,7 @@
     const struct fl_node *record, int64_t now_us)
 {
 	struct fl_node *node = fl_membership_add(membership, record);
-	int64_t avoid_until_us;
+	int64_t avoid_until_us, heartbeats_until_us;
 	bool is_new;
 
 	if (node == NULL)
@@ -127,8 +127,10 @@
 		membership->first_contact_us = now_us;
 
 	avoid_until_us = node->avoid_until_us;
+	heartbeats_until_us = node->heartbeats_until_us;
 	*node = *record;
 	node->avoid_until_us = avoid_until_us;
+	node->heartbeats_until_us = heartbeats_until_us;
 	node->heard_us = now_us;
 	return is_new;
 }
--- a/lib/fleet/relay.c
+++ b/lib/fleet/relay.c
@@ -9,7 +9,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "fleet.h"
+#include "roster.h"
 
 /*
  * Below this many live nodes all follow the leader, as in earlier builds: 23
@@ -25,18 +25,11 @@
 	       LARGE_REGION_NODES;
 }
 
-static bool
-is_near(const struct fl_membership *membership, const struct fl_node *node)
-{
-	return node->same_region &&
-	       strcmp(node->data_centre, membership->self.data_centre) == 0;
-}
-
 bool
 fl_membership_may_relay(const struct fl_membership *membership,
     const struct fl_node *node, int64_t now_us)
 {
-	return is_near(membership, node) &&
+	return fl_node_is_near(membership, node) &&
 	       (node->features & FL_FEATURE_RELAYS) != 0 && !node->stopping &&
 	       !node->current && now_us >= node->avoid_until_us &&
 	       fl_node_is_alive(node, now_us) &&
--- a/tests/unit/fleet_world.h
+++ b/tests/unit/fleet_world.h
@@ -85,6 +85,30 @@
 bool fw_hears(const struct fw_world *world, uint32_t vm, uint32_t other);
 /* fw_lists(world, vm, other): the directory of the VM lists the other. */
 bool fw_lists(const struct fw_world *world, uint32_t vm, uint32_t other);
+/* fw_record_of(world, vm): what the VM tells of itself. */
+const struct fl_node *fw_record_of(const struct fw_world *world, uint32_t vm);
+bool fw_is_in(const struct fw_world *world, uint32_t vm, uint32_t region,
+    uint32_t data_centre);
+void fw_start_all(struct fw_world *world);
+struct fw_world *fw_run_large_fleet(uint32_t vms, uint64_t seed);
+#define FW_UPDATES_PER_S 20
+void fw_run_updates(struct fw_world *world, int64_t for_us);
+/* For on_params: every second VM is as of the build before. */
+void fw_clear_features(uint32_t vm, struct fl_params *params);
+/*
+ * fw_expect_whole(world): every VM of a region hears every other one and has
+ * all objects.
+ */
+void fw_expect_whole(const struct fw_world *world);
+/* fw_find_leader(world, region): the VM that watches the store. */
+uint32_t fw_find_leader(const struct fw_world *world, uint32_t region);
+/*
+ * fw_find_first(world, region, data_centre, out, max): sets out to the VMs of
+ * the data centre that rank first, without the leader: one of them relays the
+ * updates for all others.
+ */
+uint32_t fw_find_first(const struct fw_world *world, uint32_t region,
+    uint32_t data_centre, uint32_t *out, uint32_t max);
 /* fw_reset_counters(world): the bytes sent count from now on. */
 void fw_reset_counters(struct fw_world *world);
 
--- a/tests/unit/fleet_world_uv.c
+++ b/tests/unit/fleet_world_uv.c
@@ -121,19 +121,23 @@
 	return 0;
 }
 
-/*
- * The type of an encoded frame, which is the first item of its array; that of a
- * compressed one is given.
- */
+/* The type of an encoded frame. */
 static uint32_t
-frame_type(const char *data, size_t length, enum fl_frame_type compressed)
+frame_type(const char *data, size_t length)
 {
 	const unsigned char *bytes = (const unsigned char *)data;
 	size_t at = bytes[0] == 0xdc ? 3 : bytes[0] == 0xdd ? 5 : 1;
+	struct fl_frame frame;
 
 	if (at >= length || bytes[at] >= FL_FRAME_TYPES)
 		return 0;
-	return bytes[at] == FL_COMPRESSED_TYPE ? compressed : bytes[at];
+	if (bytes[at] != FL_COMPRESSED_TYPE)
+		return bytes[at];
+	if (fl_decode(data, length, &frame) != CS_OK)
+		return 0;
+	if (frame.type == FL_FRAME_UPDATE)
+		os_batch_free(&frame.as.update.batch);
+	return frame.type;
 }
 
 int
@@ -152,9 +156,8 @@
 	if (to >= fw_world->vm_count)
 		abort();
 	vm->datagrams++;
-	vm->sent_bytes[frame_type(buffers[0].base, buffers[0].len,
-	    FL_FRAME_HELLO)][fw_where(from, to)] +=
-	    buffers[0].len + FW_UDP_HEADER_BYTES;
+	vm->sent_bytes[frame_type(buffers[0].base, buffers[0].len)][fw_where(
+	    from, to)] += buffers[0].len + FW_UDP_HEADER_BYTES;
 	if (fw_world->cut[from][to] || fw_is_lost())
 		return (int)buffers[0].len;
 	event.at_us = fw_world->now_us + fw_latency(from, to);
@@ -311,9 +314,9 @@
 	    .callback = (void *)callback});
 	from = connection->vms[own];
 	to = connection->vms[other];
-	fw_world->vms[from].sent_bytes[frame_type(
-	    buffers[0].base + FL_LENGTH_BYTES, buffers[0].len - FL_LENGTH_BYTES,
-	    FL_FRAME_UPDATE)][fw_where(from, to)] +=
+	fw_world->vms[from]
+	    .sent_bytes[frame_type(buffers[0].base + FL_LENGTH_BYTES,
+		buffers[0].len - FL_LENGTH_BYTES)][fw_where(from, to)] +=
 	    buffers[0].len + segments * FW_TCP_HEADER_BYTES;
 	connection->used_us = fw_world->now_us;
 	at_us = fw_world->now_us + fw_latency(from, to) +
--- a/tests/unit/test_control_traffic.c
+++ b/tests/unit/test_control_traffic.c
@@ -14,8 +14,6 @@
 
 #include "fleet_world.h"
 
-#define UPDATES_PER_S 20
-
 /* Bytes of a phase, with headers. */
 struct traffic {
 	double by_type[FL_FRAME_TYPES][FW_WHERES];
@@ -88,45 +86,26 @@
 	for (where = 0; where < FW_WHERES; where++)
 		acks += traffic->acks[where];
 	printf("| %u | %s | %.1f | %.1f | %.1f | %.1f | %.1f | %.1f | %.1f | "
+	       "%.1f | "
 	       "%.1f / %.1f | %.1f |\n",
 	    vms, phase, traffic->total[FW_SAME] / 1e3,
 	    traffic->total[FW_OTHER] / 1e3, traffic->total[FW_REGION] / 1e3,
 	    sum_of(traffic, FL_FRAME_HEARTBEAT),
+	    sum_of(traffic, FL_FRAME_REPORT) +
+		sum_of(traffic, FL_FRAME_ROSTER_REQUEST),
 	    sum_of(traffic, FL_FRAME_HELLO), sum_of(traffic, FL_FRAME_UPDATE),
 	    acks / 1e3, traffic->busiest / 1e3, traffic->busiest_received / 1e3,
 	    traffic->median / 1e3);
 	fflush(stdout);
 }
 
-static void
-run_updates(struct fw_world *world, int64_t for_us)
-{
-	int64_t end_us = world->now_us + for_us;
-
-	while (world->now_us < end_us) {
-		fw_change_target(world);
-		fw_run(world, FW_SECOND / UPDATES_PER_S);
-	}
-}
-
-static void
-start_all(struct fw_world *world)
-{
-	uint32_t i;
-
-	for (i = 0; i < world->vm_count; i++) {
-		fw_start(world, i);
-		fw_run(world, 300 * FW_MS / world->vm_count);
-	}
-}
-
 static void
 print_table(uint32_t vms)
 {
 	struct fw_world *world = fw_create(vms, 1);
 	struct traffic traffic;
 
-	start_all(world);
+	fw_start_all(world);
 	fw_run(world, 5 * FW_SECOND - 300 * FW_MS);
 	measure(world, 5, &traffic);
 	print_traffic("all start, 5 s", vms, &traffic);
@@ -136,29 +115,12 @@
 	measure(world, 20, &traffic);
 	print_traffic("idle", vms, &traffic);
 	fw_reset_counters(world);
-	run_updates(world, 10 * FW_SECOND);
+	fw_run_updates(world, 10 * FW_SECOND);
 	measure(world, 10, &traffic);
 	print_traffic("20 updates/s", vms, &traffic);
 	fw_free(world);
 }
 
-/* Every VM of a region hears every other one and has all objects. */
-static void
-expect_whole(const struct fw_world *world)
-{
-	uint32_t i, j;
-
-	for (i = 0; i < world->vm_count; i++) {
-		assert_int_equal(
-		    os_cache_revision(world->vms[i].cache, 0), world->revision);
-		for (j = 0; j < world->vm_count; j++) {
-			if (i != j &&
-			    world->vms[i].region == world->vms[j].region)
-				assert_true(fw_lists(world, i, j));
-		}
-	}
-}
-
 /* A fleet that starts at once finds together, and updates reach all VMs. */
 static void
 test_all_start(void **state)
@@ -166,12 +128,12 @@
 	struct fw_world *world = fw_create(100, 2);
 
 	(void)state;
-	start_all(world);
+	fw_start_all(world);
 	fw_run(world, 5 * FW_SECOND);
-	expect_whole(world);
-	run_updates(world, 2 * FW_SECOND);
+	fw_expect_whole(world);
+	fw_run_updates(world, 2 * FW_SECOND);
 	fw_run(world, FW_SECOND);
-	expect_whole(world);
+	fw_expect_whole(world);
 	fw_free(world);
 }
 
@@ -184,8 +146,8 @@
 	uint32_t vm, type, place;
 
 	(void)state;
-	start_all(world);
-	run_updates(world, 2 * FW_SECOND);
+	fw_start_all(world);
+	fw_run_updates(world, 2 * FW_SECOND);
 	for (vm = 0; vm < world->vm_count; vm++) {
 		const struct fl_counters *counters =
 		    fl_get_counters(world->vms[vm].fleet);
@@ -235,7 +197,7 @@
 
 	while (world->now_us < end_us) {
 		fw_change_target(world);
-		fw_run(world, FW_SECOND / UPDATES_PER_S);
+		fw_run(world, FW_SECOND / FW_UPDATES_PER_S);
 		for (vm = 0; vm < world->vm_count; vm++) {
 			int64_t lag_us;
 
@@ -251,71 +213,6 @@
 	return longest_us;
 }
 
-/* The number of the VM that watches the store for the region. */
-static uint32_t
-find_leader(const struct fw_world *world, uint32_t region)
-{
-	uint32_t vm;
-
-	for (vm = region; vm < world->vm_count; vm += FW_REGIONS) {
-		if (fw_runs(world, vm) && world->vms[vm].watches)
-			return vm;
-	}
-	fail_msg("no VM watches the store");
-	return 0;
-}
-
-static const struct fl_node *
-record_of(const struct fw_world *world, uint32_t vm)
-{
-	return &fl_get_membership(world->vms[vm].fleet)->self;
-}
-
-static bool
-is_in(const struct fw_world *world, uint32_t vm, uint32_t region,
-    uint32_t data_centre)
-{
-	return world->vms[vm].region == region &&
-	       world->vms[vm].data_centre == data_centre;
-}
-
-/*
- * Sets out to the VMs of the data centre that rank first, without the leader:
- * one of them relays the updates for all others.
- */
-static uint32_t
-find_first(const struct fw_world *world, uint32_t region, uint32_t data_centre,
-    uint32_t *out, uint32_t max)
-{
-	uint32_t count = 0, vm, other, before;
-
-	for (vm = 0; vm < world->vm_count; vm++) {
-		if (!is_in(world, vm, region, data_centre) ||
-		    !fw_runs(world, vm) || world->vms[vm].watches)
-			continue;
-		before = 0;
-		for (other = 0; other < world->vm_count; other++)
-			before += is_in(world, other, region, data_centre) &&
-				  fw_runs(world, other) &&
-				  !world->vms[other].watches &&
-				  fl_node_ranks_before(record_of(world, other),
-				      record_of(world, vm));
-		if (before < max)
-			out[count++] = vm;
-	}
-	return count;
-}
-
-static struct fw_world *
-run_large_fleet(uint32_t vms, uint64_t seed)
-{
-	struct fw_world *world = fw_create(vms, seed);
-
-	start_all(world);
-	fw_run(world, 10 * FW_SECOND);
-	return world;
-}
-
 #define FEW_MS (100 * FW_MS)
 /* Silence of a relay, the next tick, and reading what was missed. */
 #define RELAY_LOST_MAX (2500 * FW_MS)
@@ -325,7 +222,7 @@
 static void
 test_relays_forward(void **state)
 {
-	struct fw_world *world = run_large_fleet(150, 4);
+	struct fw_world *world = fw_run_large_fleet(150, 4);
 
 	(void)state;
 	assert_in_range(
@@ -335,7 +232,7 @@
 	    RELAY_LOST_MAX);
 	world->loss = 0;
 	fw_run(world, 3 * FW_SECOND);
-	expect_whole(world);
+	fw_expect_whole(world);
 	fw_free(world);
 }
 
@@ -347,10 +244,10 @@
 
 	(void)state;
 	for (round = 0; round < 2; round++) {
-		struct fw_world *world = run_large_fleet(150, 5 + round);
+		struct fw_world *world = fw_run_large_fleet(150, 5 + round);
 
 		assert_int_equal(
-		    find_first(world, 1, 2, relays, RELAYS), RELAYS);
+		    fw_find_first(world, 1, 2, relays, RELAYS), RELAYS);
 		for (i = 0; i < RELAYS; i++) {
 			if (round == 0)
 				fw_kill(world, relays[i]);
@@ -375,12 +272,12 @@
 
 	(void)state;
 	for (round = 0; round < 2; round++) {
-		struct fw_world *world = run_large_fleet(150, 7 + round);
-		uint32_t leader = find_leader(world, 1),
+		struct fw_world *world = fw_run_large_fleet(150, 7 + round);
+		uint32_t leader = fw_find_leader(world, 1),
 			 data_centre = (world->vms[leader].data_centre + 1) %
 				       FW_DATA_CENTRES;
 
-		find_first(world, 1, data_centre, &relay, 1);
+		fw_find_first(world, 1, data_centre, &relay, 1);
 		for (vm = 1; vm < world->vm_count; vm += FW_REGIONS) {
 			if (round == 0 && vm == leader)
 				world->cut[vm][relay] = true;
@@ -398,23 +295,16 @@
 static void
 test_leader_fails(void **state)
 {
-	struct fw_world *world = run_large_fleet(150, 9);
+	struct fw_world *world = fw_run_large_fleet(150, 9);
 
 	(void)state;
-	fw_kill(world, find_leader(world, 2));
+	fw_kill(world, fw_find_leader(world, 2));
 	/* As in small regions: 1.3 s of silence, turns, and a list. */
 	assert_in_range(
 	    find_longest_lag(world, 8 * FW_SECOND, NULL, 0), 0, 3 * FW_SECOND);
 	fw_free(world);
 }
 
-static void
-clear_features(uint32_t vm, struct fl_params *params)
-{
-	if (vm % 2 == 0)
-		params->self.features = 0;
-}
-
 /* Every second VM is of a build that follows the leader only. */
 static void
 test_relays_in_a_mixed_fleet(void **state)
@@ -422,12 +312,12 @@
 	struct fw_world *world = fw_create(150, 10);
 
 	(void)state;
-	world->on_params = clear_features;
-	start_all(world);
+	world->on_params = fw_clear_features;
+	fw_start_all(world);
 	fw_run(world, 10 * FW_SECOND);
 	assert_in_range(
 	    find_longest_lag(world, 5 * FW_SECOND, NULL, 0), 0, FEW_MS);
-	expect_whole(world);
+	fw_expect_whole(world);
 	fw_free(world);
 }
 
@@ -450,10 +340,10 @@
 		printf(
 		    "KB a second, with headers.\n\n"
 		    "| VMs | phase | same data centre | other | other region "
-		    "| heartbeats | hellos | updates | TCP control "
+		    "| heartbeats | reports | hellos | updates | TCP control "
 		    "| busiest sends / receives | median sends |\n"
 		    "| --- | --- | --- | --- | --- | --- | --- | --- | --- "
-		    "| --- | --- |\n");
+		    "| --- | --- | --- |\n");
 		for (i = 0; i < sizeof(sizes) / sizeof(sizes[0]); i++)
 			print_table(sizes[i]);
 		return 0;
