Fleet: starts of large regions stay within data centres

Who answers a hello in a large region names only those that a newcomer has to know; the rest comes with rosters. A newcomer takes the size of the region from the hellos it gets and follows a relay from the first. Who is taken for a reporter names the reporters.

--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -71,6 +71,8 @@
 	uint32_t count, capacity;
 	bool has_list; /* the store has listed the nodes since the start */
 	int64_t started_us;
+	/* Most nodes of the region that another one has told to know. */
+	uint32_t told_nodes;
 	/* When a node of the region was first heard; 0: none yet. */
 	int64_t first_contact_us;
 
@@ -191,6 +193,12 @@
 /* fl_node_ranks_before(a, b): by capacity, the largest first, then by name. */
 bool fl_node_ranks_before(const struct fl_node *a, const struct fl_node *b);
 
+/*
+ * Below this many live nodes all follow the leader, as in earlier builds: 23
+ * followers cost it 9 KB a second for 1 KB of updates and heartbeats, a third
+ * of the budget of a node, and no update waits for a relay.
+ */
+#define FL_LARGE_REGION_NODES 24
 /* How many nodes of its data centre follow a node, see relay.c. */
 #define FL_RELAY_FOLLOWERS 3
 /*
--- a/lib/fleet/fleet_internal.h
+++ b/lib/fleet/fleet_internal.h
@@ -94,6 +94,9 @@
 void fl_reply_hello(
     struct fleet *fleet, const struct fl_node *node, uint32_t known_nodes);
 void fl_send_hello_to_seeds(struct fleet *fleet);
+/* fl_name_reporters(fleet, to): a hello that names those of this data centre.
+ */
+void fl_name_reporters(struct fleet *fleet, const struct sockaddr_in *to);
 /* fl_send_encoded(fleet, type, buffer, node): sends an encoded frame. */
 void fl_send_encoded(struct fleet *fleet, enum fl_frame_type type,
     const struct fl_buffer *buffer, const struct fl_node *node);
@@ -117,6 +120,16 @@
  */
 bool fl_reports_are_used(const struct fleet *fleet);
 void fl_update_reporters(struct fleet *fleet);
+/* fl_pick_reporters(membership, now_us, out): of this data centre. */
+uint32_t fl_pick_reporters(const struct fl_membership *membership,
+    int64_t now_us, const struct fl_node *out[FL_REPORTERS]);
+/*
+ * fl_pick_far_reporters(membership, data_centre, now_us, out): of all data
+ * centres of the region but the given one.
+ */
+uint32_t fl_pick_far_reporters(const struct fl_membership *membership,
+    const char *data_centre, int64_t now_us,
+    const struct fl_node *out[FL_FAR_REPORTERS_MAX]);
 /* fl_gets_report(fleet, node): this node sends it reports, not heartbeats. */
 bool fl_gets_report(const struct fleet *fleet, const struct fl_node *node);
 void fl_send_reports(struct fleet *fleet);
--- a/lib/fleet/heartbeat.c
+++ b/lib/fleet/heartbeat.c
@@ -119,18 +119,70 @@
 	fl_send_datagram(fleet, &frame, to);
 }
 
+/*
+ * Picks nodes for one that relies on reports: those of its data centre in
+ * rotation, and of the others those that it has to know: current nodes,
+ * reporters, and nodes of earlier builds.
+ */
+static uint32_t
+pick_near_peers(struct fleet *fleet, const struct fl_node *of,
+    struct sockaddr_in peers[FL_PEERS_MAX])
+{
+	const struct fl_membership *membership = &fleet->membership;
+	const struct fl_node *reporters[FL_FAR_REPORTERS_MAX];
+	uint32_t count = 0, total = membership->count, i, found = 0;
+	uint32_t first =
+	    total == 0 ? 0 : (uint32_t)(fleet->peer_rotation++ % total);
+
+	if (of->same_region)
+		found = fl_pick_far_reporters(
+		    membership, of->data_centre, cs_now_us(), reporters);
+	for (i = 0; i < found && count < FL_PEERS_MAX / 2; i++)
+		peers[count++] = reporters[i]->fleet;
+	for (i = 0; i < total && count < FL_PEERS_MAX; i++) {
+		const struct fl_node *node =
+		    &membership->nodes[(first + i) % total];
+
+		if (node->heard_us != 0 && node->region == of->region &&
+		    (node->current ||
+			(node->features & FL_FEATURE_REPORTS) == 0 ||
+			strcmp(node->data_centre, of->data_centre) == 0))
+			peers[count++] = node->fleet;
+	}
+	return count;
+}
+
 void
 fl_reply_hello(
     struct fleet *fleet, const struct fl_node *node, uint32_t known_nodes)
 {
 	struct fl_frame frame = hello_frame(fleet, false);
+	uint32_t known = count_known_nodes(fleet, node->region);
+	bool relies_on_reports = known >= FL_LARGE_REGION_NODES &&
+				 (node->features & FL_FEATURE_REPORTS) != 0;
 
-	if (known_nodes < count_known_nodes(fleet, node->region))
+	if (known_nodes < known)
 		frame.as.hello.peer_count =
-		    pick_peers(fleet, node->region, frame.as.hello.peers);
+		    relies_on_reports
+			? pick_near_peers(fleet, node, frame.as.hello.peers)
+			: pick_peers(fleet, node->region, frame.as.hello.peers);
 	fl_send_datagram(fleet, &frame, &node->fleet);
 }
 
+void
+fl_name_reporters(struct fleet *fleet, const struct sockaddr_in *to)
+{
+	struct fl_frame frame = hello_frame(fleet, false);
+	const struct fl_node *reporters[FL_REPORTERS];
+	uint32_t i, count = fl_pick_reporters(
+			&fleet->membership, cs_now_us(), reporters);
+
+	for (i = 0; i < count; i++)
+		frame.as.hello.peers[i] = reporters[i]->fleet;
+	frame.as.hello.peer_count = count;
+	fl_send_datagram(fleet, &frame, to);
+}
+
 void
 fl_send_hello_to_seeds(struct fleet *fleet)
 {
--- a/lib/fleet/relay.c
+++ b/lib/fleet/relay.c
@@ -11,18 +11,16 @@
 
 #include "roster.h"
 
-/*
- * Below this many live nodes all follow the leader, as in earlier builds: 23
- * followers cost it 9 KB a second for 1 KB of updates and heartbeats, a third
- * of the budget of a node, and no update waits for a relay.
- */
-#define LARGE_REGION_NODES 24
+/* By then a node that has started hears the others of its region. */
+#define TOLD_US 4000000
 
 bool
 fl_membership_is_large(const struct fl_membership *membership, int64_t now_us)
 {
 	return fl_membership_count_alive(membership, now_us) >=
-	       LARGE_REGION_NODES;
+		   FL_LARGE_REGION_NODES ||
+	       (membership->told_nodes >= FL_LARGE_REGION_NODES &&
+		   now_us - membership->started_us < TOLD_US);
 }
 
 bool
--- a/lib/fleet/replication.c
+++ b/lib/fleet/replication.c
@@ -9,6 +9,7 @@
 /* How long a source that failed is not followed, and a new place must last. */
 #define AVOID_US 3000000
 #define SOURCE_SETTLE_US 3000000
+#define FIRST_SOURCE_WAIT_US 100000
 /*
  * A follower subscribes as soon as it is connected. Above the first number,
  * connections that have not done so in this time are closed; above the second,
@@ -140,6 +141,22 @@
 	return now_us - fleet->next_source_us < SOURCE_SETTLE_US;
 }
 
+/*
+ * A node that has just started in a large region knows the leader some round
+ * trips before the relays of its data centre. All would take the leader's
+ * snapshot when they start together.
+ */
+static bool
+is_too_early(const struct fleet *fleet)
+{
+	const struct fl_membership *membership = &fleet->membership;
+	int64_t now_us = cs_now_us();
+
+	return membership->told_nodes >= FL_LARGE_REGION_NODES &&
+	       !membership->watching && fl_revision_sum(fleet) == 0 &&
+	       now_us - membership->first_contact_us < FIRST_SOURCE_WAIT_US;
+}
+
 void
 fl_follow_leader(struct fleet *fleet, const struct fl_node *leader)
 {
@@ -157,6 +174,8 @@
 			   &fleet->membership, leader, cs_now_us());
 	if (fleet->source_link != NULL && keeps_source(fleet, leader, source))
 		return;
+	if (source == leader && is_too_early(fleet))
+		return;
 	close_source_link(fleet);
 	fleet->next_source.sin_port = 0;
 	fleet->ticks_behind = 0;
--- a/lib/fleet/reports.c
+++ b/lib/fleet/reports.c
@@ -83,18 +83,29 @@
 	return picked;
 }
 
-/* Picks reporters of the other data centres of the region. */
-static uint32_t
-pick_far_reporters(const struct fl_membership *membership, int64_t now_us,
+uint32_t
+fl_pick_reporters(const struct fl_membership *membership, int64_t now_us,
+    const struct fl_node *out[FL_REPORTERS])
+{
+	return pick_reporters(membership, membership->self.data_centre,
+	    REPORTER_SILENCE_US, now_us, out, FL_REPORTERS);
+}
+
+uint32_t
+fl_pick_far_reporters(const struct fl_membership *membership,
+    const char *data_centre, int64_t now_us,
     const struct fl_node *out[FL_FAR_REPORTERS_MAX])
 {
-	const char *known[DATA_CENTRES_MAX];
+	const char *known[DATA_CENTRES_MAX] = {NULL};
 	uint32_t i, k, centres = 0, count = 0;
 
-	for (i = 0; i < membership->count; i++) {
-		const struct fl_node *node = &membership->nodes[i];
+	for (i = 0; i <= membership->count; i++) {
+		const struct fl_node *node = i == membership->count
+						 ? &membership->self
+						 : &membership->nodes[i];
 
-		if (!node->same_region || fl_node_is_near(membership, node) ||
+		if (!node->same_region ||
+		    strcmp(node->data_centre, data_centre) == 0 ||
 		    (node->features & FL_FEATURE_REPORTS) == 0 ||
 		    centres == DATA_CENTRES_MAX)
 			continue;
@@ -106,6 +117,7 @@
 			continue;
 		known[centres++] = node->data_centre;
 		/* One more, since they may see other nodes. */
+
 		count += pick_reporters(membership, node->data_centre,
 		    INT64_MAX, now_us, out + count, FL_REPORTERS + 1);
 	}
@@ -126,14 +138,13 @@
 	    fl_membership_count_alive(membership, now_us) < REPORTED_NODES)
 		return;
 	reporters->near_count =
-	    pick_reporters(membership, membership->self.data_centre,
-		REPORTER_SILENCE_US, now_us, reporters->near, FL_REPORTERS);
+	    fl_pick_reporters(membership, now_us, reporters->near);
 	for (i = 0; i < reporters->near_count; i++)
 		reporters->is_reporter |=
 		    reporters->near[i] == &membership->self;
 	if (reporters->is_reporter || membership->self.current)
-		reporters->far_count =
-		    pick_far_reporters(membership, now_us, reporters->far);
+		reporters->far_count = fl_pick_far_reporters(membership,
+		    membership->self.data_centre, now_us, reporters->far);
 }
 
 static void
@@ -430,6 +441,25 @@
 	return fl_on_heartbeat(fleet, &heartbeat, from);
 }
 
+/*
+ * Others may take this node for a reporter. If not, who reports to it does not
+ * know the reporters here.
+ */
+static bool
+may_report(const struct fl_membership *membership, int64_t now_us)
+{
+	const struct fl_node *nodes[FL_REPORTERS + 1];
+	uint32_t i,
+	    count = pick_reporters(membership, membership->self.data_centre,
+		INT64_MAX, now_us, nodes, FL_REPORTERS + 1);
+
+	for (i = 0; i < count; i++) {
+		if (nodes[i] == &membership->self)
+			return true;
+	}
+	return false;
+}
+
 bool
 fl_on_report(struct fleet *fleet, const struct fl_report *report,
     const struct sockaddr_in *from)
@@ -455,6 +485,12 @@
 	} else if (!view->is_whole || view->version < report->version) {
 		ask_for_roster(fleet, view, now_us);
 	}
+	if (report->roster == FL_ROSTER_OWN &&
+	    now_us - view->named_us > ASK_AGAIN_US) {
+		view->named_us = now_us;
+		if (!may_report(&fleet->membership, now_us))
+			fl_name_reporters(fleet, from);
+	}
 	return take_leaders(fleet, report, now_us) || changed;
 }
 
--- a/lib/fleet/roster.c
+++ b/lib/fleet/roster.c
@@ -164,7 +164,7 @@
     const struct fl_membership *membership, int64_t now_us,
     struct fl_report *out)
 {
-	const struct fl_roster_slot *changed[FL_ROSTER_SLOTS_MAX];
+	const struct fl_roster_slot *changed[FL_ROSTER_SLOTS_MAX] = {NULL};
 	uint32_t i, count = 0;
 
 	out->base = 0;
@@ -305,7 +305,7 @@
 		view = views->count < FL_VIEWS_MAX
 			   ? &views->views[views->count++]
 			   : oldest;
-		view->asked_us = 0;
+		view->asked_us = view->named_us = 0;
 		view->boot = report->boot + 1;
 	}
 	if (view->slots == NULL)
--- a/lib/fleet/roster.h
+++ b/lib/fleet/roster.h
@@ -37,7 +37,7 @@
 	bool is_whole; /* it has all changes up to the version */
 	uint32_t version;
 	uint64_t parts; /* received of the whole roster, a bit for each */
-	int64_t asked_us, used_us;
+	int64_t asked_us, named_us, used_us;
 	uint32_t slot_count;
 	struct fl_view_slot *slots;
 };
--- a/tests/unit/test_control_traffic.c
+++ b/tests/unit/test_control_traffic.c
@@ -1,6 +1,7 @@
 /*
  * Control traffic of large fleets on virtual time. Without arguments it runs
- * the tests; "table" prints the bytes by type of frame and place of receiver.
+ * the tests; "table" prints the bytes by type of frame and place of receiver,
+ * "table before" those of a fleet without relays and reports.
  */
 #include <setjmp.h>
 #include <stdarg.h>
@@ -100,13 +101,65 @@
 }
 
 static void
-print_table(uint32_t vms)
+clear_all_features(uint32_t vm, struct fl_params *params)
+{
+	(void)vm;
+	params->self.features = 0;
+}
+
+/* The share of VMs that have objects, and of pairs that hear each other. */
+static void
+look_at_start(const struct fw_world *world, double *ready, double *heard)
+{
+	uint32_t a, b, pairs = 0, hears = 0, has = 0;
+
+	for (a = 0; a < world->vm_count; a++) {
+		has += os_cache_revision(world->vms[a].cache, 0) != 0;
+		for (b = a % FW_REGIONS; b < world->vm_count; b += FW_REGIONS) {
+			if (a == b)
+				continue;
+			pairs++;
+			hears += fw_hears(world, a, b);
+		}
+	}
+	*ready = (double)has / world->vm_count;
+	*heard = (double)hears / pairs;
+}
+
+/* Prints when after the start of the last VM half and all are there. */
+static void
+print_start(struct fw_world *world)
+{
+	double ready_s[2] = {-1, -1}, heard_s[2] = {-1, -1}, ready, heard;
+	double limits[2] = {.5, 1};
+	uint32_t step, i;
+
+	for (step = 0; step < 47; step++) {
+		look_at_start(world, &ready, &heard);
+		for (i = 0; i < 2; i++) {
+			if (ready >= limits[i] && ready_s[i] < 0)
+				ready_s[i] = step * .1;
+			if (heard >= limits[i] && heard_s[i] < 0)
+				heard_s[i] = step * .1;
+		}
+		fw_run(world, 100 * FW_MS);
+	}
+	fprintf(stderr,
+	    "%u VMs: half and all have objects after %.1f, %.1f s, hear each "
+	    "other after %.1f, %.1f s\n",
+	    world->vm_count, ready_s[0], ready_s[1], heard_s[0], heard_s[1]);
+}
+
+static void
+print_table(uint32_t vms, bool before)
 {
 	struct fw_world *world = fw_create(vms, 1);
 	struct traffic traffic;
 
+	if (before)
+		world->on_params = clear_all_features;
 	fw_start_all(world);
-	fw_run(world, 5 * FW_SECOND - 300 * FW_MS);
+	print_start(world);
 	measure(world, 5, &traffic);
 	print_traffic("all start, 5 s", vms, &traffic);
 	fw_run(world, 5 * FW_SECOND);
@@ -345,7 +398,8 @@
 		    "| --- | --- | --- | --- | --- | --- | --- | --- | --- "
 		    "| --- | --- | --- |\n");
 		for (i = 0; i < sizeof(sizes) / sizeof(sizes[0]); i++)
-			print_table(sizes[i]);
+			print_table(sizes[i],
+			    argc > 2 && strcmp(argv[2], "before") == 0);
 		return 0;
 	}
 	return cmocka_run_group_tests(tests, NULL, NULL);
