Tests: a region of 30 real VMs with relays and reports

Relays and reports begin at 24 VMs of a region, which no scenario had; they were run on virtual time only.

The scenario runs 30 VMs in three data centres: changes reach all, dead VMs are not listed, VMs that start again are, another VM leads, and few heartbeats go between data centres. PREVIOUS_BINARY runs every second VM with a program of the build before.

--- a/tests/standins/cluster.py
+++ b/tests/standins/cluster.py
@@ -340,6 +340,7 @@
         self.host = cluster.address(number + 1)
         self.zone, self.region = None, "r1"  # None: that of the cluster
         self.process = None
+        self.binary = None  # None: that of the cluster
         self.boot = 0
         self.paused = False
         self.restarting = False
@@ -355,7 +356,8 @@
             json.dump({
                 "node_name": self.name, "zone": self.zone or self.cluster.zone,
                 "region": self.region,
-                "zones": {self.cluster.zone: "r1", "z2": "r2"},
+                "zones": {self.cluster.zone: "r1", "z2": "r2",
+                          **self.cluster.more_zones},
                 "listen": {"front": "%s:%d" % (self.host, FRONT_PORT),
                            "ready": "%s:%d" % (self.host, READINESS_PORT),
                            "directory": "%s:%d" % (self.host, DIRECTORY_PORT)},
@@ -375,7 +377,7 @@
         self.write_settings(first_start)
         self.boot += 1
         self.process = await asyncio.create_subprocess_exec(
-            self.cluster.binary, "gateway", "--settings", self.settings_path,
+            self.binary or self.cluster.binary, "gateway", "--settings", self.settings_path,
             stdout=open(self.log, "ab"), stderr=asyncio.subprocess.STDOUT)
 
     def signal_process(self, number, disturbed_s):
@@ -404,6 +406,7 @@
         self.tenant_limits = {}  # further fields of tenants, by name
         self.exempt = ()  # prefixes of routes without keys
         self.zone = "z1"
+        self.more_zones = {}  # regions of further ones
         self.prefix = "127.%d.%d." % (
             16 + (os.getpid() // 250 + next(CLUSTER_NUMBERS)) % 200,
             1 + os.getpid() % 250)
