Fleet: reporters that were paused revive no dead VMs

A reporter that was paused took the dead for alive when it woke: a late tick restarts the silence of all nodes, and a stopped clock leaves their ages as before the pause. Its reports told the whole region so, of a dead leader as well, for up to 2 s.

Reports tell only what a node heard itself or, to its own data centre, what reporters of others told, not the restarted silence. What a reporter tells after a silence counts as older by that silence for 2.1 s, and its replacements report until then. Reports to the own data centre are not reported again, so ages do not get smaller in a circle of slow reporters.

--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -32,6 +32,13 @@
 
 struct fl_frame;
 
+/* The lists of nodes that a reporter tells of, see reports.c. */
+enum fl_roster_name {
+	FL_ROSTER_OWN,	  /* its data centre, for those of others */
+	FL_ROSTER_OTHERS, /* the other data centres, for its own */
+	FL_ROSTERS
+};
+
 struct fl_node {
 	char name[FL_NAME_BYTES_MAX];
 	char data_centre[FL_NAME_BYTES_MAX];
@@ -48,6 +55,13 @@
 	bool tells_era;	       /* of the store; earlier builds do not */
 	uint32_t features;     /* FL_FEATURE_*; earlier builds have none */
 	int64_t heard_us;      /* last heartbeat or hello; 0: none yet */
+	/*
+	 * The same as the reports of this node may tell it: as it heard itself,
+	 * and for its own data centre also as reporters of others have told.
+	 */
+	int64_t proven_us[FL_ROSTERS];
+	/* It was silent for late_us; its clock may have stood still. */
+	int64_t late_us, late_until_us;
 	/* Its updates did not arrive: it is not followed until then. */
 	int64_t avoid_until_us;
 	/* It asked for heartbeats of this node, since no report told of it. */
@@ -125,6 +139,11 @@
 bool fl_membership_on_heartbeat(struct fl_membership *membership,
     const struct sockaddr_in *from, const struct fl_frame *heartbeat,
     int64_t now_us);
+/*
+ * fl_node_set_heard(node, heard_us): it was heard at that time, which is not
+ * before the last one.
+ */
+void fl_node_set_heard(struct fl_node *node, int64_t heard_us);
 bool fl_node_is_alive(const struct fl_node *node, int64_t now_us);
 /*
  * fl_membership_tick(membership, now_us, leader): returns the role of this
@@ -369,13 +388,6 @@
 	struct sockaddr_in sender; /* the owner, where the answer goes */
 };
 
-/* The lists of nodes that a reporter tells of, see reports.c. */
-enum fl_roster_name {
-	FL_ROSTER_OWN,	  /* its data centre, for those of others */
-	FL_ROSTER_OTHERS, /* the other data centres, for its own */
-	FL_ROSTERS
-};
-
 #define FL_ROSTER_SLOTS_MAX 1024
 #define FL_REPORT_ENTRIES_MAX 24
 #define FL_REPORT_AGES_MAX 192
--- a/lib/fleet/membership.c
+++ b/lib/fleet/membership.c
@@ -12,6 +12,10 @@
 
 /* At least two heartbeats, due every 800 ms, are missing. */
 #define SILENCE_TIMEOUT_US 2000000
+/* Heartbeats are due every 800 ms: it was paused, or one was lost. */
+#define LATE_US 1000000
+/* Ages that are too small by a pause do no harm after the longest silence. */
+#define LATE_LASTS_US (SILENCE_TIMEOUT_US + 100000)
 /* The same for a node that is current; its are due every 400 ms. */
 #define CURRENT_SILENCE_TIMEOUT_US 1300000
 /* Far longer than the interval of ticks: this process was paused. */
@@ -111,12 +115,33 @@
 	return node;
 }
 
+void
+fl_node_set_heard(struct fl_node *node, int64_t heard_us)
+{
+	if (node->heard_us != 0 && heard_us - node->heard_us > LATE_US) {
+		node->late_us = heard_us - node->heard_us;
+		node->late_until_us = heard_us + LATE_LASTS_US;
+	}
+	node->heard_us = heard_us;
+}
+
+/* Takes what a node itself sent. */
+static void
+set_proven(struct fl_node *node, int64_t now_us)
+{
+	uint32_t i;
+
+	fl_node_set_heard(node, now_us);
+	for (i = 0; i < FL_ROSTERS; i++)
+		node->proven_us[i] = now_us;
+}
+
 bool
 fl_membership_on_hello(struct fl_membership *membership,
     const struct fl_node *record, int64_t now_us)
 {
 	struct fl_node *node = fl_membership_add(membership, record);
-	int64_t avoid_until_us, heartbeats_until_us;
+	struct fl_node known;
 	bool is_new;
 
 	if (node == NULL)
@@ -126,12 +151,17 @@
 	if (membership->first_contact_us == 0 && record->same_region)
 		membership->first_contact_us = now_us;
 
-	avoid_until_us = node->avoid_until_us;
-	heartbeats_until_us = node->heartbeats_until_us;
+	known = *node;
 	*node = *record;
-	node->avoid_until_us = avoid_until_us;
-	node->heartbeats_until_us = heartbeats_until_us;
-	node->heard_us = now_us;
+	node->avoid_until_us = known.avoid_until_us;
+	node->heartbeats_until_us = known.heartbeats_until_us;
+	node->heard_us = 0;
+	if (!is_new) {
+		node->heard_us = known.heard_us;
+		node->late_us = known.late_us;
+		node->late_until_us = known.late_until_us;
+	}
+	set_proven(node, now_us);
 	return is_new;
 }
 
@@ -155,7 +185,7 @@
 	node->current = heartbeat->as.heartbeat.current;
 	node->revision_sum = heartbeat->as.heartbeat.revision_sum;
 	node->tells_era = heartbeat->as.heartbeat.tells_era;
-	node->heard_us = now_us;
+	set_proven(node, now_us);
 	return true;
 }
 
--- a/lib/fleet/reports.c
+++ b/lib/fleet/reports.c
@@ -8,6 +8,13 @@
  * heartbeat that was not sent: whatever fails, a dead node is silent everywhere
  * as soon as if each node heard it directly. A node that is not reported
  * although it runs is asked for heartbeats.
+ *
+ * What a report of FL_ROSTER_OTHERS tells is not reported again. Each time it
+ * is told it gets younger by its way, which is long where CPU is scarce, and in
+ * a circle a dead node could stay alive. A reporter that was paused may take
+ * the dead for alive: it reports what it has heard, not what it assumes, and
+ * what it tells after a silence counts as older by that, since its clock may
+ * have stood still. Its replacements go on until its ages are right again.
  */
 #include <stdlib.h>
 #include <string.h>
@@ -76,8 +83,9 @@
 	for (i = 0; i < count && picked < max; i++) {
 		const struct fl_node *node = nodes[(first + i) % count];
 
-		if (node == &membership->self ||
-		    now_us - node->heard_us < silence_max_us)
+		if (node == &membership->self || silence_max_us == INT64_MAX ||
+		    (now_us - node->heard_us < silence_max_us &&
+			now_us >= node->late_until_us))
 			out[picked++] = node;
 	}
 	return picked;
@@ -163,7 +171,8 @@
 
 /* Sets what a report tells besides its roster. */
 static void
-begin_report(struct fleet *fleet, struct fl_report *report, int64_t now_us)
+begin_report(struct fleet *fleet, struct fl_report *report,
+    enum fl_roster_name name, int64_t now_us)
 {
 	struct fl_membership *membership = &fleet->membership;
 	uint32_t i;
@@ -179,8 +188,10 @@
 		const struct fl_node *node = &membership->nodes[i];
 
 		if (node->same_region && node->current && node->tells_era &&
-		    fl_node_is_alive(node, now_us))
-			add_leader(report, node, now_us - node->heard_us);
+		    fl_node_is_alive(node, now_us) &&
+		    fl_node_is_proven(node, name, now_us))
+			add_leader(
+			    report, node, now_us - node->proven_us[name]);
 	}
 }
 
@@ -209,7 +220,7 @@
 		return false;
 	frame.type = FL_FRAME_REPORT;
 	fl_roster_update(roster, &fleet->membership, now_us);
-	begin_report(fleet, &frame.as.report, now_us);
+	begin_report(fleet, &frame.as.report, name, now_us);
 	fl_roster_report(roster, &fleet->membership, now_us, &frame.as.report);
 	return fl_encode(&frame, out) == CS_OK;
 }
@@ -267,7 +278,7 @@
 	if (roster == NULL)
 		return;
 	frame.type = FL_FRAME_REPORT;
-	begin_report(fleet, &frame.as.report, now_us);
+	begin_report(fleet, &frame.as.report, roster->name, now_us);
 	do {
 		fl_roster_part(roster, &fleet->membership, now_us, first,
 		    &frame.as.report);
@@ -282,6 +293,23 @@
 	fleet->params.events->on_node(fleet->params.user, node, true);
 }
 
+/* When a node was heard of which a report tells that age. */
+static int64_t
+heard_at(const struct fl_view *view, uint32_t age, int64_t now_us)
+{
+	return now_us - (int64_t)age * FL_AGE_UNIT_US -
+	       (now_us < view->late_until_us ? view->late_us : 0);
+}
+
+/* Reports to the own data centre may tell what those of others have told. */
+static void
+set_proven(struct fl_node *node, const struct fl_view *view, int64_t heard_us)
+{
+	if (view->roster == FL_ROSTER_OWN &&
+	    heard_us > node->proven_us[FL_ROSTER_OTHERS])
+		node->proven_us[FL_ROSTER_OTHERS] = heard_us;
+}
+
 /*
  * Takes what a reporter knows of a node, if that is newer than what is known
  * here. Returns true if the choice of the leader may change.
@@ -301,7 +329,7 @@
 	node->ready = (status & FL_STATUS_READY) != 0;
 	node->stopping = stopping;
 	node->current = current;
-	node->heard_us = heard_us;
+	fl_node_set_heard(node, heard_us);
 	if (returned && fl_node_is_alive(node, cs_now_us()))
 		tell_returned(fleet, node);
 	return changed;
@@ -309,12 +337,12 @@
 
 /* Returns the index of the node of a record, FL_NODES_MAX: none. */
 static uint32_t
-take_record(
-    struct fleet *fleet, const struct fl_roster_entry *entry, int64_t now_us)
+take_record(struct fleet *fleet, const struct fl_view *view,
+    const struct fl_roster_entry *entry, int64_t now_us)
 {
 	struct fl_membership *membership = &fleet->membership;
 	struct fl_node record = entry->node, *node;
-	int64_t heard_us = now_us - (int64_t)entry->age * FL_AGE_UNIT_US;
+	int64_t heard_us = heard_at(view, entry->age, now_us);
 	bool is_new;
 
 	record.region = membership->self.region;
@@ -326,6 +354,10 @@
 		/* Whether it is current is told with its revisions. */
 		is_new = fl_membership_on_hello(membership, &record, heard_us);
 		node = fl_membership_find(membership, &record.fleet);
+		if (node != NULL) {
+			memset(node->proven_us, 0, sizeof(node->proven_us));
+			set_proven(node, view, heard_us);
+		}
 		if (is_new && node != NULL)
 			fleet->params.events->on_node(
 			    fleet->params.user, node, false);
@@ -345,7 +377,7 @@
 
 		index = FL_NODES_MAX;
 		if (entry->kind == FL_ENTRY_RECORD) {
-			index = take_record(fleet, entry, now_us);
+			index = take_record(fleet, view, entry, now_us);
 			if (index == FL_NODES_MAX)
 				continue;
 		}
@@ -369,14 +401,17 @@
 	for (i = 0; i < view->slot_count; i++) {
 		const struct fl_view_slot *slot = &view->slots[i];
 		struct fl_node *node;
+		int64_t heard_us;
 
 		/* Current nodes: see take_leaders(). */
 		if (slot->node == 0 || (slot->status & FL_STATUS_CURRENT) != 0)
 			continue;
 		node = &fleet->membership.nodes[slot->node - 1];
-		if ((uint32_t)node->boot == slot->boot)
-			changed |= take_status(fleet, node, slot->status,
-			    now_us - (int64_t)ages[i] * FL_AGE_UNIT_US);
+		if ((uint32_t)node->boot != slot->boot)
+			continue;
+		heard_us = heard_at(view, ages[i], now_us);
+		set_proven(node, view, heard_us);
+		changed |= take_status(fleet, node, slot->status, heard_us);
 	}
 	return changed;
 }
@@ -386,21 +421,24 @@
  * of, so both are taken together.
  */
 static bool
-take_leaders(
-    struct fleet *fleet, const struct fl_report *report, int64_t now_us)
+take_leaders(struct fleet *fleet, const struct fl_view *view,
+    const struct fl_report *report, int64_t now_us)
 {
 	bool changed = false;
 	uint32_t i;
 
 	for (i = 0; i < report->leader_count; i++) {
 		int64_t heard_us =
-		    now_us - (int64_t)report->leaders[i].age * FL_AGE_UNIT_US;
+		    heard_at(view, report->leaders[i].age, now_us);
 		struct fl_node *node = fl_membership_find(
 		    &fleet->membership, &report->leaders[i].fleet);
 
-		if (node == NULL || node->heard_us >= heard_us ||
+		if (node == NULL ||
 		    (uint32_t)node->boot != report->leaders[i].boot)
 			continue;
+		set_proven(node, view, heard_us);
+		if (node->heard_us >= heard_us)
+			continue;
 		node->revision_sum = report->leaders[i].revision_sum;
 		node->tells_era = true;
 		changed |= take_status(fleet, node,
@@ -464,6 +502,7 @@
 fl_on_report(struct fleet *fleet, const struct fl_report *report,
     const struct sockaddr_in *from)
 {
+	const struct fl_node *sender;
 	int64_t now_us = cs_now_us();
 	struct fl_view *view;
 	bool changed = false;
@@ -475,9 +514,11 @@
 		fleet->views = calloc(1, sizeof(*fleet->views));
 	if (fleet->views == NULL)
 		return false;
-	view = fl_views_find(fleet->views, from, report, now_us);
+	view = fl_views_find(fleet->views, from, report);
 	if (view == NULL)
 		return false;
+	sender = fl_membership_find(&fleet->membership, from);
+	fl_view_check_pause(view, sender, now_us);
 	if (fl_view_take(view, report)) {
 		take_entries(fleet, view, report, now_us);
 		if (!report->is_part)
@@ -491,7 +532,7 @@
 		if (!may_report(&fleet->membership, now_us))
 			fl_name_reporters(fleet, from);
 	}
-	return take_leaders(fleet, report, now_us) || changed;
+	return take_leaders(fleet, view, report, now_us) || changed;
 }
 
 void
--- a/lib/fleet/roster.c
+++ b/lib/fleet/roster.c
@@ -9,6 +9,10 @@
 #define NODES_FOR_AN_AGE 16
 /* Heartbeats and reports that arrive make no age larger than this. */
 #define FRESH_AGE_MAX (1200000 / FL_AGE_UNIT_US)
+/* Reports are due every 400 ms. */
+#define REPORT_PAUSE_US 1000000
+/* The reporter counted as dead. */
+#define LONG_PAUSE_US 2000000
 
 bool
 fl_node_is_near(
@@ -26,6 +30,13 @@
 	       (node->current ? FL_STATUS_CURRENT : 0);
 }
 
+bool
+fl_node_is_proven(
+    const struct fl_node *node, enum fl_roster_name name, int64_t now_us)
+{
+	return fl_to_age(now_us - node->proven_us[name]) < FL_AGE_MAX;
+}
+
 uint32_t
 fl_to_age(int64_t us)
 {
@@ -49,7 +60,9 @@
 	const struct fl_node *node = node_at(membership, index);
 
 	if ((node->features & FL_FEATURE_REPORTS) == 0 || !node->same_region ||
-	    (index != FL_NODES_MAX && !fl_node_is_alive(node, now_us)))
+	    (index != FL_NODES_MAX &&
+		(!fl_node_is_alive(node, now_us) ||
+		    !fl_node_is_proven(node, roster->name, now_us))))
 		return false;
 	return fl_node_is_near(membership, node) ==
 	       (roster->name == FL_ROSTER_OWN);
@@ -122,13 +135,14 @@
 }
 
 static uint32_t
-age_of(const struct fl_membership *membership,
+age_of(const struct fl_membership *membership, enum fl_roster_name name,
     const struct fl_roster_slot *slot, int64_t now_us)
 {
 	const struct fl_node *node = node_at(membership, slot->node - 1);
 
-	return node == &membership->self ? 0
-					 : fl_to_age(now_us - node->heard_us);
+	return node == &membership->self
+		   ? 0
+		   : fl_to_age(now_us - node->proven_us[name]);
 }
 
 static void
@@ -146,7 +160,7 @@
 	if (slot->node == 0)
 		return;
 	out->status = slot->status;
-	out->age = age_of(membership, slot, now_us);
+	out->age = age_of(membership, roster->name, slot, now_us);
 	if (as_record)
 		out->node = *node_at(membership, slot->node - 1);
 }
@@ -214,8 +228,8 @@
 	for (i = 0; i < roster->slot_count; i++) {
 		if (roster->slots[i].node == 0)
 			continue;
-		ages[i] =
-		    (uint8_t)age_of(membership, &roster->slots[i], now_us);
+		ages[i] = (uint8_t)age_of(
+		    membership, roster->name, &roster->slots[i], now_us);
 		sorted[count++] = ages[i];
 		fresh += ages[i] <= FRESH_AGE_MAX;
 	}
@@ -285,7 +299,7 @@
 
 struct fl_view *
 fl_views_find(struct fl_views *views, const struct sockaddr_in *reporter,
-    const struct fl_report *report, int64_t now_us)
+    const struct fl_report *report)
 {
 	struct fl_view *view, *oldest = &views->views[0];
 	uint32_t i;
@@ -306,6 +320,7 @@
 			   ? &views->views[views->count++]
 			   : oldest;
 		view->asked_us = view->named_us = 0;
+		view->used_us = view->late_until_us = 0;
 		view->boot = report->boot + 1;
 	}
 	if (view->slots == NULL)
@@ -320,10 +335,29 @@
 	view->reporter = *reporter;
 	view->roster = report->roster;
 	view->boot = report->boot;
-	view->used_us = now_us;
 	return view;
 }
 
+/*
+ * A node that takes the place of reporters that failed was not reported for a
+ * while, but it was not paused: it did not fall silent for long, and its last
+ * report is much older.
+ */
+void
+fl_view_check_pause(
+    struct fl_view *view, const struct fl_node *reporter, int64_t now_us)
+{
+	int64_t silent_us = now_us - view->used_us;
+
+	if (now_us < reporter->late_until_us && silent_us > REPORT_PAUSE_US &&
+	    (reporter->late_us > LONG_PAUSE_US ||
+		silent_us < reporter->late_us + REPORT_PAUSE_US)) {
+		view->late_us = reporter->late_us;
+		view->late_until_us = reporter->late_until_us;
+	}
+	view->used_us = now_us;
+}
+
 static bool
 take_part(struct fl_view *view, const struct fl_report *report)
 {
--- a/lib/fleet/roster.h
+++ b/lib/fleet/roster.h
@@ -38,6 +38,8 @@
 	uint32_t version;
 	uint64_t parts; /* received of the whole roster, a bit for each */
 	int64_t asked_us, named_us, used_us;
+	/* The reporter was paused: added to its ages until then. */
+	int64_t late_us, late_until_us;
 	uint32_t slot_count;
 	struct fl_view_slot *slots;
 };
@@ -52,6 +54,12 @@
 bool fl_node_is_near(
     const struct fl_membership *membership, const struct fl_node *node);
 uint32_t fl_node_status(const struct fl_node *node);
+/*
+ * fl_node_is_proven(node, name, now_us): a roster may list the node: this one
+ * has not only been told of it by reports that all others get as well.
+ */
+bool fl_node_is_proven(
+    const struct fl_node *node, enum fl_roster_name name, int64_t now_us);
 /* fl_to_age(us): an age in the unit of frames, rounded up. */
 uint32_t fl_to_age(int64_t us);
 
@@ -74,10 +82,15 @@
     const struct fl_membership *membership, int64_t now_us, uint32_t first,
     struct fl_report *out);
 
-/* fl_views_find(views, reporter, report, now_us): finds or makes a view. */
+/* fl_views_find(views, reporter, report): finds or makes a view. */
 struct fl_view *fl_views_find(struct fl_views *views,
-    const struct sockaddr_in *reporter, const struct fl_report *report,
-    int64_t now_us);
+    const struct sockaddr_in *reporter, const struct fl_report *report);
+/*
+ * fl_view_check_pause(view, reporter, now_us): a report has arrived; it may be
+ * the first one after a pause of the reporter.
+ */
+void fl_view_check_pause(
+    struct fl_view *view, const struct fl_node *reporter, int64_t now_us);
 /*
  * fl_view_take(view, report): returns true if the view has all changes up to
  * the report's version once its entries are applied, so that its ages count.
--- a/tests/unit/test_reports.c
+++ b/tests/unit/test_reports.c
@@ -219,6 +219,113 @@
 	fw_free(world);
 }
 
+/* Counts the VMs of a region that run and hear one of the given ones. */
+static uint32_t
+count_hearing(const struct fw_world *world, uint32_t region,
+    const uint32_t *dead, uint32_t dead_count, const uint32_t *except,
+    uint32_t except_count)
+{
+	uint32_t vm, i, count = 0;
+
+	for (vm = region; vm < world->vm_count; vm += FW_REGIONS) {
+		for (i = 0; i < except_count && except[i] != vm; i++)
+			;
+		if (i < except_count || !fw_runs(world, vm))
+			continue;
+		for (i = 0; i < dead_count; i++)
+			count += fw_hears(world, vm, dead[i]);
+	}
+	return count;
+}
+
+/*
+ * Reporters wake after a pause in which VMs died, the leader among them, with a
+ * clock that went on (a stopped process, whose late tick restarts the silence
+ * of all nodes) or stood still (a stopped VM). They may take the dead for alive
+ * for a moment; nobody else does.
+ */
+static void
+test_paused_reporters_revive_nobody(void **state)
+{
+	uint32_t round, i, step;
+
+	(void)state;
+	for (round = 0; round < 2; round++) {
+		struct fw_world *world = fw_run_large_fleet(LARGE, 80 + round);
+		uint32_t paused[FW_VMS_MAX], dead[4], count, vm, heard = 0;
+
+		count = find_reporters(world, 0, 2, paused, 2);
+		assert_int_equal(count, 2);
+		dead[0] = fw_find_leader(world, 0);
+		for (vm = 30, i = 1; i < 4; vm += FW_REGIONS) {
+			if (vm != dead[0] && vm != paused[0] && vm != paused[1])
+				dead[i++] = vm;
+		}
+		for (i = 0; i < count; i++) {
+			fw_freeze(world, paused[i], 5 * FW_SECOND);
+			if (round == 0)
+				world->vms[paused[i]].stopped_us -=
+				    5 * FW_SECOND;
+		}
+		for (i = 0; i < 4; i++)
+			fw_kill(world, dead[i]);
+		fw_run(world, 3 * FW_SECOND);
+		for (step = 0; step < 100; step++) {
+			fw_run(world, STEP);
+			heard +=
+			    count_hearing(world, 0, dead, 4, paused, count);
+		}
+		assert_int_equal(heard, 0);
+		fw_free(world);
+	}
+}
+
+/*
+ * The reporters of a region get a twentieth of their CPU: 10 of every 200 ms.
+ * What they tell each other must not make the dead younger each time.
+ */
+static void
+test_slow_reporters(void **state)
+{
+	struct fw_world *world = fw_run_large_fleet(LARGE, 90);
+	uint32_t slow[FW_VMS_MAX], dead[4], count = 0, centre, i, vm, step,
+					    heard[2] = {0};
+
+	(void)state;
+	for (centre = 0; centre < FW_DATA_CENTRES; centre++)
+		count += find_reporters(world, 0, centre, slow + count, LARGE);
+	dead[0] = fw_find_leader(world, 0);
+	for (vm = 0, i = 1; i < 4; vm += FW_REGIONS) {
+		uint32_t k;
+
+		for (k = 0; k < count && slow[k] != vm; k++)
+			;
+		if (vm != dead[0] && k == count)
+			dead[i++] = vm;
+	}
+	for (step = 0; step < 60; step++) {
+		for (i = 0; i < count; i++) {
+			if (!world->vms[slow[i]].alive)
+				continue;
+			fw_freeze(world, slow[i], 190 * FW_MS);
+			world->vms[slow[i]].stopped_us -= 190 * FW_MS;
+		}
+		for (i = 0; step == 10 && i < 4; i++)
+			fw_kill(world, dead[i]);
+		fw_run(world, 200 * FW_MS);
+		/* A delay at the reporter and one at the receiver. */
+		if (step >= 22)
+			heard[0] +=
+			    count_hearing(world, 0, dead, 1, slow, count);
+		if (step >= 22)
+			heard[1] +=
+			    count_hearing(world, 0, dead + 1, 3, slow, count);
+	}
+	assert_int_equal(heard[0], 0);
+	assert_int_equal(heard[1], 0);
+	fw_free(world);
+}
+
 static void
 cut(struct fw_world *world, const uint32_t *from, uint32_t from_count,
     const uint32_t *to, uint32_t to_count)
@@ -466,6 +573,8 @@
 	    cmocka_unit_test(test_reports_in_calm),
 	    cmocka_unit_test(test_dead_vm_is_silent_everywhere),
 	    cmocka_unit_test(test_reporters_freeze),
+	    cmocka_unit_test(test_paused_reporters_revive_nobody),
+	    cmocka_unit_test(test_slow_reporters),
 	    cmocka_unit_test(test_reporter_is_cut_off),
 	    cmocka_unit_test(test_unreported_vm_is_asked),
 	    cmocka_unit_test(test_data_centre_is_cut_off),
