Tests: a leader that does not reach one data centre

Reports of a third data centre tell of a leader that cannot be reached, so VMs could take it for alive and get no updates from it.

The test cuts the leader, alone or with its data centre, off from another one, in one direction and in both, and bounds the lag by 3 s.

Measured: passes; no change of the product was needed.

--- a/tests/unit/test_control_traffic.c
+++ b/tests/unit/test_control_traffic.c
@@ -269,6 +269,8 @@
 #define FEW_MS (100 * FW_MS)
 /* Silence of a relay, the next tick, and reading what was missed. */
 #define RELAY_LOST_MAX (2500 * FW_MS)
+/* 1.3 s of silence, turns, and a list. */
+#define LEADER_LOST_MAX (3 * FW_SECOND)
 #define RELAYS 4 /* at the top of the tree of a data centre */
 
 /* No update waits when nothing fails, also where datagrams get lost. */
@@ -358,6 +360,42 @@
 	fw_free(world);
 }
 
+/*
+ * The leader, alone or with its data centre, is cut off from one of the other
+ * data centres, in both directions or in one. The third one hears both, but
+ * what it tells of the leader brings no updates: the data centre finds a leader
+ * that reaches it.
+ */
+static void
+test_leader_is_cut_off_from_a_data_centre(void **state)
+{
+	uint32_t round, a, b;
+
+	(void)state;
+	for (round = 0; round < 4; round++) {
+		struct fw_world *world = fw_run_large_fleet(150, 20 + round);
+		uint32_t leader = fw_find_leader(world, 1),
+			 near = world->vms[leader].data_centre,
+			 far = (near + 1) % FW_DATA_CENTRES;
+
+		for (a = 1; a < world->vm_count; a += FW_REGIONS) {
+			if (round % 2 == 0 ? a != leader
+					   : !fw_is_in(world, a, 1, near))
+				continue;
+			for (b = 1; b < world->vm_count; b += FW_REGIONS) {
+				if (!fw_is_in(world, b, 1, far))
+					continue;
+				world->cut[a][b] = true;
+				world->cut[b][a] = round < 2;
+			}
+		}
+		assert_in_range(
+		    find_longest_lag(world, 12 * FW_SECOND, NULL, 0), 0,
+		    LEADER_LOST_MAX);
+		fw_free(world);
+	}
+}
+
 /* Every second VM is of a build that follows the leader only. */
 static void
 test_relays_in_a_mixed_fleet(void **state)
@@ -385,6 +423,7 @@
 	    cmocka_unit_test(test_relays_fail),
 	    cmocka_unit_test(test_relay_is_cut_off_in_one_direction),
 	    cmocka_unit_test(test_leader_fails),
+	    cmocka_unit_test(test_leader_is_cut_off_from_a_data_centre),
 	    cmocka_unit_test(test_relays_in_a_mixed_fleet),
 	};
 	size_t i;
