Fleet: a slot whose node cannot be entered is emptied

A slot of a roster that was given to a node which the receiver cannot enter (its list of 1,024 is full) kept the node before. That one counted as alive by the ages of the other, for as long as the other ran.

The slot is emptied instead.

--- a/lib/fleet/reports.c
+++ b/lib/fleet/reports.c
@@ -378,8 +378,11 @@
 		index = FL_NODES_MAX;
 		if (entry->kind == FL_ENTRY_RECORD) {
 			index = take_record(fleet, view, entry, now_us);
-			if (index == FL_NODES_MAX)
+			if (index == FL_NODES_MAX) {
+				/* Its ages are not of the node before. */
+				view->slots[entry->slot].node = 0;
 				continue;
+			}
 		}
 		fl_view_set(view, entry, index);
 	}
--- a/tests/unit/test_reports.c
+++ b/tests/unit/test_reports.c
@@ -12,6 +12,7 @@
 
 #include <cmocka.h>
 
+#include "../../lib/fleet/fleet_internal.h"
 #include "fleet_world.h"
 
 #define DEAD_MAX (2000 * FW_MS) /* listed after its death, at most */
@@ -543,6 +544,45 @@
 	fw_free(world);
 }
 
+/*
+ * A slot gets a node that the receiver cannot enter, here its own address: the
+ * node that the slot held before must not live on by the ages of the other.
+ */
+static void
+test_slot_of_an_unknown_node(void **state)
+{
+	struct fw_world *world = fw_run_large_fleet(LARGE, 100);
+	struct fleet *fleet = world->vms[0].fleet;
+	struct fl_membership *m = &fleet->membership;
+	struct fl_report report = {.age = 1, .entry_count = 1};
+	struct fl_view *view = NULL;
+	struct fl_roster_entry *entry = &report.entries[0];
+	struct fl_node *node;
+	uint32_t i;
+
+	(void)state;
+	for (i = 0; view == NULL; i++) {
+		if (fleet->views->views[i].is_whole &&
+		    fleet->views->views[i].version > 0)
+			view = &fleet->views->views[i];
+	}
+	for (i = 0; view->slots[i].node == 0 || view->slots[i].status != 1; i++)
+		;
+	node = &m->nodes[view->slots[i].node - 1];
+	*entry = (struct fl_roster_entry){
+	    .kind = FL_ENTRY_RECORD, .slot = i, .node = m->self};
+	entry->version = report.version = view->version + 1;
+	report.base = view->version;
+	report.boot = view->boot;
+	report.roster = view->roster;
+	report.slot_count = view->slot_count;
+	report.status = FL_STATUS_READY;
+	node->heard_us -= 10 * FW_SECOND;
+	fl_on_report(fleet, &report, &view->reporter);
+	assert_false(fl_node_is_alive(node, world->now_us));
+	fw_free(world);
+}
+
 /* A report is read as it was written, and no part of one is taken. */
 static void
 test_frame(void **state)
@@ -601,6 +641,7 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_frame),
 	    cmocka_unit_test(test_majority_after_a_start),
+	    cmocka_unit_test(test_slot_of_an_unknown_node),
 	    cmocka_unit_test(test_reports_in_calm),
 	    cmocka_unit_test(test_dead_vm_is_silent_everywhere),
 	    cmocka_unit_test(test_reporters_freeze),
