--- a/lib/balance/place.c
+++ b/lib/balance/place.c
@@ -77,6 +77,25 @@
 		out->probes[out->probe_count++] = list->entries[i].target;
 }
 
+static bool
+is_congested(const struct bl_request *request)
+{
+	return request->worth > 0.0 && request->congestion >= BL_CONGESTED_MIN;
+}
+
+/*
+ * Targets of the other data centres that this VM does not use look as full to
+ * it as those that it knows, and stay idle while its callers are refused. Where
+ * none has room, every other round of probes asks them.
+ */
+static bool
+probes_region_first(
+    const struct bl_selection *selection, const struct bl_request *request)
+{
+	return is_congested(request) && selection->best.target == NULL &&
+	       selection->region.count > 0 && request->tie_breaker % 2 == 0;
+}
+
 /* Returns the targets to probe before deciding, or NULL. */
 static const struct bl_stale_list *
 list_to_probe(
@@ -84,6 +103,8 @@
 {
 	if (!request->may_probe)
 		return NULL;
+	if (probes_region_first(selection, request))
+		return &selection->region;
 	if (selection->nearest.count > 0 &&
 	    selection->nearest_rtt_us * PROBE_ROUND_TRIPS <=
 		(request->objective_us - request->now_us) / PROBE_PART)
@@ -115,12 +136,6 @@
 	out->retry_after_us = wait_us;
 }
 
-static bool
-is_congested(const struct bl_request *request)
-{
-	return request->worth > 0.0 && request->congestion >= BL_CONGESTED_MIN;
-}
-
 static void
 refuse(const struct bl_selection *selection, const struct bl_request *request,
     const char *reason, struct bl_placement *out)
@@ -149,6 +164,13 @@
 	out->reason = reason;
 }
 
+bool
+bl_leaves_all_slots(double worth, double congestion)
+{
+	return worth < 1.0 &&
+	       congestion > ANY_SLOT_CONGESTION + ANY_SLOT_RANGE * worth;
+}
+
 /*
  * Returns true if the call leaves the slot to calls of other VMs that are worth
  * more.
@@ -164,8 +186,7 @@
 	    request->congestion >
 		LAST_SLOT_CONGESTION + LAST_SLOT_RANGE * request->worth)
 		return true;
-	return request->congestion >
-	       ANY_SLOT_CONGESTION + ANY_SLOT_RANGE * request->worth;
+	return bl_leaves_all_slots(request->worth, request->congestion);
 }
 
 /* The call would be in time if a target were free for it now. */
@@ -177,15 +198,19 @@
 	       request->objective_us;
 }
 
-/* Decides for a call that is late: it may only use what others leave. */
+/*
+ * Decides for a call that is late: it may only use what others leave, unless
+ * its kind is hardly served. Its objective may be one that is never met.
+ */
 static void
 decide_late(const struct bl_selection *selection,
     const struct bl_request *request, struct bl_placement *out)
 {
 	const struct bl_candidate *best = &selection->best;
+	bool may_use = request->is_starved ||
+		       (best->idle && request->congestion <= LATE_CONGESTION);
 
-	if (best->target != NULL && best->idle &&
-	    request->congestion <= LATE_CONGESTION &&
+	if (best->target != NULL && may_use &&
 	    request->now_us + best->expected_us <= request->deadline_us)
 		send_to(best, "late", out);
 	else
--- a/lib/balance/queue.h
+++ b/lib/balance/queue.h
@@ -17,7 +17,8 @@
 /* The most recent ones; small, since a VM may have a thousand pools. */
 #define BL_QUEUE_KINDS_MAX 8
 #define BL_QUEUE_TENANTS_MAX 32
-#define BL_QUEUE_BLOCKED_MAX 8
+#define BL_QUEUE_BLOCKED_MAX 16
+#define BL_QUEUE_WAITING_MAX 512
 
 /* What of a call matters to its place; part of the call. */
 struct bl_queue_entry {
@@ -30,6 +31,9 @@
 	int64_t deadline_us;
 	/* See struct bl_request. */
 	uint64_t excluded_data_centres;
+	/* It has been at some targets, which it may not use again. */
+	bool was_tried;
+	bool is_waiting; /* it is in the queue */
 	/* Beyond the usual rate of its tenant; set by bl_queue_arrived(). */
 	bool surplus;
 	uint32_t pass;	   /* the last one that placed it */
@@ -87,10 +91,16 @@
 	struct bl_queue_tenant tenants[BL_QUEUE_TENANTS_MAX];
 };
 
-/* One pass over the queue: sets of data centres that have no room now. */
+/*
+ * One pass over the queue: sets of data centres that have no room now for calls
+ * of at most this worth. Those worth more may use slots that others leave.
+ */
 struct bl_queue_scan {
 	uint32_t pass;
-	uint64_t blocked[BL_QUEUE_BLOCKED_MAX];
+	struct {
+		uint64_t excluded_data_centres;
+		double worth;
+	} blocked[BL_QUEUE_BLOCKED_MAX];
 	uint32_t blocked_count;
 };
 
@@ -109,12 +119,12 @@
 void bl_queue_arrived(
     struct bl_queue *queue, struct bl_queue_entry *entry, int64_t now_us);
 /*
- * bl_queue_ended(queue, entry, work_us, now_us): a call that was counted has
- * ended. work_us is the time that it took at a target that served it; 0: it was
- * not served.
+ * bl_queue_ended(queue, entry, served, work_us, now_us): a call that was
+ * counted has ended. work_us is the time that it took at the target that served
+ * it; 0: that tells nothing, since it failed there.
  */
 void bl_queue_ended(struct bl_queue *queue, const struct bl_queue_entry *entry,
-    int64_t work_us, int64_t now_us);
+    bool served, int64_t work_us, int64_t now_us);
 /* bl_queue_heard(queue, load, now_us): a target of the pool reports its load.
  */
 void bl_queue_heard(
@@ -132,6 +142,16 @@
 
 void bl_queue_add(struct bl_queue *queue, struct bl_queue_entry *entry);
 void bl_queue_remove(struct bl_queue *queue, struct bl_queue_entry *entry);
+/*
+ * bl_queue_has_room(queue, entry, pool, now_us): the entry may wait: it does so
+ * already, or there is room, or it goes before bl_queue_last(), the entry that
+ * is to be refused in its place.
+ */
+bool bl_queue_has_room(const struct bl_queue *queue,
+    const struct bl_queue_entry *entry, const struct bl_pool *pool,
+    int64_t now_us);
+struct bl_queue_entry *bl_queue_last(
+    const struct bl_queue *queue, const struct bl_pool *pool, int64_t now_us);
 /* bl_queue_begin(queue, scan): begins a pass over the queue. */
 void bl_queue_begin(struct bl_queue *queue, struct bl_queue_scan *scan);
 /*
@@ -142,10 +162,11 @@
 struct bl_queue_entry *bl_queue_next(const struct bl_queue *queue,
     const struct bl_pool *pool, const struct bl_queue_scan *scan,
     int64_t now_us);
-void bl_queue_block(struct bl_queue_scan *scan, struct bl_queue_entry *entry);
+void bl_queue_block(const struct bl_queue *queue, struct bl_queue_scan *scan,
+    struct bl_queue_entry *entry);
 /*
  * bl_queue_must_wait(queue, entry, pool, now_us): returns true if a call that
- * waits goes before this one.
+ * waits goes before this one, and does not leave all slots to it.
  */
 bool bl_queue_must_wait(const struct bl_queue *queue,
     const struct bl_queue_entry *entry, const struct bl_pool *pool,
--- a/lib/serve/serve_internal.h
+++ b/lib/serve/serve_internal.h
@@ -43,6 +43,7 @@
 
 /* One connection to a target or to another entry VM. */
 struct sv_connection {
+	struct sv_server *server;
 	struct h1_client_conn *conn;
 	struct sv_connection_pool *pool; /* to return to, or NULL */
 	struct sv_attempt *attempt;	 /* NULL: idle */
@@ -121,6 +122,9 @@
 	struct sv_cached_response *response_copy;
 	struct sv_attempt attempts[DC_ATTEMPTS_MAX];
 	struct sv_attempt *relayed;
+	bool relay_paused; /* the target waits until the caller reads */
+	uint64_t relayed_bytes, relay_mark_bytes;
+	int64_t relay_mark_us; /* last progress of the caller, see slow.c */
 	char request_id[SV_ID_BYTES_MAX];
 };
 
@@ -143,7 +147,11 @@
 	struct h1_bytes scratch; /* for the head of a request or a response */
 	struct h1_response error_response;
 	char refusal_body[128];
-	size_t response_cache_bytes;
+	size_t response_cache_bytes, response_cache_bytes_max;
+	size_t unsent_bytes_max;  /* of one response */
+	uint32_t connections_max; /* of callers, and as many to targets */
+	uint32_t upstream_count;  /* connections to targets and entry VMs */
+	uint64_t logged_closed, logged_refused;
 	struct sv_node entry_vms[SV_NODES_MAX];
 	uint32_t entry_vm_count;
 	struct cs_random random;
@@ -234,6 +242,12 @@
 void sv_relay_end(struct sv_call *call, bool complete);
 void sv_on_output_sent(struct h1_conn *conn);
 
+/*
+ * slow.c: sv_sweep_relays(server, now): closes callers that read so slowly that
+ * others wait for the slots of their targets. To be called often.
+ */
+void sv_sweep_relays(struct sv_server *server, int64_t now_us);
+
 /* response_cache.c: responses kept for retries with the same key. */
 void sv_response_cache_begin(
     struct sv_call *call, const struct h1_bytes *headers);
@@ -256,6 +270,13 @@
 void sv_on_admin_request(
     struct h1_conn *conn, const struct h1_message *request);
 
+/* protect.c: limits that protect the process from its clients */
+void sv_set_limits(struct sv_server *server);
+uint32_t sv_admin_connections_max(const struct sv_server *server);
+uint64_t sv_bodies_bytes_max(const struct sv_server *server);
+/* sv_print_memory(server, page): appends the metrics of the limits. */
+void sv_print_memory(const struct sv_server *server, GString *page);
+
 /* core_config.c: passes a configuration to the core. */
 void sv_load_config(struct sv_server *server, struct cf_config *config);
 
--- a/programs/entry.h
+++ b/programs/entry.h
@@ -7,6 +7,7 @@
 #include <uv.h>
 
 #include "../lib/base/base.h"
+#include "../lib/base/memory.h"
 #include "../lib/config/config.h"
 #include "../lib/peer/peer.h"
 #include "../lib/serve/serve.h"
@@ -30,6 +31,8 @@
 	const char *seed_peers; /* comma separated, NULL: none */
 	int64_t directory_ttl_ms;
 	int64_t depth_max;
+	int64_t memory_mb;
+	int64_t max_fds; /* 0: the limit of the process */
 };
 
 struct en_entry {
@@ -37,11 +40,14 @@
 	uv_loop_t loop;
 	struct sv_server *server;
 	struct os_objects *objects;
+	struct cs_memory memory; /* of all buffers of this process */
 	struct pr_mesh *mesh;
 	struct cs_random random;
 	uint64_t epoch;
 	uint64_t own_id;
 	bool platform_unreachable;
+	bool store_era_known;
+	uint64_t store_era; /* the highest of any response */
 	bool stopping;
 	bool final_save_started; /* the accounts, for the last time */
 	int64_t stop_after_us;
@@ -68,6 +74,8 @@
 void en_update_platform_state(struct en_entry *entry, int error);
 /* en_backoff_ms(entry, failures): a jittered pause that doubles. */
 uint32_t en_backoff_ms(struct en_entry *entry, uint32_t failures);
+/* en_store_start(entry): reports the eras of the store to the core. */
+void en_store_start(struct en_entry *entry);
 /* en_is_watcher(entry): whether this VM watches the platform. */
 bool en_is_watcher(const struct en_entry *entry);
 
