Fleet: ages told after a short pause of a reporter count as older

Cause: reporters that are paused for 0.7 s are not noted as silent for 1 s, and tell heartbeats that they read late as fresh: a VM that died meanwhile was alive elsewhere for longer than 2 s.

--- a/lib/fleet/roster.c
+++ b/lib/fleet/roster.c
@@ -9,8 +9,14 @@
 #define NODES_FOR_AN_AGE 16
 /* Heartbeats and reports that arrive make no age larger than this. */
 #define FRESH_AGE_MAX (1200000 / FL_AGE_UNIT_US)
-/* Reports are due every 400 ms. */
+/* Reports are due every 400 ms, with a jitter. */
+#define REPORT_INTERVAL_US 400000
+#define REPORT_GAP_US 500000
 #define REPORT_PAUSE_US 1000000
+/* After a longer gap the reporter itself was noted as silent. */
+#define SHORT_GAP_MAX_US 1500000
+/* Ages that are too small by a pause do no harm after the longest silence. */
+#define SHORT_PAUSE_LASTS_US 2100000
 /* The reporter counted as dead. */
 #define LONG_PAUSE_US 2000000
 
@@ -354,6 +360,13 @@
 		silent_us < reporter->late_us + REPORT_PAUSE_US)) {
 		view->late_us = reporter->late_us;
 		view->late_until_us = reporter->late_until_us;
+	} else if (silent_us > REPORT_GAP_US && silent_us <= SHORT_GAP_MAX_US) {
+		/* A short pause; or a report was lost, others' ages count. */
+		int64_t late_us = silent_us - REPORT_INTERVAL_US;
+
+		if (now_us >= view->late_until_us || late_us > view->late_us)
+			view->late_us = late_us;
+		view->late_until_us = now_us + SHORT_PAUSE_LASTS_US;
 	}
 	view->used_us = now_us;
 }
--- a/tests/unit/fleet_world.c
+++ b/tests/unit/fleet_world.c
@@ -417,6 +417,12 @@
 	world->vms[vm].stopped_us += for_us;
 }
 
+void
+fw_stop(struct fw_world *world, uint32_t vm, int64_t for_us)
+{
+	world->vms[vm].frozen_until_us = world->now_us + for_us;
+}
+
 struct fl_node *
 fw_entry(const struct fw_world *world, uint32_t vm, uint32_t other)
 {
--- a/tests/unit/fleet_world.h
+++ b/tests/unit/fleet_world.h
@@ -72,6 +72,8 @@
 /* fw_kill(world, vm): the VM loses power; peers see silence. */
 void fw_kill(struct fw_world *world, uint32_t vm);
 void fw_freeze(struct fw_world *world, uint32_t vm, int64_t for_us);
+/* fw_stop(world, vm, for_us): the same for the process; its clock runs. */
+void fw_stop(struct fw_world *world, uint32_t vm, int64_t for_us);
 bool fw_runs(const struct fw_world *world, uint32_t vm);
 /* fw_change_target(world): the store gets a changed target of 300 bytes. */
 void fw_change_target(struct fw_world *world);
--- a/tests/unit/test_reports.c
+++ b/tests/unit/test_reports.c
@@ -358,6 +358,69 @@
 	}
 }
 
+/*
+ * VMs die while the reporters of their data centre are frozen, or stopped with
+ * a clock that runs on. When these wake they read old heartbeats and take their
+ * knowledge for fresh: nobody else may take it over.
+ */
+static void
+wake_reporters_after_a_death(uint32_t first, uint32_t last)
+{
+	static const int64_t for_ms[] = {
+	    700, 1500, 2500, 6000, 700, 2500, 6000, 1500};
+	uint32_t round, i, vm;
+
+	for (round = first; round <= last; round++) {
+		struct fw_world *world = fw_run_large_fleet(LARGE, 80 + round);
+		uint32_t reporters[FW_VMS_MAX], count, late = 0, step;
+		int64_t dead_us, for_us = for_ms[round] * FW_MS;
+		uint32_t victim = 5;
+
+		count = find_reporters(world, 2, 1, reporters, LARGE);
+		for (i = 0; i < count; i++) {
+			if (round < 4)
+				fw_freeze(world, reporters[i], for_us);
+			else
+				fw_stop(world, reporters[i], for_us);
+		}
+		while (
+		    !fw_is_in(world, victim, 2, 1) || !fw_runs(world, victim))
+			victim++;
+		fw_run(world, 300 * FW_MS);
+		fw_kill(world, victim);
+		dead_us = world->now_us;
+		for (step = 0; step < 180; step++) {
+			fw_run(world, STEP);
+			if (world->now_us - dead_us <= DEAD_MAX + STEP)
+				continue;
+			for (vm = 2; vm < LARGE; vm += FW_REGIONS) {
+				for (i = 0; i < count && reporters[i] != vm;
+				     i++)
+					;
+				late += i == count && fw_runs(world, vm) &&
+					fw_hears(world, vm, victim);
+			}
+		}
+		assert_int_equal(late, 0);
+		fw_free(world);
+	}
+}
+
+static void
+test_reporters_wake_after_a_death(void **state)
+{
+	(void)state;
+	wake_reporters_after_a_death(0, 6);
+}
+
+/* The same with processes that are stopped for 1.5 s. */
+static void
+test_stopped_reporters(void **state)
+{
+	(void)state;
+	wake_reporters_after_a_death(7, 7);
+}
+
 static void
 cut(struct fw_world *world, const uint32_t *from, uint32_t from_count,
     const uint32_t *to, uint32_t to_count)
@@ -647,6 +710,8 @@
 	    cmocka_unit_test(test_reporters_freeze),
 	    cmocka_unit_test(test_paused_reporters_revive_nobody),
 	    cmocka_unit_test(test_slow_reporters),
+	    cmocka_unit_test(test_reporters_wake_after_a_death),
+	    cmocka_unit_test(test_stopped_reporters),
 	    cmocka_unit_test(test_reporter_is_cut_off),
 	    cmocka_unit_test(test_unreported_vm_is_asked),
 	    cmocka_unit_test(test_data_centre_is_cut_off),
