--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -25,8 +25,20 @@
 #define FL_SHARING_RETENTION_US INT64_C(600000000)
 #define FL_CAPACITY_MAX 10 /* larger nodes count as equal */
 
+/* What a node tells in its hello that its build can do. */
+#define FL_FEATURE_RELAYS 1U  /* relays updates and follows relays */
+#define FL_FEATURE_REPORTS 2U /* takes and sends reports, see reports.c */
+#define FL_FEATURES (FL_FEATURE_RELAYS | FL_FEATURE_REPORTS)
+
 struct fl_frame;
 
+/* The lists of nodes that a reporter tells of, see reports.c. */
+enum fl_roster_name {
+	FL_ROSTER_OWN,	  /* its data centre, for those of others */
+	FL_ROSTER_OTHERS, /* the other data centres, for its own */
+	FL_ROSTERS
+};
+
 struct fl_node {
 	char name[FL_NAME_BYTES_MAX];
 	char data_centre[FL_NAME_BYTES_MAX];
@@ -41,7 +53,19 @@
 	uint32_t capacity;     /* of its link and CPU, as a power of two */
 	uint64_t revision_sum; /* of the store revisions that it has */
 	bool tells_era;	       /* of the store; earlier builds do not */
+	uint32_t features;     /* FL_FEATURE_*; earlier builds have none */
 	int64_t heard_us;      /* last heartbeat or hello; 0: none yet */
+	/*
+	 * The same as the reports of this node may tell it: as it heard itself,
+	 * and for its own data centre also as reporters of others have told.
+	 */
+	int64_t proven_us[FL_ROSTERS];
+	/* It was silent for late_us; its clock may have stood still. */
+	int64_t late_us, late_until_us;
+	/* Its updates did not arrive: it is not followed until then. */
+	int64_t avoid_until_us;
+	/* It asked for heartbeats of this node, since no report told of it. */
+	int64_t heartbeats_until_us;
 };
 
 /* Where this node gets the store's updates from. */
@@ -61,6 +85,8 @@
 	uint32_t count, capacity;
 	bool has_list; /* the store has listed the nodes since the start */
 	int64_t started_us;
+	/* Most live nodes of the region that another one has told of. */
+	uint32_t told_nodes;
 	/* When a node of the region was first heard; 0: none yet. */
 	int64_t first_contact_us;
 
@@ -113,6 +139,11 @@
 bool fl_membership_on_heartbeat(struct fl_membership *membership,
     const struct sockaddr_in *from, const struct fl_frame *heartbeat,
     int64_t now_us);
+/*
+ * fl_node_set_heard(node, heard_us): it was heard at that time, which is not
+ * before the last one.
+ */
+void fl_node_set_heard(struct fl_node *node, int64_t heard_us);
 bool fl_node_is_alive(const struct fl_node *node, int64_t now_us);
 /*
  * fl_membership_tick(membership, now_us, leader): returns the role of this
@@ -178,6 +209,44 @@
  */
 int64_t fl_first_read_delay_us(uint32_t capacity, uint64_t random);
 
+/* fl_node_ranks_before(a, b): by capacity, the largest first, then by name. */
+bool fl_node_ranks_before(const struct fl_node *a, const struct fl_node *b);
+
+/*
+ * Below this many live nodes all follow the leader, as in earlier builds: 23
+ * followers cost it 9 KB a second for 1 KB of updates and heartbeats, a third
+ * of the budget of a node, and no update waits for a relay.
+ */
+#define FL_LARGE_REGION_NODES 24
+/* How many nodes of its data centre follow a node, see relay.c. */
+#define FL_RELAY_FOLLOWERS 3
+/*
+ * fl_membership_is_large(membership, now_us): returns true if the region has so
+ * many live nodes that updates are relayed.
+ */
+bool fl_membership_is_large(
+    const struct fl_membership *membership, int64_t now_us);
+/*
+ * fl_membership_told_nodes(membership, now_us): the size of a large region as
+ * others told it, for a node that has just started and does not hear all of
+ * them yet; otherwise 0.
+ */
+uint32_t fl_membership_told_nodes(
+    const struct fl_membership *membership, int64_t now_us);
+/*
+ * fl_membership_find_source(membership, leader, now_us): returns the node to
+ * get the store's updates from: the leader, or a relay in this data centre.
+ */
+const struct fl_node *fl_membership_find_source(
+    const struct fl_membership *membership, const struct fl_node *leader,
+    int64_t now_us);
+/*
+ * fl_membership_may_relay(membership, node, now_us): returns true if this node
+ * may follow the other one while that is not the leader.
+ */
+bool fl_membership_may_relay(const struct fl_membership *membership,
+    const struct fl_node *node, int64_t now_us);
+
 /* A request to the directory. */
 struct fl_directory_query {
 	char data_centre[FL_NAME_BYTES_MAX];
@@ -235,11 +304,14 @@
 	FL_FRAME_CLAIM = 12,	 /* a trial of a request that crashed targets */
 	FL_FRAME_COLD = 20,	 /* a target is cold */
 	FL_FRAME_QUOTA_ASK = 21, /* a question for a tenant's credit */
-	FL_FRAME_QUOTA_GRANT = 22, /* the owner's answer */
-	FL_FRAME_QUOTA_SHARE = 23, /* of the owner in another region */
-	FL_FRAME_PROOF_QUERY = 24, /* how old is the receiver's proof */
-	FL_FRAME_PROOF = 25,	   /* the answer, see proof.h */
+	FL_FRAME_QUOTA_GRANT = 22,    /* the owner's answer */
+	FL_FRAME_QUOTA_SHARE = 23,    /* of the owner in another region */
+	FL_FRAME_PROOF_QUERY = 24,    /* how old is the receiver's proof */
+	FL_FRAME_PROOF = 25,	      /* the answer, see proof.h */
+	FL_FRAME_REPORT = 30,	      /* what the sender hears of others */
+	FL_FRAME_ROSTER_REQUEST = 31, /* for a whole roster, see reports.c */
 };
+#define FL_FRAME_TYPES 40 /* more than the largest type */
 
 /* A node claims a trial of a request that crashed targets. */
 struct fl_claim {
@@ -319,6 +391,55 @@
 	struct sockaddr_in sender; /* the owner, where the answer goes */
 };
 
+#define FL_ROSTER_SLOTS_MAX 1024
+#define FL_REPORT_ENTRIES_MAX 24
+#define FL_REPORT_AGES_MAX 192
+#define FL_REPORT_LEADERS_MAX 4
+#define FL_AGE_UNIT_US 10000 /* ages are sent in this unit, rounded up */
+#define FL_AGE_MAX 255
+
+enum fl_entry_kind { FL_ENTRY_GONE, FL_ENTRY_STATUS, FL_ENTRY_RECORD };
+
+/* What a slot of a roster has held since a version of it. */
+struct fl_roster_entry {
+	enum fl_entry_kind kind;
+	uint32_t slot, version;
+	uint32_t status; /* FL_STATUS_* */
+	uint32_t age;
+	struct fl_node node; /* of a record */
+};
+
+#define FL_STATUS_READY 1U
+#define FL_STATUS_STOPPING 2U
+#define FL_STATUS_CURRENT 4U
+
+struct fl_report {
+	/* As in a heartbeat; half of a boot is enough to tell processes. */
+	uint32_t boot, status;
+	uint64_t revision_sum;
+	enum fl_roster_name roster;
+	/* Entries hold all changes of the roster from base to version. */
+	uint32_t version, base, slot_count;
+	bool is_part; /* of the whole roster: its slots from first on */
+	uint32_t first;
+	uint32_t entry_count;
+	struct fl_roster_entry entries[FL_REPORT_ENTRIES_MAX];
+	/* Of all nodes of the roster, but for those listed. */
+	uint32_t age;
+	uint32_t age_count;
+	struct {
+		uint16_t slot;
+		uint8_t age;
+	} ages[FL_REPORT_AGES_MAX];
+	/* Current nodes of the region. */
+	uint32_t leader_count;
+	struct {
+		struct sockaddr_in fleet;
+		uint32_t boot, age;
+		uint64_t revision_sum;
+	} leaders[FL_REPORT_LEADERS_MAX];
+};
+
 #define FL_PEERS_MAX 32 /* addresses of other nodes in one hello */
 
 struct fl_frame {
@@ -330,8 +451,10 @@
 			struct sockaddr_in peers[FL_PEERS_MAX];
 			char region[FL_NAME_BYTES_MAX];
 			bool wants_reply; /* asks for a hello in return */
+			bool wants_heartbeats;
 			/* Nodes of its region that the sender has heard. */
 			uint32_t known_nodes;
+			uint32_t live_nodes; /* of those, and itself */
 		} hello;
 		struct {
 			uint64_t boot;
@@ -355,8 +478,14 @@
 		struct fl_quota_share quota_share;
 		struct {
 			uint64_t revisions[OS_KINDS_MAX];
+			/* Port 0: an earlier build, which does not tell. */
+			struct sockaddr_in follower;
 		} subscribe;
 		struct fl_update update;
+		struct fl_report report;
+		struct {
+			uint32_t roster;
+		} roster_request;
 	} as;
 };
 
@@ -422,8 +551,25 @@
 
 struct fleet;
 
-/* What this node has sent, without the headers of UDP and TCP. */
+/* Where the receiver of a frame is; bytes between data centres are charged. */
+enum fl_place {
+	FL_PLACE_DATA_CENTRE,  /* in the data centre of this node */
+	FL_PLACE_REGION,       /* in another one of the region */
+	FL_PLACE_OTHER_REGION, /* in another region */
+	FL_PLACE_UNKNOWN,      /* no hello of it has arrived yet */
+	FL_PLACES
+};
+
+struct fl_sent {
+	uint64_t frames, bytes;
+};
+
+/*
+ * What this node has sent, without the headers: 28 bytes for a datagram (UDP
+ * and IP), at least 40 for an update (TCP and IP).
+ */
 struct fl_counters {
+	struct fl_sent sent[FL_FRAME_TYPES][FL_PLACES];
 	uint64_t datagrams;
 	uint64_t datagram_bytes;
 	uint64_t updates; /* update frames, counted once for each follower */
@@ -521,6 +667,10 @@
 void fl_leave(struct fleet *fleet);
 const struct fl_membership *fl_get_membership(const struct fleet *fleet);
 const struct fl_counters *fl_get_counters(const struct fleet *fleet);
+/* fl_frame_name(type): the name in metrics, or NULL if there is no such type.
+ */
+const char *fl_frame_name(uint32_t type);
+const char *fl_place_name(enum fl_place place);
 void fl_close(struct fleet *fleet);
 
 #endif
--- a/lib/fleet/membership.c
+++ b/lib/fleet/membership.c
@@ -12,6 +12,10 @@
 
 /* At least two heartbeats, due every 800 ms, are missing. */
 #define SILENCE_TIMEOUT_US 2000000
+/* Heartbeats are due every 800 ms: it was paused, or one was lost. */
+#define LATE_US 1000000
+/* Ages that are too small by a pause do no harm after the longest silence. */
+#define LATE_LASTS_US (SILENCE_TIMEOUT_US + 100000)
 /* The same for a node that is current; its are due every 400 ms. */
 #define CURRENT_SILENCE_TIMEOUT_US 1300000
 /* Far longer than the interval of ticks: this process was paused. */
@@ -109,11 +113,33 @@
 	return node;
 }
 
+void
+fl_node_set_heard(struct fl_node *node, int64_t heard_us)
+{
+	if (node->heard_us != 0 && heard_us - node->heard_us > LATE_US) {
+		node->late_us = heard_us - node->heard_us;
+		node->late_until_us = heard_us + LATE_LASTS_US;
+	}
+	node->heard_us = heard_us;
+}
+
+/* Takes what a node itself sent. */
+static void
+set_proven(struct fl_node *node, int64_t now_us)
+{
+	uint32_t i;
+
+	fl_node_set_heard(node, now_us);
+	for (i = 0; i < FL_ROSTERS; i++)
+		node->proven_us[i] = now_us;
+}
+
 bool
 fl_membership_on_hello(struct fl_membership *membership,
     const struct fl_node *record, int64_t now_us)
 {
 	struct fl_node *node = fl_membership_add(membership, record);
+	struct fl_node known;
 	bool is_new;
 
 	if (node == NULL)
@@ -123,8 +149,17 @@
 	if (membership->first_contact_us == 0 && record->same_region)
 		membership->first_contact_us = now_us;
 
+	known = *node;
 	*node = *record;
-	node->heard_us = now_us;
+	node->avoid_until_us = known.avoid_until_us;
+	node->heartbeats_until_us = known.heartbeats_until_us;
+	node->heard_us = 0;
+	if (!is_new) {
+		node->heard_us = known.heard_us;
+		node->late_us = known.late_us;
+		node->late_until_us = known.late_until_us;
+	}
+	set_proven(node, now_us);
 	return is_new;
 }
 
@@ -148,7 +183,7 @@
 	node->current = heartbeat->as.heartbeat.current;
 	node->revision_sum = heartbeat->as.heartbeat.revision_sum;
 	node->tells_era = heartbeat->as.heartbeat.tells_era;
-	node->heard_us = now_us;
+	set_proven(node, now_us);
 	return true;
 }
 
@@ -161,9 +196,8 @@
 	return node->heard_us != 0 && now_us - node->heard_us < timeout_us;
 }
 
-/* Orders nodes by capacity, the largest first, then by the name's hash. */
-static bool
-ranks_before(const struct fl_node *a, const struct fl_node *b)
+bool
+fl_node_ranks_before(const struct fl_node *a, const struct fl_node *b)
 {
 	if (a->capacity != b->capacity)
 		return a->capacity > b->capacity;
@@ -187,7 +221,7 @@
 
 		if (node->same_region && node->current && node->tells_era &&
 		    !node->stopping && fl_node_is_alive(node, now_us) &&
-		    (best == NULL || ranks_before(node, best)))
+		    (best == NULL || fl_node_ranks_before(node, best)))
 			best = node;
 	}
 	return best;
@@ -210,7 +244,7 @@
 		    !fl_node_is_alive(node, now_us))
 			continue;
 		(*live)++;
-		before += ranks_before(node, &membership->self);
+		before += fl_node_ranks_before(node, &membership->self);
 	}
 	return before;
 }
@@ -275,7 +309,7 @@
 	if (!membership->watching)
 		return FL_ROLE_FOLLOW_LEADER;
 	if (membership->self.current &&
-	    ranks_before(&membership->self, leader)) {
+	    fl_node_ranks_before(&membership->self, leader)) {
 		membership->outranked_since_us = 0;
 		return FL_ROLE_WATCH_STORE;
 	}
