Quotas: new owners give further credit from an age of 0.5 s on

Cause: after a power loss the buckets are empty: in the first two seconds 0.21 and 0.13 of the requests were refused (test_quotas). Change: once in its life a process gives one request a second more per tenant that it owns, from an age of 0.5 s on, up to 1.5. Cases with a small tenant that is hot while VMs restart, freeze and are cut off. Trials with 2 and 3 requests at once: 0.10 and 0.06 of the first second, but 1.74 and 2.51 times the bound.

--- a/lib/balance/quota.h
+++ b/lib/balance/quota.h
@@ -132,6 +132,7 @@
 	uint32_t nonce; /* stamps of other owners mean nothing to this one */
 	double tokens;
 	int64_t tokens_at_us;
+	double head_start;     /* given so far by this process */
 	uint32_t filled_share; /* the share when the bucket was last filled */
 	int64_t used_us;       /* the last question */
 	double demand_per_s;
--- a/lib/balance/quota_owner.c
+++ b/lib/balance/quota_owner.c
@@ -25,6 +25,15 @@
 #define DEPTH_FURTHER 9.0
 /* What a new owner starts with. */
 #define TOKENS_INITIAL 1.0
+/*
+ * Once in its life a process gives further credit, since the buckets of the
+ * owners before it are lost: one a second, from an age on that processes do not
+ * reach which restart again and again. Twice as much for new owners at once,
+ * with all VMs restarting every 0.5 s, admitted 1.7 times the bound.
+ */
+#define HEAD_START_FROM_US 500000
+#define HEAD_START_PER_S 1.0
+#define HEAD_START_MAX_S 1.5
 
 /* A VM that got no credit asks again after between these. */
 #define ASK_AGAIN_MIN_US 50000
@@ -178,6 +187,24 @@
 	return held < BL_QUOTA_WHOLE ? held : BL_QUOTA_WHOLE;
 }
 
+/*
+ * Returns the further credit that is due by now, no more than the whole quota
+ * is worth in that time.
+ */
+static double
+head_start(const struct bl_quota *quota, const struct bl_quota_params *params,
+    int64_t now_us)
+{
+	double age_s =
+	    (double)(now_us - params->started_us - HEAD_START_FROM_US) / 1e6;
+	double per_s = quota->rate_per_s < HEAD_START_PER_S ? quota->rate_per_s
+							    : HEAD_START_PER_S;
+
+	if (age_s <= 0.0)
+		return 0.0;
+	return per_s * (age_s < HEAD_START_MAX_S ? age_s : HEAD_START_MAX_S);
+}
+
 /*
  * Fills the bucket at the share of the time before now_us. A share may have
  * risen or fallen meanwhile: the lower one counts.
@@ -194,10 +221,15 @@
 						       : quota->filled_share) /
 		      BL_QUOTA_WHOLE;
 	double elapsed_s = (double)(now_us - quota->tokens_at_us) / 1e6;
+	double further = head_start(quota, params, now_us);
 
 	depth += DEPTH_FURTHER / count_regions(quota, params, now_us);
 	if (elapsed_s > 0.0)
 		quota->tokens += rate * elapsed_s;
+	if (share_now > 0 && further > quota->head_start) {
+		quota->tokens += further - quota->head_start;
+		quota->head_start = further;
+	}
 	if (quota->tokens > depth)
 		quota->tokens = depth;
 	quota->tokens_at_us = now_us;
--- a/tests/unit/test_quotas.c
+++ b/tests/unit/test_quotas.c
@@ -95,6 +95,7 @@
 	int64_t trouble_every_us;
 	bool calm;	   /* what is within the quota is admitted */
 	bool empty_region; /* no VM runs in the last region at first */
+	bool small_hot;	   /* the tenant that is hot has few requests else */
 };
 
 static struct sim sim;
@@ -119,6 +120,8 @@
 static uint64_t datagrams_of_largest;
 #define WAIT_NOTICED (20 * SIM_MS)
 #define HOT_TENANT 3
+#define SMALL_TENANT 60
+#define SMALL_HOT_FACTOR 30.0
 
 /* The whole fleet loses power; refused requests come back once. */
 #define POWER_LOSS (1600 * SIM_MS)
@@ -150,11 +153,14 @@
 static double
 demand_of(uint32_t tenant)
 {
-	bool is_hot = quota_case->hot && tenant == HOT_TENANT &&
+	bool is_small = quota_case->small_hot && tenant == SMALL_TENANT;
+	bool is_hot = (is_small || (quota_case->hot && tenant == HOT_TENANT)) &&
 		      sim.now_us >= SIM_START + HOT_FROM &&
 		      sim.now_us < SIM_START + HOT_UNTIL;
 
-	return usual_per_s[tenant] * (is_hot ? HOT_FACTOR : 1.0);
+	if (!is_hot)
+		return usual_per_s[tenant];
+	return usual_per_s[tenant] * (is_small ? SMALL_HOT_FACTOR : HOT_FACTOR);
 }
 
 static struct bl_quota_params
@@ -649,16 +655,18 @@
 	}
 }
 
+/* Of the tenant that is hot. */
 static uint32_t
 owner_in(uint32_t region)
 {
+	uint32_t tenant = quota_case->small_hot ? SMALL_TENANT : HOT_TENANT;
 	uint32_t i, vm;
 
 	for (i = 0; i < sim_region_size(&sim, region); i++) {
 		vm = sim_number(&sim, region, i);
 		if (sim_runs(&sim, vm) && sim.vms[vm].side == 0)
 			return sim_owner(
-			    &sim, vm, here[vm][HOT_TENANT].quota.tenant);
+			    &sim, vm, here[vm][tenant].quota.tenant);
 	}
 	return 0;
 }
@@ -800,37 +808,40 @@
 }
 
 static const struct quota_case cases[] = {
-    {"calm", false, false, false, 0.0, NULL, 0, true, false},
-    {"one tenant is hot", true, false, false, 0.0, NULL, 0, true, false},
+    {"calm", false, false, false, 0.0, NULL, 0, true, false, false},
+    {"one tenant is hot", true, false, false, 0.0, NULL, 0, true, false, false},
     {"requests come in one region", true, false, true, 0.0, NULL, 0, true,
+	false, false},
+    {"datagrams are lost", true, false, false, 0.01, NULL, 0, true, false,
+	false},
+    {"many datagrams are lost", true, false, false, 0.2, NULL, 0, false, false,
+	false},
+    {"a quota is lowered", true, true, false, 0.01, NULL, 0, false, false,
 	false},
-    {"datagrams are lost", true, false, false, 0.01, NULL, 0, true, false},
-    {"many datagrams are lost", true, false, false, 0.2, NULL, 0, false, false},
-    {"a quota is lowered", true, true, false, 0.01, NULL, 0, false, false},
     {"owners die and restart", true, false, false, 0.01, owners_die,
-	3 * SIM_SECOND, false, false},
+	3 * SIM_SECOND, false, false, false},
     {"owners freeze", true, false, false, 0.01, owners_freeze, 900 * SIM_MS,
-	false, false},
+	false, false, false},
     {"owners are cut off", true, false, false, 0.01, owners_are_cut_off,
-	3 * SIM_SECOND, false, false},
+	3 * SIM_SECOND, false, false, false},
     {"each VM is alone", true, false, false, 0.01, each_is_alone,
-	4 * SIM_SECOND, false, false},
+	4 * SIM_SECOND, false, false, false},
     {"each VM restarts alone", true, false, false, 0.01, each_restarts_alone,
-	SIM_SECOND, false, false},
+	SIM_SECOND, false, false, false},
     {"halves are apart", true, false, false, 0.01, halves_are_apart,
-	4 * SIM_SECOND, false, false},
+	4 * SIM_SECOND, false, false, false},
     {"regions are apart", true, false, false, 0.0, regions_are_apart,
-	4 * SIM_SECOND, false, false},
+	4 * SIM_SECOND, false, false, false},
     {"VMs restart while cut off", true, false, false, 0.01, cut_off_vms_restart,
-	SIM_SECOND, false, false},
+	SIM_SECOND, false, false, false},
     {"owners die while regions are apart", true, false, false, 0.01,
-	owners_die_while_regions_are_apart, 700 * SIM_MS, false, false},
+	owners_die_while_regions_are_apart, 700 * SIM_MS, false, false, false},
     {"VMs restart in turn", true, false, false, 0.01, vms_restart_in_turn,
-	300 * SIM_MS, false, false},
+	300 * SIM_MS, false, false, false},
     {"all restart", true, false, false, 0.01, all_restart, 4 * SIM_SECOND,
-	false, false},
+	false, false, false},
     {"all freeze", true, false, false, 0.01, all_freeze, 3 * SIM_SECOND, false,
-	false},
+	false, false},
 };
 #define CASES (sizeof(cases) / sizeof(cases[0]))
 
@@ -996,7 +1007,9 @@
 
 /*
  * New owners start without credit, so that some of the first requests after a
- * power loss are refused: 0.19 of the first second, five seeds.
+ * power loss are refused: 0.19 of the first second, five seeds. Owners get
+ * further credit from an age of 0.5 s on: of the next second 0.13 was refused
+ * without it.
  */
 static void
 test_few_are_refused_after_a_power_loss(void **state)
@@ -1005,7 +1018,8 @@
 	    .loss = 0.01,
 	    .trouble = power_is_lost,
 	    .trouble_every_us = POWER_LOSS};
-	uint32_t i, seed, count = 0, refused = 0, failed = 0;
+	uint32_t i, seed, failed = 0;
+	uint32_t count[2] = {0, 0}, refused[2] = {0, 0}; /* by second */
 
 	(void)state;
 	memset(steps, 0, sizeof(steps));
@@ -1016,10 +1030,8 @@
 	}
 	refused_come_back = false;
 	for (i = 0; i < STEPS; i++) {
-		if (i < 10) {
-			count += steps[i].offered;
-			refused += steps[i].over + steps[i].unknown;
-		}
+		count[i / 10] += steps[i].offered;
+		refused[i / 10] += steps[i].over + steps[i].unknown;
 		if (getenv("VERBOSE") != NULL)
 			print_message("%u ms: %u requests, %u over, %u without "
 				      "answer\n",
@@ -1027,10 +1039,11 @@
 			    steps[i].unknown);
 	}
 	if (getenv("VERBOSE") != NULL)
-		print_message(
-		    "first second: %u of %u refused\n", refused, count);
+		print_message("first second: %u of %u refused, next %u of %u\n",
+		    refused[0], count[0], refused[1], count[1]);
 	assert_int_equal(failed, 0);
-	assert_true(refused < 0.25 * count);
+	assert_true(refused[0] < 0.25 * count[0]);
+	assert_true(refused[1] < 0.08 * count[1]);
 }
 
 /*
@@ -1164,6 +1177,82 @@
 	assert_int_equal(failed, 0);
 }
 
+/*
+ * A tenant of few requests sends many while all owners restart again and again.
+ * What a new owner gives at once counts most then: full buckets broke the bound
+ * by 2.13.
+ */
+static const struct quota_case restart_cases[] = {
+    {.name = "all restart every 0.5 s",
+	.small_hot = true,
+	.loss = 0.01,
+	.trouble = all_restart,
+	.trouble_every_us = 500 * SIM_MS},
+    {.name = "all restart every second",
+	.small_hot = true,
+	.loss = 0.01,
+	.trouble = all_restart,
+	.trouble_every_us = SIM_SECOND},
+    {.name = "all restart every 1.7 s",
+	.small_hot = true,
+	.loss = 0.01,
+	.trouble = all_restart,
+	.trouble_every_us = 1700 * SIM_MS},
+    {.name = "all restart every 2.4 s",
+	.small_hot = true,
+	.loss = 0.01,
+	.trouble = all_restart,
+	.trouble_every_us = 2400 * SIM_MS},
+    {.name = "all restart every 4 s",
+	.small_hot = true,
+	.loss = 0.01,
+	.trouble = all_restart,
+	.trouble_every_us = 4 * SIM_SECOND},
+    {.name = "VMs restart in turn every 0.3 s",
+	.small_hot = true,
+	.loss = 0.01,
+	.trouble = vms_restart_in_turn,
+	.trouble_every_us = 300 * SIM_MS},
+    {.name = "all freeze every 1.1 s",
+	.small_hot = true,
+	.loss = 0.01,
+	.trouble = all_freeze,
+	.trouble_every_us = 1100 * SIM_MS},
+    {.name = "owners freeze every 0.9 s",
+	.small_hot = true,
+	.loss = 0.01,
+	.trouble = owners_freeze,
+	.trouble_every_us = 900 * SIM_MS},
+    {.name = "owners are cut off every 1.5 s",
+	.small_hot = true,
+	.loss = 0.01,
+	.trouble = owners_are_cut_off,
+	.trouble_every_us = 1500 * SIM_MS},
+    {.name = "owners die every 0.7 s",
+	.small_hot = true,
+	.loss = 0.01,
+	.trouble = owners_die,
+	.trouble_every_us = 700 * SIM_MS},
+};
+#define RESTART_CASES (sizeof(restart_cases) / sizeof(restart_cases[0]))
+
+static void
+test_repeated_restarts_give_no_further_credit(void **state)
+{
+	static const uint32_t sizes[] = {2, 16, 141};
+	uint32_t size, failed = 0;
+	size_t i;
+
+	(void)state;
+	for (size = 0; size < 3; size++) {
+		for (i = 0; i < 2 * RESTART_CASES; i++) {
+			play(&restart_cases[i / 2], sizes[size], (uint32_t)i);
+			failed += check_bound(&restart_cases[i / 2]);
+		}
+	}
+	assert_int_equal(failed, 0);
+}
+
 #define NOW (100 * SIM_SECOND)
 
 static const struct bl_quota_params three_regions = {
@@ -1317,6 +1406,7 @@
 	    cmocka_unit_test(test_quotas_hold_for_all_vms_together),
 	    cmocka_unit_test(test_few_are_refused_after_a_power_loss),
 	    cmocka_unit_test(test_regions_without_vms),
+	    cmocka_unit_test(test_repeated_restarts_give_no_further_credit),
 	    cmocka_unit_test(test_shares_of_other_regions_are_bounded),
 	    cmocka_unit_test(test_late_answer_gives_no_credit),
 	    cmocka_unit_test(test_allowances_stay_within_their_half),
