Quotas: owners of other regions answer for an empty bucket

Cause: requests of small tenants come in groups; the bucket of one region was empty while the others held two to four requests each. Change: such a question goes on to the owner in another region, which answers from its own bucket, while the demand is below the rate.

--- a/lib/balance/quota.h
+++ b/lib/balance/quota.h
@@ -106,6 +106,7 @@
 	/* Its owner has heard this one since the store lists this region. */
 	bool knows_own;
 	bool wants_echo; /* it has no stamp of this owner yet */
+	bool lends_less; /* which this owner has not confirmed yet */
 };
 
 struct bl_quota {
@@ -139,6 +140,8 @@
 	int64_t demand_at_us;
 	double refused;
 	int64_t refused_at_us;
+	int64_t passed_on_us; /* the last question to another region */
+	uint32_t passed_on_to;
 	struct bl_quota_region regions[BL_QUOTA_REGIONS_MAX];
 };
 
@@ -162,6 +165,8 @@
 	uint32_t count;	  /* credit, at most */
 	uint32_t arrived; /* requests since the last question */
 	uint32_t unspent; /* credit that it gave and that is void now */
+	/* The owner may have the owner in another region answer instead. */
+	bool may_pass_on;
 };
 
 struct bl_quota_grant {
@@ -173,6 +178,8 @@
 	 * the owner cannot tell.
 	 */
 	int64_t wait_us;
+	/* The owner in this region is to answer; -1: this is the answer. */
+	int32_t region;
 };
 
 /* What the owner in a region tells the owner in another one. */
@@ -217,11 +224,17 @@
     struct bl_quota_decision *out);
 
 /*
- * bl_quota_grant(quota, params, ask, now_us, out): answers as the owner.
+ * bl_quota_grant(quota, params, ask, now_us, out): answers as the owner, or
+ * names the region whose owner is to be asked, see bl_quota_pass_on().
  */
 void bl_quota_grant(struct bl_quota *quota,
     const struct bl_quota_params *params, const struct bl_quota_ask *ask,
     int64_t now_us, struct bl_quota_grant *out);
+/*
+ * bl_quota_pass_on(ask): makes the question one that another region's owner
+ * answers: it counts as demand here only, and what is returned stays here.
+ */
+void bl_quota_pass_on(struct bl_quota_ask *ask);
 /*
  * bl_quota_own(quota, params, nonce, now_us): this VM is the owner; if it was
  * not before, it starts without credit and learns what is lent.
--- a/lib/balance/quota_owner.c
+++ b/lib/balance/quota_owner.c
@@ -23,6 +23,11 @@
  * is for VMs without an owner.
  */
 #define DEPTH_FURTHER 9.0
+/*
+ * A tenant's requests may come in one region while the buckets of the others
+ * are full: their owners answer for an empty one, each time so long apart.
+ */
+#define PASS_ON_US 20000
 /* What a new owner starts with. */
 #define TOKENS_INITIAL 1.0
 /*
@@ -297,6 +302,51 @@
 					    : (int64_t)wait_us;
 }
 
+/* The tenant is over its quota in all regions together: all are empty. */
+static bool
+is_over_quota(const struct bl_quota *quota,
+    const struct bl_quota_params *params, int64_t now_us)
+{
+	double sum = demand(quota, now_us);
+	uint32_t i;
+
+	for (i = 0; i < params->region_count; i++) {
+		if (i != params->own_region &&
+		    is_heard(&quota->regions[i], now_us))
+			sum += quota->regions[i].demand_per_s;
+	}
+	return sum >= quota->rate_per_s;
+}
+
+/* Returns the next region that is heard, in turn, or -1. */
+static int32_t
+next_region(struct bl_quota *quota, const struct bl_quota_params *params,
+    int64_t now_us)
+{
+	uint32_t i, region;
+
+	if (now_us - quota->passed_on_us < PASS_ON_US ||
+	    is_over_quota(quota, params, now_us))
+		return -1;
+	for (i = 1; i <= params->region_count; i++) {
+		region = (quota->passed_on_to + i) % params->region_count;
+		if (region == params->own_region ||
+		    !is_heard(&quota->regions[region], now_us))
+			continue;
+		quota->passed_on_to = region;
+		quota->passed_on_us = now_us;
+		return (int32_t)region;
+	}
+	return -1;
+}
+
+void
+bl_quota_pass_on(struct bl_quota_ask *ask)
+{
+	ask->arrived = ask->unspent = 0;
+	ask->may_pass_on = false;
+}
+
 void
 bl_quota_grant(struct bl_quota *quota, const struct bl_quota_params *params,
     const struct bl_quota_ask *ask, int64_t now_us, struct bl_quota_grant *out)
@@ -304,7 +354,7 @@
 	uint32_t share = bl_quota_own_share(quota, params, now_us);
 
 	*out = (struct bl_quota_grant){
-	    .tenant = quota->tenant, .number = ask->number};
+	    .tenant = quota->tenant, .number = ask->number, .region = -1};
 	quota->used_us = now_us;
 	quota->demand_per_s =
 	    demand(quota, now_us) + ask->arrived * 1e6 / demand_time_us(quota);
@@ -316,8 +366,17 @@
 				 ? ask->count
 				 : (uint32_t)quota->tokens;
 	quota->tokens -= out->count;
+	if (out->count == 0 && ask->may_pass_on && share > 0)
+		out->region = next_region(quota, params, now_us);
+	if (out->region >= 0)
+		return;
 	/* Without a share it is not known whether the tenant is over it. */
-	if (out->count < ask->count && share > 0)
+	if (out->count == ask->count || share == 0)
+		return;
+	/* The owner in the asker's region may have credit before this one. */
+	if (ask->arrived == 0 && !ask->may_pass_on)
+		out->wait_us = ASK_AGAIN_MIN_US;
+	else
 		out->wait_us = ask_again_after_us(
 		    quota, quota->rate_per_s * share / BL_QUOTA_WHOLE, now_us);
 }
@@ -390,6 +449,36 @@
 	return region->demand_per_s > 0.0 && is_heard(region, now_us);
 }
 
+static bool
+is_any_needed(const struct bl_quota *quota,
+    const struct bl_quota_params *params, int64_t now_us)
+{
+	uint32_t i;
+
+	for (i = 0; i < params->region_count; i++) {
+		if (i != params->own_region &&
+		    is_needed(&quota->regions[i], now_us))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Of two regions without demand one has lent to the other: what is lent is
+ * called back once a third one needs it, and the borrower confirms that.
+ */
+static bool
+is_idle_loan(const struct bl_quota *quota, const struct bl_quota_params *params,
+    uint32_t region, bool answers, int64_t now_us)
+{
+	const struct bl_quota_region *other = &quota->regions[region];
+
+	if (answers && (other->held > STEADY_CHANGE || other->lends_less))
+		return true;
+	return other->heard && other->lent_max > STEADY_CHANGE &&
+	       is_any_needed(quota, params, now_us);
+}
+
 static int64_t
 tell_interval_us(const struct bl_quota *quota,
     const struct bl_quota_params *params, uint32_t region, int64_t now_us)
@@ -447,7 +536,8 @@
 	/* While loans hold: the bucket fills at the share of now. */
 	refill(quota, params, now_us);
 	if (region == params->own_region ||
-	    (!is_in_use(quota, now_us) && !is_needed(to, now_us)))
+	    (!is_in_use(quota, now_us) && !is_needed(to, now_us) &&
+		!is_idle_loan(quota, params, region, answers, now_us)))
 		return false;
 	/*
 	 * Two owners that answer each other echo fresh stamps, so that a loan
@@ -460,7 +550,7 @@
 		return false;
 	update_loan(quota, params, region, now_us);
 	to->told_us = now_us;
-	to->wants_echo = false;
+	to->wants_echo = to->lends_less = false;
 	*out = (struct bl_quota_share){
 	    .tenant = quota->tenant,
 	    .region = params->own_region,
@@ -510,6 +600,7 @@
 	age_us = (int64_t)(stamp_at(quota, now_us) - share->echo) * 1000;
 	take_confirmation(quota, from, share, now_us);
 	from->wants_echo |= !from->heard || !share->has_echo;
+	from->lends_less |= share->lent < from->held;
 	from->heard = true;
 	from->heard_us = now_us;
 	from->demand_per_s = share->demand_milli / 1000.0;
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -516,7 +516,7 @@
  */
 void fl_contact_seeds(struct fleet *fleet);
 /* fl_send_quota_ask(fleet, owner, ask): sends or passes on a question. */
-void fl_send_quota_ask(struct fleet *fleet, const struct fl_node *owner,
+void fl_send_quota_ask(struct fleet *fleet, const struct sockaddr_in *owner,
     const struct fl_quota_ask *ask);
 void fl_send_quota_grant(struct fleet *fleet, const struct sockaddr_in *asker,
     const struct fl_quota_grant *grant);
--- a/lib/fleet/rates.c
+++ b/lib/fleet/rates.c
@@ -20,13 +20,13 @@
 }
 
 void
-fl_send_quota_ask(struct fleet *fleet, const struct fl_node *owner,
+fl_send_quota_ask(struct fleet *fleet, const struct sockaddr_in *owner,
     const struct fl_quota_ask *ask)
 {
 	struct fl_frame frame = {
 	    .type = FL_FRAME_QUOTA_ASK, .as.quota_ask = *ask};
 
-	fl_send_datagram(fleet, &frame, &owner->fleet);
+	fl_send_datagram(fleet, &frame, owner);
 }
 
 void
--- a/lib/gateway/gateway.h
+++ b/lib/gateway/gateway.h
@@ -275,7 +275,8 @@
 void gw_add_permit(struct gw *gw, const struct bl_permit *permit);
 /*
  * gw_answer_quota_ask(gw, ask, out): answers as the owner of the tenant in this
- * region. Returns CS_E_MISSING if the tenant has no quota here.
+ * region. Returns CS_E_MISSING if the tenant has no quota here. The owner of
+ * another region is to answer instead if out->region names one.
  */
 int gw_answer_quota_ask(
     struct gw *gw, const struct bl_quota_ask *ask, struct bl_quota_grant *out);
--- a/lib/gateway/quota.c
+++ b/lib/gateway/quota.c
@@ -281,8 +281,9 @@
 	if (quota == NULL)
 		return CS_E_MISSING;
 	notice_pause(gw);
-	*out = (struct bl_quota_grant){
-	    .tenant = question->tenant, .number = question->number};
+	*out = (struct bl_quota_grant){.tenant = question->tenant,
+	    .number = question->number,
+	    .region = -1};
 	if (!is_owner(gw, quota))
 		return CS_OK;
 	bl_quota_grant(
--- a/programs/gateway_quotas.c
+++ b/programs/gateway_quotas.c
@@ -91,65 +91,6 @@
 	       find_owner(app, tenant) == NULL;
 }
 
-static struct bl_quota_ask
-ask_from_fleet(const struct fl_quota_ask *ask)
-{
-	return (struct bl_quota_ask){
-	    .tenant = ask->tenant,
-	    .number = ask->number,
-	    .count = ask->count,
-	    .arrived = ask->arrived,
-	    .unspent = ask->unspent,
-	};
-}
-
-void
-ga_on_quota_ask(void *user, const struct bl_quota_ask *ask)
-{
-	struct ga_app *app = user;
-	const struct fl_node *owner = find_owner(app, ask->tenant);
-	struct bl_quota_grant grant;
-
-	if (owner != NULL)
-		fl_send_quota_ask(app->fleet, owner,
-		    &(struct fl_quota_ask){
-			.tenant = ask->tenant,
-			.number = ask->number,
-			.count = ask->count,
-			.arrived = ask->arrived,
-			.unspent = ask->unspent,
-		    });
-	else if (gw_answer_quota_ask(app->gw, ask, &grant) == CS_OK)
-		gw_add_quota_grant(app->gw, &grant);
-}
-
-/*
- * The node that received the question first may see another owner than the one
- * that asks; it passes it on once.
- */
-void
-ga_on_fleet_quota_ask(void *user, const struct fl_quota_ask *ask)
-{
-	struct ga_app *app = user;
-	const struct fl_node *owner = find_owner(app, ask->tenant);
-	struct fl_quota_ask passed_on = *ask;
-	struct bl_quota_ask question = ask_from_fleet(ask);
-	struct bl_quota_grant grant;
-
-	if (owner != NULL && !ask->passed_on) {
-		passed_on.passed_on = true;
-		fl_send_quota_ask(app->fleet, owner, &passed_on);
-	} else if (gw_answer_quota_ask(app->gw, &question, &grant) == CS_OK) {
-		fl_send_quota_grant(app->fleet, &ask->asker,
-		    &(struct fl_quota_grant){
-			.tenant = grant.tenant,
-			.number = grant.number,
-			.count = grant.count,
-			.wait_us = grant.wait_us,
-		    });
-	}
-}
-
 void
 ga_on_fleet_quota_grant(void *user, const struct fl_quota_grant *grant)
 {
@@ -259,25 +200,131 @@
 		   : NULL;
 }
 
-void
-ga_on_quota_share(
-    void *user, uint32_t region, const struct bl_quota_share *share)
+/*
+ * Returns the address of the owner of a tenant in another region, or of any VM
+ * there, which passes on what it gets; NULL: none is known.
+ */
+static const struct sockaddr_in *
+find_way(struct ga_app *app, uint64_t tenant, uint32_t region)
 {
-	struct ga_app *app = user;
 	const char *names[BL_DATA_CENTRES_MAX];
 	const struct sockaddr_in *to;
 	const struct fl_node *node;
 	uint64_t region_hash;
 
 	if (region >= list_regions(&app->topology, names))
-		return;
+		return NULL;
 	region_hash = hash_name(names[region]);
-	to = find_remote_owner(app, share->tenant, (uint32_t)region_hash);
-	if (to == NULL) {
-		node = fl_membership_find_relay(
-		    fl_get_membership(app->fleet), region_hash, app->asks++);
-		to = node == NULL ? NULL : &node->fleet;
+	to = find_remote_owner(app, tenant, (uint32_t)region_hash);
+	if (to != NULL)
+		return to;
+	node = fl_membership_find_relay(
+	    fl_get_membership(app->fleet), region_hash, app->asks++);
+	return node == NULL ? NULL : &node->fleet;
+}
+
+static struct bl_quota_ask
+ask_from_fleet(const struct fl_quota_ask *ask)
+{
+	return (struct bl_quota_ask){
+	    .tenant = ask->tenant,
+	    .number = ask->number,
+	    .count = ask->count,
+	    .arrived = ask->arrived,
+	    .unspent = ask->unspent,
+	    .may_pass_on = !ask->passed_on,
+	};
+}
+
+static struct fl_quota_ask
+ask_to_fleet(const struct bl_quota_ask *ask)
+{
+	return (struct fl_quota_ask){
+	    .tenant = ask->tenant,
+	    .number = ask->number,
+	    .count = ask->count,
+	    .arrived = ask->arrived,
+	    .unspent = ask->unspent,
+	};
+}
+
+/*
+ * Answers as the owner. Returns false if the owner in another region has got
+ * the question instead, or the tenant has no quota here.
+ */
+static bool
+answer(struct ga_app *app, const struct bl_quota_ask *question,
+    const struct sockaddr_in *asker, struct bl_quota_grant *out)
+{
+	struct bl_quota_ask elsewhere = *question;
+	struct fl_quota_ask passed_on;
+	const struct sockaddr_in *to;
+
+	if (gw_answer_quota_ask(app->gw, question, out) != CS_OK)
+		return false;
+	if (out->region < 0)
+		return true;
+	to = find_way(app, question->tenant, (uint32_t)out->region);
+	if (to != NULL) {
+		bl_quota_pass_on(&elsewhere);
+		passed_on = ask_to_fleet(&elsewhere);
+		passed_on.passed_on = true;
+		passed_on.asker = *asker;
+		fl_send_quota_ask(app->fleet, to, &passed_on);
 	}
+	return false;
+}
+
+void
+ga_on_quota_ask(void *user, const struct bl_quota_ask *ask)
+{
+	struct ga_app *app = user;
+	const struct fl_node *owner = find_owner(app, ask->tenant);
+	struct fl_quota_ask to_owner = ask_to_fleet(ask);
+	struct bl_quota_ask question = *ask;
+	struct bl_quota_grant grant;
+
+	question.may_pass_on = true;
+	if (owner != NULL)
+		fl_send_quota_ask(app->fleet, &owner->fleet, &to_owner);
+	else if (answer(app, &question, &app->settings.fleet, &grant))
+		gw_add_quota_grant(app->gw, &grant);
+}
+
+/*
+ * The node that received the question first may see another owner than the one
+ * that asks; it passes it on once.
+ */
+void
+ga_on_fleet_quota_ask(void *user, const struct fl_quota_ask *ask)
+{
+	struct ga_app *app = user;
+	const struct fl_node *owner = find_owner(app, ask->tenant);
+	struct fl_quota_ask passed_on = *ask;
+	struct bl_quota_ask question = ask_from_fleet(ask);
+	struct bl_quota_grant grant;
+
+	if (owner != NULL && !ask->passed_on) {
+		passed_on.passed_on = true;
+		fl_send_quota_ask(app->fleet, &owner->fleet, &passed_on);
+	} else if (answer(app, &question, &ask->asker, &grant)) {
+		fl_send_quota_grant(app->fleet, &ask->asker,
+		    &(struct fl_quota_grant){
+			.tenant = grant.tenant,
+			.number = grant.number,
+			.count = grant.count,
+			.wait_us = grant.wait_us,
+		    });
+	}
+}
+
+void
+ga_on_quota_share(
+    void *user, uint32_t region, const struct bl_quota_share *share)
+{
+	struct ga_app *app = user;
+	const struct sockaddr_in *to = find_way(app, share->tenant, region);
+
 	if (to != NULL)
 		fl_send_quota_share(app->fleet, to,
 		    &(struct fl_quota_share){
--- a/tests/unit/test_quotas.c
+++ b/tests/unit/test_quotas.c
@@ -73,12 +73,13 @@
 
 struct told {
 	struct bl_quota_share share;
-	uint32_t tenant;
+	uint32_t tenant, sender;
 	bool passed_on;
 };
 
 struct tenant_here {
 	struct bl_quota quota;
+	uint32_t owners[SIM_REGIONS]; /* in other regions, as last heard */
 	int64_t waiting[WAITING_MAX]; /* arrival times */
 	bool is_retry[WAITING_MAX];
 	uint32_t waiting_count;
@@ -115,6 +116,7 @@
 static uint32_t admitted_count;
 static uint32_t hot_offered; /* of HOT_TENANT while it is hot */
 static uint32_t offered[TENANTS], over[TENANTS], unknown[TENANTS];
+static uint32_t over_within[TENANTS];	      /* over, while within the quota */
 static uint32_t first_offered, first_refused; /* until FIRST_UNTIL */
 static uint32_t waited_long;		      /* more than WAIT_NOTICED */
 static uint64_t datagrams_of_largest;
@@ -246,7 +248,7 @@
 tell_regions(uint32_t vm, uint32_t tenant, uint32_t heard)
 {
 	struct bl_quota_params params = params_of(vm);
-	struct told told = {.tenant = tenant};
+	struct told told = {.tenant = tenant, .sender = vm};
 	uint32_t region, to;
 
 	for (region = 0; region < sim.region_count; region++) {
@@ -304,11 +306,21 @@
 		    sizeof(passed_on));
 		return;
 	}
+	passed_on.ask.may_pass_on = !asked->passed_on;
+	granted.grant.region = -1;
 	if (is_owner(vm, asked->tenant)) {
 		bl_quota_grant(quota_of(vm, asked->tenant), &params,
-		    &asked->ask, sim.now_us, &granted.grant);
+		    &passed_on.ask, sim.now_us, &granted.grant);
 		tell_regions(vm, asked->tenant, SIM_REGIONS);
 	}
+	if (granted.grant.region >= 0) {
+		passed_on.passed_on = true;
+		bl_quota_pass_on(&passed_on.ask);
+		send_counted(vm,
+		    here[vm][asked->tenant].owners[granted.grant.region],
+		    asked->tenant, ASK, &passed_on, sizeof(passed_on));
+		return;
+	}
 	if (asked->asker == vm)
 		on_granted(vm, &granted);
 	else
@@ -339,6 +351,19 @@
 		    sizeof(tenant));
 }
 
+/* The requests of the tenant in the last 5 s are within its quota. */
+static bool
+is_within_quota(uint32_t tenant)
+{
+	double rate = rate_of(tenant, sim.now_us);
+	uint32_t i, count = 1;
+
+	for (i = admitted_count;
+	     i > 0 && admitted[i - 1].at_us > sim.now_us - WINDOW; i--)
+		count += admitted[i - 1].tenant == tenant;
+	return count <= rate * WINDOW / 1e6 + BURST_S * rate;
+}
+
 static void
 end_call(uint32_t tenant, const struct bl_quota_decision *decision,
     int64_t arrived_us, bool is_retry)
@@ -355,6 +380,8 @@
 	case BL_QUOTA_OVER:
 		assert_true(decision->retry_after_us > 0);
 		over[tenant] += sim.now_us >= SIM_START + CALM_FROM;
+		over_within[tenant] += sim.now_us >= SIM_START + CALM_FROM &&
+				       is_within_quota(tenant);
 		steps[step_now()].over++;
 		come_back(tenant, is_retry, decision->retry_after_us);
 		break;
@@ -470,6 +497,7 @@
 	}
 	if (!is_owner(vm, told->tenant))
 		return;
+	here[vm][told->tenant].owners[told->share.region] = told->sender;
 	bl_quota_hear(
 	    quota_of(vm, told->tenant), &params, &told->share, sim.now_us);
 	tell_regions(vm, told->tenant, told->share.region);
@@ -857,6 +885,7 @@
 	hot_offered = first_offered = first_refused = 0;
 	memset(offered, 0, sizeof(offered));
 	memset(over, 0, sizeof(over));
+	memset(over_within, 0, sizeof(over_within));
 	memset(unknown, 0, sizeof(unknown));
 	for (i = 0; i < TENANTS; i++)
 		sum += usual_per_s[i] = pow(i + 1.0, -SKEW);
@@ -1007,9 +1036,9 @@
 
 /*
  * New owners start without credit, so that some of the first requests after a
- * power loss are refused: 0.19 of the first second, five seeds. Owners get
- * further credit from an age of 0.5 s on: of the next second 0.13 was refused
- * without it.
+ * power loss are refused: 0.12 of the first second and 0.02 of the next, five
+ * seeds. Without further credit from an age of 0.5 s on and answers of other
+ * regions it was 0.21 and 0.13.
  */
 static void
 test_few_are_refused_after_a_power_loss(void **state)
@@ -1042,8 +1071,8 @@
 		print_message("first second: %u of %u refused, next %u of %u\n",
 		    refused[0], count[0], refused[1], count[1]);
 	assert_int_equal(failed, 0);
-	assert_true(refused[0] < 0.25 * count[0]);
-	assert_true(refused[1] < 0.08 * count[1]);
+	assert_true(refused[0] < 0.16 * count[0]);
+	assert_true(refused[1] < 0.04 * count[1]);
 }
 
 /*
@@ -1177,6 +1206,35 @@
 	assert_int_equal(failed, 0);
 }
 
+/*
+ * Requests of small tenants come in groups, so the bucket of one region is
+ * empty while the others are full. That refused 0.026 of the requests of
+ * tenants with one to three a second, all within their quotas.
+ */
+static void
+test_small_tenants_are_served(void **state)
+{
+	static const uint32_t sizes[] = {16, 141};
+	uint32_t size, seed, i, count, refused;
+
+	(void)state;
+	for (size = 0; size < 2; size++) {
+		count = refused = 0;
+		for (seed = 0; seed < 3; seed++) {
+			play(&cases[0], sizes[size], 50 + seed);
+			for (i = 30; i < TENANTS; i++) {
+				count += offered[i];
+				refused += over_within[i] + unknown[i];
+			}
+		}
+		if (getenv("VERBOSE") != NULL)
+			print_message("%u VMs: %u of %u requests of small "
+				      "tenants refused\n",
+			    sizes[size], refused, count);
+		assert_true(refused < 0.005 * count);
+	}
+}
+
 /*
  * A tenant of few requests sends many while all owners restart again and again.
  * What a new owner gives at once counts most then: full buckets broke the bound
@@ -1406,6 +1464,7 @@
 	    cmocka_unit_test(test_quotas_hold_for_all_vms_together),
 	    cmocka_unit_test(test_few_are_refused_after_a_power_loss),
 	    cmocka_unit_test(test_regions_without_vms),
+	    cmocka_unit_test(test_small_tenants_are_served),
 	    cmocka_unit_test(test_repeated_restarts_give_no_further_credit),
 	    cmocka_unit_test(test_shares_of_other_regions_are_bounded),
 	    cmocka_unit_test(test_late_answer_gives_no_credit),
