--- a/lib/fleet/frames_read.c
+++ b/lib/fleet/frames_read.c
@@ -86,6 +86,7 @@
 	out->as.heartbeat.ready = (flags & 1) != 0;
 	out->as.heartbeat.stopping = (flags & 2) != 0;
 	out->as.heartbeat.current = (flags & 4) != 0;
+	out->as.heartbeat.listed = flags >> 3 & 3;
 	out->as.heartbeat.revision_sum = fl_read_number(cursor);
 	out->as.heartbeat.tells_era = cursor->at < cursor->array->size;
 	fl_read_era(cursor, &out->as.heartbeat.revision_sum);
@@ -111,6 +112,7 @@
 	node->current = (flags & 4) != 0;
 	out->as.hello.wants_reply = (flags & 8) != 0;
 	out->as.hello.wants_heartbeats = (flags & 16) != 0;
+	node->listed = flags >> 5 & 3;
 
 	node->revision_sum = fl_read_number(cursor);
 	node->capacity = (uint32_t)fl_read_number(cursor);
--- a/lib/gateway/gateway.h
+++ b/lib/gateway/gateway.h
@@ -206,6 +206,14 @@
  * allowance for tenants whose owner does not answer.
  */
 void gw_set_quota_node_count(struct gw *gw, uint32_t node_count);
+/* gw_set_quota_listing(gw, listing): which regions have VMs. */
+void gw_set_quota_listing(
+    struct gw *gw, const struct bl_quota_listing *listing);
+/*
+ * gw_quota_owner_since_us(gw): when this VM last became the owner of a tenant
+ * that it owns, by cs_boot_us(); 0: it owns none.
+ */
+int64_t gw_quota_owner_since_us(const struct gw *gw);
 /*
  * gw_add_crash(gw, crash): another VM saw a request crash a target. Returns
  * true if this VM did not know of that crash.
@@ -267,7 +275,8 @@
 void gw_add_permit(struct gw *gw, const struct bl_permit *permit);
 /*
  * gw_answer_quota_ask(gw, ask, out): answers as the owner of the tenant in this
- * region. Returns CS_E_MISSING if the tenant has no quota here.
+ * region. Returns CS_E_MISSING if the tenant has no quota here. The owner of
+ * another region is to answer instead if out->region names one.
  */
 int gw_answer_quota_ask(
     struct gw *gw, const struct bl_quota_ask *ask, struct bl_quota_grant *out);
--- a/tests/unit/test_quotas.c
+++ b/tests/unit/test_quotas.c
@@ -33,17 +33,32 @@
 #define ADMITTED_MIN 0.95
 
 #define DURATION (20 * SIM_SECOND)
-#define CALM_FROM (5 * SIM_SECOND) /* all VMs start at once before */
+#define CALM_FROM (5 * SIM_SECOND)   /* all VMs start at once before */
+#define FIRST_UNTIL (9 * SIM_SECOND) /* 8 s of calls */
 #define HOT_FROM (7 * SIM_SECOND)
 #define HOT_UNTIL (13 * SIM_SECOND)
 #define HOT_FACTOR 9.0
 #define LOWERED_AT (10 * SIM_SECOND)
 #define TROUBLE_FROM (5 * SIM_SECOND)
 #define TICK (200 * SIM_MS)
+#define STORE_DELAY (2 * SIM_MS) /* one way */
+#define REGISTRATION_DELAY (300 * SIM_MS)
 #define WAITING_MAX 256
 #define ADMITTED_MAX 100000
 
-enum event_type { CALL, ASK, GRANT, SHARE, TICK_DUE, OVERDUE, TROUBLE, RETRY };
+enum event_type {
+	CALL,
+	ASK,
+	GRANT,
+	SHARE,
+	TICK_DUE,
+	OVERDUE,
+	TROUBLE,
+	RETRY,
+	REGISTER, /* at the store, in the list of VMs */
+	LIST,	  /* by the store */
+	LISTED,
+};
 
 struct asked {
 	struct bl_quota_ask ask;
@@ -58,12 +73,13 @@
 
 struct told {
 	struct bl_quota_share share;
-	uint32_t tenant;
+	uint32_t tenant, sender;
 	bool passed_on;
 };
 
 struct tenant_here {
 	struct bl_quota quota;
+	uint32_t owners[SIM_REGIONS]; /* in other regions, as last heard */
 	int64_t waiting[WAITING_MAX]; /* arrival times */
 	bool is_retry[WAITING_MAX];
 	uint32_t waiting_count;
@@ -78,13 +94,19 @@
 	double loss;
 	void (*trouble)(uint32_t step);
 	int64_t trouble_every_us;
-	bool calm; /* what is within the quota is admitted */
+	bool calm;	   /* what is within the quota is admitted */
+	bool empty_region; /* no VM runs in the last region at first */
+	bool small_hot;	   /* the tenant that is hot has few requests else */
 };
 
 static struct sim sim;
 static struct tenant_here *here[SIM_VMS_MAX]; /* TENANTS each */
 static int64_t last_tick_us[SIM_VMS_MAX];
 static int64_t started_at_us[SIM_VMS_MAX];
+static struct bl_quota_listing listings[SIM_VMS_MAX];
+static uint32_t heard_regions[SIM_VMS_MAX]; /* by any datagram */
+static bool no_store[SIM_VMS_MAX];	    /* cut off from it */
+static uint32_t registered_regions;	    /* at the store */
 static const struct quota_case *quota_case;
 static double usual_per_s[TENANTS];
 static struct admitted {
@@ -94,10 +116,14 @@
 static uint32_t admitted_count;
 static uint32_t hot_offered; /* of HOT_TENANT while it is hot */
 static uint32_t offered[TENANTS], over[TENANTS], unknown[TENANTS];
-static uint32_t waited_long; /* more than WAIT_NOTICED */
+static uint32_t over_within[TENANTS];	      /* over, while within the quota */
+static uint32_t first_offered, first_refused; /* until FIRST_UNTIL */
+static uint32_t waited_long;		      /* more than WAIT_NOTICED */
 static uint64_t datagrams_of_largest;
 #define WAIT_NOTICED (20 * SIM_MS)
 #define HOT_TENANT 3
+#define SMALL_TENANT 60
+#define SMALL_HOT_FACTOR 30.0
 
 /* The whole fleet loses power; refused requests come back once. */
 #define POWER_LOSS (1600 * SIM_MS)
@@ -129,11 +155,14 @@
 static double
 demand_of(uint32_t tenant)
 {
-	bool is_hot = quota_case->hot && tenant == HOT_TENANT &&
+	bool is_small = quota_case->small_hot && tenant == SMALL_TENANT;
+	bool is_hot = (is_small || (quota_case->hot && tenant == HOT_TENANT)) &&
 		      sim.now_us >= SIM_START + HOT_FROM &&
 		      sim.now_us < SIM_START + HOT_UNTIL;
 
-	return usual_per_s[tenant] * (is_hot ? HOT_FACTOR : 1.0);
+	if (!is_hot)
+		return usual_per_s[tenant];
+	return usual_per_s[tenant] * (is_small ? SMALL_HOT_FACTOR : HOT_FACTOR);
 }
 
 static struct bl_quota_params
@@ -150,9 +179,12 @@
 	    .started_us = started_at_us[vm],
 	    .region_count = sim.region_count,
 	    .own_region = sim.vms[vm].region,
+	    .listing = listings[vm],
 	};
 }
 
+static void list_regions(uint32_t vm);
+
 static void
 on_start(struct sim *s, uint32_t vm)
 {
@@ -164,6 +196,10 @@
 	for (i = 0; i < TENANTS; i++)
 		here[vm][i].quota.tenant = i * 1000003U + 17;
 	last_tick_us[vm] = started_at_us[vm] = s->now_us;
+	heard_regions[vm] = UINT32_C(1) << s->vms[vm].region;
+	listings[vm] = (struct bl_quota_listing){.own_since_us = INT64_MAX};
+	sim_push(s, s->now_us + REGISTRATION_DELAY, REGISTER, vm, NULL, 0);
+	list_regions(vm);
 	sim_push(s,
 	    s->now_us + (int64_t)cs_random_below(&s->random, 200) * SIM_MS,
 	    TICK_DUE, vm, NULL, 0);
@@ -212,7 +248,7 @@
 tell_regions(uint32_t vm, uint32_t tenant, uint32_t heard)
 {
 	struct bl_quota_params params = params_of(vm);
-	struct told told = {.tenant = tenant};
+	struct told told = {.tenant = tenant, .sender = vm};
 	uint32_t region, to;
 
 	for (region = 0; region < sim.region_count; region++) {
@@ -270,11 +306,21 @@
 		    sizeof(passed_on));
 		return;
 	}
+	passed_on.ask.may_pass_on = !asked->passed_on;
+	granted.grant.region = -1;
 	if (is_owner(vm, asked->tenant)) {
 		bl_quota_grant(quota_of(vm, asked->tenant), &params,
-		    &asked->ask, sim.now_us, &granted.grant);
+		    &passed_on.ask, sim.now_us, &granted.grant);
 		tell_regions(vm, asked->tenant, SIM_REGIONS);
 	}
+	if (granted.grant.region >= 0) {
+		passed_on.passed_on = true;
+		bl_quota_pass_on(&passed_on.ask);
+		send_counted(vm,
+		    here[vm][asked->tenant].owners[granted.grant.region],
+		    asked->tenant, ASK, &passed_on, sizeof(passed_on));
+		return;
+	}
 	if (asked->asker == vm)
 		on_granted(vm, &granted);
 	else
@@ -305,10 +351,25 @@
 		    sizeof(tenant));
 }
 
+/* The requests of the tenant in the last 5 s are within its quota. */
+static bool
+is_within_quota(uint32_t tenant)
+{
+	double rate = rate_of(tenant, sim.now_us);
+	uint32_t i, count = 1;
+
+	for (i = admitted_count;
+	     i > 0 && admitted[i - 1].at_us > sim.now_us - WINDOW; i--)
+		count += admitted[i - 1].tenant == tenant;
+	return count <= rate * WINDOW / 1e6 + BURST_S * rate;
+}
+
 static void
 end_call(uint32_t tenant, const struct bl_quota_decision *decision,
     int64_t arrived_us, bool is_retry)
 {
+	first_refused += decision->verdict != BL_QUOTA_ADMIT &&
+			 sim.now_us < SIM_START + FIRST_UNTIL;
 	switch (decision->verdict) {
 	case BL_QUOTA_ADMIT:
 		assert_true(admitted_count < ADMITTED_MAX);
@@ -319,6 +380,8 @@
 	case BL_QUOTA_OVER:
 		assert_true(decision->retry_after_us > 0);
 		over[tenant] += sim.now_us >= SIM_START + CALM_FROM;
+		over_within[tenant] += sim.now_us >= SIM_START + CALM_FROM &&
+				       is_within_quota(tenant);
 		steps[step_now()].over++;
 		come_back(tenant, is_retry, decision->retry_after_us);
 		break;
@@ -395,6 +458,7 @@
 		return;
 	if (sim.now_us >= SIM_START + CALM_FROM)
 		offered[tenant]++;
+	first_offered += sim.now_us < SIM_START + FIRST_UNTIL;
 	steps[step_now()].offered++;
 	hot_offered += tenant == HOT_TENANT &&
 		       sim.now_us >= SIM_START + HOT_FROM &&
@@ -422,6 +486,8 @@
 	struct told passed_on = *told;
 	uint32_t owner = sim_owner(&sim, vm, told->share.tenant);
 
+	heard_regions[vm] |= UINT32_C(1) << told->share.region;
+
 	if (owner != vm) {
 		passed_on.passed_on = true;
 		if (!told->passed_on)
@@ -431,6 +497,7 @@
 	}
 	if (!is_owner(vm, told->tenant))
 		return;
+	here[vm][told->tenant].owners[told->share.region] = told->sender;
 	bl_quota_hear(
 	    quota_of(vm, told->tenant), &params, &told->share, sim.now_us);
 	tell_regions(vm, told->tenant, told->share.region);
@@ -455,6 +522,81 @@
 	assert_true(sum <= BL_QUOTA_WHOLE);
 }
 
+static void
+on_register(uint32_t vm)
+{
+	if (no_store[vm])
+		sim_push(&sim, sim.now_us + REGISTRATION_DELAY, REGISTER, vm,
+		    NULL, 0);
+	else
+		registered_regions |= UINT32_C(1) << sim.vms[vm].region;
+}
+
+static bool
+hears_not_all(uint32_t vm)
+{
+	return heard_regions[vm] != (UINT32_C(1) << sim.region_count) - 1;
+}
+
+/* As the gateway does: greets VMs of the other regions until they answer. */
+static void
+contact_regions(uint32_t vm)
+{
+	uint32_t region, to;
+
+	for (region = 0; region < sim.region_count; region++) {
+		if ((heard_regions[vm] & UINT32_C(1) << region) != 0)
+			continue;
+		to = sim_number(&sim, region,
+		    cs_random_below(
+			&sim.random, sim_region_size(&sim, region)));
+		if (!sim_runs(&sim, to) || !sim_reaches(&sim, vm, to))
+			continue;
+		heard_regions[vm] |= UINT32_C(1) << region;
+		heard_regions[to] |= UINT32_C(1) << sim.vms[vm].region;
+	}
+}
+
+/* As the gateway does: asks the store, or hears it of VMs of its region. */
+static void
+list_regions(uint32_t vm)
+{
+	struct bl_quota_listing *listing = &listings[vm];
+	struct bl_quota_list list = {.requested_us = sim.now_us};
+	int64_t owner_since_us = 0, clock_us = sim_clock(&sim, vm);
+	uint32_t i;
+
+	for (i = 0; i < TENANTS; i++) {
+		const struct bl_quota *quota = &here[vm][i].quota;
+
+		if (quota->owns && quota->owns_since_us > owner_since_us)
+			owner_since_us = quota->owns_since_us;
+	}
+	if (bl_quota_is_list_due(
+		listing, hears_not_all(vm), owner_since_us, sim.now_us) &&
+	    !no_store[vm])
+		sim_push(&sim, sim.now_us + STORE_DELAY, LIST, vm, &list,
+		    sizeof(list));
+	for (i = 0; i < sim.vm_count; i++) {
+		if (listing->own_since_us == INT64_MAX && i != vm &&
+		    sim.vms[i].region == sim.vms[vm].region &&
+		    sim.vms[i].side == sim.vms[vm].side && sim_runs(&sim, i) &&
+		    fl_node_is_alive(sim_node(&sim, vm, i), clock_us) &&
+		    listings[i].own_since_us != INT64_MAX)
+			bl_quota_told_listed(listing,
+			    bl_quota_is_settled(&listings[i], sim.now_us),
+			    sim.now_us);
+	}
+}
+
+static void
+on_list(uint32_t vm, struct bl_quota_list list)
+{
+	list.regions = registered_regions;
+	sim_push(
+	    &sim, sim.now_us + STORE_DELAY, LISTED, vm, &list, sizeof(list));
+}
+
 static void
 on_tick(uint32_t vm)
 {
@@ -466,18 +608,30 @@
 	notice_pause(vm);
 	last_tick_us[vm] = sim.now_us;
 	for (i = 0; i < TENANTS; i++) {
-		if (here[vm][i].quota.owns && is_owner(vm, i))
+		if ((here[vm][i].quota.owns || listings[vm].empty != 0) &&
+		    is_owner(vm, i))
 			tell_regions(vm, i, SIM_REGIONS);
 	}
+	contact_regions(vm);
+	list_regions(vm);
 	sim_push(&sim, sim.now_us + TICK, TICK_DUE, vm, NULL, 0);
 }
 
+static void
+on_listed(uint32_t vm, const struct bl_quota_list *list)
+{
+	struct bl_quota_params params = params_of(vm);
+
+	bl_quota_listed(&listings[vm], &params, list, sim.now_us);
+}
+
 static void
 on_event(struct sim *s, const struct sim_event *event)
 {
 	struct asked asked;
 	struct granted granted;
 	struct told told;
+	struct bl_quota_list list;
 	uint32_t number;
 
 	if (event->vm != SIM_NO_VM)
@@ -503,6 +657,17 @@
 	case TICK_DUE:
 		on_tick(event->vm);
 		break;
+	case REGISTER:
+		on_register(event->vm);
+		break;
+	case LIST:
+		memcpy(&list, event->payload, sizeof(list));
+		on_list(event->vm, list);
+		break;
+	case LISTED:
+		memcpy(&list, event->payload, sizeof(list));
+		on_listed(event->vm, &list);
+		break;
 	case OVERDUE:
 		memcpy(&number, event->payload, sizeof(number));
 		here[event->vm][number].timer_runs = false;
@@ -518,16 +683,18 @@
 	}
 }
 
+/* Of the tenant that is hot. */
 static uint32_t
 owner_in(uint32_t region)
 {
+	uint32_t tenant = quota_case->small_hot ? SMALL_TENANT : HOT_TENANT;
 	uint32_t i, vm;
 
 	for (i = 0; i < sim_region_size(&sim, region); i++) {
 		vm = sim_number(&sim, region, i);
 		if (sim_runs(&sim, vm) && sim.vms[vm].side == 0)
 			return sim_owner(
-			    &sim, vm, here[vm][HOT_TENANT].quota.tenant);
+			    &sim, vm, here[vm][tenant].quota.tenant);
 	}
 	return 0;
 }
@@ -669,35 +836,40 @@
 }
 
 static const struct quota_case cases[] = {
-    {"calm", false, false, false, 0.0, NULL, 0, true},
-    {"one tenant is hot", true, false, false, 0.0, NULL, 0, true},
-    {"requests come in one region", true, false, true, 0.0, NULL, 0, true},
-    {"datagrams are lost", true, false, false, 0.01, NULL, 0, true},
-    {"many datagrams are lost", true, false, false, 0.2, NULL, 0, false},
-    {"a quota is lowered", true, true, false, 0.01, NULL, 0, false},
+    {"calm", false, false, false, 0.0, NULL, 0, true, false, false},
+    {"one tenant is hot", true, false, false, 0.0, NULL, 0, true, false, false},
+    {"requests come in one region", true, false, true, 0.0, NULL, 0, true,
+	false, false},
+    {"datagrams are lost", true, false, false, 0.01, NULL, 0, true, false,
+	false},
+    {"many datagrams are lost", true, false, false, 0.2, NULL, 0, false, false,
+	false},
+    {"a quota is lowered", true, true, false, 0.01, NULL, 0, false, false,
+	false},
     {"owners die and restart", true, false, false, 0.01, owners_die,
-	3 * SIM_SECOND, false},
+	3 * SIM_SECOND, false, false, false},
     {"owners freeze", true, false, false, 0.01, owners_freeze, 900 * SIM_MS,
-	false},
+	false, false, false},
     {"owners are cut off", true, false, false, 0.01, owners_are_cut_off,
-	3 * SIM_SECOND, false},
+	3 * SIM_SECOND, false, false, false},
     {"each VM is alone", true, false, false, 0.01, each_is_alone,
-	4 * SIM_SECOND, false},
+	4 * SIM_SECOND, false, false, false},
     {"each VM restarts alone", true, false, false, 0.01, each_restarts_alone,
-	SIM_SECOND, false},
+	SIM_SECOND, false, false, false},
     {"halves are apart", true, false, false, 0.01, halves_are_apart,
-	4 * SIM_SECOND, false},
+	4 * SIM_SECOND, false, false, false},
     {"regions are apart", true, false, false, 0.0, regions_are_apart,
-	4 * SIM_SECOND, false},
+	4 * SIM_SECOND, false, false, false},
     {"VMs restart while cut off", true, false, false, 0.01, cut_off_vms_restart,
-	SIM_SECOND, false},
+	SIM_SECOND, false, false, false},
     {"owners die while regions are apart", true, false, false, 0.01,
-	owners_die_while_regions_are_apart, 700 * SIM_MS, false},
+	owners_die_while_regions_are_apart, 700 * SIM_MS, false, false, false},
     {"VMs restart in turn", true, false, false, 0.01, vms_restart_in_turn,
-	300 * SIM_MS, false},
+	300 * SIM_MS, false, false, false},
     {"all restart", true, false, false, 0.01, all_restart, 4 * SIM_SECOND,
-	false},
-    {"all freeze", true, false, false, 0.01, all_freeze, 3 * SIM_SECOND, false},
+	false, false, false},
+    {"all freeze", true, false, false, 0.01, all_freeze, 3 * SIM_SECOND, false,
+	false, false},
 };
 #define CASES (sizeof(cases) / sizeof(cases[0]))
 
@@ -710,9 +882,10 @@
 	quota_case = c;
 	admitted_count = waited_long = 0;
 	datagrams_of_largest = 0;
-	hot_offered = 0;
+	hot_offered = first_offered = first_refused = 0;
 	memset(offered, 0, sizeof(offered));
 	memset(over, 0, sizeof(over));
+	memset(over_within, 0, sizeof(over_within));
 	memset(unknown, 0, sizeof(unknown));
 	for (i = 0; i < TENANTS; i++)
 		sum += usual_per_s[i] = pow(i + 1.0, -SKEW);
@@ -722,10 +895,16 @@
 	sim.on_start = on_start;
 	sim.on_resume = on_resume;
 	sim.on_event = on_event;
+	registered_regions = 0;
+	memset(no_store, 0, sizeof(no_store));
 	sim_init(&sim, vm_count,
 	    vm_count < SIM_REGIONS ? vm_count : SIM_REGIONS,
 	    vm_count * 1000 + seed);
 	sim.loss = c->loss;
+	for (i = 0; c->empty_region && i < sim.vm_count; i++) {
+		if (sim.vms[i].region == sim.region_count - 1)
+			sim_kill(&sim, i);
+	}
 	for (i = 0; i < TENANTS; i++)
 		sim_push(&sim, SIM_START + SIM_SECOND, CALL, SIM_NO_VM, &i,
 		    sizeof(i));
@@ -857,7 +1036,9 @@
 
 /*
  * New owners start without credit, so that some of the first requests after a
- * power loss are refused: 0.19 of the first second, five seeds.
+ * power loss are refused: 0.12 of the first second and 0.02 of the next, five
+ * seeds. Without further credit from an age of 0.5 s on and answers of other
+ * regions it was 0.21 and 0.13.
  */
 static void
 test_few_are_refused_after_a_power_loss(void **state)
@@ -866,7 +1047,8 @@
 	    .loss = 0.01,
 	    .trouble = power_is_lost,
 	    .trouble_every_us = POWER_LOSS};
-	uint32_t i, seed, count = 0, refused = 0, failed = 0;
+	uint32_t i, seed, failed = 0;
+	uint32_t count[2] = {0, 0}, refused[2] = {0, 0}; /* by second */
 
 	(void)state;
 	memset(steps, 0, sizeof(steps));
@@ -877,10 +1059,8 @@
 	}
 	refused_come_back = false;
 	for (i = 0; i < STEPS; i++) {
-		if (i < 10) {
-			count += steps[i].offered;
-			refused += steps[i].over + steps[i].unknown;
-		}
+		count[i / 10] += steps[i].offered;
+		refused[i / 10] += steps[i].over + steps[i].unknown;
 		if (getenv("VERBOSE") != NULL)
 			print_message("%u ms: %u requests, %u over, %u without "
 				      "answer\n",
@@ -888,10 +1068,247 @@
 			    steps[i].unknown);
 	}
 	if (getenv("VERBOSE") != NULL)
-		print_message(
-		    "first second: %u of %u refused\n", refused, count);
+		print_message("first second: %u of %u refused, next %u of %u\n",
+		    refused[0], count[0], refused[1], count[1]);
+	assert_int_equal(failed, 0);
+	assert_true(refused[0] < 0.16 * count[0]);
+	assert_true(refused[1] < 0.04 * count[1]);
+}
+
+/*
+ * The VMs of the region without VMs start: in touch with the store and not with
+ * the others at first, then with all, then with none.
+ */
+static void
+vms_show_up(uint32_t step)
+{
+	uint32_t i;
+
+	for (i = sim.region_count - 1; i < sim.vm_count;
+	     i += sim.region_count) {
+		sim.vms[i].side = step % 4 != 2;
+		no_store[i] = step % 4 == 3;
+		if (step % 8 == 7)
+			sim_kill(&sim, i);
+		sim_restart(&sim, i);
+	}
+}
+
+/*
+ * They start, in touch with the store only, when the others have just lost it:
+ * these do not learn of them for as long as their last list counts.
+ */
+static void
+vms_show_up_unseen(uint32_t step)
+{
+	uint32_t i;
+
+	if (step != 1)
+		return;
+	for (i = 0; i < sim.vm_count; i++)
+		no_store[i] = sim.vms[i].region != sim.region_count - 1;
+	vms_show_up(0);
+}
+
+/* VMs come, go and are cut off there while owners elsewhere restart. */
+static void
+vms_come_and_go(uint32_t step)
+{
+	uint32_t i, vm;
+
+	for (i = 0; i < 3; i++) {
+		vm = sim_number(&sim, sim.region_count - 1,
+		    cs_random_below(&sim.random,
+			sim_region_size(&sim, sim.region_count - 1)));
+		sim.vms[vm].side = cs_random_below(&sim.random, 2);
+		no_store[vm] = cs_random_below(&sim.random, 3) == 0;
+		if (cs_random_below(&sim.random, 2) == 0)
+			sim_kill(&sim, vm);
+		else
+			sim_restart(&sim, vm);
+	}
+	vm = owner_in(step % (sim.region_count - 1));
+	if (step % 3 == 0)
+		sim_kill(&sim, vm);
+	for (i = 0; step % 3 == 1 && i < sim.vm_count; i++) {
+		if (sim.vms[i].region != sim.region_count - 1)
+			sim_restart(&sim, i);
+	}
+}
+
+static const struct quota_case empty_cases[] = {
+    {.name = "a region has no VM at the start",
+	.loss = 0.01,
+	.calm = true,
+	.empty_region = true},
+    {.name = "a region has no VM",
+	.hot = true,
+	.loss = 0.01,
+	.calm = true,
+	.empty_region = true},
+    {.name = "VMs show up in a region without VMs",
+	.hot = true,
+	.loss = 0.01,
+	.trouble = vms_show_up,
+	.trouble_every_us = 1500 * SIM_MS,
+	.empty_region = true},
+    {.name = "VMs show up unseen in a region without VMs",
+	.hot = true,
+	.trouble = vms_show_up_unseen,
+	.trouble_every_us = 3 * SIM_SECOND,
+	.empty_region = true},
+    {.name = "VMs of such a region restart at once",
+	.hot = true,
+	.loss = 0.01,
+	.trouble = vms_show_up,
+	.trouble_every_us = 400 * SIM_MS,
+	.empty_region = true},
+    {.name = "VMs come and go in a region without VMs",
+	.hot = true,
+	.loss = 0.01,
+	.trouble = vms_come_and_go,
+	.trouble_every_us = 700 * SIM_MS,
+	.empty_region = true},
+};
+#define EMPTY_CASES (sizeof(empty_cases) / sizeof(empty_cases[0]))
+
+/*
+ * The settings name a region without VMs. Its share must not stay unused, and
+ * owners must not wait to hear of loans to it: that refused 27 of about 80
+ * calls in 8 s. A VM that starts there, unknown to the others, must not spend
+ * the share that they use.
+ */
+static void
+test_regions_without_vms(void **state)
+{
+	static const uint32_t sizes[] = {3, 16, 141};
+	uint32_t size, failed = 0;
+	size_t i;
+
+	(void)state;
+	for (size = 0; size < 3; size++) {
+		for (i = 0; i < 2 * EMPTY_CASES; i++) {
+			const struct quota_case *c = &empty_cases[i / 2];
+
+			play(c, sizes[size], (uint32_t)i);
+			failed += check_bound(c);
+			if (!c->calm)
+				continue;
+			failed += check_admitted(c);
+			if (getenv("VERBOSE") != NULL)
+				print_message("%u VMs: %u of the first %u "
+					      "requests refused\n",
+				    sizes[size], first_refused, first_offered);
+			failed +=
+			    !c->hot && first_refused > 0.05 * first_offered;
+		}
+	}
+	assert_int_equal(failed, 0);
+}
+
+/*
+ * Requests of small tenants come in groups, so the bucket of one region is
+ * empty while the others are full. That refused 0.026 of the requests of
+ * tenants with one to three a second, all within their quotas.
+ */
+static void
+test_small_tenants_are_served(void **state)
+{
+	static const uint32_t sizes[] = {16, 141};
+	uint32_t size, seed, i, count, refused;
+
+	(void)state;
+	for (size = 0; size < 2; size++) {
+		count = refused = 0;
+		for (seed = 0; seed < 3; seed++) {
+			play(&cases[0], sizes[size], 50 + seed);
+			for (i = 30; i < TENANTS; i++) {
+				count += offered[i];
+				refused += over_within[i] + unknown[i];
+			}
+		}
+		if (getenv("VERBOSE") != NULL)
+			print_message("%u VMs: %u of %u requests of small "
+				      "tenants refused\n",
+			    sizes[size], refused, count);
+		assert_true(refused < 0.005 * count);
+	}
+}
+
+/*
+ * A tenant of few requests sends many while all owners restart again and again.
+ * What a new owner gives at once counts most then: full buckets broke the bound
+ * by 2.13.
+ */
+static const struct quota_case restart_cases[] = {
+    {.name = "all restart every 0.5 s",
+	.small_hot = true,
+	.loss = 0.01,
+	.trouble = all_restart,
+	.trouble_every_us = 500 * SIM_MS},
+    {.name = "all restart every second",
+	.small_hot = true,
+	.loss = 0.01,
+	.trouble = all_restart,
+	.trouble_every_us = SIM_SECOND},
+    {.name = "all restart every 1.7 s",
+	.small_hot = true,
+	.loss = 0.01,
+	.trouble = all_restart,
+	.trouble_every_us = 1700 * SIM_MS},
+    {.name = "all restart every 2.4 s",
+	.small_hot = true,
+	.loss = 0.01,
+	.trouble = all_restart,
+	.trouble_every_us = 2400 * SIM_MS},
+    {.name = "all restart every 4 s",
+	.small_hot = true,
+	.loss = 0.01,
+	.trouble = all_restart,
+	.trouble_every_us = 4 * SIM_SECOND},
+    {.name = "VMs restart in turn every 0.3 s",
+	.small_hot = true,
+	.loss = 0.01,
+	.trouble = vms_restart_in_turn,
+	.trouble_every_us = 300 * SIM_MS},
+    {.name = "all freeze every 1.1 s",
+	.small_hot = true,
+	.loss = 0.01,
+	.trouble = all_freeze,
+	.trouble_every_us = 1100 * SIM_MS},
+    {.name = "owners freeze every 0.9 s",
+	.small_hot = true,
+	.loss = 0.01,
+	.trouble = owners_freeze,
+	.trouble_every_us = 900 * SIM_MS},
+    {.name = "owners are cut off every 1.5 s",
+	.small_hot = true,
+	.loss = 0.01,
+	.trouble = owners_are_cut_off,
+	.trouble_every_us = 1500 * SIM_MS},
+    {.name = "owners die every 0.7 s",
+	.small_hot = true,
+	.loss = 0.01,
+	.trouble = owners_die,
+	.trouble_every_us = 700 * SIM_MS},
+};
+#define RESTART_CASES (sizeof(restart_cases) / sizeof(restart_cases[0]))
+
+static void
+test_repeated_restarts_give_no_further_credit(void **state)
+{
+	static const uint32_t sizes[] = {2, 16, 141};
+	uint32_t size, failed = 0;
+	size_t i;
+
+	(void)state;
+	for (size = 0; size < 3; size++) {
+		for (i = 0; i < 2 * RESTART_CASES; i++) {
+			play(&restart_cases[i / 2], sizes[size], (uint32_t)i);
+			failed += check_bound(&restart_cases[i / 2]);
+		}
+	}
 	assert_int_equal(failed, 0);
-	assert_true(refused < 0.25 * count);
 }
 
 #define NOW (100 * SIM_SECOND)
@@ -1046,6 +1463,9 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_quotas_hold_for_all_vms_together),
 	    cmocka_unit_test(test_few_are_refused_after_a_power_loss),
+	    cmocka_unit_test(test_regions_without_vms),
+	    cmocka_unit_test(test_small_tenants_are_served),
+	    cmocka_unit_test(test_repeated_restarts_give_no_further_credit),
 	    cmocka_unit_test(test_shares_of_other_regions_are_bounded),
 	    cmocka_unit_test(test_late_answer_gives_no_credit),
 	    cmocka_unit_test(test_allowances_stay_within_their_half),
