Tests: a VM that wakes may answer 504 to what it had sent

Cause: scenario_test_gateway_quota failed in 1 of 8 runs and once under sanitizers with a 504 that it did not expect. Traced with targets that take 0.6 s: three 504, all of the VM that was frozen for 3 s, 4 ms after it woke, for requests whose route has a timeout of 2 s. So it is allowed. Change: 504 is accepted of the frozen VM only, of no other. Measured: passes; with slow targets the same 504 come from it alone.

--- a/tests/scenario/test_gateway_quota.py
+++ b/tests/scenario/test_gateway_quota.py
@@ -81,6 +81,7 @@
     def __init__(self, cluster):
         self.cluster = cluster
         self.results = collections.defaultdict(list)  # (status, retry after)
+        self.timed_out = set()  # VMs that answered 504
         self.number = 0
 
     async def call(self, tenant):
@@ -99,8 +100,10 @@
                 % (self.number, tenant)).encode())
             first, headers, _ = await asyncio.wait_for(
                 standin.read_message(reader), 6.0)
-            self.results[tenant].append(
-                (int(first.split(" ")[1]), headers.get("retry-after")))
+            status = int(first.split(" ")[1])
+            self.results[tenant].append((status, headers.get("retry-after")))
+            if status == 504:
+                self.timed_out.add(vm.number)
         except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
             self.results[tenant].append((0, None))  # the VM was killed
         finally:
@@ -183,7 +186,9 @@
               % (name, worst, allowed, shares[name]))
     statuses = {status for results in load.results.values()
                 for status, _ in results}
-    assert statuses <= {0, 200, 429, 503}, statuses
+    # What the frozen VM had sent before is over its timeout when it wakes.
+    assert statuses <= {0, 200, 429, 503, 504}, statuses
+    assert load.timed_out <= {VMS_PER_REGION}, load.timed_out
     # At least half of what is within the quota, while VMs are disturbed.
     rate, burst = TENANTS["hot"]
     assert arrivals.busiest_window("hot") >= 0.5 * (rate * WINDOW_S + burst)
