Store: what there was no memory for does not count as seen

Cause: an event without memory for its text was skipped as one without a name, and an object that the cache could not copy was left out of a batch whose revision it kept. A proof that all keys are known followed. Change: both fail as a whole; the kind is listed again (os_client_lose). test_key_proofs has two restores in a row.

--- a/lib/store/cache.c
+++ b/lib/store/cache.c
@@ -138,9 +138,73 @@
 	out->changes[object->index] = *change;
 }
 
-/* Stores an object; returns true when it is newer than the known one. */
+static struct object *
+copy_change(const struct os_change *change)
+{
+	struct object *object = calloc(1, sizeof(*object));
+
+	if (object == NULL)
+		return NULL;
+	object->text = malloc(change->text_length + 1);
+	if (object->text == NULL) {
+		free(object);
+		return NULL;
+	}
+	memcpy(object->text, change->text, change->text_length);
+	object->text[change->text_length] = '\0';
+	object->text_length = change->text_length;
+	object->revision = change->revision;
+	memcpy(object->name, change->name, sizeof(object->name));
+	return object;
+}
+
+static void
+free_copies(struct object **copies, uint32_t count)
+{
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		if (copies[i] != NULL)
+			free_object(copies[i]);
+	}
+	free(copies);
+}
+
+/*
+ * Copies the objects of a batch that may be newer than the known ones, before
+ * any is applied: without memory for one the whole batch is to count as not
+ * seen. Returns NULL then.
+ */
+static struct object **
+copy_batch(const struct kind *kind, const struct os_batch *batch)
+{
+	struct object **copies = calloc(batch->count + 1, sizeof(*copies));
+	uint32_t i;
+
+	for (i = 0; copies != NULL && i < batch->count; i++) {
+		const struct os_change *change = &batch->changes[i];
+		const struct object *known =
+		    g_hash_table_lookup(kind->objects, change->name);
+
+		if (change->deleted ||
+		    (known != NULL && change->revision <= known->revision))
+			continue;
+		copies[i] = copy_change(change);
+		if (copies[i] == NULL) {
+			free_copies(copies, i);
+			return NULL;
+		}
+	}
+	return copies;
+}
+
+/*
+ * Stores the copy of an object, which is then NULL; returns true when it is
+ * newer than the known one.
+ */
 static bool
-apply_object(struct kind *kind, const struct os_change *change)
+apply_object(
+    struct kind *kind, const struct os_change *change, struct object **copy)
 {
 	struct object *object =
 	    g_hash_table_lookup(kind->objects, change->name);
@@ -151,23 +215,18 @@
 		if (change->revision <= object->revision)
 			return false;
 	}
-	text = malloc(change->text_length + 1);
-	if (text == NULL)
+	if (*copy == NULL) /* deleted again earlier in the batch */
 		return false;
-	memcpy(text, change->text, change->text_length);
-	text[change->text_length] = '\0';
 	if (object == NULL) {
-		object = calloc(1, sizeof(*object));
-		if (object == NULL) {
-			free(text);
-			return false;
-		}
-		memcpy(object->name, change->name, sizeof(object->name));
+		object = *copy;
+		*copy = NULL;
 		object->seen = true;
 		g_hash_table_insert(kind->objects, object->name, object);
+		return true;
 	}
-	free(object->text);
-	object->text = text;
+	text = object->text;
+	object->text = (*copy)->text;
+	(*copy)->text = text;
 	object->text_length = change->text_length;
 	object->revision = change->revision;
 	return true;
@@ -190,13 +249,13 @@
 
 /* Stores an object and adds it to out if it is newer than the known one. */
 static void
-apply_update(
-    struct kind *kind, const struct os_change *change, struct os_batch *out)
+apply_update(struct kind *kind, const struct os_change *change,
+    struct object **copy, struct os_batch *out)
 {
 	struct os_change update;
 	struct object *object;
 
-	if (!apply_object(kind, change))
+	if (!apply_object(kind, change, copy))
 		return;
 	object = g_hash_table_lookup(kind->objects, change->name);
 	update = change_of(object);
@@ -216,19 +275,24 @@
     const struct os_batch *batch, struct os_batch *out)
 {
 	struct kind *kind = &cache->kinds[kind_index];
+	struct object **copies = copy_batch(kind, batch);
 	uint32_t i;
 
 	*out = (struct os_batch){.revision = batch->revision};
-	out->changes = calloc(batch->count + 1, sizeof(*out->changes));
-	if (out->changes == NULL)
+	if (copies != NULL)
+		out->changes = calloc(batch->count + 1, sizeof(*out->changes));
+	if (out->changes == NULL) {
+		free_copies(copies, copies == NULL ? 0 : batch->count);
 		return CS_E_SYSTEM;
+	}
 	kind->batch++;
 	for (i = 0; i < batch->count; i++) {
 		if (batch->changes[i].deleted)
 			apply_deletion(kind, &batch->changes[i], out);
 		else if (!is_deleted_since(kind, &batch->changes[i]))
-			apply_update(kind, &batch->changes[i], out);
+			apply_update(kind, &batch->changes[i], &copies[i], out);
 	}
+	free_copies(copies, batch->count);
 	if (batch->revision > kind->revision)
 		kind->revision = batch->revision;
 	return CS_OK;
@@ -240,22 +304,28 @@
 {
 	struct kind *kind = &cache->kinds[kind_index];
 	uint32_t old_count = g_hash_table_size(kind->objects), i;
+	struct object **copies;
 	GHashTableIter iter;
 	gpointer value;
 
 	*out = (struct os_batch){.revision = batch->revision};
 	if (batch->revision < kind->revision)
 		return CS_E_STALE;
-	out->changes =
-	    calloc(batch->count + old_count + 1, sizeof(*out->changes));
-	if (out->changes == NULL)
+	copies = copy_batch(kind, batch);
+	if (copies != NULL)
+		out->changes =
+		    calloc(batch->count + old_count + 1, sizeof(*out->changes));
+	if (out->changes == NULL) {
+		free_copies(copies, copies == NULL ? 0 : batch->count);
 		return CS_E_SYSTEM;
+	}
 	g_hash_table_iter_init(&iter, kind->objects);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		((struct object *)value)->seen = false;
 	kind->batch++;
 	for (i = 0; i < batch->count; i++)
-		apply_update(kind, &batch->changes[i], out);
+		apply_update(kind, &batch->changes[i], &copies[i], out);
+	free_copies(copies, batch->count);
 	g_hash_table_iter_init(&iter, kind->objects);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct object *object = value;
--- a/lib/store/cache.h
+++ b/lib/store/cache.h
@@ -19,7 +19,8 @@
  * the caller frees only its array, with free(). Of several changes of an object
  * in one batch out has the last one. Changes older than the known
  * state are ignored; for a snapshot that is older as a whole, CS_E_STALE is
- * returned.
+ * returned. Without memory for all of a batch nothing of it is applied, and
+ * CS_E_SYSTEM is returned.
  */
 int os_cache_apply_snapshot(struct os_cache *cache, uint32_t kind,
     const struct os_batch *batch, struct os_batch *out);
--- a/lib/store/client.c
+++ b/lib/store/client.c
@@ -248,6 +248,13 @@
 		os_follow_start(&client->follows[kind]);
 }
 
+void
+os_client_lose(struct os_client *client, uint32_t kind)
+{
+	if (client->following)
+		os_follow_lose(&client->follows[kind]);
+}
+
 bool
 os_client_restart(struct os_client *client, const struct os_call *call)
 {
--- a/lib/store/follow.c
+++ b/lib/store/follow.c
@@ -82,6 +82,17 @@
 	os_follow_start(timer->data);
 }
 
+/* The list that is being reported is still in use. */
+void
+os_follow_lose(struct os_follow *follow)
+{
+	os_call_cancel(&follow->call);
+	follow->revision = 0;
+	follow->listing = follow->watching = false;
+	uv_timer_start(&follow->delay_timer, on_delay_elapsed,
+	    os_backoff_ms(follow->call.client, ++follow->failures), 0);
+}
+
 static void
 handle_failure(struct os_follow *follow, int status)
 {
--- a/lib/store/store.h
+++ b/lib/store/store.h
@@ -137,6 +137,12 @@
  * known. For use after changes that were not applied as reported.
  */
 void os_client_relist(struct os_client *client, uint32_t kind);
+/*
+ * os_client_lose(client, kind): what was reported last could not be kept, also
+ * from within the report. The kind does not count as watched, and is listed
+ * again a little later.
+ */
+void os_client_lose(struct os_client *client, uint32_t kind);
 /*
  * os_client_is_current(client): watches every kind, and the store is reachable.
  */
--- a/lib/store/store_internal.h
+++ b/lib/store/store_internal.h
@@ -112,6 +112,8 @@
 
 /* follow.c */
 void os_follow_start(struct os_follow *follow);
+/* os_follow_lose(follow): see os_client_lose(). */
+void os_follow_lose(struct os_follow *follow);
 void os_follow_stop(struct os_follow *follow);
 /* os_follow_is_waiting(follow): a watch is pending. */
 bool os_follow_is_waiting(const struct os_follow *follow);
--- a/programs/gateway_updates.c
+++ b/programs/gateway_updates.c
@@ -154,6 +154,8 @@
 		    ? os_cache_apply_snapshot(app->cache, kind, batch, &changed)
 		    : os_cache_apply_changes(app->cache, kind, batch, &changed);
 
+	if (error == CS_E_SYSTEM) /* else its revision would count as seen */
+		os_client_lose(app->store, kind);
 	if (error != CS_OK)
 		return; /* older than the cached objects */
 	apply_changes(app, kind, &changed);
--- a/tests/unit/test_key_proofs.c
+++ b/tests/unit/test_key_proofs.c
@@ -472,6 +472,16 @@
 		restore_store(world, 1 + cs_random_below(&world->random, 3));
 }
 
+/* Twice within the time in which other VMs are asked, from older copies. */
+static void
+restore_store_twice(struct world *world)
+{
+	int64_t second = world->now_us / SECOND % 10;
+
+	if (second == 4 || second == 5)
+		restore_store(world, second == 4 ? 1 : 3);
+}
+
 static void
 restore_and_cut_off(struct world *world)
 {
@@ -497,6 +507,7 @@
     {"VMs cut off", cut_off_vms, 0.01, 0.1, 0.1, false, 20},
     {"store down", stop_store, 0.01, 0.0, 0.0, false, 30},
     {"store restored", restore_store_sometimes, 0.01, 0.0, 0.0, false, 30},
+    {"store restored twice", restore_store_twice, 0.01, 0.0, 0.0, false, 20},
     {"store restored, VMs cut off", restore_and_cut_off, 0.01, 0.1, 0.1, false,
 	0},
     {"everything", everything, 0.05, 0.2, 0.2, false, 0},
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include <cmocka.h>
+#include <jansson.h>
 
 #include "../../platform/platform.h"
 
@@ -463,6 +464,51 @@
 	h1_bytes_free(&body);
 }
 
+static uint32_t allocations_left;
+
+static void *
+allocate_some(size_t size)
+{
+	if (size >= 64 && allocations_left-- == 0) {
+		allocations_left = 0;
+		return NULL;
+	}
+	return malloc(size);
+}
+
+/*
+ * Memory runs out while events are read. Guards against a response that seems
+ * to tell of no change: it would prove that all keys are known.
+ */
+static void
+test_event_without_memory_is_no_empty_response(void **state)
+{
+	/* Short values: jansson itself has faults without memory for texts. */
+	static const char body[] =
+	    "{\"store_revision\":9,\"events\":[{\"deleted\":false,\"object\":"
+	    "{\"metadata\":{\"name\":\"main\",\"revision\":9},\"spec\":{"
+	    "\"b\":[1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21]}}}]"
+	    "}";
+	struct os_batch batch;
+	uint32_t i, errors = 0;
+	int error;
+
+	(void)state;
+	for (i = 0; i < 64; i++) {
+		allocations_left = i;
+		json_set_alloc_funcs(allocate_some, free);
+		error = pl_codec.parse_events(
+		    &(struct os_text){body, sizeof(body) - 1}, &batch);
+		json_set_alloc_funcs(malloc, free);
+		errors += error != CS_OK;
+		if (error != CS_OK)
+			continue;
+		assert_int_equal(batch.count, 1);
+		os_batch_free(&batch);
+	}
+	assert_true(errors > 0);
+}
+
 /* An entry of another writer costs that entry only. */
 static void
 test_odd_entry_leaves_the_others(void **state)
@@ -701,6 +747,7 @@
 	    cmocka_unit_test(test_settings_need_each_required_field),
 	    cmocka_unit_test(test_new_bounds_have_defaults),
 	    cmocka_unit_test(test_durations_need_a_unit),
+	    cmocka_unit_test(test_event_without_memory_is_no_empty_response),
 	    cmocka_unit_test(test_odd_entry_leaves_the_others),
 	    cmocka_unit_test(test_load_header_needs_three_numbers),
 	    cmocka_unit_test(test_limit_header_is_a_decimal_number),
--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -53,6 +53,7 @@
 	uint32_t calls;
 	char paths[CALLS_MAX][OS_PATH_BYTES_MAX];
 	struct h1_conn *waiting;
+	bool loses_changes; /* has no memory for them */
 	char reported[512]; /* batches or results from the client, in order */
 };
 
@@ -159,8 +160,11 @@
 static void
 on_changes(void *user, uint32_t kind, const struct os_batch *batch)
 {
-	(void)kind;
+	struct fixture *fixture = user;
+
 	report_batch(user, "new", batch);
+	if (fixture->loses_changes)
+		os_client_lose(fixture->client, kind);
 }
 
 static void
@@ -427,6 +431,35 @@
 	}
 }
 
+/*
+ * What the store reported could not be kept. Guards against proofs from a
+ * revision whose objects are not known.
+ */
+static void
+test_lost_report_is_listed_again(void **state)
+{
+	static const struct response responses[] = {
+	    {IN_ERA(1, 200), LIST(ITEM("a", "9"), "9")},
+	    {IN_ERA(1, 200), EVENTS(CHANGED("b", "12"), "12")},
+	    {IN_ERA(1, 200), LIST(ITEM("b", "12"), "12")}};
+	static struct fixture fixture;
+
+	(void)state;
+	set_up(&fixture, responses, 3);
+	fixture.loses_changes = true;
+	os_client_follow(fixture.client, true);
+	run_until_calls(&fixture, 2);
+	while (strstr(fixture.reported, "new@") == NULL)
+		uv_run(&fixture.loop, UV_RUN_ONCE);
+	assert_int_equal(os_client_prove(fixture.client, 0, 77), CS_E_STALE);
+	assert_false(os_client_is_current(fixture.client));
+	run_until_calls(&fixture, 4);
+	assert_string_equal(fixture.paths[2], "/objects/servers");
+	assert_string_equal(
+	    fixture.paths[3], "/objects/servers?watch=12&wait_ms=25000");
+	os_client_close(fixture.client);
+}
+
 /*
  * The connection of a watch falls silent for good while others work: checks
  * show what it should have reported. Guards against a configuration that is in
@@ -894,6 +927,41 @@
 	os_cache_free(cache);
 }
 
+/*
+ * There is no memory for one object of a batch. Guards against a revision that
+ * counts as known without it: a proof that all keys are known would follow.
+ */
+static void
+test_cache_keeps_no_revision_without_its_objects(void **state)
+{
+	struct os_cache *cache = os_cache_create();
+	struct os_change known[] = {make_change("a", 3, false)};
+	struct os_change changes[] = {
+	    make_change("a", 5, false), make_change("b", 6, false)};
+	struct os_batch batch = {.changes = changes, .count = 2, .revision = 7};
+	struct os_batch out;
+	uint64_t revision;
+
+	(void)state;
+	assert_int_equal(apply(cache, true, 4, known, 1), 1);
+	changes[0].text = "{1}";
+	changes[0].text_length = 3;
+	changes[1].text_length = SIZE_MAX / 4; /* cannot be allocated */
+	assert_int_equal(
+	    os_cache_apply_changes(cache, 0, &batch, &out), CS_E_SYSTEM);
+	free(out.changes);
+	assert_int_equal(
+	    os_cache_apply_snapshot(cache, 0, &batch, &out), CS_E_SYSTEM);
+	free(out.changes);
+	assert_int_equal(os_cache_revision(cache, 0), 4);
+	assert_string_equal(os_cache_find(cache, 0, "a", &revision), "{}");
+	assert_int_equal(revision, 3);
+	changes[1].text_length = 2;
+	assert_int_equal(apply(cache, false, 7, changes, 2), 2);
+	assert_int_equal(os_cache_revision(cache, 0), 7);
+	os_cache_free(cache);
+}
+
 /*
  * A node that lists after an outage takes no removals for a while. If it stops
  * watching meanwhile, its next leader tells it of them.
@@ -948,6 +1016,8 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_follows_store_with_list_and_watch),
 	    cmocka_unit_test(test_store_proves_that_nothing_is_missing),
+	    cmocka_unit_test(test_cache_keeps_no_revision_without_its_objects),
+	    cmocka_unit_test(test_lost_report_is_listed_again),
 	    cmocka_unit_test(test_checks_find_a_watch_that_is_silent),
 	    cmocka_unit_test(test_object_calls_report_their_result),
 	    cmocka_unit_test(test_unanswered_write_ends_with_unknown_result),
