--- a/lib/store/store.h
+++ b/lib/store/store.h
@@ -19,7 +19,8 @@
 
 #define OS_KINDS_MAX 4
 #define OS_NAME_BYTES_MAX 128
-#define OS_PATH_BYTES_MAX 512
+/* Holds a kind and a name of which each byte is encoded in three. */
+#define OS_PATH_BYTES_MAX 1024
 
 /*
  * A revision orders all states of the store. A store that comes back from an
--- /dev/null
+++ b/tests/scenario/test_gateway_odd_names.py
@@ -0,0 +1,93 @@
+"""An entry of another writer stands in the list of targets, under a name that
+has a meaning of its own in a URL, and the list is longer than a page. All VMs
+restart: they serve as before, and stay small."""
+import asyncio
+import os
+import signal
+import sys
+
+sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "standins"))
+import cluster as standin  # noqa: E402
+
+BINARY = os.path.join(os.environ.get("BUILD_DIR", "build"), "chervilshelf")
+ROUTES = [("/read/", "safe", "a"), ("/write/", "unsafe", "b")]
+PAGE_ITEMS = 1
+CALLS_AT_ONCE = 4  # of each kind at each VM
+# Half of the memory that the settings allow a VM.
+RESIDENT_MB_MAX = 130
+# The targets are named t-a-NUMBER and t-b-NUMBER.
+ODD_NAMES = ("t-a-0&x", "t-a-0+x", "t-a-0#x", "t-a-0%26", "t-a-0 x", "t-a-0?x",
+             "t-a-0/x", "t-a-0\u00e9", "t-a-0\r\nx", "&", "%")
+# None names a target to use; the first is of another type, the last is whole
+# but for its state.
+ODD_SPECS = (None, [], 7, {}, {
+    "address": "127.0.0.1:1", "born": 1,
+    "info": {"service": "a", "version": "v1", "zone": "z1", "slots": 4},
+    "status": {"state": "asleep", "sequence": 1, "warmup_left": "0ms"}})
+
+
+def resident_mb(vm):
+    with open("/proc/%d/status" % vm.process.pid) as status:
+        return next(int(line.split()[1]) // 1024 for line in status
+                    if line.startswith("VmRSS"))
+
+
+async def restart(cluster):
+    for vm in cluster.vms:
+        await vm.terminate(signal.SIGKILL)
+    for vm in cluster.vms:
+        await vm.start()
+    await cluster.wait_until(cluster.all_ready, 10, "every VM is ready")
+
+
+async def check_service(cluster):
+    """Every call is served, and each target serves."""
+    runs = {target: target.runs for target in cluster.targets}
+
+    async def all_serve():
+        statuses = await asyncio.gather(*(
+            cluster.call(vm.host, path, kind) for vm in cluster.vms
+            for path, kind in (("/read/x", "safe"), ("/write/x", "unsafe"))
+            for _ in range(CALLS_AT_ONCE)))
+        assert set(statuses) == {200}, sorted(statuses)
+        return all(target.runs > runs[target] for target in cluster.targets)
+    await cluster.wait_until(all_serve, 10, "every target serves")
+    for vm in cluster.vms:
+        assert resident_mb(vm) < RESIDENT_MB_MAX, (vm.name, resident_mb(vm))
+
+
+async def serve_beside(cluster, names):
+    for number, name in enumerate(names):
+        cluster.store.put("servers", name,
+                          ODD_SPECS[number % len(ODD_SPECS)])
+    try:
+        await restart(cluster)
+        await check_service(cluster)
+    finally:
+        for name in names:
+            cluster.store.put("servers", name, {}, deleted=True)
+    print("served beside", names)
+
+
+async def main():
+    cluster = standin.Cluster(BINARY, vm_count=2)
+    cluster.store.page_items = PAGE_ITEMS
+    cluster.put_config(ROUTES)
+    failed = []
+    try:
+        await cluster.start()
+        await cluster.wait_until(cluster.all_ready, 15, "every VM is ready")
+        for names in [(name,) for name in ODD_NAMES] + [ODD_NAMES]:
+            try:
+                await serve_beside(cluster, names)
+            except AssertionError as error:
+                failed.append((names, str(error)))
+                print("FAILED beside", names, error)
+    finally:
+        await cluster.stop()
+    assert not failed, "%d cases failed" % len(failed)
+    assert not cluster.check_guarantees(), cluster.violations
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
--- a/tests/standins/cluster.py
+++ b/tests/standins/cluster.py
@@ -8,14 +8,20 @@
 import itertools
 import json
 import os
+import re
 import signal
 import tempfile
 import time
+import urllib.parse
 
 ATTEMPT_ID_HEADER = "chervilshelf-attempt-id"
 FRONT_PORT, READINESS_PORT, DIRECTORY_PORT, FLEET_PORT = 8548, 8542, 8546, 7540
 HISTORY_MAX_EVENTS = 1000
 DIRECTORY_MAX_ADDRESSES = 64  # listed in one directory response
+# Of the store, which refuses what is not a URL or not a parameter of its own.
+REQUEST_LINE = re.compile(r"[A-Z]+ /(%[0-9A-Fa-f]{2}|[-\w.~!$&'()*+,;=:@/?])* HTTP/1.1",
+                          re.ASCII)
+STORE_PARAMETERS = {"after", "watch", "wait_ms", "allow_stale", "revision"}
 CLUSTER_NUMBERS = itertools.count()  # within this process; addresses differ
 
 
@@ -55,6 +61,7 @@
         self.era = 1  # rises with each restore
         self.paths = set()  # of all requests, without their queries
         self.proof_queries = 0  # watches that do not wait
+        self.page_items = 500  # at most in one response to a list
 
     def copy(self):
         """For restore(): all that it holds now."""
@@ -113,14 +120,25 @@
             except asyncio.TimeoutError:
                 pass
 
+    def list_page(self, objects, after):
+        names = sorted(name for name in objects if name > after)
+        return {"items": [objects[name] for name in names[:self.page_items]],
+                "more": len(names) > self.page_items,
+                "store_revision": self.revision}
+
     async def respond(self, first, body):
+        if not REQUEST_LINE.fullmatch(first):
+            return 400, {}
         method, target, _ = first.split(" ")
         path, _, query = target.partition("?")
         self.paths.add(path)
         self.proof_queries += "wait_ms=0" in query and \
             "allow_stale" not in query
-        parameters = dict(p.split("=") for p in query.split("&") if p)
+        parameters = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
+        if not STORE_PARAMETERS.issuperset(parameters):
+            return 400, {}
         kind, _, name = path[len("/objects/"):].partition("/")
+        name = urllib.parse.unquote(name)
         objects = self.kinds.setdefault(kind, {})
         if method == "POST":
             entry = json.loads(body)
@@ -134,8 +152,7 @@
         if "watch" in parameters:
             return await self.watch(kind, int(parameters["watch"]),
                                     int(parameters["wait_ms"]) / 1000)
-        return 200, {"items": list(objects.values()), "more": False,
-                     "store_revision": self.revision}
+        return 200, self.list_page(objects, parameters.get("after", ""))
 
     async def serve(self, reader, writer):
         try:
--- a/tests/standins/platform.c
+++ b/tests/standins/platform.c
@@ -299,20 +299,28 @@
 	const char *path = h1_target(request);
 	size_t length = strcspn(path, "?"), prefix_length = strlen(PATH_PREFIX);
 	const char *slash;
+	char *decoded;
+	bool fits;
 
 	if (length <= prefix_length ||
-	    strncmp(path, PATH_PREFIX, prefix_length) != 0 ||
-	    length - prefix_length >= NAME_BYTES_MAX)
+	    strncmp(path, PATH_PREFIX, prefix_length) != 0)
 		return false;
-	snprintf(kind, NAME_BYTES_MAX, "%.*s", (int)(length - prefix_length),
+	slash = memchr(path + prefix_length, '/', length - prefix_length);
+	if (slash == NULL)
+		slash = path + length;
+	if ((size_t)(slash - path) - prefix_length >= NAME_BYTES_MAX)
+		return false;
+	snprintf(kind, NAME_BYTES_MAX, "%.*s",
+	    (int)((size_t)(slash - path) - prefix_length),
 	    path + prefix_length);
 	name[0] = '\0';
-	slash = strchr(kind, '/');
-	if (slash != NULL) {
-		g_strlcpy(name, slash + 1, NAME_BYTES_MAX);
-		kind[slash - kind] = '\0';
-	}
-	return true;
+	if (slash == path + length)
+		return true;
+	decoded = g_uri_unescape_segment(slash + 1, path + length, NULL);
+	fits = decoded != NULL &&
+	       g_strlcpy(name, decoded, NAME_BYTES_MAX) < NAME_BYTES_MAX;
+	g_free(decoded);
+	return fits;
 }
 
 static void
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -464,6 +464,61 @@
 	h1_bytes_free(&body);
 }
 
+static const struct {
+	const char *name;
+	const char *encoded;
+} name_cases[] = {
+    {"front-nbo-a_1.2~", "front-nbo-a_1.2~"},
+    {"a&after=b", "a%26after%3Db"},
+    {"a+b", "a%2Bb"},
+    {"a#b", "a%23b"},
+    {"a%26", "a%2526"},
+    {"a b", "a%20b"},
+    {"a/b?c", "a%2Fb%3Fc"},
+    {"a\r\nb", "a%0D%0Ab"},
+    {"\xc3\xa9", "%C3%A9"},
+};
+
+/* A name of another writer remains one name in a path and in a query. */
+static void
+test_names_are_encoded_in_paths(void **state)
+{
+	char path[OS_PATH_BYTES_MAX], expected[OS_PATH_BYTES_MAX];
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(name_cases) / sizeof(name_cases[0]); i++) {
+		const char *name = name_cases[i].name;
+		const char *encoded = name_cases[i].encoded;
+
+		assert_int_equal(
+		    pl_codec.list_path(path, "servers", name), CS_OK);
+		snprintf(expected, sizeof(expected),
+		    "/objects/servers?after=%s", encoded);
+		assert_string_equal(path, expected);
+		assert_int_equal(pl_codec.object_path(path, "k", name), CS_OK);
+		snprintf(expected, sizeof(expected), "/objects/k/%s", encoded);
+		assert_string_equal(path, expected);
+		assert_int_equal(pl_codec.check_path(path, "k", name), CS_OK);
+		strcat(expected, "?allow_stale=1");
+		assert_string_equal(path, expected);
+	}
+}
+
+/* The longest kind and name that the client holds fit, encoded. */
+static void
+test_longest_names_fit_into_paths(void **state)
+{
+	char name[OS_NAME_BYTES_MAX], path[OS_PATH_BYTES_MAX];
+
+	(void)state;
+	memset(name, '&', sizeof(name) - 1);
+	name[sizeof(name) - 1] = '\0';
+	assert_int_equal(pl_codec.object_path(path, name, name), CS_OK);
+	assert_int_equal(pl_codec.list_path(path, name, name), CS_OK);
+	assert_int_equal(pl_codec.check_path(path, name, name), CS_OK);
+}
+
 static uint32_t allocations_left;
 
 static void *
@@ -749,6 +804,8 @@
 	    cmocka_unit_test(test_durations_need_a_unit),
 	    cmocka_unit_test(test_event_without_memory_is_no_empty_response),
 	    cmocka_unit_test(test_odd_entry_leaves_the_others),
+	    cmocka_unit_test(test_names_are_encoded_in_paths),
+	    cmocka_unit_test(test_longest_names_fit_into_paths),
 	    cmocka_unit_test(test_load_header_needs_three_numbers),
 	    cmocka_unit_test(test_limit_header_is_a_decimal_number),
 	    cmocka_unit_test(test_leaving_and_pause_are_read_strictly),
