Store: names that cannot be kept do not end a list

A VM that lists takes what a list lacks as gone: behind a page of which no name can be kept, targets would be out of use. Cause: the next page was asked for after the last name that was kept. A name over 127 bytes, with a zero byte or not UTF-8 is not kept, and a page without any kept name counted as the end of the list. An object of 1 MB has a page of its own, so one such entry suffices. The revision to watch from then was that of the second page, so changes in between were missed. Evidence: test_store (pages are read to the end; list) failed: reported "all@9; " instead of "all@9 +b; ", and "0" instead of "0 b={"v":1}"; with the first part of the fix alone "all@11 +b; ". Change: the codec says where a list continues, as an encoded name of any bytes; a page that continues after no usable name is malformed, and the list begins again. The revision of a list is that of its first page. Paths and the heads of requests have room for names of a kilobyte. All four readers of lists: follow, announce, own list, os_list(). Not covered: a name with half a surrogate pair, alone on a page.

--- a/lib/h1/client.c
+++ b/lib/h1/client.c
@@ -225,15 +225,19 @@
 write_head(struct h1_bytes *out, const struct h1_request *request)
 {
 	char authority[CS_ADDRESS_BYTES_MAX];
+	int error;
 
 	out->length = 0;
 	cs_format_address(&request->address, authority);
-	return h1_bytes_print(out,
-	    "%s %s HTTP/1.1\r\nHost: %s\r\nConnection: %s\r\n"
-	    "Content-Length: %zu\r\n%s\r\n",
-	    request->method, request->path, authority,
-	    request->reuse ? "keep-alive" : "close", request->body_length,
-	    request->headers != NULL ? request->headers : "");
+	error = h1_bytes_add_text(out, request->method);
+	error |= h1_bytes_add_text(out, " ");
+	error |= h1_bytes_add_text(out, request->path);
+	return error | h1_bytes_print(out,
+			   " HTTP/1.1\r\nHost: %s\r\nConnection: %s\r\n"
+			   "Content-Length: %zu\r\n%s\r\n",
+			   authority, request->reuse ? "keep-alive" : "close",
+			   request->body_length,
+			   request->headers != NULL ? request->headers : "");
 }
 
 static void
--- a/lib/store/client.c
+++ b/lib/store/client.c
@@ -132,6 +132,7 @@
 {
 	struct os_client *client = call->client;
 	struct os_batch batch = {.count = 0};
+	char *after;
 
 	if (!client->announce_listing) {
 		if (status / 100 == 2 || status == 409)
@@ -141,14 +142,15 @@
 		return;
 	}
 	if (status != 200 ||
-	    client->params.codec->parse_list(body, &batch) != CS_OK) {
+	    client->params.codec->parse_list(body, &batch, &after) != CS_OK) {
 		announce_failed(client);
 		return;
 	}
 	client->announce_failures = 0;
 	client->announce_done(client->params.user, &batch);
-	if (batch.more && batch.count > 0)
-		list_own_kind(client, batch.changes[batch.count - 1].name);
+	if (after != NULL)
+		list_own_kind(client, after);
+	free(after);
 	os_batch_free(&batch);
 }
 
--- a/lib/store/follow.c
+++ b/lib/store/follow.c
@@ -59,6 +59,7 @@
 	    uv_is_active((uv_handle_t *)&follow->delay_timer))
 		return;
 	os_batch_free(&follow->list);
+	follow->list_revision = 0;
 	if (follow->revision == 0)
 		request_list(follow, NULL);
 	else
@@ -120,9 +121,12 @@
 	struct os_batch *list = &follow->list;
 	struct os_change *grown;
 
+	/* Also of a page of which no object is kept. */
+	if (follow->list_revision == 0)
+		follow->list_revision = page->revision;
 	if (list->count == 0) {
+		os_batch_free(list);
 		*list = *page;
-		follow->list_revision = page->revision;
 		return CS_OK;
 	}
 	if (page->count > 0) {
@@ -144,24 +148,22 @@
 {
 	struct os_client *client = follow->call.client;
 	struct os_batch page = {.count = 0};
-	char last[OS_NAME_BYTES_MAX];
-	bool more;
+	char *after;
 
-	if (client->params.codec->parse_list(body, &page) != CS_OK) {
+	if (client->params.codec->parse_list(body, &page, &after) != CS_OK) {
 		handle_failure(follow, OS_NO_RESPONSE);
 		return;
 	}
 	os_batch_set_era(&page, client->era);
-	more = page.more && page.count > 0;
-	if (more)
-		memcpy(last, page.changes[page.count - 1].name, sizeof(last));
 	if (append_page(follow, &page) != CS_OK) {
 		os_batch_free(&page);
+		free(after);
 		handle_failure(follow, OS_NO_RESPONSE);
 		return;
 	}
-	if (more) {
-		request_list(follow, last);
+	if (after != NULL) {
+		request_list(follow, after);
+		free(after);
 		return;
 	}
 	/* The watch reports changes made between the pages again. */
--- a/lib/store/objects.c
+++ b/lib/store/objects.c
@@ -40,7 +40,8 @@
 	enum op_type type;
 	int error; /* if set, the call is never sent */
 	char kind[OS_NAME_BYTES_MAX];
-	char name[OS_NAME_BYTES_MAX]; /* list: the last name so far */
+	char name[OS_NAME_BYTES_MAX];
+	char *after; /* where a list continues; NULL: at its first page */
 	char *value;
 	uint64_t revision;	 /* expected (write) or known (watch) */
 	uint64_t watch_revision; /* the watch returns later changes */
@@ -65,7 +66,8 @@
 	free(op->listed);
 	op->listed = NULL;
 	op->listed_count = 0;
-	op->name[0] = '\0';
+	free(op->after);
+	op->after = NULL;
 }
 
 static void
@@ -221,19 +223,15 @@
 handle_page(struct op *op, const struct os_text *body)
 {
 	struct os_batch page = {.count = 0};
-	bool more;
 
-	if (op->objects->codec->parse_list(body, &page) != CS_OK) {
+	free(op->after);
+	if (op->objects->codec->parse_list(body, &page, &op->after) != CS_OK) {
 		finish_failed(op, CS_E_UNKNOWN);
 		return;
 	}
-	more = page.more && page.count > 0;
-	if (more)
-		memcpy(op->name, page.changes[page.count - 1].name,
-		    sizeof(op->name));
 	if (append_page(op, &page) != CS_OK) {
 		finish_failed(op, CS_E_SYSTEM);
-	} else if (more) {
+	} else if (op->after != NULL) {
 		send_op(op);
 	} else {
 		op->on_list(CS_OK, op->listed, op->listed_count, op->user);
@@ -286,7 +284,7 @@
 	uint64_t era = os_response_era(op->objects->codec, response);
 
 	report_era(op->objects, error, era);
-	if (op->type == OP_LIST && op->listed_count > 0 && era != op->era) {
+	if (op->type == OP_LIST && op->after != NULL && era != op->era) {
 		drop_listed(op); /* pages of two eras are no list */
 		op->era = era;
 		send_op(op);
@@ -325,8 +323,7 @@
 	case OP_CREATE:
 		return codec->kind_path(path, op->kind);
 	case OP_LIST:
-		return codec->list_path(
-		    path, op->kind, op->name[0] == '\0' ? NULL : op->name);
+		return codec->list_path(path, op->kind, op->after);
 	}
 	return CS_E_INVALID;
 }
--- a/lib/store/own_list.c
+++ b/lib/store/own_list.c
@@ -1,4 +1,6 @@
 /* Lists the kind of this VM's own object: which VMs have registered. */
+#include <stdlib.h>
+
 #include "store_internal.h"
 
 #define LIST_TIMEOUT_MS 1000 /* a slow store responds in about 270 ms */
@@ -20,16 +22,17 @@
 {
 	struct os_client *client = call->client;
 	struct os_batch batch = {.count = 0};
+	char *after;
 
 	if (status != 200 ||
-	    client->params.codec->parse_list(body, &batch) != CS_OK) {
+	    client->params.codec->parse_list(body, &batch, &after) != CS_OK) {
 		client->own_list_done(client->params.user, NULL);
 		return;
 	}
 	client->own_list_done(client->params.user, &batch);
-	if (batch.more && batch.count > 0 &&
-	    request_page(client, batch.changes[batch.count - 1].name) != CS_OK)
+	if (after != NULL && request_page(client, after) != CS_OK)
 		client->own_list_done(client->params.user, NULL);
+	free(after);
 	os_batch_free(&batch);
 }
 
--- a/lib/store/store.h
+++ b/lib/store/store.h
@@ -19,8 +19,11 @@
 
 #define OS_KINDS_MAX 4
 #define OS_NAME_BYTES_MAX 128
-/* Holds a kind and a name of which each byte is encoded in three. */
-#define OS_PATH_BYTES_MAX 1024
+/*
+ * Holds a kind and a name of which each byte is encoded in three; where a list
+ * continues, the name may be longer than any that is kept.
+ */
+#define OS_PATH_BYTES_MAX 4096
 
 /*
  * A revision orders all states of the store. A store that comes back from an
@@ -45,7 +48,7 @@
 struct os_batch {
 	struct os_change *changes;
 	uint32_t count;
-	bool more; /* the list continues after the last name */
+	bool more; /* the list continues */
 	uint64_t
 	    revision; /* of the store at the time of the response, as above */
 };
@@ -62,6 +65,7 @@
 	const char *era_header; /* of responses; holds a whole number */
 	/* Revisions in paths and bodies are numbers within the era. */
 	/* Functions *_path() write a path and return CS_OK or CS_E_FULL. */
+	/* after: NULL, or as from parse_list(). */
 	int (*list_path)(
 	    char out[OS_PATH_BYTES_MAX], const char *kind, const char *after);
 	int (*watch_path)(char out[OS_PATH_BYTES_MAX], const char *kind,
@@ -75,9 +79,13 @@
 	int (*kind_path)(char out[OS_PATH_BYTES_MAX], const char *kind);
 	/*
 	 * Both return CS_E_INVALID for a malformed body. An object that cannot
-	 * be parsed has a text that is no object.
+	 * be parsed has a text that is no object, one without a usable name is
+	 * left out. *after: where the list continues, to be freed with free();
+	 * NULL if out->more is false, or after an error. A list that continues
+	 * after no usable name is malformed.
 	 */
-	int (*parse_list)(const struct os_text *body, struct os_batch *out);
+	int (*parse_list)(
+	    const struct os_text *body, struct os_batch *out, char **after);
 	int (*parse_events)(const struct os_text *body, struct os_batch *out);
 	int (*object_path)(
 	    char out[OS_PATH_BYTES_MAX], const char *kind, const char *name);
--- a/lib/store/store_internal.h
+++ b/lib/store/store_internal.h
@@ -32,7 +32,7 @@
 	    behind_watch; /* the watch that a check found behind; 0: none */
 	uint32_t failures;
 	uint64_t revision;	/* latest known; 0: list first */
-	uint64_t list_revision; /* of the first page */
+	uint64_t list_revision; /* of the first page; 0: not read yet */
 	int64_t confirmed_us;	/* when all changes were known; 0: never */
 	struct os_batch list;	/* of the pages so far */
 };
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -440,13 +440,16 @@
 				    "{\"deleted\":false,\"object\":";
 	struct h1_bytes body = {.data = NULL};
 	struct os_batch batch;
+	char *after;
 
 	h1_bytes_print(&body, "%s%s,", list, GOOD_OBJECT("first"));
 	h1_bytes_add(&body, odd, odd_length);
 	h1_bytes_print(&body, ",%s]}", GOOD_OBJECT("last"));
-	assert_int_equal(pl_codec.parse_list(
-			     &(struct os_text){body.data, body.length}, &batch),
+	assert_int_equal(
+	    pl_codec.parse_list(
+		&(struct os_text){body.data, body.length}, &batch, &after),
 	    CS_OK);
+	assert_null(after);
 	check_odd_entry(&batch);
 	os_batch_free(&batch);
 
@@ -479,6 +482,27 @@
     {"\xc3\xa9", "%C3%A9"},
 };
 
+/* Parses a page that ends with this name; returns where the list continues. */
+static char *
+end_page(const char *name)
+{
+	json_t *root =
+	    json_pack("{s:i,s:b,s:[{s:{s:s,s:i}}]}", "store_revision", 9,
+		"more", 1, "items", "metadata", "name", name, "revision", 5);
+	char *body = json_dumps(root, 0), *after;
+	struct os_batch page;
+
+	assert_int_equal(
+	    pl_codec.parse_list(
+		&(struct os_text){body, strlen(body)}, &page, &after),
+	    CS_OK);
+	assert_non_null(after);
+	os_batch_free(&page);
+	free(body);
+	json_decref(root);
+	return after;
+}
+
 /* A name of another writer remains one name in a path and in a query. */
 static void
 test_names_are_encoded_in_paths(void **state)
@@ -490,9 +514,11 @@
 	for (i = 0; i < sizeof(name_cases) / sizeof(name_cases[0]); i++) {
 		const char *name = name_cases[i].name;
 		const char *encoded = name_cases[i].encoded;
+		char *after = end_page(name);
 
 		assert_int_equal(
-		    pl_codec.list_path(path, "servers", name), CS_OK);
+		    pl_codec.list_path(path, "servers", after), CS_OK);
+		free(after);
 		snprintf(expected, sizeof(expected),
 		    "/objects/servers?after=%s", encoded);
 		assert_string_equal(path, expected);
@@ -509,13 +535,15 @@
 static void
 test_longest_names_fit_into_paths(void **state)
 {
-	char name[OS_NAME_BYTES_MAX], path[OS_PATH_BYTES_MAX];
+	char name[OS_NAME_BYTES_MAX], path[OS_PATH_BYTES_MAX], *after;
 
 	(void)state;
 	memset(name, '&', sizeof(name) - 1);
 	name[sizeof(name) - 1] = '\0';
 	assert_int_equal(pl_codec.object_path(path, name, name), CS_OK);
-	assert_int_equal(pl_codec.list_path(path, name, name), CS_OK);
+	after = end_page(name);
+	assert_int_equal(pl_codec.list_path(path, name, after), CS_OK);
+	free(after);
 	assert_int_equal(pl_codec.check_path(path, name, name), CS_OK);
 }
 
--- a/tests/unit/test_random_decoders.c
+++ b/tests/unit/test_random_decoders.c
@@ -175,10 +175,13 @@
 		struct os_text text = {.data = bytes};
 		struct os_batch batch = {.count = 0};
 		struct os_change object;
+		char *after;
 
 		text.length = mutate(&random, documents[i % 2], bytes);
-		if (pl_codec.parse_list(&text, &batch) == CS_OK) {
+		if (pl_codec.parse_list(&text, &batch, &after) == CS_OK) {
 			read_batch(&batch);
+			assert_int_equal(batch.more, after != NULL);
+			free(after);
 			os_batch_free(&batch);
 		}
 		if (pl_codec.parse_events(&text, &batch) == CS_OK) {
--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -24,6 +24,9 @@
 	"},\"spec\":{\"v\":1}}"
 #define LIST(items, revision) \
 	"{\"items\":[" items "],\"more\":false,\"store_revision\":" revision "}"
+/* A page of a list that continues. */
+#define PAGE(items, revision) \
+	"{\"items\":[" items "],\"more\":true,\"store_revision\":" revision "}"
 #define EVENTS(events, revision) \
 	"{\"events\":[" events "],\"store_revision\":" revision "}"
 #define CHANGED(name, revision) \
@@ -31,6 +34,11 @@
 #define DELETED(name, revision) \
 	"{\"deleted\":true,\"object\":" ITEM(name, revision) "}"
 
+/* Longer than any name that the client holds. */
+#define NAME_OF_32 "n-3456789-123456789-123456789-12"
+#define LONG_NAME \
+	NAME_OF_32 NAME_OF_32 NAME_OF_32 NAME_OF_32 NAME_OF_32 NAME_OF_32
+
 /* A status of a response that names the store's era. */
 #define IN_ERA(era, status) ((era)*1000 + (status))
 
@@ -365,6 +373,72 @@
 	}
 }
 
+/* Lists of several pages: what is reported, and the paths that are requested.
+ */
+struct page_case {
+	const char *name;
+	struct response responses[4];
+	uint32_t count;
+	const char *reported;
+	const char *paths[5]; /* with that of the call after the responses */
+};
+
+#define WATCH_OF(revision) "/objects/servers?watch=" revision "&wait_ms=25000"
+
+static const struct page_case page_cases[] = {
+    {"the only name of a page is too long",
+	{{200, PAGE(ITEM(LONG_NAME, "4"), "9")},
+	    {200, LIST(ITEM("b", "8"), "11")}},
+	2, "all@9 +b; ",
+	{"/objects/servers", "/objects/servers?after=" LONG_NAME,
+	    WATCH_OF("9")}},
+    {"the only name of a page is not UTF-8",
+	{{200, PAGE(ITEM("a\xff&", "4"), "9")},
+	    {200, LIST(ITEM("b", "8"), "11")}},
+	2, "all@9 +b; ",
+	{"/objects/servers", "/objects/servers?after=a%FF%26", WATCH_OF("9")}},
+    {"the only name of a page has a zero byte",
+	{{200, PAGE(ITEM("a\\u0000+", "4"), "9")},
+	    {200, LIST(ITEM("b", "8"), "11")}},
+	2, "all@9 +b; ",
+	{"/objects/servers", "/objects/servers?after=a%00%2B", WATCH_OF("9")}},
+    {"continues after the last name that can be read",
+	{{200, PAGE(ITEM("a", "4") "," ITEM("\\ud800", "5") ",{},7", "9")},
+	    {200, LIST(ITEM("b", "8"), "11")}},
+	2, "all@9 +a +b; ",
+	{"/objects/servers", "/objects/servers?after=a", WATCH_OF("9")}},
+    {"a page without any name is not the end: lists again",
+	{{200, PAGE("{},7", "9")}, {200, LIST(ITEM("b", "8"), "11")}}, 2,
+	"all@11 +b; ",
+	{"/objects/servers", "/objects/servers", WATCH_OF("11")}},
+};
+
+/* Guards against a list that ends early: what it lacks would count as gone. */
+static void
+test_pages_are_read_to_the_end(void **state)
+{
+	uint32_t i, k;
+
+	(void)state;
+	for (i = 0; i < sizeof(page_cases) / sizeof(page_cases[0]); i++) {
+		const struct page_case *row = &page_cases[i];
+		static struct fixture fixture;
+
+		set_up(&fixture, row->responses, row->count);
+		os_client_follow(fixture.client, true);
+		run_until_calls(&fixture, row->count + 1);
+		if (strcmp(fixture.reported, row->reported) != 0)
+			fail_msg(
+			    "%s: reported \"%s\"", row->name, fixture.reported);
+		for (k = 0; k <= row->count; k++) {
+			if (strcmp(fixture.paths[k], row->paths[k]) != 0)
+				fail_msg("%s: requested \"%s\"", row->name,
+				    fixture.paths[k]);
+		}
+		os_client_close(fixture.client);
+	}
+}
+
 /*
  * A query that proves that nothing is missing. Guards against proofs from
  * responses that tell of changes, or of a store that has been restored.
@@ -601,6 +675,12 @@
 					       "\"store_revision\":9}"},
 	    {200, LIST(OBJECT("b", "8"), "11")}},
 	2, "0 a={\"v\":1} b={\"v\":1}", {"/objects/k", "/objects/k?after=a"}},
+    {"list: a page whose only name is too long does not end it", LIST_ALL, 0,
+	{{200, PAGE(OBJECT(LONG_NAME, "4"), "9")},
+	    {200, LIST(OBJECT("b", "8"), "11")}},
+	2, "0 b={\"v\":1}", {"/objects/k", "/objects/k?after=" LONG_NAME}},
+    {"list: a page without any name", LIST_ALL, 0, {{200, PAGE("{},7", "9")}},
+	1, "-6", {"/objects/k"}},
     {"await in a new era: reads, whatever its revision", AWAIT, REVISION(1, 4),
 	{{IN_ERA(2, 200), EVENTS("", "6")}, {IN_ERA(2, 200), OBJECT("x", "4")}},
 	2, "0@2:4 {\"v\":1}", {"/objects/k?watch=4&wait_ms=", "/objects/k/x"}},
@@ -1064,6 +1144,7 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_follows_store_with_list_and_watch),
+	    cmocka_unit_test(test_pages_are_read_to_the_end),
 	    cmocka_unit_test(test_store_proves_that_nothing_is_missing),
 	    cmocka_unit_test(test_cache_keeps_no_revision_without_its_objects),
 	    cmocka_unit_test(test_lost_report_is_listed_again),
