Store: a list that does not come to an end is given up

Cause: apart from the names in queries, no reader of a list noticed that a page had come before. Pages were appended without end, requested as fast as the store answered. Evidence, on the code before: scenario_test_gateway_odd_names (a store that sends the first page for ever, two VMs): 18,898 calls in 3 s; 750 is what a small deployment allows two of its 16 VMs. test_store: "the same page again" reported "all@9 +a +b +a +b +b; ", a list of one page was read without end, also after a registration ("own@9 +a; own@9 +a; "). Change: lib/store/pages.c reads the pages of all four readers of lists. It compares the name that each page ends with with an earlier one (Brent), so a cycle of any length is found within three times its pages, without a limit on the length of lists. The list fails as after a response that cannot be parsed: nothing of it is used, its memory is freed, the next try waits as after other failures.

--- a/lib/store/client.c
+++ b/lib/store/client.c
@@ -115,13 +115,13 @@
 }
 
 static void
-list_own_kind(struct os_client *client, const char *after)
+list_own_kind(struct os_client *client)
 {
 	char path[OS_PATH_BYTES_MAX];
 
 	client->announce_listing = true;
-	if (client->params.codec->list_path(
-		path, client->params.own_kind, after) == CS_OK)
+	if (client->params.codec->list_path(path, client->params.own_kind,
+		client->announce_pages.after) == CS_OK)
 		os_call_send(
 		    &client->announce, "GET", path, NULL, ANNOUNCE_TIMEOUT_MS);
 }
@@ -132,25 +132,25 @@
 {
 	struct os_client *client = call->client;
 	struct os_batch batch = {.count = 0};
-	char *after;
 
 	if (!client->announce_listing) {
+		os_pages_reset(&client->announce_pages);
 		if (status / 100 == 2 || status == 409)
-			list_own_kind(client, NULL);
+			list_own_kind(client);
 		else
 			announce_failed(client);
 		return;
 	}
 	if (status != 200 ||
-	    client->params.codec->parse_list(body, &batch, &after) != CS_OK) {
+	    os_pages_read(&client->announce_pages, client->params.codec,
+		client->params.own_kind, body, &batch) != CS_OK) {
 		announce_failed(client);
 		return;
 	}
 	client->announce_failures = 0;
 	client->announce_done(client->params.user, &batch);
-	if (after != NULL)
-		list_own_kind(client, after);
-	free(after);
+	if (client->announce_pages.after != NULL)
+		list_own_kind(client);
 	os_batch_free(&batch);
 }
 
@@ -319,4 +319,6 @@
 	uv_close((uv_handle_t *)&client->announce_timer, NULL);
 	free(client->announced_value);
 	client->announced_value = NULL;
+	os_pages_reset(&client->announce_pages);
+	os_pages_reset(&client->own_pages);
 }
--- a/lib/store/follow.c
+++ b/lib/store/follow.c
@@ -24,16 +24,17 @@
 	*batch = (struct os_batch){.count = 0};
 }
 
+/* Requests the next page. */
 static void
-request_list(struct os_follow *follow, const char *after)
+request_list(struct os_follow *follow)
 {
 	const struct os_params *params = &follow->call.client->params;
 	char path[OS_PATH_BYTES_MAX];
 
 	follow->listing = true;
 	follow->watching = false;
-	if (params->codec->list_path(
-		path, params->kinds[follow->kind], after) == CS_OK)
+	if (params->codec->list_path(path, params->kinds[follow->kind],
+		follow->pages.after) == CS_OK)
 		os_call_send(&follow->call, "GET", path, NULL, LIST_TIMEOUT_MS);
 }
 
@@ -59,9 +60,10 @@
 	    uv_is_active((uv_handle_t *)&follow->delay_timer))
 		return;
 	os_batch_free(&follow->list);
+	os_pages_reset(&follow->pages);
 	follow->list_revision = 0;
 	if (follow->revision == 0)
-		request_list(follow, NULL);
+		request_list(follow);
 	else
 		request_watch(follow);
 }
@@ -102,6 +104,7 @@
 	if (client->list_once)
 		return; /* not retried: other VMs also provide the objects */
 	follow->failures++;
+	os_batch_free(&follow->list);
 	/*
 	 * A watch that was interrupted is not resumed: the store may be about
 	 * to drop the history in between, and would not report that.
@@ -148,22 +151,20 @@
 {
 	struct os_client *client = follow->call.client;
 	struct os_batch page = {.count = 0};
-	char *after;
 
-	if (client->params.codec->parse_list(body, &page, &after) != CS_OK) {
+	if (os_pages_read(&follow->pages, client->params.codec,
+		client->params.kinds[follow->kind], body, &page) != CS_OK) {
 		handle_failure(follow, OS_NO_RESPONSE);
 		return;
 	}
 	os_batch_set_era(&page, client->era);
 	if (append_page(follow, &page) != CS_OK) {
 		os_batch_free(&page);
-		free(after);
 		handle_failure(follow, OS_NO_RESPONSE);
 		return;
 	}
-	if (after != NULL) {
-		request_list(follow, after);
-		free(after);
+	if (follow->pages.after != NULL) {
+		request_list(follow);
 		return;
 	}
 	/* The watch reports changes made between the pages again. */
@@ -311,6 +312,7 @@
 {
 	os_call_cancel(&follow->call);
 	os_batch_free(&follow->list);
+	os_pages_reset(&follow->pages);
 	uv_close((uv_handle_t *)&follow->delay_timer, NULL);
 }
 
--- a/lib/store/objects.c
+++ b/lib/store/objects.c
@@ -41,7 +41,7 @@
 	int error; /* if set, the call is never sent */
 	char kind[OS_NAME_BYTES_MAX];
 	char name[OS_NAME_BYTES_MAX];
-	char *after; /* where a list continues; NULL: at its first page */
+	struct os_pages pages; /* of a list */
 	char *value;
 	uint64_t revision;	 /* expected (write) or known (watch) */
 	uint64_t watch_revision; /* the watch returns later changes */
@@ -66,8 +66,7 @@
 	free(op->listed);
 	op->listed = NULL;
 	op->listed_count = 0;
-	free(op->after);
-	op->after = NULL;
+	os_pages_reset(&op->pages);
 }
 
 static void
@@ -224,14 +223,14 @@
 {
 	struct os_batch page = {.count = 0};
 
-	free(op->after);
-	if (op->objects->codec->parse_list(body, &page, &op->after) != CS_OK) {
+	if (os_pages_read(&op->pages, op->objects->codec, op->kind, body,
+		&page) != CS_OK) {
 		finish_failed(op, CS_E_UNKNOWN);
 		return;
 	}
 	if (append_page(op, &page) != CS_OK) {
 		finish_failed(op, CS_E_SYSTEM);
-	} else if (op->after != NULL) {
+	} else if (op->pages.after != NULL) {
 		send_op(op);
 	} else {
 		op->on_list(CS_OK, op->listed, op->listed_count, op->user);
@@ -284,7 +283,7 @@
 	uint64_t era = os_response_era(op->objects->codec, response);
 
 	report_era(op->objects, error, era);
-	if (op->type == OP_LIST && op->after != NULL && era != op->era) {
+	if (op->type == OP_LIST && op->pages.after != NULL && era != op->era) {
 		drop_listed(op); /* pages of two eras are no list */
 		op->era = era;
 		send_op(op);
@@ -323,7 +322,7 @@
 	case OP_CREATE:
 		return codec->kind_path(path, op->kind);
 	case OP_LIST:
-		return codec->list_path(path, op->kind, op->after);
+		return codec->list_path(path, op->kind, op->pages.after);
 	}
 	return CS_E_INVALID;
 }
--- a/lib/store/store_internal.h
+++ b/lib/store/store_internal.h
@@ -21,8 +21,16 @@
 	    struct os_call *call, int status, const struct os_text *body);
 };
 
+/* Where a list that comes in pages is; zeroed: at its first page. */
+struct os_pages {
+	char *after; /* as from parse_list(), of the last page; NULL: none */
+	char *mark;  /* that of an earlier page, see pages.c */
+	uint32_t count;
+};
+
 struct os_follow {
 	struct os_call call;
+	struct os_pages pages;
 	uv_timer_t delay_timer;
 	uint32_t kind;
 	bool listing;
@@ -67,8 +75,10 @@
 	char *announced_value;
 	uint32_t announce_failures;
 	bool announce_listing;
+	struct os_pages announce_pages;
 	void (*announce_done)(void *user, const struct os_batch *batch);
 	struct os_call own_list; /* of os_client_list_own() */
+	struct os_pages own_pages;
 	void (*own_list_done)(void *user, const struct os_batch *batch);
 	struct cs_random random;
 	bool following;
@@ -86,6 +96,18 @@
 uint64_t os_response_era(
     const struct os_codec *codec, const struct h1_client_response *response);
 
+/* pages.c */
+/* os_pages_reset(pages): the first page comes next. */
+void os_pages_reset(struct os_pages *pages);
+/*
+ * os_pages_read(pages, codec, kind, body, page): parses the next page of the
+ * list. Unless pages->after is NULL then, the list continues there. Returns an
+ * error of parse_list(), or CS_E_STALE if the list does not come to an end; the
+ * pages are reset then, and there is no page.
+ */
+int os_pages_read(struct os_pages *pages, const struct os_codec *codec,
+    const char *kind, const struct os_text *body, struct os_batch *page);
+
 /* own_list.c */
 void os_own_list_init(struct os_client *client);
 
--- a/tests/scenario/test_gateway_odd_names.py
+++ b/tests/scenario/test_gateway_odd_names.py
@@ -1,6 +1,7 @@
 """An entry of another writer stands in the list of targets, under a name that
 has a meaning of its own in a URL, and the list is longer than a page. All VMs
-restart: they serve as before, and stay small."""
+restart: they serve as before. Where the store sends a list that does not end,
+they stay small and within their calls to the store."""
 import asyncio
 import os
 import signal
@@ -15,6 +16,8 @@
 CALLS_AT_ONCE = 4  # of each kind at each VM
 # Half of the memory that the settings allow a VM.
 RESIDENT_MB_MAX = 130
+READS_PER_VM_S = 2000 // 16  # a small deployment: 2,000 a second for 16 VMs
+ENDLESS_S = 3
 # The targets are named t-a-NUMBER and t-b-NUMBER.
 ODD_NAMES = ("t-a-0&x", "t-a-0+x", "t-a-0#x", "t-a-0%26", "t-a-0 x", "t-a-0?x",
              "t-a-0/x", "t-a-0\u00e9", "t-a-0\r\nx", "&", "%")
@@ -69,6 +72,24 @@
     print("served beside", names)
 
 
+async def outlast_endless_list(cluster):
+    cluster.store.ignores_after = True
+    for vm in cluster.vms:
+        await vm.terminate(signal.SIGKILL)
+        await vm.start()
+    calls = cluster.store.calls
+    await asyncio.sleep(ENDLESS_S)
+    calls = cluster.store.calls - calls
+    for vm in cluster.vms:
+        assert vm.process.returncode is None, vm.name
+        assert resident_mb(vm) < RESIDENT_MB_MAX, (vm.name, resident_mb(vm))
+    print("%d calls in %d s of a list without end" % (calls, ENDLESS_S))
+    assert calls < len(cluster.vms) * READS_PER_VM_S * ENDLESS_S, calls
+    cluster.store.ignores_after = False
+    await cluster.wait_until(cluster.all_ready, 10, "every VM is ready")
+    await check_service(cluster)
+
+
 async def main():
     cluster = standin.Cluster(BINARY, vm_count=2)
     cluster.store.page_items = PAGE_ITEMS
@@ -83,6 +104,7 @@
             except AssertionError as error:
                 failed.append((names, str(error)))
                 print("FAILED beside", names, error)
+        await outlast_endless_list(cluster)
     finally:
         await cluster.stop()
     assert not failed, "%d cases failed" % len(failed)
--- a/tests/standins/cluster.py
+++ b/tests/standins/cluster.py
@@ -62,6 +62,8 @@
         self.paths = set()  # of all requests, without their queries
         self.proof_queries = 0  # watches that do not wait
         self.page_items = 500  # at most in one response to a list
+        self.ignores_after = False  # sends the first page of a list for ever
+        self.calls = 0
 
     def copy(self):
         """For restore(): all that it holds now."""
@@ -121,7 +123,8 @@
                 pass
 
     def list_page(self, objects, after):
-        names = sorted(name for name in objects if name > after)
+        names = sorted(name for name in objects
+                       if self.ignores_after or name > after)
         return {"items": [objects[name] for name in names[:self.page_items]],
                 "more": len(names) > self.page_items,
                 "store_revision": self.revision}
@@ -132,6 +135,7 @@
         method, target, _ = first.split(" ")
         path, _, query = target.partition("?")
         self.paths.add(path)
+        self.calls += 1
         self.proof_queries += "wait_ms=0" in query and \
             "allow_stale" not in query
         parameters = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -411,6 +411,20 @@
 	{{200, PAGE("{},7", "9")}, {200, LIST(ITEM("b", "8"), "11")}}, 2,
 	"all@11 +b; ",
 	{"/objects/servers", "/objects/servers", WATCH_OF("11")}},
+    {"the same page again: lists again",
+	{{200, PAGE(ITEM("a", "4") "," ITEM("b", "5"), "9")},
+	    {200, PAGE(ITEM("a", "4") "," ITEM("b", "5"), "9")},
+	    {200, LIST(ITEM("b", "8"), "11")}},
+	3, "all@11 +b; ",
+	{"/objects/servers", "/objects/servers?after=b", "/objects/servers",
+	    WATCH_OF("11")}},
+    {"the same name again, from another page: lists again",
+	{{200, PAGE(ITEM("a", "4") "," ITEM("b", "5"), "9")},
+	    {200, PAGE(ITEM("b", "5"), "9")},
+	    {200, LIST(ITEM("b", "8"), "11")}},
+	3, "all@11 +b; ",
+	{"/objects/servers", "/objects/servers?after=b", "/objects/servers",
+	    WATCH_OF("11")}},
 };
 
 /* Guards against a list that ends early: what it lacks would count as gone. */
@@ -439,6 +453,94 @@
 	}
 }
 
+#define CYCLE_PAGES_MAX 5
+
+/* Runs until the list begins again; returns the number of its pages, or 0. */
+static uint32_t
+count_pages(struct fixture *fixture, uint32_t pages_max)
+{
+	uint32_t i;
+
+	for (i = 1; i <= pages_max; i++) {
+		run_until_calls(fixture, i + 1);
+		if (strcmp(fixture->paths[i], "/objects/servers") == 0)
+			return i;
+	}
+	return 0;
+}
+
+/*
+ * A store that reads the names in queries wrongly sends pages again, all of
+ * them or all after the first ones. No more than three times as many are read.
+ */
+static void
+test_endless_lists_are_given_up(void **state)
+{
+	static const struct response pages[CYCLE_PAGES_MAX] = {
+	    {200, PAGE(ITEM("a", "4"), "9")}, {200, PAGE(ITEM("b", "4"), "9")},
+	    {200, PAGE(ITEM("c", "4"), "9")}, {200, PAGE(ITEM("d", "4"), "9")},
+	    {200, PAGE(ITEM("e", "4"), "9")}};
+	static struct response responses[CALLS_MAX];
+	uint32_t length, first, i;
+
+	(void)state;
+	for (length = 1; length <= CYCLE_PAGES_MAX; length++) {
+		for (first = 0; first < length; first++) {
+			static struct fixture fixture;
+
+			for (i = 0; i < length; i++)
+				responses[i] = pages[i];
+			for (; i < CALLS_MAX; i++)
+				responses[i] = responses[i - (length - first)];
+			set_up(&fixture, responses, CALLS_MAX);
+			os_client_follow(fixture.client, true);
+			if (count_pages(&fixture, 3 * length) == 0)
+				fail_msg("%u pages, from %u on repeated: read "
+					 "without end",
+				    length, first);
+			assert_string_equal(fixture.reported, "");
+			os_client_close(fixture.client);
+		}
+	}
+}
+
+static void
+on_own_page(void *user, const struct os_batch *batch)
+{
+	struct fixture *fixture = user;
+
+	if (batch != NULL)
+		report_batch(fixture, "own", batch);
+	else
+		strcat(fixture->reported, "failed; ");
+}
+
+/* The list of the VMs, after a registration and alone. */
+static void
+test_endless_lists_of_vms_are_given_up(void **state)
+{
+	static const struct response responses[] = {{200, ITEM("vm", "3")},
+	    {200, PAGE(ITEM("a", "4"), "9")}, {200, PAGE(ITEM("a", "4"), "9")}};
+	static struct fixture fixture;
+
+	(void)state;
+	set_up(&fixture, responses, 3);
+	os_client_announce(fixture.client, "{}", on_own_page);
+	run_until_calls(&fixture, 4); /* registers again */
+	assert_string_equal(fixture.reported, "own@9 +a; failed; ");
+	assert_string_equal(fixture.paths[3], "POST /objects/own");
+	os_client_close(fixture.client);
+
+	set_up(&fixture, responses + 1, 2);
+	assert_int_equal(
+	    os_client_list_own(fixture.client, on_own_page), CS_OK);
+	run_until_calls(&fixture, 2);
+	while (strstr(fixture.reported, "failed") == NULL && fixture.calls == 2)
+		uv_run(&fixture.loop, UV_RUN_ONCE);
+	assert_string_equal(fixture.reported, "own@9 +a; failed; ");
+	os_client_close(fixture.client);
+}
+
 /*
  * A query that proves that nothing is missing. Guards against proofs from
  * responses that tell of changes, or of a store that has been restored.
@@ -679,6 +781,10 @@
 	{{200, PAGE(OBJECT(LONG_NAME, "4"), "9")},
 	    {200, LIST(OBJECT("b", "8"), "11")}},
 	2, "0 b={\"v\":1}", {"/objects/k", "/objects/k?after=" LONG_NAME}},
+    {"list: the same page again", LIST_ALL, 0,
+	{{200, PAGE(OBJECT("a", "4"), "9")},
+	    {200, PAGE(OBJECT("a", "4"), "9")}},
+	2, "-6", {"/objects/k", "/objects/k?after=a"}},
     {"list: a page without any name", LIST_ALL, 0, {{200, PAGE("{},7", "9")}},
 	1, "-6", {"/objects/k"}},
     {"await in a new era: reads, whatever its revision", AWAIT, REVISION(1, 4),
@@ -1145,6 +1251,8 @@
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_follows_store_with_list_and_watch),
 	    cmocka_unit_test(test_pages_are_read_to_the_end),
+	    cmocka_unit_test(test_endless_lists_are_given_up),
+	    cmocka_unit_test(test_endless_lists_of_vms_are_given_up),
 	    cmocka_unit_test(test_store_proves_that_nothing_is_missing),
 	    cmocka_unit_test(test_cache_keeps_no_revision_without_its_objects),
 	    cmocka_unit_test(test_lost_report_is_listed_again),
