h1: interim responses share the limit of one head

Cause: each interim response began a message anew, with the limit of a head of its own. Evidence: test_gateway (bytes without end) on the code before: "interim responses: 504" after the whole time-out of 30 s. Empty lines, a version and the name of a header without end were ended before; kept as cases. Change: the reader counts the bytes of interim responses before a response; beyond the limit of a head (64 KB) the response is no answer, as any head that is too large: 502, or another target. 64 interim responses before one response are read as before (test_gateway).

--- a/lib/h1/h1.h
+++ b/lib/h1/h1.h
@@ -89,7 +89,8 @@
 	H1_READ_MORE = 0, /* the message is not complete yet */
 	H1_READ_COMPLETE = 1,
 	H1_READ_MALFORMED = -1, /* not HTTP, ambiguous length, or no memory */
-	H1_READ_HEAD_TOO_LARGE = -2, /* above h1_limits.head_bytes */
+	/* Above h1_limits.head_bytes, also of all interim responses. */
+	H1_READ_HEAD_TOO_LARGE = -2,
 	H1_READ_BODY_TOO_LARGE = -3, /* above h1_limits.body_bytes */
 	H1_READ_NO_MEMORY = -4,	     /* the budget has no room for the body */
 };
@@ -112,6 +113,11 @@
 	uint64_t taken_bytes; /* for the body of this message */
 	enum h1_read failure;
 	uint32_t header_bytes;
+	/*
+	 * Of the interim responses before this response, which have the limit
+	 * of one head together.
+	 */
+	uint64_t interim_bytes;
 	bool in_value;
 	bool started; /* at least one byte of the message was received */
 	bool head_complete;
--- a/lib/h1/message.c
+++ b/lib/h1/message.c
@@ -471,6 +471,7 @@
 	message->expects_continue = false;
 	reader->failure = H1_READ_MORE;
 	reader->header_bytes = 0;
+	reader->interim_bytes = 0;
 	reader->in_value = reader->started = reader->head_complete = false;
 	reader->complete = reader->skip_body = false;
 	http_parser_init(
@@ -491,14 +492,18 @@
 h1_reader_feed(
     struct h1_reader *reader, const char *data, size_t length, size_t *used)
 {
-	bool skip_body = reader->skip_body;
+	bool skip_body = reader->skip_body, in_head;
+	uint64_t interim_bytes;
 	size_t parsed;
 
 	*used = 0;
 	for (;;) {
 		reader->started |= length > 0;
+		in_head = !reader->head_complete;
 		parsed = http_parser_execute(
 		    &reader->parser, &callbacks, data, length);
+		if (in_head)
+			reader->interim_bytes += parsed;
 		if (reader->failure != H1_READ_MORE)
 			return reader->failure;
 		if (reader->complete && !is_interim(reader)) {
@@ -506,8 +511,12 @@
 			return H1_READ_COMPLETE;
 		}
 		if (reader->complete) { /* interim, such as 100 Continue */
+			interim_bytes = reader->interim_bytes;
 			h1_reader_next(reader);
 			reader->skip_body = skip_body;
+			reader->interim_bytes = interim_bytes;
+			if (interim_bytes > reader->limits.head_bytes)
+				return reader->failure = H1_READ_HEAD_TOO_LARGE;
 			*used += parsed;
 			data += parsed;
 			length -= parsed;
--- a/tests/unit/test_gateway.c
+++ b/tests/unit/test_gateway.c
@@ -797,6 +797,12 @@
     {"head", "HTTP/1.1 200 OK\r\n", "X-Filler: aaaaaaaaaaaaaaaa\r\n"},
     {"one header", "HTTP/1.1 200 OK\r\nX-Filler: ", "aaaaaaaaaaaaaaaaaaaaaaaa"},
     {"status line", "HTTP/1.1 200 ", "aaaaaaaaaaaaaaaaaaaaaaaa"},
+    {"interim responses", "", "HTTP/1.1 102 Processing\r\n\r\n"},
+    {"interim responses with fields", "",
+	"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"},
+    {"empty lines", "", "\r\n"},
+    {"version", "HTTP/1.", "111111111111111111111111"},
+    {"name of a header", "HTTP/1.1 200 OK\r\n", "aaaaaaaaaaaaaaaaaaaaaaaa"},
     {"body without a length",
 	"HTTP/1.1 200 OK\r\n" ATTEMPT_ID RESPONSE_SEAL "\r\n",
 	"aaaaaaaaaaaaaaaaaaaaaaaa"},
@@ -852,6 +858,31 @@
 	}
 }
 
+#define INTERIM_RESPONSES_MAX 64 /* a target that works for a minute */
+
+/* Interim responses are no part of the final one and its limit. */
+static void
+test_interim_responses_of_a_long_request_are_read(void **state)
+{
+	static char bytes[INTERIM_RESPONSES_MAX * 64 + 1024];
+	const struct rig_script script = {bytes, RIG_KEEP, NULL, false};
+	size_t length = 0;
+	struct rig *rig;
+	int i;
+
+	(void)state;
+	for (i = 0; i < INTERIM_RESPONSES_MAX; i++)
+		length += (size_t)snprintf(bytes + length,
+		    sizeof(bytes) - length, "HTTP/1.1 102 Processing\r\n\r\n");
+	snprintf(
+	    bytes + length, sizeof(bytes) - length, "%s", COMPLETE_RESPONSE);
+	rig = make_rig(&script, 1, 1);
+	assert_int_equal(status_of(rig_ask(rig, NON_IDEMPOTENT_REQUEST,
+			     strlen(NON_IDEMPOTENT_REQUEST))),
+	    200);
+	rig_free(rig);
+}
+
 /*
  * Bodies of many connections together stay within their budget. One that has no
  * room is refused at its head, before it takes room from others.
@@ -1360,6 +1391,7 @@
 	    cmocka_unit_test(
 		test_requests_behind_a_closing_response_are_not_sent),
 	    cmocka_unit_test(test_bytes_without_end_close_the_connection),
+	    cmocka_unit_test(test_interim_responses_of_a_long_request_are_read),
 	    cmocka_unit_test(test_bodies_of_all_responses_share_a_budget),
 	    cmocka_unit_test(test_call_waits_until_the_objects_are_loaded),
 	    cmocka_unit_test(
