Targets: an entry whose name cannot stand in a header names no target

Each request names its target in a header: an entry that is whole but for a name with a line end put lines of its writer into the heads of requests. Cause: names of entries were checked for their length alone; those of tenants were checked. Evidence: test_platform (needs a name for a header) on the code before: "i\r\nX-Field: v" named a target. Names with &, +, #, % or a blank inside still name a target where the entry is whole. Log event 2204 has field `name`, as for one that is too long.

--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -93,6 +93,45 @@
 	}
 }
 
+static const struct {
+	const char *name;
+	bool valid;
+} id_cases[] = {
+    {"i-7f3a91c2", true},
+    {"a&b+c#d%e", true},
+    {"a b", true},
+    {"\xc3\xa9", true},
+    {"i\r\nX-Field: v", false},
+    {"i\nv", false},
+    {"i\tv", false},
+    {"i\x01", false},
+    {"i\x7f", false},
+    {" i", false},
+    {"i ", false},
+    {" ", false},
+    {"", false},
+};
+
+/* Each request names its target in a header. */
+static void
+test_read_target_needs_a_name_for_a_header(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(id_cases) / sizeof(id_cases[0]); i++) {
+		char error_text[PL_TEXT_BYTES_MAX] = "";
+		struct pl_target target;
+		int error = pl_read_target(id_cases[i].name,
+		    SPEC(INFO "," STATUS), &target, error_text);
+
+		if ((error == CS_OK) != id_cases[i].valid ||
+		    (error != CS_OK && strcmp(error_text, "name") != 0))
+			fail_msg("\"%s\": %d \"%s\"", id_cases[i].name, error,
+			    error_text);
+	}
+}
+
 static void
 test_read_target_fills_fields(void **state)
 {
@@ -824,6 +863,7 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_read_target_reports_invalid_field),
+	    cmocka_unit_test(test_read_target_needs_a_name_for_a_header),
 	    cmocka_unit_test(test_read_target_fills_fields),
 	    cmocka_unit_test(test_read_table_rejects_invalid_config),
 	    cmocka_unit_test(test_read_table_fills_fields),
