Log: control bytes in values do not begin a line

A refused entry is named in log event 2204: a name with a line end wrote a line of its writer's, which `explain` reads. Cause: values go into lines as they are. Evidence: scenario_test_gateway_odd_names on the code before: a line that is `x fault="name"`. Change: cs_log() writes control bytes as `?`.

--- a/lib/base/log.c
+++ b/lib/base/log.c
@@ -170,6 +170,16 @@
 	log4c_fini();
 }
 
+/* Names of other writers must not begin a line. */
+static void
+replace_control_bytes(char *text)
+{
+	for (; *text != '\0'; text++) {
+		if ((unsigned char)*text < ' ' || *text == '\x7f')
+			*text = '?';
+	}
+}
+
 void
 cs_log(enum cs_log_event event, const char *format, ...)
 {
@@ -189,6 +199,7 @@
 	va_start(args, format);
 	vsnprintf(fields, sizeof(fields), format, args);
 	va_end(args);
+	replace_control_bytes(fields);
 	log4c_category_log(category, info->level, "event=%d name=%s %s",
 	    (int)info->event, info->name, fields);
 }
--- a/tests/scenario/test_gateway_odd_names.py
+++ b/tests/scenario/test_gateway_odd_names.py
@@ -4,6 +4,7 @@
 they stay small and within their calls to the store."""
 import asyncio
 import os
+import re
 import signal
 import sys
 
@@ -18,6 +19,7 @@
 RESIDENT_MB_MAX = 130
 READS_PER_VM_S = 2000 // 16  # a small deployment: 2,000 a second for 16 VMs
 ENDLESS_S = 3
+LOG_LINE = re.compile(r"[0-9]+\.[0-9]{6} +[A-Z]+ +event=[0-9]+ name=")
 # The targets are named t-a-NUMBER and t-b-NUMBER.
 ODD_NAMES = ("t-a-0&x", "t-a-0+x", "t-a-0#x", "t-a-0%26", "t-a-0 x", "t-a-0?x",
              "t-a-0/x", "t-a-0\u00e9", "t-a-0\r\nx", "&", "%")
@@ -90,6 +92,27 @@
     await check_service(cluster)
 
 
+async def check_logs(cluster):
+    """Each refused name is in one line, and begins none."""
+    for name in ODD_NAMES:
+        cluster.store.put("servers", name, None)
+
+    async def all_refused():
+        return all(line_count(vm, "target_refused") >=
+                   refused[vm] + len(ODD_NAMES) for vm in cluster.vms)
+    refused = {vm: line_count(vm, "target_refused") for vm in cluster.vms}
+    await cluster.wait_until(all_refused, 10, "a line for each name")
+    for vm in cluster.vms:
+        with open(vm.log, newline="\n") as log:
+            for line in log:
+                assert LOG_LINE.match(line), (vm.name, line)
+
+
+def line_count(vm, event):
+    with open(vm.log) as log:
+        return sum("name=" + event in line for line in log)
+
+
 async def main():
     cluster = standin.Cluster(BINARY, vm_count=2)
     cluster.store.page_items = PAGE_ITEMS
@@ -105,6 +128,7 @@
                 failed.append((names, str(error)))
                 print("FAILED beside", names, error)
         await outlast_endless_list(cluster)
+        await check_logs(cluster)
     finally:
         await cluster.stop()
     assert not failed, "%d cases failed" % len(failed)
