Store: a change under a name that cannot be kept does not end a wait

With one such change in the kind of the configuration, the VM of `entry` that watches it asks again at once, without a pause, by reading programs/entry_config.c; the rate was not measured. Cause: os_wait_for_change() took a response of which no event was kept for the end of the wait without a change, and its caller began again from the old revision, before the same event. Evidence: test_store (object calls) on the code before: "await: a change under a name that is too long is ignored: reported "-8@0 "" after one call. Change: a batch counts the changes that it leaves out; the wait goes on behind them, as behind changes of other objects, until its end.

--- a/lib/store/objects.c
+++ b/lib/store/objects.c
@@ -172,7 +172,8 @@
 		finish_failed(op, CS_E_MISSING);
 	else if (latest != NULL)
 		finish_with_object(op, latest);
-	else if (events.count == 0 || cs_now_us() >= op->deadline_us)
+	else if (events.count + events.skipped == 0 ||
+		 cs_now_us() >= op->deadline_us)
 		finish_failed(op, CS_E_STALE);
 	else
 		send_op(op); /* only other objects changed */
--- a/lib/store/store.h
+++ b/lib/store/store.h
@@ -48,7 +48,8 @@
 struct os_batch {
 	struct os_change *changes;
 	uint32_t count;
-	bool more; /* the list continues */
+	uint32_t skipped; /* changes under names that cannot be kept */
+	bool more;	  /* the list continues */
 	uint64_t
 	    revision; /* of the store at the time of the response, as above */
 };
