--- a/tests/scenario/test_gateway_odd_names.py
+++ b/tests/scenario/test_gateway_odd_names.py
@@ -1,6 +1,6 @@
 """An entry of another writer stands in the list of targets, under a name that
-has a meaning of its own in a URL, and the list is longer than a page. All VMs
-restart: they serve as before. Where the store sends a list that does not end,
+has a meaning of its own in a URL, and the list is longer than a page. At the
+first start, after a restart of all VMs and during a run they serve as before. Where the store sends a list that does not end,
 they stay small and within their calls to the store."""
 import asyncio
 import os
@@ -19,6 +19,7 @@
 RESIDENT_MB_MAX = 130
 READS_PER_VM_S = 2000 // 16  # a small deployment: 2,000 a second for 16 VMs
 ENDLESS_S = 3
+LONG_NAME = "t-a-0" + 200 * "x"
 LOG_LINE = re.compile(r"[0-9]+\.[0-9]{6} +[A-Z]+ +event=[0-9]+ name=")
 # The targets are named t-a-NUMBER and t-b-NUMBER.
 ODD_NAMES = ("t-a-0&x", "t-a-0+x", "t-a-0#x", "t-a-0%26", "t-a-0 x", "t-a-0?x",
@@ -61,19 +62,54 @@
         assert resident_mb(vm) < RESIDENT_MB_MAX, (vm.name, resident_mb(vm))
 
 
-async def serve_beside(cluster, names):
+def put_odd(cluster, names):
     for number, name in enumerate(names):
         cluster.store.put("servers", name,
                           ODD_SPECS[number % len(ODD_SPECS)])
+
+
+def remove_odd(cluster, names):
+    for name in names:
+        cluster.store.put("servers", name, {}, deleted=True)
+
+
+async def serve_beside(cluster, names):
+    put_odd(cluster, names)
     try:
         await restart(cluster)
         await check_service(cluster)
     finally:
-        for name in names:
-            cluster.store.put("servers", name, {}, deleted=True)
+        remove_odd(cluster, names)
     print("served beside", names)
 
 
+async def serve_during_a_run(cluster):
+    """Entries come, change and go; a target that drains meanwhile is heard of
+    behind them."""
+    names = ODD_NAMES + (LONG_NAME,)
+    for _ in range(len(ODD_SPECS)):
+        put_odd(cluster, names)
+        await check_service(cluster)
+        names = names[1:] + names[:1]
+    leaving = cluster.targets[0]
+    leaving.start_draining()
+    put_odd(cluster, names)
+    await cluster.wait_until(lambda: gets_nothing(cluster, leaving), 10,
+                             "the leaving target gets nothing")
+    await leaving.stop()
+    await leaving.start()  # a new process, of the same name
+    await check_service(cluster)
+    remove_odd(cluster, names)
+    print("served during a run")
+
+
+async def gets_nothing(cluster, target):
+    runs = target.runs
+    await asyncio.gather(*(cluster.call(vm.host, "/read/x")
+                           for vm in cluster.vms for _ in range(8)))
+    return target.runs == runs
+
+
 async def outlast_endless_list(cluster):
     cluster.store.ignores_after = True
     for vm in cluster.vms:
@@ -119,14 +155,18 @@
     cluster.put_config(ROUTES)
     failed = []
     try:
+        put_odd(cluster, ODD_NAMES)
         await cluster.start()
         await cluster.wait_until(cluster.all_ready, 15, "every VM is ready")
+        await check_service(cluster)
+        remove_odd(cluster, ODD_NAMES)
         for names in [(name,) for name in ODD_NAMES] + [ODD_NAMES]:
             try:
                 await serve_beside(cluster, names)
             except AssertionError as error:
                 failed.append((names, str(error)))
                 print("FAILED beside", names, error)
+        await serve_during_a_run(cluster)
         await outlast_endless_list(cluster)
         await check_logs(cluster)
     finally:
