--- a/tests/scenario/test_gateway_odd_names.py
+++ b/tests/scenario/test_gateway_odd_names.py
@@ -19,11 +19,12 @@
 RESIDENT_MB_MAX = 130
 READS_PER_VM_S = 2000 // 16  # a small deployment: 2,000 a second for 16 VMs
 ENDLESS_S = 3
-LONG_NAME = "t-a-0" + 200 * "x"
 LOG_LINE = re.compile(r"[0-9]+\.[0-9]{6} +[A-Z]+ +event=[0-9]+ name=")
 # The targets are named t-a-NUMBER and t-b-NUMBER.
 ODD_NAMES = ("t-a-0&x", "t-a-0+x", "t-a-0#x", "t-a-0%26", "t-a-0 x", "t-a-0?x",
              "t-a-0/x", "t-a-0\u00e9", "t-a-0\r\nx", "&", "%")
+# No object is kept under them; each has a page of its own.
+UNKEPT_NAMES = ("t-a-0" + 200 * "x", "t-a-0\ud800", "t-a-0\0")
 # None names a target to use; the first is of another type, the last is whole
 # but for its state.
 ODD_SPECS = (None, [], 7, {}, {
@@ -80,13 +81,13 @@
         await check_service(cluster)
     finally:
         remove_odd(cluster, names)
-    print("served beside", names)
+    print("served beside", ascii(names))
 
 
 async def serve_during_a_run(cluster):
     """Entries come, change and go; a target that drains meanwhile is heard of
     behind them."""
-    names = ODD_NAMES + (LONG_NAME,)
+    names = ODD_NAMES + UNKEPT_NAMES
     for _ in range(len(ODD_SPECS)):
         put_odd(cluster, names)
         await check_service(cluster)
@@ -160,12 +161,13 @@
         await cluster.wait_until(cluster.all_ready, 15, "every VM is ready")
         await check_service(cluster)
         remove_odd(cluster, ODD_NAMES)
-        for names in [(name,) for name in ODD_NAMES] + [ODD_NAMES]:
+        for names in [(name,) for name in ODD_NAMES + UNKEPT_NAMES] + \
+                [ODD_NAMES + UNKEPT_NAMES]:
             try:
                 await serve_beside(cluster, names)
             except AssertionError as error:
                 failed.append((names, str(error)))
-                print("FAILED beside", names, error)
+                print("FAILED beside", ascii(names), error)
         await serve_during_a_run(cluster)
         await outlast_endless_list(cluster)
         await check_logs(cluster)
