--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,8 +1,8 @@
-"""Allotments that nobody gives out after all machines have been killed, since
-machines that were taken away long ago count as possible holders.
+"""An evacuation that is undone by the gateway that becomes the leader.
 
-Machines are replaced one after the other, as planned work. Then all processes
-are killed at once and start again.
+All gateways are killed at the same moment and start again, in an order that
+lets two of them list the store before they hear of a leader. A zone is
+evacuated, taken back and evacuated again, then the leading gateway is stopped.
 """
 import asyncio
 import os
@@ -14,89 +14,101 @@
 import fleet  # noqa: E402
 
 ZONES = {"sj-escazu": "sanjose", "sj-heredia": "sanjose"}
-HOST, KEY = "hulo84.example", "h4jcda9rgy35ieispuxs"
-RATE_PER_S, BURST = 60, 60
-SENT_PER_S = 20  # a third of what the tenant is allowed
-GRACE_S, RECOVERY_S = 6.0, 15.0
-MEASURED_S = 8.0
-IN_USE, REPLACED = 3, 3  # each machine once
+EVACUATED = "sj-heredia"
+HOST = "jepu9.example"
+EVACUATE_S, STABLE_WINDOW_S = 5.0, 4.0
 BOUNDS = ["stable_window=4000ms", "ack=5000ms", "catch_up=6s", "drain=3000ms",
           "grace=6s", "config_apply=3000ms", "max_stretch=5000ms",
           "retry_budget_ratio=0.2", "budget_window=10s",
-          "retry_budget_slack=60", "quota_window=5s", "quota_excess=0.1",
-          "quota_slack=20", "recovery=15s", "ttl_max=5s", "probes_per_s=60"]
-
-
-async def send_for(run, gateways, name, seconds):
-    """Sends requests of the tenant evenly; returns sent and served."""
-    pending, number = [], 0
-    end = run.now() + seconds
-    while run.now() < end:
-        gateway = gateways[number % len(gateways)]
-        pending.append(asyncio.ensure_future(fleet.call(
-            run, gateway, HOST, "POST", "/xapu221/ny95/2f",
-            "%s-%d" % (name, number), b"work",
-            headers={"X-Api-Key": KEY})))
-        number += 1
-        await asyncio.sleep(1.0 / SENT_PER_S)
-    statuses = await asyncio.gather(*pending)
-    return len(statuses), sum(status == 200 for status in statuses)
+          "retry_budget_slack=60", "evacuate=5000ms", "recovery=15s",
+          "ttl_max=5s", "probes_per_s=60"]
+# The first three are the seeds. The program orders its nodes by their names.
+NAMES = [("front-sj-escazu-1", "sj-escazu"), ("front-sj-escazu-2", "sj-escazu"),
+         ("front-sj-escazu-3", "sj-escazu"), ("front-sj-heredia-1", EVACUATED),
+         ("front-sj-heredia-2", EVACUATED)]
 
 
 async def case(run):
-    count = IN_USE + REPLACED
-    hosts = [run.address(n + 1) for n in range(count)]
+    hosts = [run.address(n) for n in range(1, 6)]
+    upstream_hosts = [run.address(100 + n) for n in range(4)]
     run.choose_ports(("front", "ready", "directory", "control", "internal"),
                      hosts)
-    run.choose_ports(("upstream",), [run.address(100 + n) for n in range(3)])
+    run.choose_ports(("upstream",), upstream_hosts)
     run.choose_ports(("store",), [run.address(250)])
     store = fleet.Store(run, run.address(250))
     await store.start()
-    for n in range(3):
-        await fleet.Upstream(run, store, 100 + n, "distsvc", "sj-escazu").start()
+    upstreams = [fleet.Upstream(run, store, 100 + n, "archsvc",
+                                EVACUATED if n % 2 else "sj-escazu")
+                 for n in range(4)]
+    for upstream in upstreams:
+        await upstream.start()
     store.put("config", "main", fleet.desired_state(
-        7, HOST, [fleet.rule("/xapu221/ny95/", "unsafe", "distsvc", 1500)],
-        ["distsvc"], tenants=[{
-            "name": "yefi830", "api_keys": [KEY], "priority": 0,
-            "rate_per_s": RATE_PER_S, "burst": BURST}]))
-    machines = [fleet.Gateway(run, store, n + 1, "front-sj-escazu-%d" % (n + 1),
-                              "sj-escazu", ZONES, (1, 2, 3), BOUNDS)
-                for n in range(count)]
-    for machine in machines[:IN_USE]:
-        machine.start()
-    await fleet.until(lambda: fleet.all_ready(machines[:IN_USE]), 20,
-                      "all are ready")
+        7, HOST, [fleet.rule("/lepu270/", "safe", "archsvc", 2000)],
+        ["archsvc"]))
+    gateways = [fleet.Gateway(run, store, n + 1, name, zone, ZONES,
+                              (1, 2, 3), BOUNDS)
+                for n, (name, zone) in enumerate(NAMES)]
+    for gateway in gateways:
+        gateway.start()
+    await fleet.until(lambda: fleet.all_ready(gateways), 20, "all are ready")
     if run.trouble:
-        for n in range(REPLACED):
-            machines[IN_USE + n].start()
-            await fleet.until(machines[IN_USE + n].is_ready, 20, "it is ready")
-            await asyncio.sleep(1.5)
-            machines[n].signal(signal.SIGTERM)
-        for machine in machines[:REPLACED]:
-            await machine.ended(GRACE_S + 1)
-        in_use = machines[REPLACED:]
-    else:
-        in_use = machines[:IN_USE]
-    await asyncio.sleep(4.0)
+        await kill_all(run, gateways)
+    await asyncio.sleep(STABLE_WINDOW_S)
 
-    sent, served = await send_for(run, in_use, "before", 5.0)
-    before = served / sent
+    store.put("evacuations", EVACUATED, {})
+    await asyncio.sleep(3.0)
+    store.put("evacuations", EVACUATED, None, deleted=True)
+    await asyncio.sleep(2.0)
+    store.put("evacuations", EVACUATED, {})
+    acked = run.now()
+    await asyncio.sleep(1.5)
+    store.put("config", "main", fleet.desired_state(
+        9, HOST, [fleet.rule("/lepu270/", "safe", "archsvc", 1900)],
+        ["archsvc"]))
+    staying = gateways
     if run.trouble:
-        for machine in in_use:
-            machine.signal(signal.SIGKILL)
-        for machine in in_use:
-            await machine.ended(2)
-        await asyncio.sleep(fleet.RESTART_DELAY_S)
-        for machine in in_use:
-            machine.start()
-    back = run.now()
-    await fleet.until(lambda: fleet.all_ready(in_use), 20, "all are back")
-    await asyncio.sleep(back + RECOVERY_S - run.now())
-    sent, served = await send_for(run, in_use, "after", MEASURED_S)
-    after = served / sent
-    return before >= 0.25 and after < 0.25, (
-        "%.2f of the requests were served before, %.2f of %d later than the "
-        "recovery time after the machines were back" % (before, after, sent))
+        leader = await find_leader(gateways)
+        run.note("%s leads" % leader.name)
+        leader.signal(signal.SIGTERM)
+        staying = [g for g in gateways if g is not leader]
+    await asyncio.sleep(acked + EVACUATE_S + 0.5 - run.now())
+
+    late = run.now()
+    for number in range(80):
+        gateway = staying[number % len(staying)]
+        await fleet.call(run, gateway, HOST, "GET", "/lepu270/2f",
+                         "late-%d-%s" % (number, gateway.name))
+    reached = [attempt for upstream in upstreams if upstream.zone == EVACUATED
+               for time_s, attempt in upstream.runs if time_s > late]
+    by = sorted({attempt.split("-", 2)[2] for attempt in reached})
+    return bool(reached), (
+        "%d of 80 requests sent %.1f s and more after the ack of the evacuation "
+        "reached upstreams of the zone, from %s" % (
+            len(reached), late - acked, ", ".join(by) or "no gateway"))
+
+
+async def kill_all(run, gateways):
+    for gateway in gateways:
+        gateway.signal(signal.SIGKILL)
+    for gateway in gateways:
+        await gateway.ended(2)
+    await asyncio.sleep(fleet.RESTART_DELAY_S)
+    # All machines start within 0.3 s of each other, in any order.
+    for gateway in gateways[3:]:
+        gateway.start()
+    await asyncio.sleep(0.25)
+    for gateway in gateways[:3]:
+        gateway.start()
+    await fleet.until(lambda: fleet.all_ready(gateways), 20,
+                      "all are ready again")
+
+
+async def find_leader(gateways):
+    leaders = [gateway for gateway in gateways if
+               await gateway.metric("chervilshelf_follows_store") == "1"]
+    if not leaders:
+        raise fleet.CannotRun("no gateway follows the store")
+    return leaders[0]
 
 
 fleet.main(case, HERE)
