--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -523,6 +523,9 @@
         finally:
             await run.close()
 
+    # An interrupted run ends what it started, too.
+    for number in (signal.SIGTERM, signal.SIGHUP):
+        signal.signal(number, signal.default_int_handler)
     if not os.path.exists(os.path.join(ROOT, BINARY)):
         print("cannot run: %s is not built" % BINARY)
         sys.exit(CANNOT_RUN)
