Review: each script names its record, and an error of its own exits with 2

An error of a script itself ended with Python's exit code 1, which stands for a broken rule; it counts as "could not run" now, as an interruption does.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -92,4 +92,4 @@
         "the desired state in force doesn't allow" % (twice, SENT, elsewhere))
 
 
-fleet.main(case, HERE)
+fleet.main(case, os.path.join(HERE, "record.txt"))
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -111,4 +111,4 @@
     return leaders[0]
 
 
-fleet.main(case, HERE)
+fleet.main(case, os.path.join(HERE, "record.txt"))
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -99,4 +99,4 @@
         "recovery time after the machines were back" % (before, after, sent))
 
 
-fleet.main(case, HERE)
+fleet.main(case, os.path.join(HERE, "record.txt"))
--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -59,11 +59,10 @@
 class Run:
     """One run of a case: addresses, the record, and what must end with it."""
 
-    def __init__(self, folder):
+    def __init__(self, record):
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.started = time.monotonic()
-        self.folder = folder
-        self.record = open(os.path.join(folder, "record.txt"), "w")
+        self.record = open(record, "w")
         self.temporary = tempfile.TemporaryDirectory()
         self.prefix = "127.%d.%d." % (
             random.randrange(16, 240), random.randrange(1, 250))
@@ -513,9 +512,12 @@
     return state
 
 
-def main(case, folder):
-    """Runs a case within 110 seconds and exits as the review asks."""
-    run = Run(folder)
+def main(case, record):
+    """Runs a case within 110 seconds and exits as the review asks.
+
+    record: the file for what was sent, answered and run, and the result.
+    """
+    run = Run(record)
 
     async def limited():
         try:
@@ -523,18 +525,21 @@
         finally:
             await run.close()
 
+    def finish(code, text):
+        with open(record, "a") as out:
+            out.write(text + "\n")
+        print(text)
+        sys.exit(code)
+
     # An interrupted run ends what it started, too.
     for number in (signal.SIGTERM, signal.SIGHUP):
         signal.signal(number, signal.default_int_handler)
     if not os.path.exists(os.path.join(ROOT, BINARY)):
-        print("cannot run: %s is not built" % BINARY)
-        sys.exit(CANNOT_RUN)
+        finish(CANNOT_RUN, "cannot run: %s is not built" % BINARY)
     try:
         broken, text = asyncio.run(limited())
-    except (CannotRun, OSError, asyncio.TimeoutError) as error:
-        print("cannot run: %s" % (error or type(error).__name__))
-        sys.exit(CANNOT_RUN)
-    with open(os.path.join(folder, "record.txt"), "a") as record:
-        record.write("%s: %s\n" % ("BROKEN" if broken else "held", text))
-    print("%s: %s" % ("BROKEN" if broken else "held", text))
-    sys.exit(BROKEN if broken else HELD)
+    except (Exception, KeyboardInterrupt) as error:
+        # Whatever stops the script itself says nothing of the rule.
+        finish(CANNOT_RUN, "cannot run: %s %s" % (type(error).__name__, error))
+    finish(BROKEN if broken else HELD,
+           "%s: %s" % ("BROKEN" if broken else "held", text))
