Routes: hosts and prefixes are kept whole, whatever their length

Cause: the table left out a rule whose prefix did not fit 128 bytes, and the lookup went on to shorter prefixes. Ruled out: names that are cut and then count as equal; services, targets, tenants and keys that do not fit are refused by name.

Routes now own host and prefix. The lookup adds the path's segments to one hash and takes the last prefix found, one pass whatever the path. Same cause: long hosts, prefixes without their final slash (refused), labels of routes in logs and reports.

--- a/lib/gateway/response.c
+++ b/lib/gateway/response.c
@@ -61,7 +61,10 @@
 {
 	struct gw *gw = call->gw;
 	int64_t took_us = cs_now_us() - call->received_us;
+	char label[RT_LABEL_BYTES_MAX] = "-";
 
+	if (call->route != NULL)
+		rt_route_label(call->route, label);
 	gw_dequeue(call);
 	end_trial(call);
 	gw_count_tenant(call, status, reason);
@@ -71,11 +74,9 @@
 		cs_histogram_add(&gw->counters.answered, took_us);
 	cs_log(
 	    reason == GW_ANSWERED ? CS_LOG_CALL_ANSWERED : CS_LOG_CALL_FAILED,
-	    "request=%s status=%d reason=%s route=%s%s pool=%s version=%llu "
+	    "request=%s status=%d reason=%s route=%s pool=%s version=%llu "
 	    "attempts=%u last=%s waited_us=%lld took_us=%lld%s%s",
-	    call->id, status, gw_reason_text(reason),
-	    call->route == NULL ? "-" : call->route->host,
-	    call->route == NULL ? "" : call->route->prefix,
+	    call->id, status, gw_reason_text(reason), label,
 	    call->pool == NULL ? "-" : call->pool->balance->name,
 	    call->table == NULL ? 0ULL
 				: (unsigned long long)call->table->version,
--- a/lib/routes/excerpt.c
+++ b/lib/routes/excerpt.c
@@ -4,8 +4,37 @@
  * configurations in a row would exhaust the memory.
  */
 #include <stdlib.h>
+#include <string.h>
 
-#include "routes.h"
+#include "routes_internal.h"
+
+int
+rt_copy_texts(struct rt_route *route)
+{
+	char *host = strdup(route->host), *prefix = strdup(route->prefix);
+
+	if (host == NULL || prefix == NULL) {
+		free(host);
+		free(prefix);
+		return CS_E_SYSTEM;
+	}
+	route->host = host;
+	route->prefix = prefix;
+	return CS_OK;
+}
+
+void
+rt_free_texts(struct rt_route *route)
+{
+	free((char *)(uintptr_t)route->host);
+	free((char *)(uintptr_t)route->prefix);
+}
+
+uint64_t
+rt_text_bytes(const struct rt_route *route)
+{
+	return strlen(route->host) + strlen(route->prefix) + 2;
+}
 
 static uint64_t
 bytes_of(const struct rt_table *table)
@@ -16,7 +45,7 @@
 	       table->region_capacity * sizeof(*table->regions) +
 	       table->tenant_capacity * sizeof(*table->tenants) +
 	       table->key_capacity * sizeof(*table->keys) +
-	       table->key_bytes_capacity +
+	       table->route_text_bytes + table->key_bytes_capacity +
 	       table->key_index_size * sizeof(*table->key_index);
 }
 
@@ -50,7 +79,12 @@
 		return NULL;
 	}
 	excerpt->routes[0] = *route;
+	if (rt_copy_texts(&excerpt->routes[0]) != CS_OK) {
+		rt_table_unref(excerpt);
+		return NULL;
+	}
 	excerpt->route_count = excerpt->route_capacity = 1;
+	excerpt->route_text_bytes = rt_text_bytes(route);
 	if (tenant != NULL) {
 		excerpt->tenants[0] = *tenant;
 		excerpt->tenant_count = excerpt->tenant_capacity = 1;
--- a/lib/routes/routes.h
+++ b/lib/routes/routes.h
@@ -15,7 +15,7 @@
 #define RT_NAME_BYTES_MAX 128
 #define RT_BACKENDS_MAX 16
 /*
- * Of one table. A route takes 2.5 KB, so these take 20 MB, and twice that while
+ * Of one table. A route takes 2.3 KB, so these take 19 MB, and twice that while
  * a table replaces another one, of the 112 MB of the smallest VM.
  */
 #define RT_ROUTES_MAX 8192
@@ -40,9 +40,13 @@
 	uint32_t weight;
 };
 
+/*
+ * Host and prefix may be of any length: a route that is left out would be
+ * replaced by that of a shorter prefix. Those of a table's route belong to it.
+ */
 struct rt_route {
-	char host[RT_NAME_BYTES_MAX]; /* lower case, without a port */
-	char prefix[RT_NAME_BYTES_MAX];
+	const char *host; /* lower case, without a port */
+	const char *prefix;
 	enum rt_kind kind;
 	uint32_t timeout_ms;   /* time limit for a response to the caller */
 	uint32_t objective_ms; /* latency objective of a response; 0: none */
@@ -110,6 +114,8 @@
 	/* Open-addressing hash table of route number + 1; 0: free. */
 	uint32_t *index;
 	uint32_t index_size;
+	size_t prefix_bytes_max;   /* the longest prefix of a route */
+	uint64_t route_text_bytes; /* of hosts and prefixes */
 	/* Values of the configuration that are not valid. */
 	uint32_t refused_parts;
 
@@ -187,6 +193,13 @@
 const struct rt_route *rt_table_find(
     const struct rt_table *table, const char *host, const char *request_uri);
 
+#define RT_LABEL_BYTES_MAX 128
+/*
+ * rt_route_label(route, out): writes host and prefix, for logs and reports. A
+ * label that does not fit ends with a hash of the whole.
+ */
+void rt_route_label(const struct rt_route *route, char out[RT_LABEL_BYTES_MAX]);
+
 /*
  * rt_table_find_key(table, key): returns the tenant that has the key, or NULL.
  * How long it takes does not tell how much of a key is right.
--- a/lib/routes/table.c
+++ b/lib/routes/table.c
@@ -1,10 +1,12 @@
 /* Builds, validates and searches a table of routes. */
 #include <ctype.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 #include <sys/random.h>
 
-#include "routes.h"
+#include "routes_internal.h"
 
 #define INITIAL_CAPACITY 16
 
@@ -28,8 +30,12 @@
 void
 rt_table_unref(struct rt_table *table)
 {
+	uint32_t i;
+
 	if (table == NULL || !cs_ref_drop(&table->ref))
 		return;
+	for (i = 0; i < table->route_count; i++)
+		rt_free_texts(&table->routes[i]);
 	free(table->routes);
 	free(table->pools);
 	free(table->index);
@@ -72,11 +78,45 @@
 	return CS_OK;
 }
 
+#define HOST_CHUNK_BYTES 64
+
+/* The case of the letters does not count. */
+static uint64_t
+hash_host(const char *host, size_t length)
+{
+	char chunk[HOST_CHUNK_BYTES];
+	uint64_t hash = 0;
+	size_t done, i, count;
+
+	for (done = 0; done < length; done += count) {
+		count = length - done < sizeof(chunk) ? length - done
+						      : sizeof(chunk);
+		for (i = 0; i < count; i++)
+			chunk[i] = (char)tolower((unsigned char)host[done + i]);
+		hash = cs_hash_seeded(chunk, count, hash);
+	}
+	return hash;
+}
+
+/*
+ * Adds one segment of a path with its final slash, so that a lookup gets the
+ * hashes of all prefixes of a path in one pass.
+ */
 static uint64_t
-route_hash(const char *host, const char *prefix, size_t prefix_length)
+hash_segment(uint64_t hash, const char *segment, size_t length)
 {
-	return cs_hash_seeded(
-	    prefix, prefix_length, cs_hash(host, strlen(host)));
+	return cs_hash_seeded(segment, length, hash);
+}
+
+static uint64_t
+hash_route(const struct rt_route *route)
+{
+	uint64_t hash = hash_host(route->host, strlen(route->host));
+	const char *at = route->prefix, *slash;
+
+	for (; (slash = strchr(at, '/')) != NULL; at = slash + 1)
+		hash = hash_segment(hash, at, (size_t)(slash - at) + 1);
+	return hash;
 }
 
 static bool
@@ -98,6 +138,7 @@
 rt_table_add_route(struct rt_table *table, const struct rt_route *route)
 {
 	struct rt_route *added;
+	size_t prefix_bytes;
 
 	if (!is_valid(route))
 		return CS_E_INVALID;
@@ -106,10 +147,16 @@
 	if (!reserve((void **)&table->routes, table->route_count,
 		&table->route_capacity, sizeof(*route)))
 		return CS_E_SYSTEM;
-	added = &table->routes[table->route_count++];
+	added = &table->routes[table->route_count];
 	*added = *route;
-	added->hash =
-	    route_hash(added->host, added->prefix, strlen(added->prefix));
+	if (rt_copy_texts(added) != CS_OK)
+		return CS_E_SYSTEM;
+	table->route_count++;
+	added->hash = hash_route(added);
+	prefix_bytes = strlen(added->prefix);
+	if (prefix_bytes > table->prefix_bytes_max)
+		table->prefix_bytes_max = prefix_bytes;
+	table->route_text_bytes += rt_text_bytes(added);
 	return CS_OK;
 }
 
@@ -279,24 +326,33 @@
 	return CS_OK;
 }
 
+/* A part of a request's path that ends with a slash, below a host. */
+struct place {
+	const char *host, *prefix;
+	size_t host_length, prefix_length;
+	uint64_t hash;
+};
+
+static bool
+is_route_at(const struct rt_route *route, const struct place *place)
+{
+	return route->hash == place->hash &&
+	       strncasecmp(route->host, place->host, place->host_length) == 0 &&
+	       route->host[place->host_length] == '\0' &&
+	       strncmp(route->prefix, place->prefix, place->prefix_length) ==
+		   0 &&
+	       route->prefix[place->prefix_length] == '\0';
+}
+
 static uint32_t *
-find_index_slot(const struct rt_table *table, const char *host,
-    const char *prefix, size_t prefix_length)
+find_index_slot(const struct rt_table *table, const struct place *place)
 {
-	uint64_t hash = route_hash(host, prefix, prefix_length);
-	uint32_t at = (uint32_t)hash & (table->index_size - 1);
-
-	for (;; at = (at + 1) & (table->index_size - 1)) {
-		const struct rt_route *route;
-
-		if (table->index[at] == 0)
-			return &table->index[at];
-		route = &table->routes[table->index[at] - 1];
-		if (route->hash == hash && strcmp(route->host, host) == 0 &&
-		    strncmp(route->prefix, prefix, prefix_length) == 0 &&
-		    route->prefix[prefix_length] == '\0')
-			return &table->index[at];
-	}
+	uint32_t at = (uint32_t)place->hash & (table->index_size - 1);
+
+	while (table->index[at] != 0 &&
+	       !is_route_at(&table->routes[table->index[at] - 1], place))
+		at = (at + 1) & (table->index_size - 1);
+	return &table->index[at];
 }
 
 /* Returns what was reserved for further routes, up to half of their memory. */
@@ -335,7 +391,11 @@
 		if (error != CS_OK)
 			return error;
 		slot = find_index_slot(
-		    table, route->host, route->prefix, strlen(route->prefix));
+		    table, &(struct place){.host = route->host,
+			       .prefix = route->prefix,
+			       .host_length = strlen(route->host),
+			       .prefix_length = strlen(route->prefix),
+			       .hash = route->hash});
 		route->duplicate = *slot != 0;
 		if (route->duplicate)
 			table->routes[*slot - 1].refused = true;
@@ -345,38 +405,45 @@
 	return index_keys(table);
 }
 
-static bool
-normalise_host(const char *host, char out[RT_NAME_BYTES_MAX])
-{
-	size_t length = strcspn(host, ":"), i;
-
-	if (length >= RT_NAME_BYTES_MAX)
-		return false;
-	for (i = 0; i < length; i++)
-		out[i] = (char)tolower((unsigned char)host[i]);
-	out[length] = '\0';
-	return true;
-}
-
 const struct rt_route *
 rt_table_find(
     const struct rt_table *table, const char *host, const char *request_uri)
 {
-	char normalised_host[RT_NAME_BYTES_MAX];
-	size_t length = strcspn(request_uri, "?#");
+	struct place place = {.host = host,
+	    .prefix = request_uri,
+	    .host_length = strcspn(host, ":")};
+	const struct rt_route *longest = NULL;
+	size_t path_length = strcspn(request_uri, "?#"), at = 0;
+	const char *slash;
+
+	place.hash = hash_host(host, place.host_length);
+	while (
+	    (slash = memchr(request_uri + at, '/', path_length - at)) != NULL) {
+		uint32_t number;
+
+		place.prefix_length = (size_t)(slash - request_uri) + 1;
+		if (place.prefix_length > table->prefix_bytes_max)
+			break;
+		place.hash = hash_segment(
+		    place.hash, request_uri + at, place.prefix_length - at);
+		at = place.prefix_length;
+		number = *find_index_slot(table, &place);
+		if (number != 0)
+			longest = &table->routes[number - 1];
+	}
+	return longest;
+}
 
-	if (!normalise_host(host, normalised_host))
-		return NULL;
-	for (; length > 0; length--) {
-		uint32_t *slot;
+void
+rt_route_label(const struct rt_route *route, char out[RT_LABEL_BYTES_MAX])
+{
+	char hash[sizeof("~0123456789abcdef")];
+	int length = snprintf(
+	    out, RT_LABEL_BYTES_MAX, "%s%s", route->host, route->prefix);
 
-		if (request_uri[length - 1] != '/' ||
-		    length >= RT_NAME_BYTES_MAX)
-			continue;
-		slot = find_index_slot(
-		    table, normalised_host, request_uri, length);
-		if (*slot != 0)
-			return &table->routes[*slot - 1];
-	}
-	return NULL;
+	if (length < RT_LABEL_BYTES_MAX)
+		return;
+	snprintf(
+	    hash, sizeof(hash), "~%016llx", (unsigned long long)route->hash);
+	memcpy(out + RT_LABEL_BYTES_MAX - sizeof(hash), hash, sizeof(hash));
 }
--- a/programs/gateway.c
+++ b/programs/gateway.c
@@ -107,10 +107,9 @@
 on_call_ended(void *user, const struct gw_call_result *ended)
 {
 	struct ga_app *app = user;
-	char route[2 * RT_NAME_BYTES_MAX]; /* longer routes are truncated */
+	char route[RT_LABEL_BYTES_MAX];
 
-	snprintf(route, sizeof(route), "%s%s", ended->route->host,
-	    ended->route->prefix);
+	rt_route_label(ended->route, route);
 	rp_add(app->accounts,
 	    &(struct rp_call){
 		.member = "",
--- a/programs/gateway_where.c
+++ b/programs/gateway_where.c
@@ -93,15 +93,14 @@
 {
 	const struct bl_placement *placement = &where->placement;
 	json_t *probes = json_array(), *root;
-	char route[2 * RT_NAME_BYTES_MAX] = "-";
+	char route[RT_LABEL_BYTES_MAX] = "-";
 	uint32_t i;
 
 	for (i = 0; i < where->probe_count; i++)
 		json_array_append_new(
 		    probes, json_string(where->probes[i]->id));
 	if (where->route != NULL)
-		snprintf(route, sizeof(route), "%s%s", where->route->host,
-		    where->route->prefix);
+		rt_route_label(where->route, route);
 	root = json_pack("{s:s, s:s, s:s, s:i, s:s?, s:I, s:o, s:s?, s:i, s:b,"
 			 " s:s, s:s?, s:i, s:o, s:o}",
 	    "vm", app->settings.name, "route", route, "kind",
--- a/tests/unit/gateway_rig.c
+++ b/tests/unit/gateway_rig.c
@@ -724,6 +724,7 @@
 	for (i = 0; i < 2; i++) {
 		struct rt_route route = {
 		    .host = "h",
+		    .prefix = routes[i].prefix,
 		    .kind = routes[i].kind,
 		    .timeout_ms = rig->params.timeout_ms,
 		    .objective_ms = rig->params.timeout_ms,
@@ -732,7 +733,6 @@
 		    .backends = {{.pool_name = "p", .weight = 1}},
 		};
 
-		strcpy(route.prefix, routes[i].prefix);
 		require(rt_table_add_route(table, &route) == CS_OK);
 	}
 	if (rig->params.add_to_table != NULL)
--- a/tests/unit/test_auth.c
+++ b/tests/unit/test_auth.c
@@ -36,6 +36,7 @@
 {
 	struct rt_route route = {
 	    .host = "h",
+	    .prefix = prefix,
 	    .timeout_ms = 60000,
 	    .attempts_max = 2,
 	    .priority = 5,
@@ -45,7 +46,6 @@
 	    .backends = {{.pool_name = "p", .weight = 1}},
 	};
 
-	strcpy(route.prefix, prefix);
 	assert_int_equal(rt_table_add_route(table, &route), CS_OK);
 }
 
--- a/tests/unit/test_homes.c
+++ b/tests/unit/test_homes.c
@@ -283,6 +283,7 @@
 	for (i = 0; i < sizeof(routes) / sizeof(routes[0]); i++) {
 		struct rt_route route = {
 		    .host = "h",
+		    .prefix = routes[i].prefix,
 		    .timeout_ms = 30000,
 		    .attempts_max = 3,
 		    .homes.restricted = routes[i].restricted,
@@ -290,7 +291,6 @@
 		    .backends = {{.pool_name = "p", .weight = 1}},
 		};
 
-		strcpy(route.prefix, routes[i].prefix);
 		for (k = 0; k < 2 && routes[i].regions[k] != NULL; k++)
 			route.homes.regions |=
 			    UINT64_C(1)
--- a/tests/unit/test_routes.c
+++ b/tests/unit/test_routes.c
@@ -128,11 +128,11 @@
 route_at(const char *prefix, const char *pool)
 {
 	struct rt_route route = {.host = "h",
+	    .prefix = prefix,
 	    .timeout_ms = 1000,
 	    .backend_count = 1,
 	    .backends = {{.weight = 1}}};
 
-	strcpy(route.prefix, prefix);
 	strcpy(route.backends[0].pool_name, pool);
 	return route;
 }
@@ -154,7 +154,7 @@
 	assert_int_equal(rt_table_add_pool(table, &pool), CS_OK);
 	assert_int_equal(rt_table_add_route(table, &refused), CS_OK);
 	assert_int_equal(rt_table_add_route(table, &route), CS_OK);
-	refused.prefix[0] = 'x';
+	refused.prefix = "x/y/";
 	assert_int_equal(rt_table_add_route(table, &refused), CS_E_INVALID);
 	route = route_at("/z/", "a");
 	assert_int_equal(rt_table_add_route(table, &route), CS_OK);
@@ -327,6 +327,35 @@
 	assert_int_equal(memory.objects_bytes, 0);
 }
 
+/* Guards against two long routes that share one label in reports. */
+static void
+test_labels_of_long_routes_differ(void **state)
+{
+	static const char *const ends[] = {"a/", "b/"};
+	char prefixes[2][400], labels[2][RT_LABEL_BYTES_MAX];
+	struct rt_table *table = rt_table_create(1);
+	struct rt_route route = {.host = "h", .prefix = "/x/", .refused = true};
+	int i;
+
+	(void)state;
+	for (i = 0; i < 2; i++) {
+		memset(prefixes[i], '/', sizeof(prefixes[i]));
+		strcpy(prefixes[i] + 300, ends[i]);
+		assert_int_equal(
+		    rt_table_add_route(table, &(struct rt_route){.host = "h",
+						  .prefix = prefixes[i],
+						  .refused = true}),
+		    CS_OK);
+		rt_route_label(&table->routes[i], labels[i]);
+		assert_int_equal(strlen(labels[i]), RT_LABEL_BYTES_MAX - 1);
+	}
+	assert_string_not_equal(labels[0], labels[1]);
+	assert_memory_equal(labels[0], "h//", 3);
+	rt_route_label(&route, labels[0]);
+	assert_string_equal(labels[0], "h/x/");
+	rt_table_unref(table);
+}
+
 int
 main(void)
 {
@@ -338,6 +367,7 @@
 	    cmocka_unit_test(test_refused_and_duplicate_routes_are_found),
 	    cmocka_unit_test(test_route_needs_a_known_pool),
 	    cmocka_unit_test(test_large_table_is_complete),
+	    cmocka_unit_test(test_labels_of_long_routes_differ),
 	    cmocka_unit_test(test_excerpt_outlives_its_table),
 	};
 
--- a/tests/unit/test_routing_table.c
+++ b/tests/unit/test_routing_table.c
@@ -406,6 +406,133 @@
 	free(text);
 }
 
+/* Writes a prefix of this length below /p/: segments of segment_bytes. */
+static void
+write_prefix(char *out, size_t length, size_t segment_bytes)
+{
+	size_t i;
+
+	memset(out, 'x', length);
+	memcpy(out, "/p/", 3);
+	for (i = 3 + segment_bytes; i < length; i += segment_bytes + 1)
+		out[i] = '/';
+	out[length - 1] = '/';
+	out[length] = '\0';
+}
+
+/* A safe rule for /p/, and below it one that must not be repeated. */
+static struct rt_table *
+read_nested_rules(const char *host, const char *prefix)
+{
+	char error_text[PL_TEXT_BYTES_MAX];
+	struct pl_table_faults faults;
+	struct rt_table *table;
+	char *text = NULL;
+
+	assert_true(
+	    asprintf(&text,
+		"{\"spec\":{\"version\":7," LIMITS
+		",\"clusters\":[{\"name\":\"a\"},{\"name\":\"b\"}],"
+		"\"listeners\":[{\"host\":\"%s\",\"rules\":["
+		"{\"kind\":\"safe\",\"match\":{\"path_prefix\":\"/p/\"},"
+		"\"action\":{\"service\":\"a\",\"timeout\":\"1s\"}},"
+		"{\"kind\":\"unsafe\",\"match\":{\"path_prefix\":\"%s\"},"
+		"\"action\":{\"service\":\"b\",\"timeout\":\"1s\"}}]}]}}",
+		host, prefix) > 0);
+	assert_int_equal(
+	    pl_read_table(text, &table, &faults, error_text), CS_OK);
+	assert_int_equal(faults.count, 0);
+	free(text);
+	return table;
+}
+
+/*
+ * Guards against requests of a rule with a long prefix, or below a long host,
+ * that were served by the rule of a shorter prefix, and repeated as its.
+ */
+static void
+test_long_prefix_and_host_keep_their_rule(void **state)
+{
+	static const struct {
+		size_t prefix_bytes, segment_bytes, host_bytes;
+	} rows[] = {
+	    {100, 20, 1},
+	    {127, 200, 1},
+	    {128, 20, 1},
+	    {128, 200, 1},
+	    {129, 1, 1},
+	    {300, 20, 253},
+	    {9000, 5000, 1},
+	    {16000, 1, 1},
+	    {20, 20, 127},
+	    {20, 20, 128},
+	    {20, 20, 9000},
+	};
+	static char prefix[16384], path[16384], host[16384];
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		const struct rt_route *inner, *outer, *beside;
+		struct rt_table *table, *excerpt;
+
+		memset(host, 'h', rows[i].host_bytes);
+		host[rows[i].host_bytes] = '\0';
+		write_prefix(
+		    prefix, rows[i].prefix_bytes, rows[i].segment_bytes);
+		table = read_nested_rules(host, prefix);
+		snprintf(path, sizeof(path), "%sq?x=/", prefix);
+		memset(host, 'H', rows[i].host_bytes / 2);
+		inner = rt_table_find(table, host, path);
+		path[rows[i].prefix_bytes - 1] = 'y';
+		beside = rt_table_find(table, host, path);
+		outer = rt_table_find(table, host, "/p/q");
+		if (inner == NULL || inner->kind != RT_NON_IDEMPOTENT ||
+		    strcmp(inner->prefix, prefix) != 0 || inner->refused ||
+		    outer == NULL || outer->kind != RT_IDEMPOTENT ||
+		    beside != outer)
+			fail_msg("row %zu: %s, %s", i,
+			    inner == NULL ? "none" : inner->prefix,
+			    outer == NULL ? "none" : outer->prefix);
+		host[0] = 'g';
+		assert_null(rt_table_find(table, host, path));
+		excerpt = rt_table_excerpt(table, inner, NULL);
+		rt_table_unref(table);
+		assert_string_equal(excerpt->routes->prefix, prefix);
+		rt_table_unref(excerpt);
+	}
+}
+
+/*
+ * Guards against requests below a prefix without its final slash that are
+ * served by the rule of a shorter prefix.
+ */
+static void
+test_prefix_without_final_slash_is_refused(void **state)
+{
+	struct pl_table_faults faults;
+	char error_text[PL_TEXT_BYTES_MAX];
+	struct rt_table *table;
+
+	(void)state;
+	assert_int_equal(
+	    pl_read_table(
+		"{\"spec\":{\"version\":7," LIMITS
+		",\"clusters\":[{\"name\":\"a\"}],\"listeners\":[{\"host\":"
+		"\"h\",\"rules\":[{\"kind\":\"safe\",\"match\":{"
+		"\"path_prefix\":\"/p/\"},\"action\":{\"service\":\"a\","
+		"\"timeout\":\"1s\"}},{\"kind\":\"unsafe\",\"match\":{"
+		"\"path_prefix\":\"/p/q\"},\"action\":{\"service\":\"a\","
+		"\"timeout\":\"1s\"}}]}]}}",
+		&table, &faults, error_text),
+	    CS_OK);
+	assert_int_equal(faults.count, 1);
+	assert_string_equal(faults.first[0].effect, "route_refused");
+	assert_true(rt_table_find(table, "h", "/p/q/1")->refused);
+	assert_false(rt_table_find(table, "h", "/p/r/1")->refused);
+	rt_table_unref(table);
+}
+
 int
 main(void)
 {
@@ -416,6 +543,8 @@
 	    cmocka_unit_test(test_fault_affects_its_part_only),
 	    cmocka_unit_test(test_read_table_fills_tenants),
 	    cmocka_unit_test(test_tenants_with_faults_of_their_own),
+	    cmocka_unit_test(test_long_prefix_and_host_keep_their_rule),
+	    cmocka_unit_test(test_prefix_without_final_slash_is_refused),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
