Fleet: names of VMs and data centres are kept whole between VMs

The settings allow names of 127 bytes, frames and nodes kept 63 of them. Two VMs whose names differ later count as one: both own the same tenants and cold targets, and a silent one counts as replaced by the other in the majority. By reading; not seen at a user.

Nodes keep as much as the settings may have, which is asserted at compile time.

Before: test_nodes_with_long_names_are_told_apart fails (cs_copy_text returns CS_E_FULL). After: it passes, and the other programs of lib/fleet do.

--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -19,7 +19,7 @@
 #include "../store/cache.h"
 #include "proof.h"
 
-#define FL_NAME_BYTES_MAX 64
+#define FL_NAME_BYTES_MAX 128 /* as the settings may have */
 #define FL_NODES_MAX 1024
 /* How long a silent node counts among those that share budgets. */
 #define FL_SHARING_RETENTION_US INT64_C(600000000)
--- a/programs/gateway.c
+++ b/programs/gateway.c
@@ -11,6 +11,9 @@
 #include "gateway.h"
 #include "settings.h"
 
+_Static_assert(FL_NAME_BYTES_MAX >= PL_TEXT_BYTES_MAX,
+    "other VMs take names that are cut for those of one VM");
+
 #define TICK_MS 250
 #define RELOAD_INTERVAL_TICKS 20 /* the file may change without a signal */
 #define PAUSE_MIN_US 1000000	 /* beyond a tick: the process did not run */
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -941,6 +941,53 @@
 	free(buffer.data);
 }
 
+#define LONG_NAME_BYTES 127 /* the longest that the settings may have */
+
+/*
+ * Guards against two nodes that others take for one, since they know only the
+ * beginning of long names: both own what they share, and a silent one counts as
+ * replaced by the other.
+ */
+static void
+test_nodes_with_long_names_are_told_apart(void **state)
+{
+	char name[LONG_NAME_BYTES + 1];
+	struct fl_frame decoded[2];
+	struct fl_node self;
+	struct fl_membership membership;
+	uint32_t i, owned = 0;
+	uint64_t key;
+
+	(void)state;
+	memset(name, 'n', LONG_NAME_BYTES);
+	name[LONG_NAME_BYTES] = '\0';
+	for (i = 0; i < 2; i++) {
+		struct fl_frame hello = {.type = FL_FRAME_HELLO,
+		    .as.hello = {.node = make_node(i + 1), .region = "r"}};
+
+		name[LONG_NAME_BYTES - 1] = (char)('1' + i);
+		assert_int_equal(cs_copy_text(hello.as.hello.node.name,
+				     sizeof(hello.as.hello.node.name), name),
+		    CS_OK);
+		assert_int_equal(
+		    cs_copy_text(hello.as.hello.node.data_centre,
+			sizeof(hello.as.hello.node.data_centre), name),
+		    CS_OK);
+		code_frame(&hello, &decoded[i]);
+		assert_string_equal(decoded[i].as.hello.node.name, name);
+		assert_string_equal(decoded[i].as.hello.node.data_centre, name);
+	}
+	self = decoded[0].as.hello.node;
+	fl_membership_init(&membership, &self, 1000000);
+	decoded[1].as.hello.node.same_region = true;
+	fl_membership_on_hello(&membership, &decoded[1].as.hello.node, 1000000);
+	for (key = 0; key < 64; key++)
+		owned += fl_membership_find_owner(&membership,
+			     cs_hash_pair(key, 0), 1000000) == NULL;
+	assert_in_range(owned, 16, 48);
+	fl_membership_free(&membership);
+}
+
 static void
 test_frames_tell_the_era_of_revisions(void **state)
 {
@@ -1105,6 +1152,7 @@
 	    cmocka_unit_test(test_paused_node_does_not_expire_its_peers),
 	    cmocka_unit_test(test_frames_round_trip_and_truncated_are_refused),
 	    cmocka_unit_test(test_frames_tell_the_era_of_revisions),
+	    cmocka_unit_test(test_nodes_with_long_names_are_told_apart),
 	    cmocka_unit_test(test_frames_of_the_build_before_are_read),
 	    cmocka_unit_test(test_leader_of_the_build_before_is_not_followed),
 	    cmocka_unit_test(test_random_bytes_do_not_crash_the_decoder),
