Store: replayed events do not remove what was created again

Cause: a VM that had listed the store at its start watched from that list when it became the leader, though its cache was newer. In the batch of that watch a removal had the store's latest revision, so the cache removed the object that had been created again, and took its creation for known. Ruled out: followers, which did as they were told.

A removal now has a revision before the next change in its batch. A VM that begins to follow lists a kind if others have told it of later changes. Same cause, by the first part: checks of a silent watch, two leaders that overlap, late pages of a list.

--- a/lib/store/client.c
+++ b/lib/store/client.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "cache.h"
 #include "store_internal.h"
 
 /*
@@ -239,6 +240,22 @@
 	start_follows(client);
 }
 
+/*
+ * Lists the kinds again that others have told more of: what the watch reports
+ * of the time between is known in part, and may be of another era.
+ */
+static void
+drop_old_revisions(struct os_client *client)
+{
+	const struct os_cache *cache = client->params.cache;
+	uint32_t i;
+
+	for (i = 0; cache != NULL && i < client->params.kind_count; i++) {
+		if (os_cache_revision(cache, i) > client->follows[i].revision)
+			client->follows[i].revision = 0;
+	}
+}
+
 void
 os_client_follow(struct os_client *client, bool on)
 {
@@ -250,6 +267,7 @@
 	client->list_once = false;
 
 	if (on) {
+		drop_old_revisions(client);
 		start_follows(client);
 		uv_timer_start(&client->health_check_timer, on_health_check_due,
 		    HEALTH_CHECK_INTERVAL_MS, HEALTH_CHECK_INTERVAL_MS);
--- a/lib/store/store.h
+++ b/lib/store/store.h
@@ -83,7 +83,8 @@
 	 * be parsed has a text that is no object, one without a usable name is
 	 * left out. *after: where the list continues, to be freed with free();
 	 * NULL if out->more is false, or after an error. A list that continues
-	 * after no usable name is malformed.
+	 * after no usable name is malformed. Removals have a revision after the
+	 * last change of what was removed, and before any later change.
 	 */
 	int (*parse_list)(
 	    const struct os_text *body, struct os_batch *out, char **after);
@@ -123,6 +124,8 @@
 	void (*on_reachability)(void *user, bool reachable, const char *reason);
 };
 
+struct os_cache;
+
 struct os_params {
 	uv_loop_t *loop;
 	struct sockaddr_in address;
@@ -131,6 +134,8 @@
 	void *user;
 	uint32_t kind_count;
 	const char *kinds[OS_KINDS_MAX]; /* to follow */
+	/* What is known from all sources, also from other VMs; may be NULL. */
+	const struct os_cache *cache;
 	const char *own_kind; /* of the object that this VM creates */
 	const char *own_name;
 	uint64_t seed; /* spreads retries of the VMs over time */
@@ -141,7 +146,10 @@
 int os_client_create(const struct os_params *params, struct os_client **out);
 /* os_client_list_once(client): lists each kind once, without watching it. */
 void os_client_list_once(struct os_client *client);
-/* os_client_follow(client, on): starts or stops listing and watching. */
+/*
+ * os_client_follow(client, on): starts or stops listing and watching. It lists
+ * a kind first if others have told of changes since its own list.
+ */
 void os_client_follow(struct os_client *client, bool on);
 /*
  * os_client_relist(client, kind): lists the kind again, whatever revision is
--- a/programs/gateway.c
+++ b/programs/gateway.c
@@ -197,6 +197,7 @@
 	    .kinds = {[GA_CONFIG] = PL_KIND_CONFIG,
 		[GA_TARGETS] = PL_KIND_TARGETS,
 		[GA_EVACUATIONS] = PL_KIND_EVACUATIONS},
+	    .cache = app->cache,
 	    .own_kind = PL_KIND_NODES,
 	    .own_name = app->settings.name,
 	    .seed = seed,
--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -52,6 +52,7 @@
 	uv_loop_t loop;
 	struct h1_server *server;
 	struct os_client *client;
+	struct os_cache *cache;
 	uv_timer_t tick;
 	const struct response *responses;
 	uint32_t response_count;
@@ -259,6 +260,7 @@
 
 	*fixture = (struct fixture){.responses = responses,
 	    .response_count = count,
+	    .cache = os_cache_create(),
 	    .check_status = 200,
 	    .check_body = "{}"};
 	uv_loop_init(&fixture->loop);
@@ -268,6 +270,7 @@
 	assert_int_equal(h1_server_create(&server, &fixture->server), CS_OK);
 	uv_ip4_addr(
 	    "127.0.0.1", h1_server_port(fixture->server), &params.address);
+	params.cache = fixture->cache;
 	assert_int_equal(os_client_create(&params, &fixture->client), CS_OK);
 }
 
@@ -1282,6 +1285,186 @@
 	os_cache_free(leader);
 }
 
+/* Events in the order of their revisions; 0: the end of the row. */
+struct removal_case {
+	const char *events;
+	const char *store_revision;
+	uint64_t revisions[5]; /* of the changes */
+};
+
+static const struct removal_case removal_cases[] = {
+    {DELETED("a", "3"), "20", {20}},
+    {DELETED("a", "3") "," CHANGED("b", "8"), "20", {7, 8}},
+    {CHANGED("b", "8") "," DELETED("a", "3"), "20", {8, 20}},
+    {DELETED("a", "3") "," CHANGED("a", "8"), "20", {7, 8}},
+    {DELETED("a", "3") "," DELETED("b", "4") "," CHANGED("a", "8") "," DELETED(
+	 "c", "2") "," CHANGED("b", "12"),
+	"20", {7, 7, 8, 11, 12}},
+    {CHANGED("a", "8") "," DELETED("a", "8") "," CHANGED("b", "10") "," DELETED(
+	 "b", "10"),
+	"20", {8, 9, 10, 20}},
+    /* Not in order: never before the last change of what was removed. */
+    {DELETED("a", "9") "," CHANGED("b", "8"), "20", {9, 8}},
+};
+
+static struct os_batch
+parse_events(const char *events, const char *store_revision)
+{
+	char body[2048];
+	int length = snprintf(body, sizeof(body),
+	    "{\"events\":[%s],\"store_revision\":%s}", events, store_revision);
+	struct os_batch batch;
+
+	assert_in_range(length, 1, sizeof(body) - 1);
+	assert_int_equal(pl_codec.parse_events(
+			     &(struct os_text){body, (size_t)length}, &batch),
+	    CS_OK);
+	return batch;
+}
+
+/*
+ * Guards against removals that count as made at the store's latest revision:
+ * they undo what was created again since.
+ */
+static void
+test_removals_have_the_revision_of_their_event(void **state)
+{
+	size_t i;
+	uint32_t k;
+
+	(void)state;
+	for (i = 0; i < sizeof(removal_cases) / sizeof(removal_cases[0]); i++) {
+		const struct removal_case *row = &removal_cases[i];
+		struct os_batch batch =
+		    parse_events(row->events, row->store_revision);
+
+		for (k = 0; k < batch.count; k++) {
+			if (batch.changes[k].revision != row->revisions[k])
+				fail_msg("row %zu, change %u: %llu", i, k,
+				    (unsigned long long)batch.changes[k]
+					.revision);
+		}
+		os_batch_free(&batch);
+	}
+}
+
+/* What a cache knows, then events that it has partly seen before. */
+struct replay_case {
+	const char *name;
+	struct os_change known[2];
+	uint64_t known_revision;
+	const char *events;
+	const char *left; /* names of the objects afterwards */
+};
+
+#define REMOVED_AND_BACK DELETED("a", "3") "," CHANGED("a", "8")
+
+static const struct replay_case replay_cases[] = {
+    {"a watch from an older revision", {{.name = "a", .revision = 8}}, 12,
+	REMOVED_AND_BACK, "a"},
+    {"a second source at the same revision", {{.name = "a", .revision = 8}}, 9,
+	REMOVED_AND_BACK, "a"},
+    {"the list's second page was later than its first",
+	{{.name = "a", .revision = 8}}, 6, REMOVED_AND_BACK, "a"},
+    {"several times",
+	{{.name = "a", .revision = 8}, {.name = "b", .revision = 5}}, 12,
+	DELETED("a", "1") "," CHANGED("a", "3") "," DELETED(
+	    "a", "3") "," DELETED("b", "2") "," CHANGED("b",
+	    "5") "," CHANGED("a", "8"),
+	"ab"},
+    {"nothing seen", {{.name = "a", .revision = 3}}, 4, REMOVED_AND_BACK, "a"},
+    {"removed at last", {{.name = "a", .revision = 8}}, 9,
+	REMOVED_AND_BACK "," DELETED("a", "8"), ""},
+    {"removed, with another's change after it",
+	{{.name = "a", .revision = 3}, {.name = "b", .revision = 2}}, 4,
+	DELETED("a", "3") "," CHANGED("b", "8"), "b"},
+};
+
+/*
+ * Guards against an evacuation, or the targets of a whole region, that are lost
+ * when a VM replays events from an older revision than its cache has: when it
+ * begins to watch, after a check, or with a second leader.
+ */
+static void
+test_replayed_events_keep_what_was_created_again(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(replay_cases) / sizeof(replay_cases[0]); i++) {
+		const struct replay_case *row = &replay_cases[i];
+		struct os_cache *cache = os_cache_create();
+		struct os_batch batch = parse_events(row->events, "14"), out;
+		struct os_change known[2];
+		char left[3] = "";
+		uint64_t revision;
+		uint32_t k, count = 0;
+
+		for (; count < 2 && row->known[count].revision > 0; count++)
+			known[count] = make_change(row->known[count].name,
+			    row->known[count].revision, false);
+		apply(cache, true, row->known_revision, known, count);
+		assert_int_equal(
+		    os_cache_apply_changes(cache, 0, &batch, &out), CS_OK);
+		free(out.changes);
+		for (k = 0; k < 2; k++) {
+			const char *name = k == 0 ? "a" : "b";
+
+			if (os_cache_find(cache, 0, name, &revision) != NULL)
+				strcat(left, name);
+		}
+		if (strcmp(left, row->left) != 0)
+			fail_msg("%s: left \"%s\"", row->name, left);
+		os_batch_free(&batch);
+		os_cache_free(cache);
+	}
+}
+
+/* A list of its own, then what others told, then it begins to follow. */
+struct begin_case {
+	const char *name;
+	int status;	  /* of the list */
+	uint64_t told;	  /* revision of the cache when it begins */
+	const char *path; /* of the first call then */
+};
+
+static const struct begin_case begin_cases[] = {
+    {"nothing newer was told", 200, 9, WATCH_OF("9")},
+    {"the cache is behind its list", 200, 4, WATCH_OF("9")},
+    {"others told of later changes", 200, 12, "/objects/servers"},
+    {"others told of a later era", IN_ERA(1, 200),
+	UINT64_C(2) << OS_REVISION_NUMBER_BITS | 3, "/objects/servers"},
+};
+
+/*
+ * Guards against a VM that begins to watch from the list of its start, though
+ * its cache has later changes from the leader before it.
+ */
+static void
+test_following_begins_where_the_cache_is(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(begin_cases) / sizeof(begin_cases[0]); i++) {
+		const struct begin_case *row = &begin_cases[i];
+		const struct response responses[] = {
+		    {row->status, LIST("", "9")}};
+		static struct fixture fixture;
+
+		set_up(&fixture, responses, 1);
+		os_client_list_once(fixture.client);
+		run_until_reported(&fixture);
+		apply(fixture.cache, true, row->told, NULL, 0);
+		os_client_follow(fixture.client, true);
+		run_until_calls(&fixture, 2);
+		if (strcmp(fixture.paths[1], row->path) != 0)
+			fail_msg("%s: %s", row->name, fixture.paths[1]);
+		os_client_close(fixture.client);
+		os_cache_free(fixture.cache);
+	}
+}
+
 int
 main(void)
 {
@@ -1307,6 +1490,9 @@
 		test_removal_that_was_ignored_comes_from_the_next_leader),
 	    cmocka_unit_test(
 		test_cache_reports_the_last_of_several_changes_of_an_object),
+	    cmocka_unit_test(test_removals_have_the_revision_of_their_event),
+	    cmocka_unit_test(test_replayed_events_keep_what_was_created_again),
+	    cmocka_unit_test(test_following_begins_where_the_cache_is),
 	};
 
 	cs_log_open("error");
