h1: a response with a status line that is none counts as none

Status 000 was refused before.

Cause: http_parser adds up any number of digits and skips blanks; only sums below 100 were refused. The reader now checks the line: one blank, three digits, 100 to 599, no 101.

--- a/lib/h1/h1.h
+++ b/lib/h1/h1.h
@@ -118,6 +118,13 @@
 	 * of one head together.
 	 */
 	uint64_t interim_bytes;
+	enum h1_status_line {
+		H1_LINE_START,
+		H1_LINE_VERSION,
+		H1_LINE_CODE,
+		H1_LINE_READ,
+	} status_line; /* of a response: what comes next */
+	uint32_t code_digits;
 	bool in_value;
 	bool started; /* at least one byte of the message was received */
 	bool head_complete;
--- a/lib/h1/message.c
+++ b/lib/h1/message.c
@@ -369,7 +369,56 @@
 	return body;
 }
 
+#define STATUS_DIGITS 3
 #define STATUS_MIN 100
+#define STATUS_MAX 599
+
+/*
+ * http_parser takes any number of digits for a status, and blanks before it.
+ * Returns false for a status line that is none (RFC 9112, 4).
+ */
+static bool
+check_status_line(struct h1_reader *reader, const char *data, size_t length)
+{
+	size_t i;
+
+	for (i = 0; i < length && reader->status_line != H1_LINE_READ; i++) {
+		bool is_end = data[i] == '\r' || data[i] == '\n';
+
+		switch (reader->status_line) {
+		case H1_LINE_START: /* empty lines are skipped */
+			if (!is_end)
+				reader->status_line = H1_LINE_VERSION;
+			break;
+		case H1_LINE_VERSION:
+			if (data[i] == ' ')
+				reader->status_line = H1_LINE_CODE;
+			break;
+		case H1_LINE_CODE:
+			if (data[i] >= '0' && data[i] <= '9') {
+				reader->code_digits++;
+				break;
+			}
+			if (reader->code_digits != STATUS_DIGITS ||
+			    (data[i] != ' ' && !is_end))
+				return false;
+			reader->status_line = H1_LINE_READ;
+			break;
+		case H1_LINE_READ:
+			break;
+		}
+		if (reader->code_digits > STATUS_DIGITS)
+			return false;
+	}
+	return true;
+}
+
+/* No request asks for another protocol: 101 answers none (RFC 9110, 15.2.2). */
+static bool
+is_status(unsigned int status)
+{
+	return status >= STATUS_MIN && status <= STATUS_MAX && status != 101;
+}
 
 static int
 on_head_complete(http_parser *parser)
@@ -381,8 +430,8 @@
 	terminate_text(reader);
 	reader->head_complete = true;
 	message->status = (uint16_t)parser->status_code;
-	if (parser->type == HTTP_RESPONSE && parser->status_code < STATUS_MIN)
-		return -1; /* http_parser takes fewer than three digits */
+	if (parser->type == HTTP_RESPONSE && !is_status(parser->status_code))
+		return fail(reader, H1_READ_MALFORMED);
 	message->method =
 	    parser->type == HTTP_REQUEST
 		? http_method_str((enum http_method)parser->method)
@@ -472,6 +521,8 @@
 	reader->failure = H1_READ_MORE;
 	reader->header_bytes = 0;
 	reader->interim_bytes = 0;
+	reader->status_line = H1_LINE_START;
+	reader->code_digits = 0;
 	reader->in_value = reader->started = reader->head_complete = false;
 	reader->complete = reader->skip_body = false;
 	http_parser_init(
@@ -484,8 +535,7 @@
 {
 	int status = reader->message.status;
 
-	return reader->parser.type == HTTP_RESPONSE && status / 100 == 1 &&
-	       status != 101;
+	return reader->parser.type == HTTP_RESPONSE && status / 100 == 1;
 }
 
 enum h1_read
@@ -500,6 +550,9 @@
 	for (;;) {
 		reader->started |= length > 0;
 		in_head = !reader->head_complete;
+		if (reader->parser.type == HTTP_RESPONSE &&
+		    !check_status_line(reader, data, length))
+			return reader->failure = H1_READ_MALFORMED;
 		parsed = http_parser_execute(
 		    &reader->parser, &callbacks, data, length);
 		if (in_head)
--- a/tests/unit/test_gateway.c
+++ b/tests/unit/test_gateway.c
@@ -40,6 +40,33 @@
 	"GET /safe/y HTTP/1.1\r\nHost: h\r\n" \
 	"Chervilshelf-Attempt-Id: second\r\n\r\n"
 
+#define STATUS_LINE(line) \
+	line "\r\n" ATTEMPT_ID RESPONSE_SEAL "Content-Length: 5\r\n\r\nwhole"
+
+/* Status lines that are none, see RFC 9112, 4, and RFC 9110, 15. */
+static const char *const bad_status_lines[] = {
+    STATUS_LINE("HTTP/1.1 000 OK"),
+    STATUS_LINE("HTTP/1.1 00 OK"),
+    STATUS_LINE("HTTP/1.1 2 0 OK"),
+    STATUS_LINE("HTTP/1.1 099 OK"),
+    STATUS_LINE("HTTP/1.1 0200 OK"),
+    STATUS_LINE("HTTP/1.1 00200 OK"),
+    STATUS_LINE("HTTP/1.1 200OK"),
+    STATUS_LINE("HTTP/1.1  200 OK"),
+    STATUS_LINE("HTTP/1.1\t200 OK"),
+    STATUS_LINE("HTTP/1.1 -200 OK"),
+    STATUS_LINE("HTTP/1.1 600 OK"),
+    STATUS_LINE("HTTP/1.1 999 OK"),
+    STATUS_LINE("HTTP/1.1 1200 OK"),
+    STATUS_LINE("HTTP/1.1 65736 OK"), /* 200 in 16 bits */
+    STATUS_LINE("HTTP/1.1 4294967496 OK"),
+    STATUS_LINE("HTTP/1.1 101 OK"),
+    STATUS_LINE("HTTP/1.1 101 Switching Protocols\r\nUpgrade: h2c\r\n"
+		"Connection: upgrade"),
+    STATUS_LINE("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 0200 OK"),
+    STATUS_LINE("\r\nHTTP/1.1 0200 OK"),
+};
+
 /* The first request gets the script, later ones a complete response. */
 struct response_case {
 	const char *name;
@@ -268,6 +295,52 @@
 	assert_int_equal(failed, 0);
 }
 
+/*
+ * Guards against an answer whose status line is none, such as one with status
+ * 000, that the caller gets as a response: on a new connection to the target
+ * and on one that was in use before.
+ */
+static void
+test_status_lines_that_are_none_are_no_response(void **state)
+{
+	const struct rig_script whole = {
+	    COMPLETE_RESPONSE, RIG_KEEP, NULL, false};
+	const char *requests[] = {IDEMPOTENT_REQUEST, NON_IDEMPOTENT_REQUEST};
+	size_t i, kept, kind, failed = 0;
+
+	(void)state;
+	for (i = 0; i < sizeof(bad_status_lines) / sizeof(*bad_status_lines);
+	     i++) {
+		const struct rig_script scripts[] = {
+		    whole, {bad_status_lines[i], RIG_KEEP, NULL, false}, whole};
+
+		for (kind = 0; kind < 2; kind++) {
+			for (kept = 0; kept < 2; kept++) {
+				const char *request = requests[kind];
+				/* With another target it is tried there. */
+				struct rig *rig = make_rig(
+				    scripts + 1 - kept, 2 + kept, kept ? 1 : 3);
+				int status;
+
+				if (kept)
+					rig_ask(rig, request, strlen(request));
+				status = status_of(
+				    rig_ask(rig, request, strlen(request)));
+				if (status !=
+				    (kind == 0 && !kept ? 200 : 502)) {
+					print_error(
+					    "%.30s: kept %zu, kind %zu: %d\n",
+					    bad_status_lines[i], kept, kind,
+					    status);
+					failed++;
+				}
+				rig_free(rig);
+			}
+		}
+	}
+	assert_int_equal(failed, 0);
+}
+
 /* A response without a length also ends by closing to the caller. */
 static void
 test_response_without_length_ends_with_the_connection(void **state)
@@ -1365,6 +1438,7 @@
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_responses_are_relayed_retried_or_failed),
+	    cmocka_unit_test(test_status_lines_that_are_none_are_no_response),
 	    cmocka_unit_test(
 		test_response_without_length_ends_with_the_connection),
 	    cmocka_unit_test(test_late_duplicate_response_is_discarded),
