h1: limits are those in force when a request begins

Cause: a connection took the listener's limits when it was accepted and after each response. It now takes them with the first byte of a request. Same cause: requests before the first configuration were refused by the built-in limits, now 503 with Retry-After.

--- a/lib/gateway/gateway.c
+++ b/lib/gateway/gateway.c
@@ -28,7 +28,23 @@
 		gw_call_abandon(call);
 }
 
+/* Without a configuration it is not known what is too large. */
+static const struct h1_response *
+error_response(void *user, int status)
+{
+	static const char headers[] = "Retry-After: 0.5\r\n";
+	static const struct h1_response not_ready = {.status = 503,
+	    .headers = headers,
+	    .headers_length = sizeof(headers) - 1};
+	const struct gw *gw = user;
+
+	return gw->table == NULL && (status == 413 || status == 431)
+		   ? &not_ready
+		   : NULL;
+}
+
 static const struct h1_server_events server_events = {
+    .error_response = error_response,
     .on_request = on_request,
     .on_disconnect = on_disconnect,
 };
--- a/lib/h1/input.c
+++ b/lib/h1/input.c
@@ -99,7 +99,6 @@
 {
 	h1_conn_release_body(conn);
 	h1_reader_next(&conn->reader);
-	conn->reader.limits = conn->server->params.limits;
 	conn->state = CONN_READING;
 	conn->timeout_start_us = conn->mark_us = cs_now_us();
 	conn->received_since_mark_bytes = 0;
@@ -216,8 +215,11 @@
 
 	if (!reader->started || reader->head_complete)
 		conn->timeout_start_us = cs_now_us();
-	if (!reader->started) /* the time between requests does not count */
+	if (!reader->started) {
+		/* The time between requests does not count. */
 		conn->mark_us = conn->timeout_start_us;
+		reader->limits = conn->server->params.limits;
+	}
 	read = h1_reader_feed(reader, data, length, &used);
 	note_processed(conn, read == H1_READ_COMPLETE ? used : length);
 	if (read >= 0 && !reserve_body(conn)) {
--- a/tests/unit/test_gateway.c
+++ b/tests/unit/test_gateway.c
@@ -1433,12 +1433,44 @@
 	rig_free(rig);
 }
 
+/*
+ * Guards against 413 and 431 by the limits of before the first configuration:
+ * the one that is in force may allow what they refuse.
+ */
+static void
+test_without_configuration_no_request_is_too_large(void **state)
+{
+	static const char large_body[] =
+	    "POST /once/x HTTP/1.1\r\nHost: h\r\nContent-Length: 2000000"
+	    "\r\n\r\n";
+	static char large_head[200000];
+	const char *requests[] = {large_body, large_head};
+	size_t i, length;
+
+	(void)state;
+	length = (size_t)snprintf(
+	    large_head, sizeof(large_head), "GET /safe/x HTTP/1.1\r\nX: ");
+	memset(large_head + length, 'x', sizeof(large_head) - length - 1);
+	for (i = 0; i < 2; i++) {
+		struct rig *rig =
+		    rig_create(&(struct rig_params){.target_count = 1});
+		const char *got =
+		    rig_ask(rig, requests[i], strlen(requests[i]));
+
+		assert_int_equal(status_of(got), 503);
+		assert_non_null(strstr(got, "\r\nRetry-After: "));
+		rig_free(rig);
+	}
+}
+
 int
 main(void)
 {
 	const struct CMUnitTest tests[] = {
 	    cmocka_unit_test(test_responses_are_relayed_retried_or_failed),
 	    cmocka_unit_test(test_status_lines_that_are_none_are_no_response),
+	    cmocka_unit_test(
+		test_without_configuration_no_request_is_too_large),
 	    cmocka_unit_test(
 		test_response_without_length_ends_with_the_connection),
 	    cmocka_unit_test(test_late_duplicate_response_is_discarded),
--- a/tests/unit/test_server.c
+++ b/tests/unit/test_server.c
@@ -66,17 +66,16 @@
 	}
 }
 
-/* Sends one request and leaves its response unread. */
+/* Starts a listener, and opens a connection to it. */
 static void
-begin(struct fixture *fixture, bool unframed)
+open_connection(struct fixture *fixture, struct h1_limits limits)
 {
 	static const struct h1_server_events events = {
 	    .on_request = on_request, .on_disconnect = on_disconnect};
-	static const char request[] = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
 	struct sockaddr_in address = {.sin_family = AF_INET};
 	struct h1_server_params params = {
 	    .loop = &fixture->loop,
-	    .limits = {4096, 4096},
+	    .limits = limits,
 	    .head_timeout_ms = IDLE_TIMEOUT_MS,
 	    .idle_timeout_ms = IDLE_TIMEOUT_MS,
 	    .connections_max = 10,
@@ -88,7 +87,6 @@
 	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	params.address = address;
 	uv_loop_init(&fixture->loop);
-	fixture->unframed = unframed;
 	fixture->body = malloc(BODY_BYTES);
 	memset(fixture->body, 'b', BODY_BYTES);
 	assert_int_equal(h1_server_create(&params, &fixture->server), CS_OK);
@@ -97,10 +95,23 @@
 	assert_int_equal(
 	    connect(fixture->fd, (struct sockaddr *)&address, sizeof(address)),
 	    0);
-	assert_int_equal(
-	    write(fixture->fd, request, strlen(request)), strlen(request));
 	fcntl(fixture->fd, F_SETFL, O_NONBLOCK);
+}
+
+static void
+send_text(struct fixture *fixture, const char *text)
+{
+	assert_int_equal(write(fixture->fd, text, strlen(text)), strlen(text));
 	run(fixture);
+}
+
+/* Sends one request and leaves its response unread. */
+static void
+begin(struct fixture *fixture, bool unframed)
+{
+	open_connection(fixture, (struct h1_limits){4096, 4096});
+	fixture->unframed = unframed;
+	send_text(fixture, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
 	assert_int_equal(h1_server_unsent(fixture->server), 1);
 }
 
@@ -288,6 +299,45 @@
 	h1_bytes_free(&body);
 }
 
+/*
+ * Guards against requests that are refused by the limits that were in force
+ * when their connection was opened, or when the request before them ended.
+ */
+static void
+test_limits_are_those_when_the_request_begins(void **state)
+{
+	static const char request[] =
+	    "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 20\r\n\r\n"
+	    "12345678901234567890";
+	static const struct {
+		uint64_t before, after; /* limit of bodies */
+		const char *status;
+	} rows[] = {
+	    {10, 100, "HTTP/1.1 200 "},
+	    {100, 10, "HTTP/1.1 413 "},
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		struct fixture fixture;
+		char head[13];
+		int error;
+
+		open_connection(
+		    &fixture, (struct h1_limits){4096, rows[i].before});
+		run(&fixture);
+		h1_server_set_limits(fixture.server,
+		    (struct h1_limits){4096, rows[i].after}, IDLE_TIMEOUT_MS,
+		    IDLE_TIMEOUT_MS);
+		send_text(&fixture, request);
+		assert_int_equal(read(fixture.fd, head, sizeof(head)), 13);
+		assert_memory_equal(head, rows[i].status, sizeof(head));
+		read_to_end(&fixture, &error);
+		end(&fixture);
+	}
+}
+
 int
 main(void)
 {
@@ -297,6 +347,7 @@
 	    cmocka_unit_test(
 		test_cut_response_without_length_ends_with_a_reset),
 	    cmocka_unit_test(test_idle_connection_holds_no_large_request),
+	    cmocka_unit_test(test_limits_are_those_when_the_request_begins),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
