--- a/lib/fleet/ended.c
+++ b/lib/fleet/ended.c
@@ -32,15 +32,21 @@
     enum fl_probe_result result)
 {
 	struct fl_node *node = fl_membership_find(membership, fleet);
+	bool had_ended;
 
 	if (node == NULL || sent_us <= node->heard_us)
 		return;
+	had_ended = fl_node_has_ended(node, sent_us);
 	switch (result) {
 	case FL_PROBE_REFUSED:
 		if (node->refused_us == 0 ||
 		    sent_us - node->refused_us >= REFUSAL_VALID_US)
 			node->refused_since_us = sent_us;
 		node->refused_us = sent_us;
+		if (!had_ended && fl_node_has_ended(node, sent_us))
+			cs_log(CS_LOG_NODE_ENDED, "member=%s refused_us=%lld",
+			    node->name,
+			    (long long)(sent_us - node->refused_since_us));
 		break;
 	case FL_PROBE_ACCEPTED:
 		node->refused_since_us = node->refused_us = 0;
