--- a/lib/routes/excerpt.c
+++ b/lib/routes/excerpt.c
@@ -3,6 +3,7 @@
  * keeps its own route and tenant only: a whole table for each of several
  * configurations in a row would exhaust the memory.
  */
+#include <glib.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -11,29 +12,27 @@
 int
 rt_copy_texts(struct rt_route *route)
 {
-	char *host = strdup(route->host), *prefix = strdup(route->prefix);
+	char *prefix = strdup(route->prefix);
 
-	if (host == NULL || prefix == NULL) {
-		free(host);
-		free(prefix);
+	if (prefix == NULL)
 		return CS_E_SYSTEM;
-	}
-	route->host = host;
 	route->prefix = prefix;
+	/* Thousands of routes may have one long host: it is kept once. */
+	route->host = g_ref_string_new_intern(route->host);
 	return CS_OK;
 }
 
 void
 rt_free_texts(struct rt_route *route)
 {
-	free((char *)(uintptr_t)route->host);
+	g_ref_string_release((char *)(uintptr_t)route->host);
 	free((char *)(uintptr_t)route->prefix);
 }
 
 uint64_t
 rt_text_bytes(const struct rt_route *route)
 {
-	return strlen(route->host) + strlen(route->prefix) + 2;
+	return strlen(route->prefix) + 1;
 }
 
 static uint64_t
--- a/lib/routes/routes.h
+++ b/lib/routes/routes.h
@@ -115,7 +115,7 @@
 	uint32_t *index;
 	uint32_t index_size;
 	size_t prefix_bytes_max;   /* the longest prefix of a route */
-	uint64_t route_text_bytes; /* of hosts and prefixes */
+	uint64_t route_text_bytes; /* of prefixes */
 	/* Values of the configuration that are not valid. */
 	uint32_t refused_parts;
 
--- a/tests/unit/test_routing_table.c
+++ b/tests/unit/test_routing_table.c
@@ -2,6 +2,8 @@
  * Tests which part of the operator's configuration a value that is not valid
  * affects, for each field that a table is built from.
  */
+#include <glib.h>
+#include <malloc.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -533,6 +535,42 @@
 	rt_table_unref(table);
 }
 
+#define LONG_HOST_BYTES 200000
+#define MANY_RULES 2000
+
+/* Guards against a long host that each of its rules keeps a copy of. */
+static void
+test_rules_share_a_long_host(void **state)
+{
+	char error_text[PL_TEXT_BYTES_MAX], *host = malloc(LONG_HOST_BYTES + 1);
+	GString *text = g_string_new(
+	    "{\"spec\":{\"version\":7," LIMITS ",\"listeners\":[{\"host\":\"");
+	struct pl_table_faults faults;
+	struct rt_table *table;
+	size_t heap_before;
+	uint32_t i;
+
+	(void)state;
+	memset(host, 'h', LONG_HOST_BYTES);
+	host[LONG_HOST_BYTES] = '\0';
+	g_string_append_printf(text, "%s\",\"rules\":[", host);
+	for (i = 0; i < MANY_RULES; i++)
+		g_string_append_printf(text,
+		    "%s{\"match\":{\"path_prefix\":\"/%u/\"}}",
+		    i == 0 ? "" : ",", i);
+	g_string_append(text, "]}]}}");
+	heap_before = mallinfo2().uordblks + mallinfo2().hblkhd;
+	assert_int_equal(
+	    pl_read_table(text->str, &table, &faults, error_text), CS_OK);
+	assert_int_equal(table->route_count, MANY_RULES);
+	assert_true(mallinfo2().uordblks + mallinfo2().hblkhd - heap_before <
+		    MANY_RULES * 4096);
+	assert_non_null(rt_table_find(table, host, "/7/x"));
+	rt_table_unref(table);
+	g_string_free(text, TRUE);
+	free(host);
+}
+
 int
 main(void)
 {
@@ -545,6 +583,7 @@
 	    cmocka_unit_test(test_tenants_with_faults_of_their_own),
 	    cmocka_unit_test(test_long_prefix_and_host_keep_their_rule),
 	    cmocka_unit_test(test_prefix_without_final_slash_is_refused),
+	    cmocka_unit_test(test_rules_share_a_long_host),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
