Fleet: connections to silent nodes are liveness checks, not probes

Only names and comments: the code of ended.c, majority.c and fleet.c is the same instruction by instruction (objdump of both). test_rate_frames passes, lint is clean.

--- a/lib/fleet/ended.c
+++ b/lib/fleet/ended.c
@@ -15,7 +15,7 @@
 
 /* Far longer than a platform takes to start a process again. */
 #define ENDED_AFTER_US 2000000
-/* A refusal counts for so long: until the second probe after it at most. */
+/* A refusal counts for so long: until the second check after it at most. */
 #define REFUSAL_VALID_US 600000
 
 bool
@@ -27,9 +27,9 @@
 }
 
 void
-fl_membership_on_probe(struct fl_membership *membership,
+fl_membership_on_check(struct fl_membership *membership,
     const struct sockaddr_in *fleet, int64_t sent_us,
-    enum fl_probe_result result)
+    enum fl_check_result result)
 {
 	struct fl_node *node = fl_membership_find(membership, fleet);
 	bool had_ended;
@@ -38,7 +38,7 @@
 		return;
 	had_ended = fl_node_has_ended(node, sent_us);
 	switch (result) {
-	case FL_PROBE_REFUSED:
+	case FL_CHECK_REFUSED:
 		if (node->refused_us == 0 ||
 		    sent_us - node->refused_us >= REFUSAL_VALID_US)
 			node->refused_since_us = sent_us;
@@ -48,108 +48,108 @@
 			    node->name,
 			    (long long)(sent_us - node->refused_since_us));
 		break;
-	case FL_PROBE_ACCEPTED:
+	case FL_CHECK_ACCEPTED:
 		node->refused_since_us = node->refused_us = 0;
 		break;
 	}
 }
 
-struct fl_probe {
+struct fl_check {
 	uv_tcp_t tcp;
 	uv_connect_t connect;
 	struct fleet *fleet; /* NULL: it is closed */
 	struct sockaddr_in address;
 	int64_t sent_us;
-	struct fl_probe *next;
+	struct fl_check *next;
 };
 
 static void
-on_probe_closed(uv_handle_t *handle)
+on_check_closed(uv_handle_t *handle)
 {
 	free(handle->data);
 }
 
 static void
-close_probe(struct fl_probe *probe)
+close_check(struct fl_check *check)
 {
-	struct fl_probe **at = &probe->fleet->probes;
+	struct fl_check **at = &check->fleet->checks;
 
-	while (*at != probe)
+	while (*at != check)
 		at = &(*at)->next;
-	*at = probe->next;
-	probe->fleet = NULL;
-	uv_close((uv_handle_t *)&probe->tcp, on_probe_closed);
+	*at = check->next;
+	check->fleet = NULL;
+	uv_close((uv_handle_t *)&check->tcp, on_check_closed);
 }
 
 static void
-on_probe_done(uv_connect_t *connect, int status)
+on_check_done(uv_connect_t *connect, int status)
 {
-	struct fl_probe *probe = connect->data;
+	struct fl_check *check = connect->data;
 	struct fl_membership *membership;
 
-	if (probe->fleet == NULL)
+	if (check->fleet == NULL)
 		return;
-	membership = &probe->fleet->membership;
+	membership = &check->fleet->membership;
 	if (status == 0)
-		fl_membership_on_probe(membership, &probe->address,
-		    probe->sent_us, FL_PROBE_ACCEPTED);
+		fl_membership_on_check(membership, &check->address,
+		    check->sent_us, FL_CHECK_ACCEPTED);
 	else if (status == UV_ECONNREFUSED)
-		fl_membership_on_probe(membership, &probe->address,
-		    probe->sent_us, FL_PROBE_REFUSED);
-	close_probe(probe);
+		fl_membership_on_check(membership, &check->address,
+		    check->sent_us, FL_CHECK_REFUSED);
+	close_check(check);
 }
 
 static void
-send_probe(struct fleet *fleet, const struct sockaddr_in *address)
+send_check(struct fleet *fleet, const struct sockaddr_in *address)
 {
-	struct fl_probe *probe = calloc(1, sizeof(*probe));
+	struct fl_check *check = calloc(1, sizeof(*check));
 
-	if (probe == NULL)
+	if (check == NULL)
 		return;
-	probe->address = *address;
-	probe->sent_us = cs_now_us();
-	probe->tcp.data = probe->connect.data = probe;
-	if (uv_tcp_init(fleet->params.loop, &probe->tcp) != 0) {
-		free(probe);
+	check->address = *address;
+	check->sent_us = cs_now_us();
+	check->tcp.data = check->connect.data = check;
+	if (uv_tcp_init(fleet->params.loop, &check->tcp) != 0) {
+		free(check);
 		return;
 	}
-	probe->fleet = fleet;
-	probe->next = fleet->probes;
-	fleet->probes = probe;
-	if (uv_tcp_connect(&probe->connect, &probe->tcp,
-		(const struct sockaddr *)address, on_probe_done) != 0)
-		close_probe(probe);
+	check->fleet = fleet;
+	check->next = fleet->checks;
+	fleet->checks = check;
+	if (uv_tcp_connect(&check->connect, &check->tcp,
+		(const struct sockaddr *)address, on_check_done) != 0)
+		close_check(check);
 }
 
 /* Closes those that are too old to count, or all. */
 static void
-close_probes(struct fleet *fleet, int64_t sent_before_us)
+close_checks(struct fleet *fleet, int64_t sent_before_us)
 {
-	struct fl_probe *probe, *next;
+	struct fl_check *check, *next;
 
-	for (probe = fleet->probes; probe != NULL; probe = next) {
-		next = probe->next;
-		if (probe->sent_us < sent_before_us)
-			close_probe(probe);
+	for (check = fleet->checks; check != NULL; check = next) {
+		next = check->next;
+		if (check->sent_us < sent_before_us)
+			close_check(check);
 	}
 }
 
 void
-fl_probe_silent_nodes(struct fleet *fleet)
+fl_check_silent_nodes(struct fleet *fleet)
 {
-	struct sockaddr_in addresses[FL_PROBES_MAX];
+	struct sockaddr_in addresses[FL_CHECKS_MAX];
 	int64_t now_us = cs_now_us();
 	uint32_t i, count;
 
-	close_probes(fleet, now_us - REFUSAL_VALID_US);
+	close_checks(fleet, now_us - REFUSAL_VALID_US);
 	count =
-	    fl_membership_pick_probes(&fleet->membership, now_us, addresses);
+	    fl_membership_pick_checks(&fleet->membership, now_us, addresses);
 	for (i = 0; i < count; i++)
-		send_probe(fleet, &addresses[i]);
+		send_check(fleet, &addresses[i]);
 }
 
 void
-fl_close_probes(struct fleet *fleet)
+fl_close_checks(struct fleet *fleet)
 {
-	close_probes(fleet, INT64_MAX);
+	close_checks(fleet, INT64_MAX);
 }
--- a/lib/fleet/fleet.c
+++ b/lib/fleet/fleet.c
@@ -577,7 +577,7 @@
 	uv_close((uv_handle_t *)&fleet->listener, NULL);
 	uv_close((uv_handle_t *)&fleet->timer, NULL);
 	uv_close((uv_handle_t *)&fleet->fast_timer, NULL);
-	fl_close_probes(fleet);
+	fl_close_checks(fleet);
 
 	for (link = fleet->followers; link != NULL; link = next) {
 		next = link->next;
--- a/lib/fleet/fleet.h
+++ b/lib/fleet/fleet.h
@@ -80,7 +80,7 @@
 	 * and the last one, when they were opened; 0: none since it was heard.
 	 */
 	int64_t refused_since_us, refused_us;
-	int64_t probed_us; /* the last connection that was opened for that */
+	int64_t checked_us; /* the last connection that was opened for that */
 };
 
 /* Where this node gets the store's updates from. */
@@ -215,25 +215,25 @@
  * What the address of a silent node does with a connection. Without a result in
  * time it is not told: the node may be cut off.
  */
-enum fl_probe_result {
-	FL_PROBE_REFUSED, /* no process listens there */
-	FL_PROBE_ACCEPTED,
+enum fl_check_result {
+	FL_CHECK_REFUSED, /* no process listens there */
+	FL_CHECK_ACCEPTED,
 };
 
-#define FL_PROBES_MAX 64 /* at a time */
+#define FL_CHECKS_MAX 64 /* at a time */
 /*
- * fl_membership_pick_probes(membership, now_us, out): picks the silent nodes of
- * the region whose addresses are to be probed now, because the majority is lost
- * or close to it. They count as probed. Returns their number. To be called
- * every 250 ms.
+ * fl_membership_pick_checks(membership, now_us, out): picks the silent nodes of
+ * the region whose addresses are to be checked now, because the majority is
+ * lost or close to it. They count as checked. Returns their number. To be
+ * called every 250 ms.
  */
-uint32_t fl_membership_pick_probes(struct fl_membership *membership,
-    int64_t now_us, struct sockaddr_in out[FL_PROBES_MAX]);
-/* fl_membership_on_probe(membership, fleet, sent_us, result): takes a result.
+uint32_t fl_membership_pick_checks(struct fl_membership *membership,
+    int64_t now_us, struct sockaddr_in out[FL_CHECKS_MAX]);
+/* fl_membership_on_check(membership, fleet, sent_us, result): takes a result.
  */
-void fl_membership_on_probe(struct fl_membership *membership,
+void fl_membership_on_check(struct fl_membership *membership,
     const struct sockaddr_in *fleet, int64_t sent_us,
-    enum fl_probe_result result);
+    enum fl_check_result result);
 /* fl_node_has_ended(node, now_us): its process does not run any more. */
 bool fl_node_has_ended(const struct fl_node *node, int64_t now_us);
 
@@ -716,10 +716,10 @@
 /* fl_set_listed(fleet, listed): tells the region, see enum fl_listed. */
 void fl_set_listed(struct fleet *fleet, enum fl_listed listed);
 /*
- * fl_probe_silent_nodes(fleet): finds out which silent nodes have ended, if
+ * fl_check_silent_nodes(fleet): finds out which silent nodes have ended, if
  * that matters. To be called every 250 ms.
  */
-void fl_probe_silent_nodes(struct fleet *fleet);
+void fl_check_silent_nodes(struct fleet *fleet);
 /* fl_leave(fleet): tells the other nodes at once that this one stops. */
 void fl_leave(struct fleet *fleet);
 const struct fl_membership *fl_get_membership(const struct fleet *fleet);
--- a/lib/fleet/fleet_internal.h
+++ b/lib/fleet/fleet_internal.h
@@ -43,7 +43,7 @@
 	enum fl_role role;
 	uv_timer_t fast_timer;
 	uint32_t fast_ticks;
-	struct fl_probe *probes; /* pending, see ended.c */
+	struct fl_check *checks; /* pending, see ended.c */
 	uint64_t peer_rotation;
 	uint64_t ticks;
 	uint64_t heartbeat_rounds;
@@ -76,8 +76,8 @@
     const struct sockaddr_in *from);
 
 /* ended.c */
-/* fl_close_probes(fleet): ends those that are pending. */
-void fl_close_probes(struct fleet *fleet);
+/* fl_close_checks(fleet): ends those that are pending. */
+void fl_close_checks(struct fleet *fleet);
 
 /* counters.c */
 /* fl_count_sent(fleet, type, node, bytes): node is NULL if it is not known. */
--- a/lib/fleet/majority.c
+++ b/lib/fleet/majority.c
@@ -110,31 +110,31 @@
 	return !is_unaware(membership) && 2 * census.alive > census.in_use;
 }
 
-/* Probing begins while so many more nodes may fall silent. */
+/* Checks begin while so many more nodes may fall silent. */
 #define SPARE_NODES 2
-#define PROBE_INTERVAL_US 1000000
-#define PROBE_REFUSED_INTERVAL_US 200000 /* of a node that refuses */
+#define CHECK_INTERVAL_US 1000000
+#define CHECK_REFUSED_INTERVAL_US 200000 /* of a node that refuses */
 
-/* Returns true if a is the better one to probe; b may be NULL. */
+/* Returns true if a is the better one to check; b may be NULL. */
 static bool
-is_probed_before(const struct fl_node *a, const struct fl_node *b)
+is_checked_before(const struct fl_node *a, const struct fl_node *b)
 {
 	/* What is known to be refused must be confirmed again and again. */
 	if (b == NULL || (a->refused_us != 0) != (b->refused_us != 0))
 		return b == NULL || a->refused_us != 0;
-	return a->probed_us < b->probed_us;
+	return a->checked_us < b->checked_us;
 }
 
 static bool
-is_probe_due(const struct fl_node *node, int64_t now_us)
+is_check_due(const struct fl_node *node, int64_t now_us)
 {
-	return now_us - node->probed_us >= (node->refused_us != 0
-						   ? PROBE_REFUSED_INTERVAL_US
-						   : PROBE_INTERVAL_US);
+	return now_us - node->checked_us >= (node->refused_us != 0
+						    ? CHECK_REFUSED_INTERVAL_US
+						    : CHECK_INTERVAL_US);
 }
 
 static struct fl_node *
-next_to_probe(struct fl_membership *membership, int64_t now_us)
+next_to_check(struct fl_membership *membership, int64_t now_us)
 {
 	struct fl_node *best = NULL;
 	uint32_t i;
@@ -143,18 +143,18 @@
 		struct fl_node *node = &membership->nodes[i];
 
 		if (node->same_region && !fl_node_is_alive(node, now_us) &&
-		    is_probe_due(node, now_us) &&
+		    is_check_due(node, now_us) &&
 		    (fl_node_has_ended(node, now_us) ||
 			may_be_in_use(membership, node, now_us)) &&
-		    is_probed_before(node, best))
+		    is_checked_before(node, best))
 			best = node;
 	}
 	return best;
 }
 
 uint32_t
-fl_membership_pick_probes(struct fl_membership *membership, int64_t now_us,
-    struct sockaddr_in out[FL_PROBES_MAX])
+fl_membership_pick_checks(struct fl_membership *membership, int64_t now_us,
+    struct sockaddr_in out[FL_CHECKS_MAX])
 {
 	struct census census = take_census(membership, now_us);
 	uint32_t i, ended = 0, needed, count;
@@ -168,13 +168,13 @@
 	if (needed < 2 * census.alive)
 		return 0;
 	needed -= 2 * census.alive - 1;
-	if (needed > FL_PROBES_MAX)
-		needed = FL_PROBES_MAX;
+	if (needed > FL_CHECKS_MAX)
+		needed = FL_CHECKS_MAX;
 	for (count = 0; count < needed; count++) {
-		node = next_to_probe(membership, now_us);
+		node = next_to_check(membership, now_us);
 		if (node == NULL)
 			break;
-		node->probed_us = now_us;
+		node->checked_us = now_us;
 		out[count] = node->fleet;
 	}
 	return count;
--- a/programs/gateway.c
+++ b/programs/gateway.c
@@ -299,7 +299,7 @@
 	ga_log_closed(app);
 	ga_publish_state(app);
 	ga_discover_nodes(app);
-	fl_probe_silent_nodes(app->fleet);
+	fl_check_silent_nodes(app->fleet);
 	ga_update_budget_share(app);
 	ga_repeat_crash_reports(app);
 	ga_remind_regions(app);
--- a/tests/unit/fleet_sim.c
+++ b/tests/unit/fleet_sim.c
@@ -5,7 +5,7 @@
 #include "fleet_sim.h"
 
 #define HEARTBEAT (800 * SIM_MS)
-#define PROBES (250 * SIM_MS)
+#define CHECKS (250 * SIM_MS)
 
 static bool
 is_before(const struct sim_event *a, const struct sim_event *b)
@@ -162,30 +162,30 @@
 }
 
 /*
- * The VM probes silent ones: the address of one that was killed refuses, unless
+ * The VM checks silent ones: the address of one that was killed refuses, unless
  * its machine is off; a frozen one accepts, and one that is cut off is silent.
  */
 static void
-probe(struct sim *sim, uint32_t number)
+check_silent(struct sim *sim, uint32_t number)
 {
 	struct fl_membership *membership = &sim->vms[number].membership;
-	struct sockaddr_in addresses[FL_PROBES_MAX];
+	struct sockaddr_in addresses[FL_CHECKS_MAX];
 	int64_t now_us = sim_clock(sim, number);
 	uint32_t i, count;
 
-	count = sim->probes_are_off
+	count = sim->checks_are_off
 		    ? 0
-		    : fl_membership_pick_probes(membership, now_us, addresses);
+		    : fl_membership_pick_checks(membership, now_us, addresses);
 	for (i = 0; i < count; i++) {
 		uint32_t to = addresses[i].sin_port - 1U;
 
 		if (sim_reaches(sim, number, to) && !sim->vms[to].is_off)
-			fl_membership_on_probe(membership, &addresses[i],
+			fl_membership_on_check(membership, &addresses[i],
 			    now_us,
-			    sim->vms[to].alive ? FL_PROBE_ACCEPTED
-					       : FL_PROBE_REFUSED);
+			    sim->vms[to].alive ? FL_CHECK_ACCEPTED
+					       : FL_CHECK_REFUSED);
 	}
-	sim_push(sim, sim->now_us + PROBES, SIM_PROBE, number, NULL, 0);
+	sim_push(sim, sim->now_us + CHECKS, SIM_CHECK, number, NULL, 0);
 }
 
 static void
@@ -218,7 +218,7 @@
 	}
 	sim->on_start(sim, number);
 	sim_push(sim, sim->now_us, SIM_BEAT, number, NULL, 0);
-	sim_push(sim, sim->now_us + PROBES, SIM_PROBE, number, NULL, 0);
+	sim_push(sim, sim->now_us + CHECKS, SIM_CHECK, number, NULL, 0);
 }
 
 void
@@ -318,8 +318,8 @@
 	}
 	if (event->type == SIM_BEAT)
 		beat(sim, event->vm);
-	else if (event->type == SIM_PROBE)
-		probe(sim, event->vm);
+	else if (event->type == SIM_CHECK)
+		check_silent(sim, event->vm);
 	else
 		sim->on_event(sim, event);
 }
--- a/tests/unit/fleet_sim.h
+++ b/tests/unit/fleet_sim.h
@@ -21,7 +21,7 @@
 #define SIM_BETWEEN_REGIONS (13 * SIM_MS)
 #define SIM_NO_VM UINT32_MAX /* events of the world */
 #define SIM_BEAT -1 /* type of events that the simulation handles itself */
-#define SIM_PROBE -3
+#define SIM_CHECK -3
 
 struct sim_vm {
 	bool alive;
@@ -53,7 +53,7 @@
 	uint32_t region_count;
 	double loss;	      /* share of the datagrams that get lost */
 	bool regions_are_cut; /* regions do not reach each other */
-	bool probes_are_off;
+	bool checks_are_off;
 	uint64_t datagrams; /* sent, without heartbeats */
 	uint64_t pushed;
 	struct sim_vm vms[SIM_VMS_MAX];
--- a/tests/unit/test_quotas.c
+++ b/tests/unit/test_quotas.c
@@ -966,7 +966,7 @@
 	    vm_count < SIM_REGIONS ? vm_count : SIM_REGIONS,
 	    vm_count * 1000 + seed);
 	sim.loss = c->loss;
-	sim.probes_are_off = getenv("NO_PROBES") != NULL;
+	sim.checks_are_off = getenv("NO_CHECKS") != NULL;
 	for (i = 0; c->empty_region && i < sim.vm_count; i++) {
 		if (sim.vms[i].region == sim.region_count - 1)
 			sim_kill(&sim, i);
--- a/tests/unit/test_rate_frames.c
+++ b/tests/unit/test_rate_frames.c
@@ -171,15 +171,15 @@
 	fl_membership_free(&m);
 }
 
-#define PROBED_EVERY (SECOND / 4)
+#define CHECKED_EVERY (SECOND / 4)
 
-/* Probes node 0 from from_us until until_us, with this result. */
+/* Checks node 0 from from_us until until_us, with this result. */
 static void
-probe_until(struct fl_membership *m, int64_t from_us, int64_t until_us,
-    enum fl_probe_result result)
+check_until(struct fl_membership *m, int64_t from_us, int64_t until_us,
+    enum fl_check_result result)
 {
-	for (; from_us <= until_us; from_us += PROBED_EVERY)
-		fl_membership_on_probe(m, &m->nodes[0].fleet, from_us, result);
+	for (; from_us <= until_us; from_us += CHECKED_EVERY)
+		fl_membership_on_check(m, &m->nodes[0].fleet, from_us, result);
 }
 
 /*
@@ -191,7 +191,7 @@
 {
 	struct fl_node self = {.name = "a", .same_region = true};
 	struct fl_node other = {.same_region = true, .boot = 1};
-	struct sockaddr_in picked[FL_PROBES_MAX];
+	struct sockaddr_in picked[FL_CHECKS_MAX];
 	struct fl_membership m;
 	struct fl_node *node;
 
@@ -201,37 +201,37 @@
 	fl_membership_init(&m, &self, SECOND);
 	fl_membership_on_hello(&m, &other, SECOND);
 	node = &m.nodes[0];
-	assert_int_equal(fl_membership_pick_probes(&m, SECOND, picked), 0);
-	assert_int_equal(fl_membership_pick_probes(&m, 4 * SECOND, picked), 1);
+	assert_int_equal(fl_membership_pick_checks(&m, SECOND, picked), 0);
+	assert_int_equal(fl_membership_pick_checks(&m, 4 * SECOND, picked), 1);
 	assert_int_equal(picked[0].sin_port, 1);
-	/* It is probed once a second until it refuses. */
+	/* It is checked once a second until it refuses. */
 	assert_int_equal(
-	    fl_membership_pick_probes(&m, 4 * SECOND + PROBED_EVERY, picked),
+	    fl_membership_pick_checks(&m, 4 * SECOND + CHECKED_EVERY, picked),
 	    0);
 
-	probe_until(&m, 4 * SECOND, 5 * SECOND, FL_PROBE_REFUSED);
+	check_until(&m, 4 * SECOND, 5 * SECOND, FL_CHECK_REFUSED);
 	assert_false(fl_membership_has_majority(&m, 5 * SECOND));
-	probe_until(&m, 5 * SECOND, 6 * SECOND, FL_PROBE_REFUSED);
+	check_until(&m, 5 * SECOND, 6 * SECOND, FL_CHECK_REFUSED);
 	assert_true(fl_membership_has_majority(&m, 6 * SECOND));
 	assert_int_equal(
-	    fl_membership_pick_probes(&m, 6 * SECOND + PROBED_EVERY, picked),
+	    fl_membership_pick_checks(&m, 6 * SECOND + CHECKED_EVERY, picked),
 	    1);
 	assert_false(fl_membership_has_majority(&m, 7 * SECOND));
 	/* Without refusals for a while it is as if there had been none. */
-	probe_until(&m, 8 * SECOND, 9 * SECOND, FL_PROBE_REFUSED);
+	check_until(&m, 8 * SECOND, 9 * SECOND, FL_CHECK_REFUSED);
 	assert_false(fl_membership_has_majority(&m, 9 * SECOND));
-	probe_until(&m, 9 * SECOND, 10 * SECOND, FL_PROBE_REFUSED);
+	check_until(&m, 9 * SECOND, 10 * SECOND, FL_CHECK_REFUSED);
 	assert_true(fl_membership_has_majority(&m, 10 * SECOND));
-	probe_until(&m, 10 * SECOND, 10 * SECOND, FL_PROBE_ACCEPTED);
+	check_until(&m, 10 * SECOND, 10 * SECOND, FL_CHECK_ACCEPTED);
 	assert_false(fl_membership_has_majority(&m, 10 * SECOND));
 
-	probe_until(&m, 11 * SECOND, 13 * SECOND, FL_PROBE_REFUSED);
+	check_until(&m, 11 * SECOND, 13 * SECOND, FL_CHECK_REFUSED);
 	assert_true(fl_node_has_ended(node, 13 * SECOND));
 	other.boot = 2;
 	fl_membership_on_hello(&m, &other, 13 * SECOND);
 	assert_false(fl_node_has_ended(node, 13 * SECOND));
 	/* A connection from before it was heard tells nothing. */
-	probe_until(&m, 12 * SECOND, 13 * SECOND, FL_PROBE_REFUSED);
+	check_until(&m, 12 * SECOND, 13 * SECOND, FL_CHECK_REFUSED);
 	assert_int_equal(node->refused_us, 0);
 	fl_membership_free(&m);
 }
