Review: machines that are off keep a tenant's quota from being given out

Cause: registrations of VMs are never removed, and each listed VM counts as a possible owner for ten minutes unless its address refuses connections; that of a machine that is off answers nothing.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,7 +4,7 @@
 # checked.
 set -eu
 cd "$(dirname "$0")"
-python3 - standins-2/fleet.py 13/case.py <<'PYTHON'
+python3 - standins-2/fleet.py 12/case.py 13/case.py <<'PYTHON'
 import sys
 for path in sys.argv[1:]:
     with open(path) as source:
